--- /dev/null
+++ b/sequoiamoor/core/blackboard.py
@@ -0,0 +1,52 @@
+"""The state that controllers read and write, one object per router."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..declaration import Declaration
+from ..options import Options
+from ..types import CallRequest, RouterIdentity
+from .ledger import Ledger
+from .queues import RequestQueues
+from .upstreams import Upstreams
+
+
+@dataclass(slots=True)
+class ConfigurationState:
+    """The configuration in force on this router; version 0 means unknown."""
+
+    version: int = 0
+    declaration: Declaration | None = None
+    document: object = None
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """Everything that the decisions of one router read.
+
+    Attributes:
+        running: Requests with an attempt under way, by call identifier.
+        is_leaving: Whether the router takes no new work.
+    """
+
+    identity: RouterIdentity
+    options: Options
+    queues: RequestQueues
+    upstreams: Upstreams
+    configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    ledger: Ledger = field(default_factory=Ledger)
+    running: dict[str, CallRequest] = field(default_factory=dict)
+    is_leaving: bool = False
+
+
+def create_blackboard(identity: RouterIdentity, options: Options) -> Blackboard:
+    """Returns an empty blackboard for a router that starts."""
+    return Blackboard(
+        identity=identity,
+        options=options,
+        queues=RequestQueues(
+            limit_per_organisation=options.queue_limit_per_organisation
+        ),
+        upstreams=Upstreams(options),
+    )
--- /dev/null
+++ b/sequoiamoor/declaration.py
@@ -0,0 +1,142 @@
+"""Declarations of operators: organisations, classes of work and services."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+
+from .errors import SettingsError
+from .settings import describe_errors
+from .types import ServiceKind
+
+_NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+
+_REMEDIES = {
+    "weight": "shares are equal by design; give the class a target instead",
+    "weights": "shares are equal by design; give the class a target instead",
+    "priority": "give the class a tighter first_token_ms or complete_ms instead",
+    "share": "shares are equal by design; give the class a target instead",
+    "vms": "the fleet finds VMs in the platform's list; name only the service",
+    "vm": "the fleet finds VMs in the platform's list; name only the service",
+    "replicas": "the fleet finds VMs in the platform's list; name only the service",
+    "address": "the fleet finds VMs in the platform's list; name only the service",
+    "addresses": "the fleet finds VMs in the platform's list; name only the service",
+}
+
+
+def _check_names(value: Mapping[str, Any]) -> Mapping[str, Any]:
+    for name in value:
+        if not re.match(_NAME_PATTERN, name):
+            raise ValueError(
+                f"{name!r} is not a valid name; use lower-case letters, digits and "
+                "hyphens, 63 at most"
+            )
+    return value
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    @model_validator(mode="before")
+    @classmethod
+    def _explain_unsupported(cls, data: Any) -> Any:
+        if isinstance(data, Mapping):
+            for name in data:
+                if name in _REMEDIES and name not in cls.model_fields:
+                    raise ValueError(f"{name!r} is not accepted: {_REMEDIES[name]}")
+        return data
+
+
+class ClassDeclaration(_Model):
+    """A class of work and its target; exactly one target is given."""
+
+    first_token_ms: int | None = Field(None, ge=1, le=3_600_000)
+    complete_ms: int | None = Field(None, ge=1, le=3_600_000)
+    wait_limit_ms: int = Field(30_000, ge=1, le=3_600_000)
+
+    @model_validator(mode="after")
+    def _check_target(self) -> ClassDeclaration:
+        if (self.first_token_ms is None) == (self.complete_ms is None):
+            raise ValueError(
+                "give exactly one target, first_token_ms or complete_ms; got "
+                f"first_token_ms={self.first_token_ms!r}, "
+                f"complete_ms={self.complete_ms!r}"
+            )
+        return self
+
+    @property
+    def target_seconds(self) -> float:
+        """The target in seconds after arrival."""
+        target = self.first_token_ms or self.complete_ms
+        assert target is not None
+        return target / 1000
+
+
+class OrganisationDeclaration(_Model):
+    """An organisation."""
+
+    title: str = ""
+
+
+class ServiceDeclaration(_Model):
+    """A service: which upstreams serve it and what may be done with its calls."""
+
+    kind: ServiceKind
+    repeatable: bool = True
+    checks_fencing: bool = False
+
+
+class Declaration(_Model):
+    """The whole configuration of a fleet."""
+
+    organisations: Annotated[
+        dict[str, OrganisationDeclaration], AfterValidator(_check_names)
+    ]
+    classes: Annotated[dict[str, ClassDeclaration], AfterValidator(_check_names)]
+    services: Annotated[dict[str, ServiceDeclaration], AfterValidator(_check_names)]
+
+
+def parse_declaration(document: object, *, source: str = "declaration") -> Declaration:
+    """Validates a declaration.
+
+    Args:
+        document: Decoded JSON document.
+        source: Name of the document for error messages.
+
+    Returns:
+        The validated declaration.
+
+    Raises:
+        SettingsError: If a field is wrong; the message has one line per field.
+    """
+    try:
+        return Declaration.model_validate(document)
+    except ValidationError as err:
+        raise SettingsError(describe_errors(err, source)) from err
+
+
+def read_declaration(path: Path) -> Declaration:
+    """Reads and validates a declaration file.
+
+    Raises:
+        SettingsError: If the file cannot be read or a field is wrong.
+    """
+    try:
+        return Declaration.model_validate_json(path.read_bytes())
+    except OSError as err:
+        raise SettingsError(
+            f"{path}: cannot be read ({err.strerror}); name a readable JSON file"
+        ) from err
+    except ValidationError as err:
+        raise SettingsError(describe_errors(err, str(path))) from err
--- /dev/null
+++ b/sequoiamoor/net/__init__.py
@@ -0,0 +1,1 @@
+"""Input and output around the decisions."""
--- /dev/null
+++ b/sequoiamoor/net/caller.py
@@ -0,0 +1,151 @@
+"""The caller interface: from HTTP requests to calls, and refusals."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+
+from ..core.blackboard import Blackboard
+from ..errors import (
+    MalformedRequestError,
+    MethodNotAllowedError,
+    NotFoundError,
+    NotReadyError,
+    RefusalError,
+    UnknownClassError,
+    UnknownOrganisationError,
+    UnknownServiceError,
+)
+from ..types import CallRequest
+from .http import Request, ServerConnection
+
+_CALL_PATH = re.compile(r"^/v1/services/([^/]+)/calls$")
+_REQUEST_ID = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+
+
+def parse_call(
+    request: Request, board: Blackboard, *, call_id: str, now: float
+) -> CallRequest:
+    """Validates a request of a caller.
+
+    Args:
+        request: The received request.
+        board: Blackboard with the configuration in force.
+        call_id: Identifier for the new call.
+        now: Monotonic time in seconds.
+
+    Returns:
+        The call, ready to be queued.
+
+    Raises:
+        RefusalError: If the request cannot be accepted.
+    """
+    match = _CALL_PATH.match(request.path)
+    if match is None:
+        raise NotFoundError(
+            f"path {request.path!r} is unknown; use /v1/services/SERVICE/calls"
+        )
+    if request.method != "POST":
+        raise MethodNotAllowedError(f"method {request.method} is not allowed; use POST")
+    declaration = board.configuration.declaration
+    if declaration is None:
+        raise NotReadyError(
+            "this router has no configuration yet; try another one or later",
+            retry_after=1.0,
+        )
+    service = match.group(1)
+    if service not in declaration.services:
+        raise UnknownServiceError(
+            f"service {service!r} is unknown; use one of {_list(declaration.services)}"
+        )
+    organisation = _require(request, "x-organisation")
+    if organisation not in declaration.organisations:
+        raise UnknownOrganisationError(
+            f"organisation {organisation!r} is unknown; ask an operator to declare it"
+        )
+    class_name = _require(request, "x-class")
+    if class_name not in declaration.classes:
+        raise UnknownClassError(
+            f"class {class_name!r} is unknown; use one of {_list(declaration.classes)}"
+        )
+    work_class = declaration.classes[class_name]
+    wait_limit = work_class.wait_limit_ms / 1000
+    limit_ms = _read_number(request, "x-deadline-ms")
+    if limit_ms is not None:
+        wait_limit = min(wait_limit, limit_ms / 1000)
+    request_id = request.headers.get("x-request-id")
+    if request_id is not None and not _REQUEST_ID.match(request_id):
+        raise MalformedRequestError(
+            f"X-Request-Id {request_id!r} is invalid; use 1 to 128 letters, digits, "
+            "'.', '_', ':' or '-'"
+        )
+    return CallRequest(
+        call_id=call_id,
+        request_id=request_id or call_id,
+        organisation=organisation,
+        class_name=class_name,
+        service=service,
+        arrival=now,
+        deadline=now + work_class.target_seconds,
+        wait_limit_at=now + wait_limit,
+        body=request.body,
+        content_type=request.headers.get("content-type", "application/json"),
+        cost_hint=_read_number(request, "x-cost-hint"),
+        prefix_key=request.headers.get("x-prefix-key"),
+        wants_stream="text/event-stream" in request.headers.get("accept", ""),
+        has_caller_id=request_id is not None,
+        is_repeatable=declaration.services[service].repeatable,
+    )
+
+
+def _list(names: object) -> str:
+    assert hasattr(names, "__iter__")
+    return ", ".join(sorted(names))
+
+
+def _require(request: Request, name: str) -> str:
+    value = request.headers.get(name)
+    if value is None:
+        raise MalformedRequestError(f"header {name!r} is missing; send it")
+    return value
+
+
+def _read_number(request: Request, name: str) -> float | None:
+    text = request.headers.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError as err:
+        raise MalformedRequestError(
+            f"header {name!r} is {text!r}; send a positive number"
+        ) from err
+    if not math.isfinite(value) or value <= 0:
+        raise MalformedRequestError(
+            f"header {name!r} is {text!r}; send a positive number"
+        )
+    return value
+
+
+def to_refusal_body(error: RefusalError, request_id: str | None) -> bytes:
+    """Returns the JSON body of a refusal."""
+    document = {
+        "code": error.code,
+        "message": str(error),
+        "execution": error.execution.value,
+        "request_id": request_id,
+    }
+    return json.dumps(document).encode() + b"\n"
+
+
+async def send_refusal(
+    connection: ServerConnection, error: RefusalError, request_id: str | None
+) -> None:
+    """Sends a refusal as a whole response."""
+    headers = {"content-type": "application/json"}
+    if error.retry_after is not None:
+        headers["retry-after"] = str(max(1, math.ceil(error.retry_after)))
+    await connection.send_response(
+        error.status, headers, to_refusal_body(error, request_id)
+    )
--- /dev/null
+++ b/sequoiamoor/net/platform.py
@@ -0,0 +1,130 @@
+"""Client of the platform: table, object store and VM list."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from ..errors import PlatformUnavailableError, VersionConflictError
+from ..types import Address, VmRole, VmState
+from .http import exchange
+
+
+@dataclass(frozen=True, slots=True)
+class TableEntry:
+    """A value in the table and its version; version 0 means absent."""
+
+    version: int
+    value: Any
+
+
+class Vm(BaseModel):
+    """One entry of the platform's VM list."""
+
+    model_config = ConfigDict(frozen=True)
+
+    id: str
+    role: VmRole
+    zone: str
+    address: str
+    port: int
+    control_port: int | None = None
+    service: str | None = None
+    state: VmState = VmState.LIVE
+
+    def to_address(self) -> Address:
+        """Returns the address that serves requests."""
+        return Address(self.address, self.port)
+
+
+class VmList(BaseModel):
+    """The platform's list of live and leaving VMs, which lags."""
+
+    as_of: float
+    vms: tuple[Vm, ...]
+
+
+class PlatformClient:
+    """Calls the platform; every failure means that the effect is unknown."""
+
+    def __init__(self, address: Address, *, timeout: float) -> None:
+        self._address = address
+        self._timeout = timeout
+        self.reads = 0
+        self.writes = 0
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> Any:
+        try:
+            response, data = await exchange(
+                self._address, method, path, body=body, timeout=self._timeout
+            )
+        except OSError as err:
+            raise PlatformUnavailableError(
+                f"{method} {path} at {self._address}: {err}; read back before "
+                "trying again"
+            ) from err
+        return response.status, data
+
+    async def read(self, key: str) -> TableEntry:
+        """Reads a key; an absent key has version 0.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        self.reads += 1
+        status, data = await self._call("GET", f"/table/{quote(key)}")
+        if status == 404:
+            return TableEntry(0, None)
+        self._check(status, f"read of {key!r}")
+        document = json.loads(data)
+        return TableEntry(document["version"], document["value"])
+
+    async def write(self, key: str, value: Any, *, expected_version: int) -> int:
+        """Writes a key if its version is the expected one (0: absent).
+
+        Returns:
+            The new version.
+
+        Raises:
+            PlatformUnavailableError: If the effect of the write is unknown.
+            VersionConflictError: If the key has another version.
+        """
+        self.writes += 1
+        body = json.dumps({"value": value, "expected_version": expected_version})
+        status, data = await self._call("PUT", f"/table/{quote(key)}", body.encode())
+        if status == 409:
+            document = json.loads(data)
+            raise VersionConflictError(
+                f"{key!r} has version {document['version']}, not "
+                f"{expected_version}; read it and decide again",
+                version=document["version"],
+                value=document["value"],
+            )
+        self._check(status, f"write of {key!r}")
+        version: int = json.loads(data)["version"]
+        return version
+
+    async def list_vms(self) -> VmList:
+        """Reads the VM list.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer, or answers
+                with something else.
+        """
+        self.reads += 1
+        status, data = await self._call("GET", "/vms")
+        self._check(status, "read of the VM list")
+        try:
+            return VmList.model_validate_json(data)
+        except ValidationError as err:
+            raise PlatformUnavailableError(f"the VM list is invalid: {err}") from err
+
+    def _check(self, status: int, what: str) -> None:
+        if status != 200:
+            raise PlatformUnavailableError(
+                f"{what} at {self._address}: status {status}; try again later"
+            )
--- /dev/null
+++ b/sequoiamoor/policies/__init__.py
@@ -0,0 +1,7 @@
+"""Exchangeable dispatch policies behind one interface."""
+
+from __future__ import annotations
+
+from .base import Policy, create_policy
+
+__all__ = ["Policy", "create_policy"]
--- /dev/null
+++ b/sequoiamoor/policies/round_robin.py
@@ -0,0 +1,49 @@
+"""Each router alone: earliest deadline first, replicas in turn, no window."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ..core.actions import Action, Start
+from ..core.blackboard import Blackboard
+from ..core.upstreams import Replica
+from ..types import CallRequest, ReplicaId, ServiceName
+
+
+class RoundRobinPolicy:
+    """Sends each request at once to the next replica in turn."""
+
+    def __init__(self, *, rng: Random) -> None:
+        self._rng = rng
+        self._turns: dict[ServiceName, int] = {}
+
+    def choose_start(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> Start | None:
+        """Returns the next start, or None if nothing waits or no replica is up."""
+        waiting = [
+            request
+            for name in board.queues.organisations(service)
+            if (request := board.queues.peek(service, name)) is not None
+        ]
+        for request in sorted(waiting, key=lambda one: one.deadline):
+            replicas = board.upstreams.available(service, now, request.excluded)
+            if replicas:
+                replica = self._choose_replica(service, replicas)
+                return Start(request.call_id, replica.replica_id)
+        return None
+
+    def _choose_replica(self, service: ServiceName, replicas: list[Replica]) -> Replica:
+        turn = self._turns.get(service, self._rng.randrange(1 << 16))
+        self._turns[service] = turn + 1
+        return replicas[turn % len(replicas)]
+
+    def finish(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
+    ) -> list[Action]:
+        """Does nothing: there are no slots."""
+        return []
+
+    def step(self, board: Blackboard, now: float) -> list[Action]:
+        """Does nothing: there is no periodic work."""
+        return []
