--- a/sequoiamoor/core/actions.py
+++ b/sequoiamoor/core/actions.py
@@ -7,6 +7,7 @@
 
 from ..errors import RefusalError
 from ..types import ReplicaId, RouterId
+from .messages import Message
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,35 +28,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SendReport:
-    """Send a report to a peer; an urgent one does not wait for the interval."""
-
-    router_id: RouterId
-    is_urgent: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class GrantRow:
-    """Slots of one replica granted to one router.
-
-    Attributes:
-        replica_id: Replica that the slots belong to.
-        epoch: Epoch of the arbiter.
-        granted: Slots granted in this epoch so far; it only grows.
-        recalled: Slots asked back in this epoch so far; it only grows.
-    """
-
-    replica_id: ReplicaId
-    epoch: int
-    granted: int
-    recalled: int
+    """Send a report to all peers before the interval ends."""
 
 
 @dataclass(frozen=True, slots=True)
-class SendGrants:
-    """Send grant rows to a router."""
+class Send:
+    """Send a message to one peer, or to all of them."""
 
-    router_id: RouterId
-    rows: tuple[GrantRow, ...]
+    router_id: RouterId | None
+    message: Message
 
 
-Action: TypeAlias = Start | Refuse | SendReport | SendGrants
+Action: TypeAlias = Start | Refuse | SendReport | Send
--- a/sequoiamoor/policies/base.py
+++ b/sequoiamoor/policies/base.py
@@ -7,8 +7,9 @@
 
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
+from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
 from ..errors import SettingsError
-from ..types import CallRequest, ReplicaId, ServiceName
+from ..types import CallRequest, ReplicaId, RouterIdentity, ServiceName
 
 
 class Policy(Protocol):
@@ -27,6 +28,28 @@
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Does the periodic work of the policy."""
 
+    def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
+        """Returns this router's counters for a report."""
+
+    def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
+        """Returns what this router holds of the windows of replicas."""
+
+    def build_snapshot(self, board: Blackboard) -> Snapshot:
+        """Returns all counters that this router knows."""
+
+    def take_report(
+        self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
+    ) -> list[Action]:
+        """Takes a report of a peer."""
+
+    def take_grants(
+        self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
+    ) -> list[Action]:
+        """Takes slots that an arbiter gave to this router."""
+
+    def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
+        """Merges the counters that a peer knows."""
+
 
 def create_policy(name: str, *, rng: Random) -> Policy:
     """Returns the policy with the given name.
--- a/sequoiamoor/policies/round_robin.py
+++ b/sequoiamoor/policies/round_robin.py
@@ -6,8 +6,9 @@
 
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
+from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
 from ..core.upstreams import Replica
-from ..types import CallRequest, ReplicaId, ServiceName
+from ..types import CallRequest, ReplicaId, RouterIdentity, ServiceName
 
 
 class RoundRobinPolicy:
@@ -47,3 +48,30 @@
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Does nothing: there is no periodic work."""
         return []
+
+    def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
+        """Returns nothing: each router decides alone."""
+        return ()
+
+    def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
+        """Returns nothing: there are no slots."""
+        return ()
+
+    def build_snapshot(self, board: Blackboard) -> Snapshot:
+        """Returns an empty snapshot."""
+        return Snapshot(())
+
+    def take_report(
+        self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
+    ) -> list[Action]:
+        """Does nothing: each router decides alone."""
+        return []
+
+    def take_grants(
+        self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
+    ) -> list[Action]:
+        """Does nothing: there are no slots."""
+        return []
+
+    def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
+        """Does nothing: each router decides alone."""
