--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,114 @@
+"""Measures the control traffic and the CPU time of an idle fleet of 8 routers.
+
+Run with ``python -m benchmarks.control``. Starts real processes and ends them. The
+bytes are those of the messages, without TCP and IP headers, and include everything
+that routers exchange. The CPU time is that of the whole idle router process, so it
+is an upper bound for control.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import re
+import time
+from pathlib import Path
+
+from sequoiamoor.standin.client import fetch, wait_ready
+from sequoiamoor.standin.launcher import Fleet, FleetPlan, UpstreamPlan, run_fleet
+from sequoiamoor.types import Address
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+ROUTERS = 8
+SETTLE_SECONDS = 6.0
+LIMITS = {"bytes_per_second": 9_000.0, "cpu_share": 0.016, "platform_per_second": 10.0}
+
+SERIES = re.compile(
+    r"^(sequoiamoor_(?:control|platform)_[a-z_]+)\{(.*?)\} (\S+)$", re.M
+)
+
+
+def build_plan() -> FleetPlan:
+    """Returns a fleet of the size of the Pinfall Yard fleet."""
+    upstreams = [
+        UpstreamPlan(f"talk-{number}", "lane-talk", ZONES[number % 3], "engine", 8)
+        for number in range(10)
+    ] + [
+        UpstreamPlan(f"desk-{number}", "lane-desk", ZONES[number], "service", 4)
+        for number in range(3)
+    ]
+    return FleetPlan(
+        zones=tuple(ZONES[number % 3] for number in range(ROUTERS)),
+        upstreams=tuple(upstreams),
+        declaration={
+            "organisations": {f"organisation-{number}": {} for number in range(16)},
+            "classes": {"chat": {"first_token_ms": 800}},
+            "services": {
+                "lane-talk": {"kind": "engine"},
+                "lane-desk": {"kind": "plain"},
+            },
+        },
+    )
+
+
+def read_series(address: Address) -> dict[str, float]:
+    """Returns the control and platform counters of a router."""
+    _, text = fetch(address, "GET", "/metrics")
+    return {
+        f"{name}{{{labels}}}": float(value)
+        for name, labels, value in SERIES.findall(text)
+        if name.endswith("_total")
+    }
+
+
+def read_cpu_seconds(pid: int) -> float:
+    """Returns the CPU time of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def measure(fleet: Fleet, seconds: float) -> dict[str, float]:
+    """Returns the figures of the busiest router, and of the fleet's platform."""
+    before = {name: read_series(one) for name, one in fleet.routers.items()}
+    cpu = {name: read_cpu_seconds(fleet.processes[name].pid) for name in fleet.routers}
+    started = time.monotonic()
+    time.sleep(seconds)
+    # The second read of /metrics is outside the interval of the CPU time.
+    used = {
+        name: read_cpu_seconds(fleet.processes[name].pid) - cpu[name] for name in cpu
+    }
+    elapsed = time.monotonic() - started
+    sums: dict[str, list[float]] = {"bytes": [], "messages": [], "platform": []}
+    for name, address in fleet.routers.items():
+        rates = {
+            series: (value - before[name].get(series, 0.0)) / elapsed
+            for series, value in read_series(address).items()
+        }
+        for kind, values in sums.items():
+            values.append(sum(rate for key, rate in rates.items() if kind in key))
+    return {
+        "bytes_per_second": max(sums["bytes"]),
+        "messages_per_second": max(sums["messages"]),
+        "cpu_share": max(used.values()) / elapsed,
+        "cpu_share_mean": sum(used.values()) / elapsed / len(used),
+        "platform_per_second": sum(sums["platform"]),
+    }
+
+
+def main() -> None:
+    """Prints the figures and the limits."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    seconds = parser.parse_args().seconds
+    with run_fleet(build_plan()) as fleet:
+        for router in fleet.routers.values():
+            wait_ready(router, timeout=30.0)
+        time.sleep(SETTLE_SECONDS)
+        figures = measure(fleet, seconds)
+    for name, value in figures.items():
+        limit = f"  (limit {LIMITS[name]:g})" if name in LIMITS else ""
+        print(f"{name:<22}{value:>12.4f}{limit}")
+
+
+if __name__ == "__main__":
+    main()
--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -6,7 +6,7 @@
 
 from ..declaration import Declaration
 from ..options import Options
-from ..types import CallRequest, RouterIdentity
+from ..types import CallRequest, RouterId, RouterIdentity
 from .ledger import Ledger
 from .queues import RequestQueues
 from .upstreams import Upstreams
@@ -27,6 +27,7 @@
 
     Attributes:
         running: Requests with an attempt under way, by call identifier.
+        members: Live routers of the fleet other than this one.
         is_leaving: Whether the router takes no new work.
     """
 
@@ -37,6 +38,7 @@
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     ledger: Ledger = field(default_factory=Ledger)
     running: dict[str, CallRequest] = field(default_factory=dict)
+    members: dict[RouterId, RouterIdentity] = field(default_factory=dict)
     is_leaving: bool = False
 
 
--- /dev/null
+++ b/sequoiamoor/core/membership.py
@@ -0,0 +1,167 @@
+"""Which routers are alive and where they can be reached."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..options import Options
+from ..types import Address, RouterId, RouterIdentity
+
+
+class MemberState(enum.StrEnum):
+    """How recently a router was heard from."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+@dataclass(slots=True)
+class Member:
+    """Another router.
+
+    Attributes:
+        identity: The incarnation last heard from.
+        heard_at: Monotonic time of its last message in seconds.
+        address: Control address that it gave, if any.
+        is_leaving: Whether it announced that it is leaving.
+    """
+
+    identity: RouterIdentity
+    heard_at: float
+    address: Address | None = None
+    state: MemberState = MemberState.ALIVE
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """A member that entered another state or was replaced by a new incarnation."""
+
+    identity: RouterIdentity
+    state: MemberState
+
+
+@dataclass(slots=True)
+class Membership:
+    """The other routers of the fleet as this router sees them.
+
+    Attributes:
+        identity: This router.
+        own_address: Control address of this router.
+        fixed: Control addresses from the settings.
+    """
+
+    identity: RouterIdentity
+    options: Options
+    own_address: Address | None = None
+    fixed: tuple[Address, ...] = ()
+    members: dict[RouterId, Member] = field(default_factory=dict)
+    _listed: dict[RouterId, Address] = field(default_factory=dict)
+    _stepped_at: float | None = None
+
+    def hear(
+        self, identity: RouterIdentity, now: float, *, address: Address | None = None
+    ) -> bool:
+        """Notes a message of a router.
+
+        Args:
+            identity: The sender.
+            now: Monotonic time in seconds.
+            address: Control address of the sender, if the message gives it.
+
+        Returns:
+            False if the sender is this router, or an incarnation that a later one
+            has replaced; its message must be ignored.
+        """
+        if identity.router_id == self.identity.router_id:
+            return False
+        member = self.members.get(identity.router_id)
+        if member is None or identity.incarnation > member.identity.incarnation:
+            self.members[identity.router_id] = Member(identity, now, address)
+            return True
+        if identity.incarnation < member.identity.incarnation:
+            return False
+        member.heard_at = max(member.heard_at, now)
+        if address is not None:
+            member.address = address
+        return True
+
+    def note_leaving(self, identity: RouterIdentity, *, is_leaving: bool) -> None:
+        """Notes the leaving flag of a report."""
+        member = self.members.get(identity.router_id)
+        if member is not None and member.identity == identity:
+            member.is_leaving = is_leaving
+
+    def note_closed(self, identity: RouterIdentity) -> None:
+        """Notes that a router closed its connection.
+
+        After it announced that it is leaving, this ends its membership at once
+        instead of after ``suspect_after``.
+        """
+        member = self.members.get(identity.router_id)
+        if member is not None and member.identity == identity and member.is_leaving:
+            member.heard_at = float("-inf")
+
+    def step(self, now: float) -> list[MemberChange]:
+        """Brings the states of all members up to date.
+
+        Time during which this router did not run does not count against the others:
+        after a pause it would otherwise declare the whole fleet dead before it has
+        read the reports that wait in its sockets.
+
+        Returns:
+            The members whose state changed.
+        """
+        gap = 0.0 if self._stepped_at is None else now - self._stepped_at
+        if gap > self.options.pause_limit:
+            for member in self.members.values():
+                member.heard_at = min(now, member.heard_at + gap)
+        self._stepped_at = now
+        changes = []
+        for router_id, member in list(self.members.items()):
+            state = self._judge(now - member.heard_at)
+            if state is not member.state:
+                member.state = state
+                changes.append(MemberChange(member.identity, state))
+            if now - member.heard_at > self.options.forget_router_after:
+                del self.members[router_id]
+        return changes
+
+    def _judge(self, silence: float) -> MemberState:
+        if silence > self.options.dead_after:
+            return MemberState.DEAD
+        if silence > self.options.suspect_after:
+            return MemberState.SUSPECT
+        return MemberState.ALIVE
+
+    def live(self) -> dict[RouterId, RouterIdentity]:
+        """Returns the routers that are neither suspect nor dead, without this one."""
+        return {
+            router_id: member.identity
+            for router_id, member in self.members.items()
+            if member.state is MemberState.ALIVE
+        }
+
+    def take_list(self, routers: Iterable[tuple[RouterId, Address]]) -> None:
+        """Takes the control addresses of a VM list that is not empty."""
+        self._listed = dict(routers)
+
+    def find_address(self, router_id: RouterId) -> Address | None:
+        """Returns the control address of a router, the one it gave itself first."""
+        member = self.members.get(router_id)
+        if member is not None and member.address is not None:
+            return member.address
+        return self._listed.get(router_id)
+
+    def candidates(self) -> set[Address]:
+        """Returns the control addresses to keep a connection to."""
+        found = set(self.fixed)
+        for router_id in self._listed.keys() | self.members.keys():
+            address = self.find_address(router_id)
+            if address is not None and router_id != self.identity.router_id:
+                found.add(address)
+        found.discard(self.own_address)
+        return found
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeAlias
 
 from ..types import (
+    Address,
     OrganisationName,
     ReplicaId,
     RouterIdentity,
@@ -20,10 +21,12 @@
     Attributes:
         identity: The sender.
         configuration_version: Version in force at the sender.
+        control: Address at which the sender accepts connections of routers.
     """
 
     identity: RouterIdentity
     configuration_version: int
+    control: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +142,30 @@
     is_leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LoadRow:
+    """A load report that the sender read from a replica.
+
+    Attributes:
+        token_rate: Tokens or service milliseconds per second.
+    """
+
+    replica_id: ReplicaId
+    incarnation: int
+    slots: int
+    running: int
+    queued: int
+    token_rate: int
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Loads:
+    """Load reports of the replicas that the sender polls."""
+
+    rows: tuple[LoadRow, ...]
+
+
 Message: TypeAlias = (
     Hello
     | Report
@@ -147,4 +174,5 @@
     | ConfigurationRequest
     | Configuration
     | UpstreamState
+    | Loads
 )
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -35,6 +35,10 @@
     """One upstream replica.
 
     Attributes:
+        is_leaving: Whether it is leaving; this holds for the rest of the incarnation
+            and for as long as the VM list says so.
+        incarnation: Highest incarnation known; 0 before the first load report.
+        heard_at: Monotonic time of the last sign of life, or of its discovery.
         in_use: Attempts of this router that run at the replica now.
         failures: Failed connections in a row.
         probe_at: Monotonic time from which a replica that is down may be tried.
@@ -48,6 +52,8 @@
     incarnation: int = 0
     load: LoadReport | None = None
     load_at: float = float("-inf")
+    heard_at: float = float("-inf")
+    is_listed_leaving: bool = False
     in_use: int = 0
     failures: int = 0
     probe_at: float = float("-inf")
@@ -57,12 +63,30 @@
         return not self.is_leaving and (self.failures == 0 or now >= self.probe_at)
 
 
+@dataclass(frozen=True, slots=True)
+class ListedUpstream:
+    """An upstream in the platform's VM list."""
+
+    replica_id: ReplicaId
+    service: ServiceName
+    zone: ZoneName
+    address: Address
+    is_leaving: bool = False
+
+
 @dataclass(slots=True)
 class Upstreams:
-    """All replicas that this router knows."""
+    """All replicas that this router knows.
+
+    Attributes:
+        listed: Identifiers in the VM list last taken.
+        list_made_at: Time at which the platform made that list.
+    """
 
     options: Options
     replicas: dict[ReplicaId, Replica] = field(default_factory=dict)
+    listed: frozenset[ReplicaId] = frozenset()
+    list_made_at: float = float("-inf")
 
     def by_service(self, service: ServiceName) -> list[Replica]:
         """Returns the service's replicas ordered by identifier."""
@@ -79,11 +103,105 @@
             if one.is_available(now) and one.replica_id not in excluded
         ]
 
-    def record_success(self, replica_id: ReplicaId) -> None:
+    def take_list(
+        self, upstreams: Iterable[ListedUpstream], *, made_at: float, now: float
+    ) -> list[Replica]:
+        """Takes a VM list.
+
+        A replica that is missing stays in use while it responds, since the list
+        lags. An empty list, and one made before the last one taken, change nothing.
+
+        Args:
+            upstreams: The upstreams in the list.
+            made_at: Time at which the platform made the list.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The replicas that are leaving and were not known to be.
+        """
+        entries = {one.replica_id: one for one in upstreams}
+        if not entries or made_at < self.list_made_at:
+            return []
+        self.list_made_at = made_at
+        self.listed = frozenset(entries)
+        leaving = []
+        for entry in entries.values():
+            replica = self._take_entry(entry, now)
+            was_leaving = replica.is_leaving
+            replica.is_listed_leaving = entry.is_leaving
+            replica.is_leaving = was_leaving or entry.is_leaving
+            if replica.is_leaving and not was_leaving:
+                leaving.append(replica)
+        for replica in self.replicas.values():
+            if replica.replica_id not in entries:
+                replica.is_listed_leaving = False
+        self.forget(now)
+        return leaving
+
+    def _take_entry(self, entry: ListedUpstream, now: float) -> Replica:
+        replica = self.replicas.get(entry.replica_id)
+        if (
+            replica is None
+            or replica.address != entry.address
+            or replica.service != entry.service
+        ):
+            # Attempts at the old address keep the object that they started with.
+            replica = Replica(
+                entry.replica_id,
+                entry.service,
+                entry.zone,
+                entry.address,
+                heard_at=now,
+            )
+            self.replicas[entry.replica_id] = replica
+        replica.zone = entry.zone
+        return replica
+
+    def forget(self, now: float) -> list[ReplicaId]:
+        """Removes replicas that left the list and gave no sign of life for long."""
+        gone = [
+            one.replica_id
+            for one in self.replicas.values()
+            if one.replica_id not in self.listed
+            and one.in_use == 0
+            and now - one.heard_at > self.options.forget_upstream_after
+        ]
+        for replica_id in gone:
+            del self.replicas[replica_id]
+        return gone
+
+    def take_state(
+        self, replica_id: ReplicaId, incarnation: int, *, is_leaving: bool
+    ) -> bool:
+        """Takes what a peer says about a replica.
+
+        Returns:
+            Whether the replica is leaving and was not known to be.
+        """
+        replica = self.replicas.get(replica_id)
+        if replica is None or incarnation < replica.incarnation:
+            return False
+        was_leaving = replica.is_leaving
+        self._take_incarnation(replica, incarnation)
+        replica.is_leaving = replica.is_leaving or is_leaving
+        return replica.is_leaving and not was_leaving
+
+    def _take_incarnation(self, replica: Replica, incarnation: int) -> None:
+        if incarnation > replica.incarnation:
+            if replica.incarnation:
+                # The process restarted; failures and leaving were of the earlier
+                # one, unless the VM itself is leaving.
+                replica.is_leaving = replica.is_listed_leaving
+                replica.failures = 0
+            replica.incarnation = incarnation
+
+    def record_success(self, replica_id: ReplicaId, now: float | None = None) -> None:
         """Notes that the replica answered."""
         replica = self.replicas.get(replica_id)
         if replica is not None:
             replica.failures = 0
+            if now is not None:
+                replica.heard_at = max(replica.heard_at, now)
 
     def record_failure(self, replica_id: ReplicaId, now: float) -> None:
         """Notes a failed connection and sets the time of the next probe."""
@@ -94,14 +212,19 @@
         delay = self.options.probe_base_delay * 2 ** min(replica.failures - 1, 16)
         replica.probe_at = now + min(delay, self.options.probe_max_delay)
 
-    def record_load(self, replica_id: ReplicaId, load: LoadReport, now: float) -> None:
-        """Takes a load report; one of an earlier incarnation is ignored."""
+    def record_load(self, replica_id: ReplicaId, load: LoadReport, now: float) -> bool:
+        """Takes a load report; one of an earlier incarnation is ignored.
+
+        Returns:
+            Whether the replica is leaving and was not known to be.
+        """
         replica = self.replicas.get(replica_id)
         if replica is None or load.incarnation < replica.incarnation:
-            return
-        if load.incarnation > replica.incarnation:
-            replica.is_leaving = False
-        replica.incarnation = load.incarnation
+            return False
+        was_leaving = replica.is_leaving
+        self._take_incarnation(replica, load.incarnation)
         replica.load = load
         replica.load_at = now
+        replica.heard_at = max(replica.heard_at, now)
         replica.is_leaving = replica.is_leaving or load.is_leaving
+        return replica.is_leaving and not was_leaving
--- /dev/null
+++ b/sequoiamoor/daemon/control.py
@@ -0,0 +1,368 @@
+"""Messages between routers, carried out on the blackboard."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from random import Random
+from typing import Any
+
+import curio
+
+from ..core.actions import Action, Send, SendReport, Start
+from ..core.blackboard import Blackboard
+from ..core.membership import Membership, MemberState
+from ..core.messages import (
+    Configuration,
+    ConfigurationRequest,
+    Grants,
+    Hello,
+    LoadRow,
+    Loads,
+    Message,
+    Report,
+    Snapshot,
+    UpstreamState,
+)
+from ..core.upstreams import LoadReport, Replica
+from ..core.versions import Verdict, Versions
+from ..metrics import Metrics
+from ..net.peers import Peers
+from ..policies import Policy
+from ..settings import RouterSettings
+from ..types import (
+    Address,
+    CallRequest,
+    OrganisationName,
+    ReplicaId,
+    RouterId,
+    RouterIdentity,
+    ServiceName,
+)
+
+_LOG = logging.getLogger(__name__)
+
+Dispatch = Callable[[ServiceName], Awaitable[None]]
+
+
+class Control:
+    """Exchanges state with the other routers and keeps the blackboard current."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        policy: Policy,
+        metrics: Metrics,
+        *,
+        settings: RouterSettings,
+        rng: Random,
+    ) -> None:
+        self._board = board
+        self._policy = policy
+        self._metrics = metrics
+        self._options = board.options
+        self.membership = Membership(
+            board.identity,
+            board.options,
+            fixed=tuple(peer.to_address() for peer in settings.peers),
+        )
+        self.versions = Versions(board.configuration)
+        self._peers = Peers(
+            settings.control.to_address(),
+            handler=self,
+            options=board.options,
+            metrics=metrics,
+            rng=rng,
+        )
+        self._sequence = 0
+        self._is_report_due = False
+        self._is_flush_due = False
+        self._flushed_at = float("-inf")
+        self._reported_waiting: set[tuple[ServiceName, OrganisationName]] = set()
+
+    async def run(self, dispatch: Dispatch) -> None:
+        """Exchanges messages until cancelled."""
+        async with curio.TaskGroup() as tasks:
+            self._dispatch = dispatch
+            await tasks.spawn(self._peers.run, self._note_bound)
+            await tasks.spawn(self._tick)
+
+    async def _note_bound(self, address: Address) -> None:
+        self.membership.own_address = address
+
+    # What the rest of the router asks for.
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Carries out actions of the policy; urgent messages leave at once."""
+        for action in actions:
+            match action:
+                case SendReport():
+                    self._is_report_due = True
+                case Send(router_id, message):
+                    self._send(message, router_id)
+                case _:
+                    _LOG.error("action %s is not for the control side", action)
+        self._flush_if_due()
+
+    def note_waiting(self, service: ServiceName) -> None:
+        """Reports at once if an organisation's work has started to wait."""
+        names = self._board.queues.organisations(service)
+        if any((service, name) not in self._reported_waiting for name in names):
+            self.perform([SendReport()])
+
+    def offer_configuration(self, version: int, value: object, source: str) -> None:
+        """Takes a configuration that the platform or a peer gave."""
+        verdict = self.versions.offer(version, value)
+        if verdict is Verdict.ADOPTED:
+            _LOG.info(
+                "configuration in force", extra={"version": version, "peer": source}
+            )
+            self._is_report_due = True
+            self._flush_if_due()
+        elif verdict is Verdict.REFUSED:
+            self._metrics.configurations_refused.inc()
+            _LOG.error(
+                "configuration is invalid",
+                extra={
+                    "version": version,
+                    "peer": source,
+                    "reason": self.versions.refused_reason,
+                },
+            )
+
+    def announce_leaving(self, replicas: Iterable[Replica]) -> None:
+        """Tells all peers at once that these replicas are leaving."""
+        for replica in replicas:
+            _LOG.info("upstream is leaving", extra={"upstream": replica.replica_id})
+            self._send(UpstreamState(replica.replica_id, replica.incarnation, True))
+        self._flush_if_due()
+
+    def share_load(self, replica_id: ReplicaId, load: LoadReport) -> None:
+        """Tells all peers a load report, with the next report at the latest."""
+        row = LoadRow(
+            replica_id,
+            load.incarnation,
+            load.slots,
+            load.running,
+            load.queued,
+            round(load.token_rate),
+            load.is_leaving,
+        )
+        self._peers.send(Loads((row,)))
+
+    # Periodic work.
+
+    async def _tick(self) -> None:
+        next_at = time.monotonic()
+        while True:
+            now = time.monotonic()
+            if now >= next_at:
+                await self._step(now)
+                next_at = max(next_at + self._options.report_interval, now)
+            else:
+                self._flush_if_due()
+            await curio.sleep(self._options.flush_interval)
+
+    async def _step(self, now: float) -> None:
+        self._update_members(now)
+        await self._peers.connect(self.membership.candidates())
+        self._peers.close_silent(now)
+        actions = self._policy.step(self._board, now)
+        self._is_report_due = True
+        self._request_configuration(now)
+        self.perform(actions)
+        self._flush(now)
+        for service in self._board.queues.services():
+            await self._dispatch(service)
+
+    def _update_members(self, now: float) -> None:
+        changes = self.membership.step(now)
+        for change in changes:
+            identity = change.identity
+            _LOG.info(
+                "router is %s",
+                change.state,
+                extra={"peer": identity.router_id},
+            )
+            if change.state is MemberState.DEAD:
+                self.versions.forget_peer(identity.router_id)
+        live = self.membership.live()
+        if live != self._board.members:
+            self._board.members.clear()
+            self._board.members.update(live)
+        self._metrics.members.set(len(live) + 1)
+
+    def _request_configuration(self, now: float) -> None:
+        source = self.versions.choose_source(now)
+        if source is not None:
+            self._send(ConfigurationRequest(self._board.configuration.version), source)
+
+    # Sending.
+
+    def _send(self, message: Message, router_id: RouterId | None = None) -> None:
+        if router_id is None:
+            self._peers.send(message)
+        else:
+            address = self.membership.find_address(router_id)
+            if address is None:
+                return
+            self._peers.send(message, address)
+        self._is_flush_due = True
+
+    def _flush_if_due(self) -> None:
+        if not (self._is_report_due or self._is_flush_due):
+            return
+        now = time.monotonic()
+        if now - self._flushed_at >= self._options.flush_interval:
+            self._flush(now)
+
+    def _flush(self, now: float) -> None:
+        if self._is_report_due:
+            self._peers.send(self._build_report(now))
+        self._is_report_due = self._is_flush_due = False
+        self._flushed_at = now
+        self._peers.flush(now)
+
+    def _build_report(self, now: float) -> Report:
+        self._sequence += 1
+        queues = self._board.queues
+        self._reported_waiting = {
+            (service, name)
+            for service in queues.services()
+            for name in queues.organisations(service)
+        }
+        return Report(
+            self._sequence,
+            self._board.configuration.version,
+            self._board.is_leaving,
+            self._policy.build_counters(self._board, now),
+            self._policy.build_slots(self._board, now),
+        )
+
+    def greet(self) -> Iterable[Message]:
+        """Returns the first messages of a new outgoing connection."""
+        board = self._board
+        yield Hello(
+            board.identity, board.configuration.version, self.membership.own_address
+        )
+        yield self._policy.build_snapshot(board)
+        for replica in board.upstreams.replicas.values():
+            if replica.is_leaving:
+                yield UpstreamState(replica.replica_id, replica.incarnation, True)
+        yield self._build_report(time.monotonic())
+
+    # Receiving.
+
+    async def receive(self, identity: RouterIdentity, message: Message) -> None:
+        """Takes a message of a peer."""
+        now = time.monotonic()
+        address = message.control if isinstance(message, Hello) else None
+        if not self.membership.hear(identity, now, address=address):
+            return
+        match message:
+            case Report():
+                await self._take_report(identity, message, now)
+            case Grants():
+                actions = self._policy.take_grants(self._board, identity, message, now)
+                self.perform(actions)
+                await self._dispatch_replicas(row.replica_id for row in message.rows)
+            case Loads(rows):
+                for row in rows:
+                    self._take_load(row, now)
+            case UpstreamState(replica_id, incarnation, is_leaving):
+                upstreams = self._board.upstreams
+                if upstreams.take_state(replica_id, incarnation, is_leaving=is_leaving):
+                    self.announce_leaving([upstreams.replicas[replica_id]])
+            case Snapshot():
+                self._policy.take_snapshot(self._board, message)
+            case Hello():
+                self._update_members(now)
+                await self._peers.connect(self.membership.candidates())
+                self._note_version(identity, message.configuration_version, now)
+            case ConfigurationRequest(version):
+                state = self._board.configuration
+                if state.version > version:
+                    self._send(
+                        Configuration(state.version, state.document),
+                        identity.router_id,
+                    )
+                    self._flush_if_due()
+            case Configuration(version, document):
+                self.offer_configuration(version, document, identity.router_id)
+
+    async def _take_report(
+        self, identity: RouterIdentity, report: Report, now: float
+    ) -> None:
+        self.membership.note_leaving(identity, is_leaving=report.is_leaving)
+        self._note_version(identity, report.configuration_version, now)
+        if identity.router_id not in self._board.members:
+            self._update_members(now)
+        self.perform(self._policy.take_report(self._board, identity, report, now))
+        if not report.counters and not report.slots:
+            return
+        waiting = self._board.queues.services()
+        if waiting:
+            for service in waiting & {row.service for row in report.counters}:
+                await self._dispatch(service)
+            await self._dispatch_replicas(row.replica_id for row in report.slots)
+
+    def _note_version(self, identity: RouterIdentity, version: int, now: float) -> None:
+        self.versions.note_peer(identity.router_id, version)
+        if version > self.versions.settled_version:
+            self._request_configuration(now)
+            self._flush_if_due()
+
+    def _take_load(self, row: LoadRow, now: float) -> None:
+        load = LoadReport(
+            row.incarnation,
+            row.slots,
+            row.running,
+            row.queued,
+            float(row.token_rate),
+            row.is_leaving,
+        )
+        upstreams = self._board.upstreams
+        if upstreams.record_load(row.replica_id, load, now):
+            self.announce_leaving([upstreams.replicas[row.replica_id]])
+
+    async def _dispatch_replicas(self, replica_ids: Iterable[ReplicaId]) -> None:
+        replicas = self._board.upstreams.replicas
+        services = {replicas[one].service for one in replica_ids if one in replicas}
+        for service in services & self._board.queues.services():
+            await self._dispatch(service)
+
+    async def note_closed(self, identity: RouterIdentity) -> None:
+        """Takes note that a peer closed its connection."""
+        self.membership.note_closed(identity)
+
+
+class ObservedPolicy:
+    """A policy whose actions between two steps reach the other routers.
+
+    ``choose_start`` and ``finish`` are called while calls are served, where nothing
+    carries out actions; this passes them on to the control side.
+    """
+
+    def __init__(self, policy: Policy, control: Control) -> None:
+        self._policy = policy
+        self._control = control
+
+    def choose_start(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> Start | None:
+        """Returns the policy's next start; reports work that has to wait."""
+        start = self._policy.choose_start(board, service, now)
+        if start is None:
+            self._control.note_waiting(service)
+        return start
+
+    def finish(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
+    ) -> list[Action]:
+        """Passes the policy's actions on and returns none."""
+        self._control.perform(self._policy.finish(board, request, replica_id, now))
+        return []
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._policy, name)
--- a/sequoiamoor/daemon/pollers.py
+++ b/sequoiamoor/daemon/pollers.py
@@ -5,91 +5,197 @@
 import json
 import logging
 import time
+from random import Random
 
 import curio
 
 from ..core.blackboard import Blackboard
-from ..core.upstreams import LoadReport, Replica
-from ..declaration import parse_declaration
-from ..errors import PlatformUnavailableError, SettingsError
+from ..core.rendezvous import choose_router
+from ..core.upstreams import ListedUpstream, LoadReport, Replica
+from ..errors import PlatformUnavailableError
 from ..net.http import exchange
-from ..net.platform import PlatformClient, Vm
-from ..types import Address, ReplicaId, VmRole, VmState
+from ..net.platform import PlatformClient, Vm, VmList
+from ..types import Address, ReplicaId, VmRole, VmState, ZoneName
+from .control import Control
 
 _LOG = logging.getLogger(__name__)
 
+# How soon a change of the responsible router or of the configuration takes effect.
+_CHECK_INTERVAL_SECONDS = 0.25
+
 
 class Pollers:
     """Keeps configuration, VM list and load reports on the blackboard fresh."""
 
-    def __init__(self, board: Blackboard, platform: PlatformClient) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        platform: PlatformClient,
+        control: Control,
+        *,
+        rng: Random,
+    ) -> None:
         self._board = board
         self._platform = platform
+        self._control = control
         self._options = board.options
+        self._rng = rng
+        self._is_platform_reachable = True
+        self._polling: dict[ReplicaId, Address] = {}
+
+    def _is_responsible(self, key: str, zone: ZoneName) -> bool:
+        board = self._board
+        routers = [board.identity, *board.members.values()]
+        return choose_router(key, zone, routers) == board.identity.router_id
 
     async def poll_platform(self) -> None:
         """Reads configuration and VM list until cancelled."""
+        polled_at = float("-inf")
+        failures = 0
+        jitter = 1.0
         while True:
-            try:
-                await self._read_configuration()
-                self._take_vms((await self._platform.list_vms()).vms)
-            except PlatformUnavailableError as err:
-                _LOG.warning("platform unavailable", extra={"reason": str(err)})
-            is_known = self._board.configuration.declaration is not None
-            interval = self._options.platform_poll_interval
-            await curio.sleep(interval if is_known else interval / 4)
-
-    async def _read_configuration(self) -> None:
-        entry = await self._platform.read("configuration")
-        state = self._board.configuration
-        if entry.version <= state.version:
-            return
+            now = time.monotonic()
+            if now - polled_at >= self._find_interval(failures) * jitter:
+                polled_at = now
+                jitter = self._rng.uniform(0.8, 1.0)
+                is_done = await self._poll_platform_once()
+                failures = 0 if is_done else failures + 1
+            await curio.sleep(_CHECK_INTERVAL_SECONDS)
+
+    def _find_interval(self, failures: int) -> float:
+        options = self._options
+        if self._board.configuration.declaration is None:
+            delay = options.platform_poll_interval / 4
+            return min(delay * 2.0**failures, options.platform_poll_interval)
+        if self._is_responsible("platform", self._board.identity.zone):
+            return options.platform_poll_interval
+        return options.platform_poll_interval_others
+
+    async def _poll_platform_once(self) -> bool:
+        async with curio.TaskGroup(wait=all) as tasks:
+            configuration = await tasks.spawn(self._read_configuration)
+            vms = await tasks.spawn(self._read_list)
+        is_done = bool(configuration.result and vms.result)
+        if is_done and not self._is_platform_reachable:
+            _LOG.info("platform available again")
+        self._is_platform_reachable = is_done
+        return is_done
+
+    def _warn(self, err: PlatformUnavailableError) -> None:
+        level = logging.WARNING if self._is_platform_reachable else logging.DEBUG
+        _LOG.log(level, "platform unavailable", extra={"reason": str(err)})
+
+    async def _read_configuration(self) -> bool:
         try:
-            state.declaration = parse_declaration(entry.value["document"])
-        except (SettingsError, KeyError, TypeError) as err:
-            _LOG.error(
-                "configuration is invalid",
-                extra={"version": entry.version, "reason": str(err)},
-            )
-            return
-        state.version = entry.version
-        state.document = entry.value
-        _LOG.info("configuration in force", extra={"version": entry.version})
-
-    def _take_vms(self, vms: tuple[Vm, ...]) -> None:
-        replicas = self._board.upstreams.replicas
-        for vm in vms:
-            if vm.role is not VmRole.UPSTREAM or vm.service is None:
-                continue
-            replica = replicas.get(vm.id)
-            if replica is None or replica.address != vm.to_address():
-                replica = Replica(vm.id, vm.service, vm.zone, vm.to_address())
-                replicas[vm.id] = replica
-            replica.is_leaving = replica.is_leaving or vm.state is VmState.LEAVING
+            entry = await self._platform.read("configuration")
+        except PlatformUnavailableError as err:
+            self._warn(err)
+            return False
+        self._control.offer_configuration(entry.version, entry.value, "platform")
+        return True
+
+    async def _read_list(self) -> bool:
+        try:
+            vms = await self._platform.list_vms()
+        except PlatformUnavailableError as err:
+            self._warn(err)
+            return False
+        self._take_list(vms)
+        return True
+
+    def _take_list(self, vms: VmList) -> None:
+        routers = [
+            (vm.id, Address(vm.address, vm.control_port))
+            for vm in vms.vms
+            if vm.role is VmRole.ROUTER and vm.control_port
+        ]
+        if routers:
+            self._control.membership.take_list(routers)
+        leaving = self._board.upstreams.take_list(
+            [
+                to_listed_upstream(vm, vm.service)
+                for vm in vms.vms
+                if vm.role is VmRole.UPSTREAM and vm.service is not None
+            ],
+            made_at=vms.as_of,
+            now=time.monotonic(),
+        )
+        self._control.announce_leaving(leaving)
 
     async def poll_loads(self) -> None:
-        """Reads load reports until cancelled."""
+        """Reads load reports of the replicas of this router until cancelled."""
+        due: dict[ReplicaId, float] = {}
+        failures: dict[ReplicaId, int] = {}
         while True:
-            for replica in list(self._board.upstreams.replicas.values()):
-                await self._poll_load(replica.replica_id, replica.address)
-            await curio.sleep(self._options.load_poll_interval)
+            now = time.monotonic()
+            replicas = self._board.upstreams.replicas
+            for replica in list(replicas.values()):
+                replica_id = replica.replica_id
+                if (
+                    replica_id in self._polling
+                    or now < due.get(replica_id, 0.0)
+                    or not self._is_responsible(replica_id, replica.zone)
+                ):
+                    continue
+                delay = self._find_load_delay(failures.get(replica_id, 0))
+                due[replica_id] = now + delay
+                self._polling[replica_id] = replica.address
+                # The timeout of the read bounds the life of the task.
+                await curio.spawn(self._poll_load, replica, failures, daemon=True)
+            for replica_id in due.keys() - replicas.keys():
+                del due[replica_id]
+                failures.pop(replica_id, None)
+            await curio.sleep(_CHECK_INTERVAL_SECONDS)
+
+    def _find_load_delay(self, failures: int) -> float:
+        interval = self._options.load_poll_interval
+        if not failures:
+            return interval
+        delay = min(
+            interval * 2.0 ** min(failures - 1, 16), self._options.probe_max_delay
+        )
+        return delay * self._rng.uniform(0.5, 1.0)
 
-    async def _poll_load(self, replica_id: ReplicaId, address: Address) -> None:
-        now = time.monotonic()
+    async def _poll_load(
+        self, replica: Replica, failures: dict[ReplicaId, int]
+    ) -> None:
+        replica_id = replica.replica_id
         try:
-            _, body = await exchange(
-                address, "GET", "/v1/load", timeout=self._options.connect_timeout
-            )
-            document = json.loads(body)
-            load = LoadReport(
-                incarnation=int(document["incarnation"]),
-                slots=int(document["slots"]),
-                running=int(document["running"]),
-                queued=int(document["queued"]),
-                token_rate=float(document["token_rate"]),
-                is_leaving=bool(document["leaving"]),
-            )
+            load = await self._read_load(replica.address)
         except (OSError, ValueError, KeyError, TypeError) as err:
+            failures[replica_id] = failures.get(replica_id, 0) + 1
             _LOG.debug("load report of %s failed: %s", replica_id, err)
             return
-        self._board.upstreams.record_load(replica_id, load, now)
+        finally:
+            del self._polling[replica_id]
+        failures.pop(replica_id, None)
+        upstreams = self._board.upstreams
+        if upstreams.replicas.get(replica_id) is not replica:
+            # The VM list gave the identifier another address during the read.
+            return
+        if upstreams.record_load(replica_id, load, time.monotonic()):
+            self._control.announce_leaving([replica])
+        self._control.share_load(replica_id, load)
+
+    async def _read_load(self, address: Address) -> LoadReport:
+        response, body = await exchange(
+            address, "GET", "/v1/load", timeout=self._options.connect_timeout
+        )
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+        document = json.loads(body)
+        return LoadReport(
+            incarnation=int(document["incarnation"]),
+            slots=int(document["slots"]),
+            running=int(document["running"]),
+            queued=int(document["queued"]),
+            token_rate=float(document["token_rate"]),
+            is_leaving=bool(document["leaving"]),
+        )
+
+
+def to_listed_upstream(vm: Vm, service: str) -> ListedUpstream:
+    """Returns an entry of the VM list in the form that the decisions take."""
+    return ListedUpstream(
+        vm.id, service, vm.zone, vm.to_address(), vm.state is VmState.LEAVING
+    )
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -7,7 +7,7 @@
 import signal
 import time
 from random import Random
-from typing import Any
+from typing import Any, cast
 
 import curio
 
@@ -23,12 +23,14 @@
 from ..net.http import Request, ServerConnection
 from ..net.platform import PlatformClient
 from ..net.signals import SignalWatch
-from ..policies import create_policy
+from ..policies import Policy, create_policy
 from ..settings import RouterSettings
 from ..types import (
     RouterIdentity,
 )
 from .calls import CallServer, describe_call
+from .control import Control, ObservedPolicy
+from .debug import DebugPages
 from .pages import Pages
 from .pollers import Pollers
 
@@ -47,13 +49,22 @@
         )
         self.board = create_blackboard(identity, settings.options)
         self.metrics = Metrics()
-        self._policy = create_policy(settings.policy, rng=self._rng)
+        policy = create_policy(settings.policy, rng=self._rng)
+        self._control = Control(
+            self.board, policy, self.metrics, settings=settings, rng=self._rng
+        )
         self._platform = PlatformClient(
-            settings.platform.to_address(), timeout=self._options.platform_timeout
+            settings.platform.to_address(),
+            timeout=self._options.platform_timeout,
+            observe=self.metrics.observe_platform,
         )
-        self._calls = CallServer(self.board, self._policy, self.metrics)
+        observed = cast(Policy, ObservedPolicy(policy, self._control))
+        self._calls = CallServer(self.board, observed, self.metrics)
         self._pages = Pages(self.board, self.metrics)
-        self._pollers = Pollers(self.board, self._platform)
+        self._pollers = Pollers(
+            self.board, self._platform, self._control, rng=self._rng
+        )
+        self._debug = DebugPages(is_enabled=settings.fault_injection)
         self._numbers = itertools.count(1)
         self._connections = 0
         self._stop = curio.Event()
@@ -78,7 +89,7 @@
             listener = await tasks.spawn(curio.network.run_server, sock, self._accept)
             await tasks.spawn(self._pollers.poll_platform)
             await tasks.spawn(self._pollers.poll_loads)
-            await tasks.spawn(self._tick)
+            await tasks.spawn(self._control.run, self._calls.dispatch)
             await signals.wait()
             self.board.is_leaving = True
             _LOG.info("draining")
@@ -153,6 +164,9 @@
         if request.method == "GET" and request.path in self._pages:
             await self._pages.send(connection, request.path)
             return
+        if request.path in self._debug:
+            await self._debug.send(connection, request)
+            return
         try:
             if self.board.is_leaving:
                 raise LeavingError(
@@ -174,13 +188,6 @@
             await tasks.spawn(self._calls.serve, connection, call)
             await tasks.spawn(connection.wait_closed)
 
-    async def _tick(self) -> None:
-        while True:
-            await curio.sleep(self._options.report_interval)
-            self._policy.step(self.board, time.monotonic())
-            for service in self.board.queues.services():
-                await self._calls.dispatch(service)
-
 
 def run_router(settings: RouterSettings) -> None:
     """Runs a router until it is told to stop and its work is done."""
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -34,6 +34,39 @@
             ["service", "organisation"],
             registry=self.registry,
         )
+        self.control_bytes = Counter(
+            "sequoiamoor_control_bytes",
+            "Bytes of messages between routers, without TCP and IP headers.",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.control_messages = Counter(
+            "sequoiamoor_control_messages",
+            "Messages between routers.",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.platform_operations = Counter(
+            "sequoiamoor_platform_operations",
+            "Operations at the platform by kind and result.",
+            ["operation", "result"],
+            registry=self.registry,
+        )
+        self.members = Gauge(
+            "sequoiamoor_members",
+            "Live routers that this router sees, itself included.",
+            registry=self.registry,
+        )
+        self.configurations_refused = Counter(
+            "sequoiamoor_configurations_refused",
+            "Configuration documents that were invalid.",
+            registry=self.registry,
+        )
+        self.control_protocol_errors = Counter(
+            "sequoiamoor_control_protocol_errors",
+            "Connections of routers that were closed because of a bad message.",
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             "sequoiamoor_waiting_requests",
             "Requests that wait on this router.",
@@ -55,3 +88,7 @@
             ["class_name"],
             registry=self.registry,
         )
+
+    def observe_platform(self, operation: str, result: str) -> None:
+        """Counts an operation at the platform."""
+        self.platform_operations.labels(operation, result).inc()
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -15,6 +15,7 @@
     RequestTimeoutError,
 )
 from ..types import Address
+from .reachability import REACHABILITY
 
 RECEIVE_BYTES = 65_536
 
@@ -221,12 +222,14 @@
             OSError: If the connection fails or takes longer than ``timeout``
                 seconds.
         """
+        REACHABILITY.check(address.host)
         try:
             sock = await curio.timeout_after(
                 timeout, curio.open_connection, address.host, address.port
             )
         except curio.TaskTimeout as err:
             raise TimeoutError(f"no connection to {address} in {timeout} s") from err
+        REACHABILITY.track(sock, address.host)
         return cls(sock, address)
 
     async def send_request(
--- /dev/null
+++ b/sequoiamoor/net/peers.py
@@ -0,0 +1,375 @@
+"""Connections between routers.
+
+A router sends on the connections that it opened and reads from those that it
+accepted. Sending never waits: what a peer does not take is kept in a bounded form,
+in which a later state replaces an earlier one.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from random import Random
+from typing import Any, Protocol
+
+import curio
+
+from ..core.messages import (
+    Configuration,
+    ConfigurationRequest,
+    GrantRow,
+    Grants,
+    Hello,
+    LoadRow,
+    Loads,
+    Message,
+    Report,
+    Snapshot,
+    UpstreamState,
+)
+from ..core.reports import ReportFilter
+from ..errors import ProtocolError
+from ..metrics import Metrics
+from ..options import Options
+from ..types import Address, ReplicaId, RouterIdentity
+from .reachability import REACHABILITY
+from .wire import RECEIVE_BYTES, Decoder, Encoder
+
+_LOG = logging.getLogger(__name__)
+
+HELLO_TIMEOUT_SECONDS = 5.0
+
+
+class Outbox:
+    """Messages that wait to be sent to one peer.
+
+    It is bounded by the number of replicas: grants, loads and upstream states are
+    kept per replica, of the other kinds only the latest message.
+    """
+
+    def __init__(self) -> None:
+        self._clear()
+
+    def _clear(self) -> None:
+        self._first: list[Message] = []
+        self._states: dict[ReplicaId, UpstreamState] = {}
+        self._grants: dict[ReplicaId, GrantRow] = {}
+        self._loads: dict[ReplicaId, LoadRow] = {}
+        self._request: ConfigurationRequest | None = None
+        self._configuration: Configuration | None = None
+        self._report: Report | None = None
+        self.is_empty = True
+
+    def put(self, message: Message) -> None:
+        """Adds a message; it may replace an earlier one."""
+        self.is_empty = False
+        match message:
+            case Report():
+                self._report = message
+            case Grants(rows):
+                self._grants.update((row.replica_id, row) for row in rows)
+            case Loads(rows):
+                self._loads.update((row.replica_id, row) for row in rows)
+            case UpstreamState():
+                self._states[message.replica_id] = message
+            case ConfigurationRequest():
+                self._request = message
+            case Configuration():
+                if (
+                    self._configuration is None
+                    or message.version > self._configuration.version
+                ):
+                    self._configuration = message
+            case Hello() | Snapshot():
+                self._first.append(message)
+
+    def take(self) -> list[Message]:
+        """Removes and returns all messages in the order to send them."""
+        messages: list[Message] = [*self._first, *self._states.values()]
+        if self._grants:
+            messages.append(Grants(tuple(self._grants.values())))
+        if self._request is not None:
+            messages.append(self._request)
+        if self._configuration is not None:
+            messages.append(self._configuration)
+        if self._report is not None:
+            messages.append(self._report)
+        if self._loads:
+            messages.append(Loads(tuple(self._loads.values())))
+        self._clear()
+        return messages
+
+
+class Handler(Protocol):
+    """Takes what happens on the connections."""
+
+    def greet(self) -> Iterable[Message]:
+        """Returns the first messages of a new outgoing connection."""
+
+    async def receive(self, identity: RouterIdentity, message: Message) -> None:
+        """Takes a message of a peer."""
+
+    async def note_closed(self, identity: RouterIdentity) -> None:
+        """Takes note that a peer closed its connection."""
+
+
+class Link:
+    """The outgoing connection to one address."""
+
+    def __init__(
+        self, address: Address, *, source: str, options: Options, metrics: Metrics
+    ) -> None:
+        self.address = address
+        self._source = source
+        self._options = options
+        self._bytes = metrics.control_bytes.labels("out")
+        self._messages = metrics.control_messages.labels("out")
+        self._outbox = Outbox()
+        self._sock: Any = None
+        self._encoder = Encoder()
+        self._filter = ReportFilter()
+        self._unsent = b""
+        self._stalled_at: float | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is established."""
+        return self._sock is not None
+
+    def put(self, message: Message) -> None:
+        """Keeps a message for the next flush; without a connection it is dropped."""
+        if self._sock is not None:
+            self._outbox.put(message)
+
+    def flush(self, now: float) -> None:
+        """Writes what the socket takes now, without waiting.
+
+        Raises:
+            OSError: If the connection is broken or takes nothing for ``dead_after``.
+            ProtocolError: If the connection must be opened again.
+        """
+        if self._sock is None or (self._outbox.is_empty and not self._unsent):
+            return
+        if not self._unsent:
+            self._unsent = b"".join(self._encode(now))
+        try:
+            sent = self._sock._socket.send(self._unsent)
+        except BlockingIOError:
+            sent = 0
+        if sent == len(self._unsent):
+            self._unsent = b""
+            self._stalled_at = None
+        else:
+            self._unsent = self._unsent[sent:]
+            if sent or self._stalled_at is None:
+                self._stalled_at = now
+            if now - self._stalled_at > self._options.dead_after:
+                raise TimeoutError(f"{self.address} takes no data")
+        self._bytes.inc(sent)
+
+    def _encode(self, now: float) -> list[bytes]:
+        parts = []
+        for message in self._outbox.take():
+            if isinstance(message, Report):
+                message = Report(
+                    message.sequence,
+                    message.configuration_version,
+                    message.is_leaving,
+                    self._filter.select(message.counters, now),
+                    message.slots,
+                )
+            parts.extend(self._encoder.encode(message))
+        self._messages.inc(len(parts))
+        return parts
+
+    def shut(self) -> None:
+        """Ends the connection; the task that runs the link then closes it."""
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock._socket.shutdown(socket.SHUT_RDWR)
+
+    async def run(self, handler: Handler, rng: Random) -> None:
+        """Keeps the connection open until cancelled."""
+        delay = self._options.reconnect_base_delay
+        while True:
+            opened_at = time.monotonic()
+            try:
+                await self._run_connection(handler)
+            except (OSError, ProtocolError, curio.TaskTimeout) as err:
+                _LOG.debug("connection to %s failed: %s", self.address, err)
+            if time.monotonic() - opened_at > self._options.dead_after:
+                delay = self._options.reconnect_base_delay
+            await curio.sleep(delay * rng.uniform(0.5, 1.0))
+            delay = min(2 * delay, self._options.reconnect_max_delay)
+
+    async def _run_connection(self, handler: Handler) -> None:
+        REACHABILITY.check(self.address.host)
+        sock = await curio.timeout_after(self._options.connect_timeout, self._connect)
+        try:
+            REACHABILITY.check(self.address.host)
+            REACHABILITY.track(sock, self.address.host)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sock = sock
+            for message in handler.greet():
+                self._outbox.put(message)
+            self.flush(time.monotonic())
+            # A peer sends nothing here, so whatever can be read ends the connection.
+            await sock.recv(1)
+        finally:
+            self._sock = None
+            self._outbox = Outbox()
+            self._encoder = Encoder()
+            self._filter = ReportFilter()
+            self._unsent = b""
+            self._stalled_at = None
+            await sock.close()
+
+    async def _connect(self) -> Any:
+        # The source address tells the peer, and its fault injection, which router
+        # this is when several share one VM in tests.
+        sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
+        try:
+            sock.bind((self._source, 0))
+            await sock.connect((self.address.host, self.address.port))
+        except BaseException:
+            await sock.close()
+            raise
+        return sock
+
+
+class Peers:
+    """All connections between this router and others."""
+
+    def __init__(
+        self,
+        listen: Address,
+        *,
+        handler: Handler,
+        options: Options,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        self._listen = listen
+        self._handler = handler
+        self._options = options
+        self._metrics = metrics
+        self._rng = rng
+        self._tasks = curio.TaskGroup()
+        self._links: dict[Address, tuple[Link, Any]] = {}
+        self._accepted: dict[Any, float] = {}
+
+    async def run(self, on_bound: Callable[[Address], Awaitable[None]]) -> None:
+        """Accepts connections until cancelled."""
+        sock = curio.network.tcp_server_socket(
+            self._listen.host, self._listen.port, backlog=1024
+        )
+        host, port = sock.getsockname()[:2]
+        await on_bound(Address(host, port))
+        try:
+            await curio.network.run_server(sock, self._accept)
+        finally:
+            for _, task in self._links.values():
+                await task.cancel()
+
+    async def connect(self, addresses: set[Address]) -> None:
+        """Opens links to new addresses and closes those to all others."""
+        for address in addresses - self._links.keys():
+            link = Link(
+                address,
+                source=self._listen.host,
+                options=self._options,
+                metrics=self._metrics,
+            )
+            task = await curio.spawn(link.run, self._handler, self._rng, daemon=True)
+            self._links[address] = (link, task)
+        for address in self._links.keys() - addresses:
+            _, task = self._links.pop(address)
+            await task.cancel()
+
+    def send(self, message: Message, address: Address | None = None) -> None:
+        """Keeps a message for one peer, or for all, until the next flush."""
+        if address is not None:
+            found = self._links.get(address)
+            if found is not None:
+                found[0].put(message)
+            return
+        for link, _ in self._links.values():
+            link.put(message)
+
+    def flush(self, now: float) -> None:
+        """Writes what the sockets take now, without waiting."""
+        for link, _ in self._links.values():
+            try:
+                link.flush(now)
+            except (OSError, ProtocolError) as err:
+                _LOG.info(
+                    "connection to router ended",
+                    extra={"peer": str(link.address), "reason": str(err)},
+                )
+                link.shut()
+
+    def close_silent(self, now: float) -> None:
+        """Ends accepted connections on which nothing came for a long time."""
+        for sock, heard_at in list(self._accepted.items()):
+            if now - heard_at > 2 * self._options.dead_after:
+                with contextlib.suppress(OSError):
+                    sock._socket.shutdown(socket.SHUT_RDWR)
+
+    @property
+    def open_links(self) -> int:
+        """Number of outgoing connections that are established."""
+        return sum(link.is_open for link, _ in self._links.values())
+
+    async def _accept(self, sock: Any, peer: Any) -> None:
+        host = peer[0]
+        if REACHABILITY.is_blocked(host):
+            return
+        REACHABILITY.track(sock, host)
+        self._accepted[sock] = time.monotonic()
+        try:
+            await self._read(sock)
+        except ProtocolError as err:
+            self._metrics.control_protocol_errors.inc()
+            _LOG.warning(
+                "bad message of a router", extra={"peer": host, "reason": str(err)}
+            )
+        except (OSError, curio.TaskTimeout) as err:
+            _LOG.debug("connection from %s ended: %s", host, err)
+        finally:
+            del self._accepted[sock]
+
+    async def _read(self, sock: Any) -> None:
+        received_bytes = self._metrics.control_bytes.labels("in")
+        received_messages = self._metrics.control_messages.labels("in")
+        decoder = Decoder()
+        identity: RouterIdentity | None = None
+        try:
+            while data := await self._receive(sock, is_first=identity is None):
+                received_bytes.inc(len(data))
+                self._accepted[sock] = time.monotonic()
+                messages = decoder.feed(data)
+                received_messages.inc(decoder.messages)
+                decoder.messages = 0
+                for message in messages:
+                    if identity is None:
+                        if not isinstance(message, Hello):
+                            raise ProtocolError("the first message is not Hello")
+                        identity = message.identity
+                    elif isinstance(message, Hello):
+                        raise ProtocolError("Hello came a second time")
+                    await self._handler.receive(identity, message)
+        finally:
+            if identity is not None:
+                await self._handler.note_closed(identity)
+
+    async def _receive(self, sock: Any, *, is_first: bool) -> bytes:
+        if is_first:
+            data: bytes = await curio.timeout_after(
+                HELLO_TIMEOUT_SECONDS, sock.recv, RECEIVE_BYTES
+            )
+        else:
+            data = await sock.recv(RECEIVE_BYTES)
+        return data
--- a/sequoiamoor/net/platform.py
+++ b/sequoiamoor/net/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
@@ -13,6 +14,8 @@
 from ..types import Address, VmRole, VmState
 from .http import exchange
 
+_RESULTS = {200: "ok", 404: "absent", 409: "conflict", 429: "rate-limited"}
+
 
 @dataclass(frozen=True, slots=True)
 class TableEntry:
@@ -51,22 +54,33 @@
 class PlatformClient:
     """Calls the platform; every failure means that the effect is unknown."""
 
-    def __init__(self, address: Address, *, timeout: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        *,
+        timeout: float,
+        observe: Callable[[str, str], None] | None = None,
+    ) -> None:
         self._address = address
         self._timeout = timeout
+        self._observe = observe or (lambda operation, result: None)
         self.reads = 0
         self.writes = 0
 
-    async def _call(self, method: str, path: str, body: bytes = b"") -> Any:
+    async def _call(
+        self, operation: str, method: str, path: str, body: bytes = b""
+    ) -> Any:
         try:
             response, data = await exchange(
                 self._address, method, path, body=body, timeout=self._timeout
             )
         except OSError as err:
+            self._observe(operation, "unavailable")
             raise PlatformUnavailableError(
                 f"{method} {path} at {self._address}: {err}; read back before "
                 "trying again"
             ) from err
+        self._observe(operation, _RESULTS.get(response.status, "unavailable"))
         return response.status, data
 
     async def read(self, key: str) -> TableEntry:
@@ -76,12 +90,17 @@
             PlatformUnavailableError: If the platform does not answer.
         """
         self.reads += 1
-        status, data = await self._call("GET", f"/table/{quote(key)}")
+        status, data = await self._call("table-read", "GET", f"/table/{quote(key)}")
         if status == 404:
             return TableEntry(0, None)
         self._check(status, f"read of {key!r}")
-        document = json.loads(data)
-        return TableEntry(document["version"], document["value"])
+        try:
+            document = json.loads(data)
+            return TableEntry(int(document["version"]), document["value"])
+        except (ValueError, KeyError, TypeError) as err:
+            raise PlatformUnavailableError(
+                f"the answer to the read of {key!r} is invalid: {err!r}"
+            ) from err
 
     async def write(self, key: str, value: Any, *, expected_version: int) -> int:
         """Writes a key if its version is the expected one (0: absent).
@@ -95,7 +114,9 @@
         """
         self.writes += 1
         body = json.dumps({"value": value, "expected_version": expected_version})
-        status, data = await self._call("PUT", f"/table/{quote(key)}", body.encode())
+        status, data = await self._call(
+            "table-write", "PUT", f"/table/{quote(key)}", body.encode()
+        )
         if status == 409:
             document = json.loads(data)
             raise VersionConflictError(
@@ -116,7 +137,7 @@
                 with something else.
         """
         self.reads += 1
-        status, data = await self._call("GET", "/vms")
+        status, data = await self._call("list-read", "GET", "/vms")
         self._check(status, "read of the VM list")
         try:
             return VmList.model_validate_json(data)
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -20,6 +20,13 @@
     router_reclaim_after: float = Field(4.0, gt=0)
     suspect_after: float = Field(1.5, gt=0)
     dead_after: float = Field(5.0, gt=0)
+    pause_limit: float = Field(
+        1.0, gt=0, description="gap between steps from which this router was paused"
+    )
+    forget_router_after: float = Field(600.0, gt=0)
+    forget_upstream_after: float = Field(60.0, gt=0)
+    reconnect_base_delay: float = Field(0.1, gt=0)
+    reconnect_max_delay: float = Field(2.0, gt=0)
     platform_poll_interval: float = Field(2.0, gt=0)
     platform_poll_interval_others: float = Field(20.0, gt=0)
     platform_timeout: float = Field(2.0, gt=0)
--- /dev/null
+++ b/tests/net/test_wire.py
@@ -0,0 +1,223 @@
+"""Tests of the encoding of messages between routers."""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sequoiamoor.core.messages import (
+    Configuration,
+    ConfigurationRequest,
+    CounterRow,
+    GrantRow,
+    Grants,
+    Hello,
+    LoadRow,
+    Loads,
+    Message,
+    OriginCounters,
+    Report,
+    SlotRow,
+    Snapshot,
+    UpstreamState,
+)
+from sequoiamoor.errors import ProtocolError
+from sequoiamoor.net.wire import (
+    LENGTH_LIMIT,
+    MESSAGE_LIMIT_BYTES,
+    PROTOCOL,
+    SNAPSHOT_PART_ROWS,
+    Decoder,
+    Encoder,
+)
+from sequoiamoor.types import Address, RouterIdentity
+
+NAMES = st.sampled_from(["talk", "desk", "a", "b", "replica-0", "replica-1"])
+COUNTS = st.integers(0, 1 << 50)
+SMALL = st.integers(0, 300)
+IDENTITIES = st.builds(RouterIdentity, NAMES, COUNTS, NAMES)
+COUNTERS = st.builds(
+    CounterRow,
+    NAMES,
+    NAMES,
+    COUNTS,
+    COUNTS,
+    SMALL,
+    SMALL,
+    st.none() | st.integers(-100_000, 100_000),
+)
+COUNTER_ROWS = st.lists(
+    COUNTERS, max_size=5, unique_by=lambda row: (row.service, row.organisation)
+).map(tuple)
+SLOT_ROWS = st.lists(
+    st.builds(SlotRow, NAMES, COUNTS, SMALL, COUNTS, SMALL),
+    max_size=4,
+    unique_by=lambda row: row.replica_id,
+).map(tuple)
+MESSAGES: st.SearchStrategy[Message] = st.one_of(
+    st.builds(
+        Hello,
+        IDENTITIES,
+        COUNTS,
+        st.none() | st.builds(Address, st.just("127.0.1.1"), st.integers(1, 65_535)),
+    ),
+    st.builds(Report, COUNTS, COUNTS, st.booleans(), COUNTER_ROWS, SLOT_ROWS),
+    st.builds(
+        Grants,
+        st.lists(st.builds(GrantRow, NAMES, COUNTS, COUNTS, SMALL), max_size=4).map(
+            tuple
+        ),
+    ),
+    st.builds(
+        Loads,
+        st.lists(
+            st.builds(
+                LoadRow, NAMES, COUNTS, SMALL, SMALL, SMALL, COUNTS, st.booleans()
+            ),
+            max_size=4,
+        ).map(tuple),
+    ),
+    st.builds(
+        lambda identity, rows: Snapshot((OriginCounters(identity, rows),)),
+        IDENTITIES,
+        COUNTER_ROWS,
+    ),
+    st.builds(ConfigurationRequest, COUNTS),
+    st.builds(Configuration, COUNTS, st.just({"document": {"x": [1, 2.5, "y"]}})),
+    st.builds(UpstreamState, NAMES, COUNTS, st.booleans()),
+)
+
+
+def normalise(message: Message) -> Message:
+    """Orders the slots, which a receiver keeps as a set."""
+    if not isinstance(message, Report):
+        return message
+    slots = tuple(sorted(message.slots, key=lambda row: row.replica_id))
+    return Report(
+        message.sequence,
+        message.configuration_version,
+        message.is_leaving,
+        message.counters,
+        slots,
+    )
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(MESSAGES, max_size=12), st.integers(1, 40))
+def test_decoder_returns_what_was_encoded(messages: list[Message], size: int) -> None:
+    """Guards against lost fields, differences to a wrong row, or split messages."""
+    encoder, decoder = Encoder(), Decoder()
+    data = b"".join(
+        itertools.chain.from_iterable(encoder.encode(one) for one in messages)
+    )
+    received: list[Message] = []
+    for start in range(0, len(data), size):
+        received.extend(decoder.feed(data[start : start + size]))
+    assert [normalise(one) for one in received] == [normalise(one) for one in messages]
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(
+    st.lists(MESSAGES, min_size=1, max_size=6),
+    st.lists(st.tuples(st.integers(0, 10_000), st.binary(max_size=6)), max_size=4),
+)
+def test_damaged_bytes_raise_only_protocol_errors(
+    messages: list[Message], damages: list[tuple[int, bytes]]
+) -> None:
+    """Guards against bad bytes that end the router instead of one connection."""
+    encoder = Encoder()
+    data = b"".join(
+        itertools.chain.from_iterable(encoder.encode(one) for one in messages)
+    )
+    for place, damage in damages:
+        place %= len(data)
+        data = data[:place] + damage + data[place + len(damage) // 2 :]
+    decoder = Decoder()
+    try:
+        decoder.feed(data)
+    except ProtocolError:
+        return
+
+
+JSON_LIKE = st.recursive(
+    st.none() | st.booleans() | st.integers(-(1 << 63), 1 << 63) | st.text(max_size=3),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=2), inner, max_size=2)
+    ),
+    max_leaves=12,
+)
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(st.integers(0, 9), st.lists(JSON_LIKE, max_size=8))
+def test_wrong_fields_raise_only_protocol_errors(kind: int, fields: list[Any]) -> None:
+    """Guards against a field of a wrong type that a reader does not check."""
+    decoder = Decoder()
+    decoder.feed(msgpack.packb([1, ["a", "b"]]))
+    try:
+        decoder.feed(msgpack.packb([kind, *fields]))
+    except ProtocolError:
+        return
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (msgpack.packb([0, PROTOCOL + 1]), "protocol"),
+        (msgpack.packb([99]), "kind 99 is unknown"),
+        (msgpack.packb({"a": 1}), "not an array"),
+        (msgpack.packb([7, 0, 1, 1]), "only 0 were sent"),
+        (msgpack.packb([1, ["x" * 257]]), "is not a name"),
+        (msgpack.packb([2, -1, 0, 0]), "is not a count"),
+        (msgpack.packb([2, 1, 1, 7]), "is not 0 or 1"),
+        (b"\xc1", "not a message"),
+        (b"\x91" * 2_000, "not a message"),
+        (b"\xdd" + (LENGTH_LIMIT + 1).to_bytes(4, "big"), "not a message"),
+    ],
+)
+def test_bad_message_names_the_fault(data: bytes, reason: str) -> None:
+    """Guards against a message that is accepted although it is invalid."""
+    with pytest.raises(ProtocolError, match=reason):
+        Decoder().feed(data)
+
+
+def test_endless_message_is_refused_at_the_limit() -> None:
+    """Guards against a peer that makes a router keep a message without an end."""
+    decoder = Decoder()
+    part = b"".join(msgpack.packb("x" * 100) for _ in range(600))
+    with pytest.raises(ProtocolError, match="over the limit"):
+        decoder.feed(b"\xdc\x3f\xff")
+        for fed in itertools.count(0, len(part)):
+            assert fed <= 2 * MESSAGE_LIMIT_BYTES, "the limit was not applied"
+            decoder.feed(part)
+
+
+def test_large_snapshot_is_sent_in_parts() -> None:
+    """Guards against a snapshot of the target size that exceeds the message limit."""
+    rows = tuple(
+        CounterRow("talk", f"organisation-{number}", 1 << 40, 1, 0, 0, None)
+        for number in range(2 * SNAPSHOT_PART_ROWS + 1)
+    )
+    origin = RouterIdentity("r", 1, "z")
+    received = Decoder()
+    parts = Encoder().encode(Snapshot((OriginCounters(origin, rows),)))
+    messages = [one for part in parts for one in received.feed(part)]
+    snapshots = [one for one in messages if isinstance(one, Snapshot)]
+    assert len(snapshots) == 3
+    merged = [row for one in snapshots for part in one.origins for row in part.counters]
+    assert tuple(merged) == rows
+
+
+def test_unchanged_rows_take_no_bytes() -> None:
+    """Guards against idle reports that grow with the number of replicas."""
+    slots = tuple(SlotRow(f"replica-{one}", 3, 1, 500, 2) for one in range(13))
+    encoder = Encoder()
+    encoder.encode(Report(1, 7, False, (), slots))
+    (data,) = encoder.encode(Report(2, 7, False, (), slots))
+    assert len(data) <= 16
