Test control traffic against real routers

Cause: the exchange between routers was only run by the demonstration. Change: process tests for a zone cut from the platform, an outage of the platform with and without peers, a replaced table, a partition between zones, bad bytes on the control port, a leaving upstream, a paused router.

--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,168 @@
+"""Helpers of the tests that start real processes."""
+
+from __future__ import annotations
+
+import json
+import re
+import subprocess
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import curio
+
+from sequoiamoor.net.http import exchange
+from sequoiamoor.standin.client import fetch, wait_ready
+from sequoiamoor.standin.launcher import Fleet, FleetPlan, UpstreamPlan
+from sequoiamoor.types import Address
+
+READY_SECONDS = 30.0
+
+DECLARATION: dict[str, Any] = {
+    "organisations": {"league": {}},
+    "classes": {"chat": {"complete_ms": 5_000}},
+    "services": {"desk": {"kind": "plain"}},
+}
+
+
+def build_plan(zones: Iterable[str], *, replicas: int = 2) -> FleetPlan:
+    """Returns a fleet with one plain service in the zones of the routers."""
+    places = tuple(zones)
+    upstreams = tuple(
+        UpstreamPlan(
+            f"desk-{number}", "desk", places[number % len(places)], "service", 4
+        )
+        for number in range(replicas)
+    )
+    return FleetPlan(
+        zones=places,
+        upstreams=upstreams,
+        declaration=DECLARATION,
+        router_settings={"fault_injection": True},
+    )
+
+
+def wait_until(is_done: Callable[[], bool], *, limit: float, what: str) -> None:
+    """Returns when ``is_done`` returns true; fails after ``limit`` seconds."""
+    end = time.monotonic() + limit
+    while not is_done():
+        assert time.monotonic() < end, f"{what}: not within {limit} s"
+        time.sleep(0.05)
+
+
+def wait_fleet(fleet: Fleet) -> None:
+    """Returns when all routers are ready and see each other."""
+    for address in fleet.routers.values():
+        wait_ready(address, timeout=READY_SECONDS)
+    wait_members(fleet, fleet.routers, len(fleet.routers), limit=READY_SECONDS)
+
+
+def wait_members(
+    fleet: Fleet, names: Iterable[str], count: int, *, limit: float
+) -> None:
+    """Returns when each of these routers sees ``count`` live routers."""
+    wait_until(
+        lambda: all(
+            read_series(fleet.routers[name], "sequoiamoor_members") == count
+            for name in names
+        ),
+        limit=limit,
+        what=f"{count} members at {sorted(names)}",
+    )
+
+
+def wait_version(
+    fleet: Fleet, names: Iterable[str], version: int, *, limit: float
+) -> None:
+    """Returns when the version is in force at each of these routers."""
+    wait_until(
+        lambda: all(
+            read_status(fleet.routers[name])["configuration_version"] == version
+            for name in names
+        ),
+        limit=limit,
+        what=f"version {version} at {sorted(names)}",
+    )
+
+
+def read_status(address: Address) -> Any:
+    """Returns the status page of a router."""
+    return fetch(address, "GET", "/status")[1]
+
+
+def read_series(address: Address, name: str) -> float:
+    """Returns a series of a router; 0 if there is none of that name."""
+    text = fetch(address, "GET", "/metrics")[1]
+    found = re.search(rf"^{re.escape(name)} (\S+)$", text, re.MULTILINE)
+    return float(found.group(1)) if found else 0.0
+
+
+def block(address: Address, *prefixes: str) -> None:
+    """Makes a router refuse these prefixes only."""
+    status, _ = fetch(address, "POST", "/debug/partition", {"prefixes": list(prefixes)})
+    assert status == 200
+
+
+def set_outage(fleet: Fleet, *, outage: bool) -> None:
+    """Begins or ends an outage of the platform."""
+    fetch(fleet.platform, "POST", "/admin/faults", {"outage": outage})
+
+
+def write_configuration(fleet: Fleet, *, expected: int, title: str) -> int:
+    """Writes a valid configuration and returns its version."""
+    document = {**DECLARATION, "organisations": {"league": {"title": title}}}
+    return write_document(fleet, document, expected=expected)
+
+
+def write_document(fleet: Fleet, document: Any, *, expected: int) -> int:
+    """Writes a document to the key of the configuration."""
+    status, answer = fetch(
+        fleet.platform,
+        "PUT",
+        "/table/configuration",
+        {
+            "value": {"document": document, "change_id": f"test-{expected}"},
+            "expected_version": expected,
+        },
+    )
+    assert status == 200, answer
+    version: int = answer["version"]
+    return version
+
+
+def restart(fleet: Fleet, name: str, *extra: str) -> None:
+    """Kills a process of the fleet and starts it with the same arguments."""
+    process = fleet.processes[name]
+    process.kill()
+    process.wait()
+    if process.stdout is not None:
+        process.stdout.close()
+    assert isinstance(process.args, list)
+    fleet.processes[name] = subprocess.Popen(
+        [*process.args, *extra],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        start_new_session=True,
+    )
+
+
+def call(address: Address, request_id: str) -> tuple[int, str]:
+    """Makes one call of the plain service; returns status and replica."""
+
+    async def run() -> tuple[int, bytes]:
+        response, data = await exchange(
+            address,
+            "POST",
+            "/v1/services/desk/calls",
+            body=json.dumps({"work_ms": 1}).encode(),
+            headers={
+                "x-organisation": "league",
+                "x-class": "chat",
+                "x-request-id": request_id,
+            },
+            timeout=10.0,
+        )
+        return response.status, data
+
+    status, data = curio.run(run)
+    return status, json.loads(data).get("replica", "")
--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,203 @@
+"""Failure tests of control traffic, configuration and membership on real routers.
+
+The limits of the waits are the figures of the design page, not measurements.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import socket
+import time
+from random import Random
+
+import pytest
+
+from sequoiamoor.standin.client import fetch, put_configuration, put_vms
+from sequoiamoor.standin.launcher import Fleet, read_listening, run_fleet
+
+from .fleets import (
+    DECLARATION,
+    block,
+    build_plan,
+    call,
+    read_series,
+    read_status,
+    restart,
+    set_outage,
+    wait_fleet,
+    wait_members,
+    wait_until,
+    wait_version,
+    write_configuration,
+    write_document,
+)
+
+pytestmark = pytest.mark.processes
+
+CONFIGURATION_SECONDS = 13.0
+HEAL_SECONDS = 10.0
+LEAVING_SECONDS = 3.0
+DEAD_SECONDS = 5.0
+POLL_SECONDS = 20.0
+
+
+def test_configuration_reaches_a_zone_cut_from_the_platform() -> None:
+    """Guards against routers that take a configuration only from the platform.
+
+    Also guards against an invalid document that stops later ones.
+    """
+    with run_fleet(build_plan(("zone-a", "zone-b", "zone-c"))) as fleet:
+        wait_fleet(fleet)
+        block(fleet.routers["router-0"], "127.0.0.")
+        version = write_configuration(fleet, expected=1, title="second")
+        wait_version(fleet, fleet.routers, version, limit=CONFIGURATION_SECONDS)
+        version = write_document(fleet, {"organisations": 1}, expected=version)
+        wait_until(
+            lambda: all(
+                read_series(
+                    fleet.routers[name], "sequoiamoor_configurations_refused_total"
+                )
+                for name in ("router-1", "router-2")
+            ),
+            limit=CONFIGURATION_SECONDS,
+            what="the invalid document is reported",
+        )
+        for address in fleet.routers.values():
+            assert read_status(address)["configuration_version"] == version - 1
+        version = write_configuration(fleet, expected=version, title="fourth")
+        wait_version(fleet, fleet.routers, version, limit=CONFIGURATION_SECONDS)
+
+
+def test_restarted_router_takes_the_configuration_from_peers() -> None:
+    """Guards against a fleet that cannot replace a router while the platform is out."""
+    with run_fleet(build_plan(("zone-a", "zone-a", "zone-b"))) as fleet:
+        wait_fleet(fleet)
+        version = write_configuration(fleet, expected=1, title="second")
+        wait_version(fleet, fleet.routers, version, limit=CONFIGURATION_SECONDS)
+        set_outage(fleet, outage=True)
+        restart(fleet, "router-1")
+        wait_fleet(fleet)
+        assert read_status(fleet.routers["router-1"])["configuration_version"] == 2
+
+
+def test_router_alone_without_platform_is_not_ready() -> None:
+    """Guards against a router that serves without any configuration."""
+    with run_fleet(build_plan(("zone-a",), replicas=1)) as fleet:
+        wait_fleet(fleet)
+        set_outage(fleet, outage=True)
+        restart(fleet, "router-0")
+        address = fleet.routers["router-0"]
+        wait_until(
+            lambda: _count_failed_reads(fleet) >= 3, limit=30.0, what="failed reads"
+        )
+        assert fetch(address, "GET", "/healthz")[0] == 200
+        assert fetch(address, "GET", "/readyz")[0] == 503
+        set_outage(fleet, outage=False)
+        wait_fleet(fleet)
+
+
+def _count_failed_reads(fleet: Fleet) -> float:
+    name = (
+        'sequoiamoor_platform_operations_total{operation="table-read",'
+        'result="unavailable"}'
+    )
+    try:
+        return read_series(fleet.routers["router-0"], name)
+    except OSError:
+        return 0.0
+
+
+def test_version_does_not_go_back_with_the_platform() -> None:
+    """Guards against adopting an older table that replaces a lost platform."""
+    with run_fleet(build_plan(("zone-a", "zone-b"))) as fleet:
+        wait_fleet(fleet)
+        version = write_configuration(fleet, expected=1, title="second")
+        wait_version(fleet, fleet.routers, version, limit=CONFIGURATION_SECONDS)
+        restart(fleet, "platform", "--port", str(fleet.platform.port))
+        assert read_listening(fleet.processes["platform"]) == fleet.platform
+        put_configuration(fleet.platform, DECLARATION)
+        wait_until(
+            lambda: (
+                fetch(fleet.platform, "GET", "/admin/counts")[1].get("table reads", 0)
+                >= 4
+            ),
+            limit=POLL_SECONDS,
+            what="reads of the new table",
+        )
+        for address in fleet.routers.values():
+            assert read_status(address)["configuration_version"] == version
+            assert len(read_status(address)["upstreams"]) == 2
+
+
+def test_partition_between_zones_heals() -> None:
+    """Guards against sides of a partition that do not find each other again.
+
+    Also guards against bad bytes on the control port that disturb other connections.
+    """
+    zones = ("zone-a", "zone-a", "zone-b", "zone-b")
+    with run_fleet(build_plan(zones)) as fleet:
+        wait_fleet(fleet)
+        for name in ("router-0", "router-1"):
+            block(fleet.routers[name], "127.0.2.")
+        wait_members(fleet, fleet.routers, 2, limit=HEAL_SECONDS)
+        time.sleep(DEAD_SECONDS)
+        for name in ("router-0", "router-1"):
+            block(fleet.routers[name])
+        wait_members(fleet, fleet.routers, 4, limit=HEAL_SECONDS)
+        _send_bad_bytes(fleet, "router-0")
+        wait_members(fleet, fleet.routers, 4, limit=HEAL_SECONDS)
+
+
+def _send_bad_bytes(fleet: Fleet, name: str) -> None:
+    series = "sequoiamoor_control_protocol_errors_total"
+    vms = fetch(fleet.platform, "GET", "/vms")[1]["vms"]
+    (vm,) = [one for one in vms if one["id"] == name]
+    for data in (b"GET / HTTP/1.1\r\n\r\n", b"\xc1", b"\x91\x63", Random(1).randbytes(512)):
+        count = read_series(fleet.routers[name], series)
+        with socket.create_connection((vm["address"], vm["control_port"])) as sock:
+            sock.settimeout(HEAL_SECONDS)
+            sock.sendall(data)
+            # Closing a connection with unread bytes resets it.
+            with contextlib.suppress(ConnectionResetError):
+                assert sock.recv(1) == b""
+        assert read_series(fleet.routers[name], series) == count + 1
+
+
+def test_leaving_upstream_gets_no_new_starts() -> None:
+    """Guards against routers that learn of a leaving upstream only by their poll."""
+    with run_fleet(build_plan(("zone-a", "zone-a", "zone-b", "zone-b"))) as fleet:
+        wait_fleet(fleet)
+        vms = fetch(fleet.platform, "GET", "/vms")[1]["vms"]
+        for vm in vms:
+            if vm["id"] == "desk-0":
+                vm["state"] = "leaving"
+        put_vms(fleet.platform, vms)
+        time.sleep(LEAVING_SECONDS)
+        replicas = set()
+        for number in range(16):
+            for name, address in fleet.routers.items():
+                status, replica = call(address, f"{name}-{number}")
+                assert status == 200
+                replicas.add(replica)
+        assert replicas == {"desk-1"}
+
+
+def test_paused_router_is_a_member_again() -> None:
+    """Guards against a router that is lost, or harms others, after a long pause."""
+    with run_fleet(build_plan(("zone-a", "zone-b", "zone-c"))) as fleet:
+        wait_fleet(fleet)
+        process = fleet.processes["router-1"]
+        others = ("router-0", "router-2")
+        process.send_signal(signal.SIGSTOP)
+        try:
+            wait_members(fleet, others, 2, limit=HEAL_SECONDS)
+            version = write_configuration(fleet, expected=1, title="second")
+            time.sleep(DEAD_SECONDS)
+        finally:
+            process.send_signal(signal.SIGCONT)
+        wait_members(fleet, fleet.routers, 3, limit=HEAL_SECONDS)
+        wait_version(fleet, fleet.routers, version, limit=CONFIGURATION_SECONDS)
+        for name, address in fleet.routers.items():
+            assert call(address, f"after-{name}")[0] == 200
+        assert process.poll() is None
