--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,90 @@
+"""Control traffic and CPU of real, idle routers."""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+from sequoiamoor.standin.client import fetch, wait_ready
+from sequoiamoor.standin.demo import DECLARATION
+from sequoiamoor.standin.launcher import Fleet, FleetPlan, UpstreamPlan, run_fleet
+from sequoiamoor.types import Address
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+SETTLE_SECONDS = 4.0
+
+
+def read_series(router: Address, name: str) -> float:
+    """Returns the sum over all labels of a series of a router."""
+    _, text = fetch(router, "GET", "/metrics")
+    return sum(
+        float(line.rsplit(" ", 1)[1])
+        for line in text.splitlines()
+        if line.startswith((name + "{", name + " "))
+    )
+
+
+def read_cpu_seconds(process_id: int) -> float:
+    """Returns the CPU time that a process has used."""
+    fields = Path(f"/proc/{process_id}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def read_resident_bytes(process_id: int) -> int:
+    """Returns the resident memory of a process."""
+    pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def build_plan(routers: int) -> FleetPlan:
+    """Returns a fleet with few upstreams and many routers."""
+    upstreams = tuple(
+        UpstreamPlan(f"talk-{number}", "lane-talk", zone, "engine", 8)
+        for number, zone in enumerate(ZONES)
+    )
+    zones = tuple(ZONES[number % len(ZONES)] for number in range(routers))
+    settings = {"options": {"flat_limit": 64}}
+    return FleetPlan(zones, upstreams, DECLARATION, settings)
+
+
+def _sample(fleet: Fleet) -> dict[str, list[float]]:
+    routers = list(fleet.routers.items())
+    return {
+        "bytes": [
+            read_series(one, "sequoiamoor_control_bytes_total") for _, one in routers
+        ],
+        "messages": [
+            read_series(one, "sequoiamoor_control_messages_total") for _, one in routers
+        ],
+        "cpu": [read_cpu_seconds(fleet.processes[name].pid) for name, _ in routers],
+    }
+
+
+def measure_fleet(routers: int, *, seconds: float) -> dict[str, Any]:
+    """Runs an idle fleet and returns the mean figures of one router."""
+    with run_fleet(build_plan(routers)) as fleet:
+        for router in fleet.routers.values():
+            wait_ready(router, timeout=60.0)
+        time.sleep(SETTLE_SECONDS)
+        began, before = time.monotonic(), _sample(fleet)
+        time.sleep(seconds)
+        elapsed, after = time.monotonic() - began, _sample(fleet)
+        resident = [
+            read_resident_bytes(fleet.processes[name].pid) for name in fleet.routers
+        ]
+    rates = {
+        name: sum(b - a for a, b in zip(before[name], after[name], strict=True))
+        / len(fleet.routers)
+        / elapsed
+        for name in before
+    }
+    return {
+        "routers": routers,
+        "seconds": elapsed,
+        "bytes_per_second": rates["bytes"],
+        "messages_per_second": rates["messages"],
+        "cpu_percent": rates["cpu"] * 100,
+        "resident_bytes": max(resident),
+    }
