Share slots fairly over the fleet with one arbiter per replica

Cause: arbitrated and local-fair were aliases of least-load; nothing kept the shares of organisations that land unevenly on the routers. Ruled out: deciding at each router alone (local-fair): its gap grows with the length of the run.

--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -6,7 +6,7 @@
 
 from ..declaration import Declaration
 from ..options import Options
-from ..types import CallRequest, RouterIdentity
+from ..types import CallRequest, RouterId, RouterIdentity
 from .ledger import Ledger
 from .queues import RequestQueues
 from .upstreams import Upstreams
@@ -27,6 +27,10 @@
 
     Attributes:
         running: Requests with an attempt under way, by call identifier.
+        members: Live peers, without this router.
+        report_sequence: Sequence of the report that is being built; 0 as long as
+            reports are not numbered.
+        is_report_due: Whether a report should go out before the interval ends.
         is_leaving: Whether the router takes no new work.
     """
 
@@ -37,6 +41,9 @@
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     ledger: Ledger = field(default_factory=Ledger)
     running: dict[str, CallRequest] = field(default_factory=dict)
+    members: dict[RouterId, RouterIdentity] = field(default_factory=dict)
+    report_sequence: int = 0
+    is_report_due: bool = False
     is_leaving: bool = False
 
 
@@ -49,4 +56,5 @@
             limit_per_organisation=options.queue_limit_per_organisation
         ),
         upstreams=Upstreams(options),
+        ledger=Ledger(identity),
     )
--- /dev/null
+++ b/sequoiamoor/core/fairness.py
@@ -0,0 +1,169 @@
+"""Which organisation comes next: cap, floor, key, earliest deadline."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from ..types import CallRequest, ClassName, OrganisationName, ServiceName
+
+_K = TypeVar("_K")
+
+COST_SMOOTHING = 0.1
+"""Weight of the newest request in the moving average of the cost."""
+
+UNKNOWN_COST = 100.0
+"""Expected cost in service units before any request has ended."""
+
+
+@dataclass(slots=True)
+class OrganisationView:
+    """What the order needs to know of one organisation.
+
+    Attributes:
+        key: Total plus the work that its running requests will soon add.
+        running_cost: Units that one more running request adds to the key.
+        deadline: Monotonic time of the earliest deadline among waiting requests.
+        average_slots: Moving average of the requests it runs.
+    """
+
+    key: float
+    running_cost: float
+    waiting: int
+    running: int
+    deadline: float
+    average_slots: float
+
+    def add_running(self) -> None:
+        """Takes account of a start that no report shows yet."""
+        self.running += 1
+        self.waiting -= 1
+        self.key += self.running_cost
+
+
+@dataclass(slots=True)
+class ServiceView:
+    """One service as one router sees it.
+
+    Attributes:
+        organisations: Those with waiting or running requests.
+        slots: Sum of the windows of the service's replicas.
+        allowed_gap: Difference of keys that may be ignored, in service units.
+    """
+
+    organisations: dict[OrganisationName, OrganisationView]
+    slots: int
+    allowed_gap: float
+    cap_factor: float
+    floor_factor: float
+
+    def _share(self) -> float:
+        return self.slots / max(len(self.organisations), 1)
+
+    def _cap(self) -> int:
+        return max(math.ceil(self.cap_factor * self._share()), 1)
+
+    def eligible(self, names: Iterable[OrganisationName]) -> list[OrganisationName]:
+        """Returns those below their cap, or all if no backlogged one is."""
+        cap = self._cap()
+        known = self.organisations
+        if any(one.waiting > 0 and one.running < cap for one in known.values()):
+            return [name for name in names if known[name].running < cap]
+        return list(names)
+
+    def below_floor(self, names: Iterable[OrganisationName]) -> list[OrganisationName]:
+        """Returns those that held less than their floor of slots lately."""
+        floor = self.floor_factor * self._share()
+        known = self.organisations
+        return [
+            name
+            for name in names
+            if known[name].average_slots < floor and known[name].running < floor
+        ]
+
+
+def choose_organisation(
+    candidates: Iterable[OrganisationName], view: ServiceView
+) -> OrganisationName | None:
+    """Returns the organisation whose request starts next.
+
+    Args:
+        candidates: Organisations with a request that could start.
+        view: All organisations with waiting or running requests.
+    """
+    names = view.eligible(candidates)
+    names = view.below_floor(names) or names
+    if not names:
+        return None
+    known = view.organisations
+    limit = min(known[name].key for name in names) + view.allowed_gap
+    return min(
+        (name for name in names if known[name].key <= limit),
+        key=lambda name: (known[name].deadline, known[name].key, name),
+    )
+
+
+def may_keep_slot(name: OrganisationName, view: ServiceView) -> bool:
+    """Returns whether a router may use a freed slot again for the organisation.
+
+    It may if the organisation is about as far behind as the one that comes first
+    in the whole fleet; otherwise the slot goes back to the arbiter.
+    """
+    waiting = [one for one, state in view.organisations.items() if state.waiting > 0]
+    names = view.eligible(waiting)
+    if name not in names:
+        return not names
+    low = view.below_floor(names)
+    if low:
+        return name in low
+    known = view.organisations
+    least = min(known[one].key for one in names)
+    return known[name].key <= least + view.allowed_gap
+
+
+class CostEstimates:
+    """Moving average of the cost of a request per organisation and class."""
+
+    def __init__(self) -> None:
+        self._by_class: dict[
+            tuple[ServiceName, OrganisationName, ClassName], float
+        ] = {}
+        self._by_organisation: dict[tuple[ServiceName, OrganisationName], float] = {}
+        self._by_service: dict[ServiceName, float] = {}
+
+    def learn(self, request: CallRequest, units: float) -> None:
+        """Takes the cost of a request that ended."""
+        service, name = request.service, request.organisation
+        _smooth(self._by_class, (service, name, request.class_name), units)
+        _smooth(self._by_organisation, (service, name), units)
+        _smooth(self._by_service, service, units)
+
+    def expect_any(self, service: ServiceName, organisation: OrganisationName) -> float:
+        """Returns the expected cost of any request of the organisation."""
+        known = self._by_organisation.get((service, organisation))
+        return known or self._by_service.get(service) or UNKNOWN_COST
+
+    def expect(self, request: CallRequest, *, trust_factor: float) -> float:
+        """Returns the expected cost of a request.
+
+        The hint counts within a factor of the average; beyond it the nearest
+        trusted value holds, so a wrong hint moves the key by a bounded amount.
+        """
+        service, name = request.service, request.organisation
+        average = self._by_class.get((service, name, request.class_name))
+        if average is None:
+            average = self.expect_any(service, name)
+        if request.cost_hint is None:
+            return average
+        return min(
+            max(request.cost_hint, average / trust_factor), average * trust_factor
+        )
+
+
+def _smooth(averages: dict[_K, float], key: _K, value: float) -> None:
+    before = averages.get(key)
+    averages[key] = (
+        value if before is None else before + COST_SMOOTHING * (value - before)
+    )
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -95,9 +95,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Grants:
-    """Slots that the arbiter of some replicas gives to the receiver."""
+    """Slots that the arbiter of some replicas gives to the receiver.
+
+    Attributes:
+        acknowledged: Sequence of the receiver's last report that the arbiter took.
+            The grants expire counted from when that report was built, so a message
+            that waited in a buffer while the receiver was paused renews nothing.
+    """
 
     rows: tuple[GrantRow, ...]
+    acknowledged: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -204,17 +204,22 @@
     async def _run_attempt(
         self, call: CallRequest, replica: Replica, check: StreamCheck, sink: CallerSink
     ) -> None:
+        declaration = self._board.configuration.declaration
+        assert declaration is not None
+        is_engine = declaration.services[call.service].kind is ServiceKind.ENGINE
+
         def charge(units: float) -> None:
-            self._board.ledger.charge(call.service, call.organisation, units)
+            # The policy charges requests to plain services while they run.
+            if is_engine:
+                self._board.ledger.charge(call.service, call.organisation, units)
+                call.charged += units
             self._metrics.served.labels(call.service, call.organisation).inc(units)
 
         attempt = Attempt(
             call, replica, pool=self._pool, options=self._options, charge=charge
         )
-        declaration = self._board.configuration.declaration
-        assert declaration is not None
         try:
-            if declaration.services[call.service].kind is ServiceKind.ENGINE:
+            if is_engine:
                 await attempt.stream(check, sink)
                 await sink.finish_stream()
             else:
--- /dev/null
+++ b/sequoiamoor/policies/arbitrated.py
@@ -0,0 +1,377 @@
+"""Fair order over the whole fleet: one arbiter per replica grants its slots."""
+
+from __future__ import annotations
+
+from collections import deque
+from random import Random
+
+from ..core.actions import Action, Send, SendReport
+from ..core.allotment import Allotment
+from ..core.arbiter import Arbiter
+from ..core.blackboard import Blackboard
+from ..core.demand import Demand, DemandTable
+from ..core.fairness import ServiceView, choose_organisation, may_keep_slot
+from ..core.messages import CounterRow, GrantRow, Grants, Report, SlotRow, Snapshot
+from ..core.placement import choose_arbiter, hash_pair
+from ..core.upstreams import Replica
+from ..types import (
+    OrganisationName,
+    ReplicaId,
+    RouterId,
+    RouterIdentity,
+    ServiceName,
+)
+from .fair import FairPolicy
+
+_SENT_REPORTS_KEPT = 256
+
+
+class ArbitratedPolicy(FairPolicy):
+    """Starts work on slots granted by the arbiters of the replicas."""
+
+    def __init__(self, *, rng: Random) -> None:
+        super().__init__(rng=rng)
+        self._allotment = Allotment()
+        self._arbiter: Arbiter | None = None
+        self._demands = DemandTable()
+        self._pending: dict[
+            RouterId, deque[tuple[float, ServiceName, OrganisationName]]
+        ] = {}
+        self._sent_at: dict[int, float] = {}
+        self._published: dict[tuple[ServiceName, OrganisationName], CounterRow] = {}
+
+    def _own_arbiter(self, board: Blackboard) -> Arbiter:
+        if self._arbiter is None:
+            self._arbiter = Arbiter(board.identity, board.options)
+        return self._arbiter
+
+    # Slots of this router.
+
+    def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
+        if now - self._stepped_at > board.options.grant_expiry:
+            return 0
+        return self._allotment.free(replica.replica_id, now)
+
+    def _peer_demands(
+        self, board: Blackboard, service: ServiceName
+    ) -> dict[OrganisationName, Demand]:
+        return self._demands.sum(service, board.members)
+
+    def _note_started(self, replica_id: ReplicaId) -> None:
+        self._allotment.start(replica_id)
+
+    def _note_unserved(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> bool:
+        self._assign(board, now)
+        if self._count_free(board, service, now):
+            return True
+        for name in board.queues.organisations(service):
+            row = self._published.get((service, name))
+            if row is None or not row.waiting:
+                board.is_report_due = True
+        return False
+
+    def _count_free(self, board: Blackboard, service: ServiceName, now: float) -> int:
+        return sum(
+            self._free_slots(board, one, now)
+            for one in self._pool(board, service, now).replicas
+        )
+
+    def _free_slot(
+        self, board: Blackboard, service: ServiceName, replica_id: ReplicaId, now: float
+    ) -> list[Action]:
+        self._allotment.finish(replica_id)
+        released = self._allotment.release_recalled()
+        if not released and not self._may_keep(board, service, now):
+            released = self._allotment.release(replica_id, 1)
+        return self._after_release(board, released, now)
+
+    def _may_keep(self, board: Blackboard, service: ServiceName, now: float) -> bool:
+        """Returns whether a freed slot stays here."""
+        own = board.queues.organisations(service)
+        demands = self._peer_demands(board, service)
+        if not any(one.waiting for one in demands.values()):
+            return True
+        if not own:
+            return False
+        view = self._build_view(board, service, now)
+        return any(may_keep_slot(name, view) for name in own)
+
+    def _after_release(
+        self, board: Blackboard, released: int, now: float
+    ) -> list[Action]:
+        if not released:
+            return []
+        board.is_report_due = True
+        return [SendReport(), *self._arbitrate(board, now)]
+
+    def _yield_free(self, board: Blackboard, now: float) -> int:
+        """Releases slots granted in advance that work elsewhere needs."""
+        released = self._allotment.release_recalled()
+        for service in self._services(board):
+            if board.queues.organisations(service):
+                continue
+            demands = self._peer_demands(board, service)
+            needed = sum(one.waiting for one in demands.values())
+            for replica in self._pool(board, service, now).replicas:
+                if needed <= 0:
+                    break
+                count = self._allotment.release(replica.replica_id, needed)
+                needed -= count
+                released += count
+        return released
+
+    # Slots of the replicas that this router arbitrates.
+
+    def _arbitrate(self, board: Blackboard, now: float) -> list[Action]:
+        """Grants free slots; returns the messages for the other routers."""
+        self._assign(board, now)
+        actions: list[Action] = []
+        for identity, rows in self._own_arbiter(board).collect_rows(now).items():
+            if identity == board.identity:
+                self._take_own(board, rows, now)
+            elif board.members.get(identity.router_id) == identity:
+                grants = Grants(rows, self._demands.sequence(identity.router_id))
+                actions.append(Send(identity.router_id, grants))
+        return actions
+
+    def _take_own(
+        self, board: Blackboard, rows: tuple[GrantRow, ...], now: float
+    ) -> None:
+        for row in rows:
+            valid_until = now + board.options.grant_expiry
+            self._allotment.take(row, valid_until=valid_until)
+
+    def _assign(self, board: Blackboard, now: float) -> None:
+        """Grants the free slots to the routers whose work comes first."""
+        arbiter = self._own_arbiter(board)
+        own = self._allotment.build_rows()
+        arbiter.take_rows(board.identity, own, now)
+        free: dict[ServiceName, list[ReplicaId]] = {}
+        for replica_id in arbiter.replica_ids():
+            replica = board.upstreams.replicas.get(replica_id)
+            if replica is not None:
+                count = arbiter.free(replica_id, now)
+                free.setdefault(replica.service, []).extend([replica_id] * count)
+        for service, slots in free.items():
+            if slots:
+                self._assign_service(board, service, slots, now)
+
+    def _assign_service(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        slots: list[ReplicaId],
+        now: float,
+    ) -> None:
+        arbiter = self._own_arbiter(board)
+        uncovered = self._find_uncovered(board, service, now)
+        if not uncovered:
+            return
+        view = self._build_view(board, service, now)
+        for replica_id in slots:
+            name = self._choose_name(uncovered, view)
+            if name is None:
+                return
+            by_router = uncovered[name]
+            able = [one for one in by_router if arbiter.can_grant(replica_id, one)]
+            if not able:
+                continue
+            router = max(
+                able,
+                key=lambda one: (by_router[one], hash_pair(replica_id, one.router_id)),
+            )
+            arbiter.grant(replica_id, router)
+            view.organisations[name].add_running()
+            by_router[router] -= 1
+            if by_router[router] <= 0:
+                del by_router[router]
+                if not by_router:
+                    del uncovered[name]
+            if router == board.identity:
+                rows = arbiter.collect_own(replica_id)
+                self._take_own(board, (rows,), now)
+            else:
+                queue = self._pending.setdefault(router.router_id, deque())
+                queue.append((now, service, name))
+
+    def _choose_name(
+        self,
+        uncovered: dict[OrganisationName, dict[RouterIdentity, int]],
+        view: ServiceView,
+    ) -> OrganisationName | None:
+        if not uncovered:
+            return None
+        return choose_organisation(uncovered, view) or min(
+            uncovered, key=lambda one: view.organisations[one].key
+        )
+
+    def _find_uncovered(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> dict[OrganisationName, dict[RouterIdentity, int]]:
+        """Returns waiting requests not yet covered by grants."""
+        found: dict[OrganisationName, dict[RouterIdentity, int]] = {}
+        for identity in board.members.values():
+            demands = self._demands.of(identity.router_id, service)
+            counts = {
+                name: one.waiting for name, one in demands.items() if one.waiting > 0
+            }
+            limit = now - board.options.report_interval
+            for at, of_service, name in self._pending.get(identity.router_id, ()):
+                if at >= limit and of_service == service and name in counts:
+                    counts[name] -= 1
+            for name, count in counts.items():
+                if count > 0:
+                    found.setdefault(name, {})[identity] = count
+        spare = self._count_free(board, service, now)
+        for name in board.queues.organisations(service):
+            count = board.queues.count(service, name) - spare
+            if count > 0:
+                found.setdefault(name, {})[board.identity] = count
+        return found
+
+    def _grant_in_advance(self, board: Blackboard, now: float) -> None:
+        """Spreads free slots over the routers while no work waits anywhere."""
+        arbiter = self._own_arbiter(board)
+        routers = [board.identity, *board.members.values()]
+        for replica_id in list(arbiter.replica_ids()):
+            replica = board.upstreams.replicas.get(replica_id)
+            if replica is None:
+                continue
+            able = [one for one in routers if arbiter.can_grant(replica_id, one)]
+            free = arbiter.free(replica_id, now)
+            if not able or not free or self._is_contested(board, replica.service):
+                continue
+            unused = {one: arbiter.unused(replica_id, one) for one in able}
+            for _ in range(free):
+                router = min(
+                    able,
+                    key=lambda one: (unused[one], hash_pair(replica_id, one.router_id)),
+                )
+                arbiter.grant(replica_id, router)
+                unused[router] += 1
+
+    def _is_contested(self, board: Blackboard, service: ServiceName) -> bool:
+        demands = self._peer_demands(board, service)
+        return bool(board.queues.organisations(service)) or any(
+            one.waiting for one in demands.values()
+        )
+
+    # Messages and time.
+
+    def step(self, board: Blackboard, now: float) -> list[Action]:
+        """Does the periodic work of the ledger, the allotment and the arbiter."""
+        arbiter = self._own_arbiter(board)
+        if now - self._stepped_at > board.options.suspect_after:
+            arbiter.give_up()
+        super().step(board, now)
+        actions: list[Action] = []
+        members = [board.identity, *board.members.values()]
+        died = board.ledger.note_live(set(members))
+        if died:
+            # Peers may hold a later report of a dead origin than this router.
+            actions.append(Send(None, board.ledger.build_snapshot(died)))
+        windows = {}
+        for service in self._services(board):
+            pool = self._pool(board, service, now)
+            for replica in pool.replicas:
+                owner = choose_arbiter(replica.replica_id, replica.zone, members)
+                if owner == board.identity:
+                    windows[replica.replica_id] = pool.windows[replica.replica_id]
+        for replica_id in self._allotment.replica_ids():
+            if replica_id not in board.upstreams.replicas:
+                self._allotment.forget(replica_id)
+        arbiter.set_replicas(windows, members, now)
+        released = self._yield_free(board, now)
+        if released:
+            board.is_report_due = True
+            actions.append(SendReport())
+        actions += self._arbitrate(board, now)
+        self._grant_in_advance(board, now)
+        return actions + self._arbitrate(board, now)
+
+    def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
+        """Returns this router's counters for a report."""
+        keys = board.ledger.accounts()
+        for service in self._services(board):
+            keys |= {(service, one) for one in board.queues.organisations(service)}
+            keys |= {(service, one) for one in self._running_counts.get(service, ())}
+        for key in keys:
+            self._published[key] = self._build_row(board, *key, now)
+        board.is_report_due = False
+        return tuple(self._published.values())
+
+    def _build_row(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        name: OrganisationName,
+        now: float,
+    ) -> CounterRow:
+        first = board.queues.peek(service, name)
+        return CounterRow(
+            service=service,
+            organisation=name,
+            served=int(board.ledger.served(service, name)),
+            lift=int(board.ledger.lift(service, name)),
+            waiting=board.queues.count(service, name),
+            running=self._running_counts.get(service, {}).get(name, 0),
+            deadline_ms=None if first is None else int((first.deadline - now) * 1000),
+        )
+
+    def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
+        """Returns what this router holds of the windows of replicas."""
+        self._sent_at[board.report_sequence] = now
+        while len(self._sent_at) > _SENT_REPORTS_KEPT:
+            del self._sent_at[next(iter(self._sent_at))]
+        return self._allotment.build_rows()
+
+    def build_snapshot(self, board: Blackboard) -> Snapshot:
+        """Returns all counters that this router knows."""
+        return board.ledger.build_snapshot()
+
+    def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
+        """Merges the counters that a peer knows."""
+        board.ledger.take_snapshot(snapshot)
+
+    def take_report(
+        self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
+    ) -> list[Action]:
+        """Takes a report of a peer, releases and grants what it calls for."""
+        board.ledger.merge(origin, report.counters)
+        if self._demands.take(origin, report.sequence, report.counters, now):
+            pending = self._pending.get(origin.router_id)
+            limit = now - 2 * board.options.flush_interval
+            while pending and pending[0][0] < limit:
+                pending.popleft()
+        for service in {row.service for row in report.counters if row.waiting}:
+            names = [
+                row.organisation
+                for row in report.counters
+                if row.service == service and row.waiting
+            ]
+            self._note_waiting(board, service, names, now)
+        self._own_arbiter(board).take_rows(origin, report.slots, now)
+        released = self._yield_free(board, now)
+        if released:
+            return self._after_release(board, released, now)
+        return self._arbitrate(board, now)
+
+    def take_grants(
+        self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
+    ) -> list[Action]:
+        """Takes slots that an arbiter gave to this router."""
+        sent_at = self._sent_at.get(grants.acknowledged)
+        if sent_at is None:
+            # Without numbered reports the time of receipt is the best known one.
+            sent_at = float("-inf") if board.report_sequence else now
+        valid_until = sent_at + board.options.grant_expiry
+        is_new = False
+        for row in grants.rows:
+            is_new |= self._allotment.take(row, valid_until=valid_until)
+        released = self._allotment.release_recalled()
+        if is_new or released:
+            board.is_report_due = True
+            return [SendReport()]
+        return []
--- a/sequoiamoor/policies/base.py
+++ b/sequoiamoor/policies/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
@@ -57,12 +58,14 @@
     Raises:
         SettingsError: If there is no such policy.
     """
+    from .arbitrated import ArbitratedPolicy
     from .least_load import LeastLoadPolicy
+    from .local_fair import LocalFairPolicy
     from .round_robin import RoundRobinPolicy
 
-    factories = {
-        "arbitrated": LeastLoadPolicy,
-        "local-fair": LeastLoadPolicy,
+    factories: dict[str, Callable[..., Policy]] = {
+        "arbitrated": ArbitratedPolicy,
+        "local-fair": LocalFairPolicy,
         "least-load": LeastLoadPolicy,
         "round-robin": RoundRobinPolicy,
     }
--- /dev/null
+++ b/sequoiamoor/policies/fair.py
@@ -0,0 +1,328 @@
+"""What the fair policies share: view of the fleet, order, accounting."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from ..core.actions import Action, Start
+from ..core.blackboard import Blackboard
+from ..core.demand import Demand
+from ..core.fairness import (
+    CostEstimates,
+    OrganisationView,
+    ServiceView,
+    choose_organisation,
+)
+from ..core.messages import Grants, Report, SlotRow, Snapshot
+from ..core.upstreams import Replica
+from ..core.windows import SlotRates, window_of
+from ..types import (
+    CallRequest,
+    OrganisationName,
+    ReplicaId,
+    RouterIdentity,
+    ServiceKind,
+    ServiceName,
+)
+
+_PREFIXES_KEPT = 4_096
+
+
+@dataclass(slots=True)
+class _Running:
+    request: CallRequest
+    replica_id: ReplicaId
+    is_plain: bool
+    charged_at: float
+
+
+@dataclass(slots=True)
+class _Pool:
+    """Replicas of a service and what they can do, refreshed every interval."""
+
+    replicas: list[Replica]
+    windows: dict[ReplicaId, int]
+    slots: int
+    capacity: float
+    refreshed_at: float
+
+
+class FairPolicy:
+    """Starts waiting work in the fair order on the slots that a subclass gives."""
+
+    def __init__(self, *, rng: Random) -> None:
+        self._rng = rng
+        self._costs = CostEstimates()
+        self._rates = SlotRates()
+        self._running: dict[str, _Running] = {}
+        self._running_counts: dict[ServiceName, dict[OrganisationName, int]] = {}
+        self._averages: dict[ServiceName, dict[OrganisationName, float]] = {}
+        self._waited_at: dict[tuple[ServiceName, OrganisationName], float] = {}
+        self._pools: dict[ServiceName, _Pool] = {}
+        self._prefixes: OrderedDict[tuple[ServiceName, str], ReplicaId] = OrderedDict()
+        self._stepped_at = float("-inf")
+
+    # What a subclass decides.
+
+    def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
+        """Returns how many requests may start at the replica."""
+        raise NotImplementedError
+
+    def _peer_demands(
+        self, board: Blackboard, service: ServiceName
+    ) -> dict[OrganisationName, Demand]:
+        """Returns the work at the live peers."""
+        return {}
+
+    def _note_started(self, replica_id: ReplicaId) -> None:
+        """Takes note that a slot is used."""
+
+    def _note_unserved(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> bool:
+        """Takes note that work waits without a slot; returns whether one came."""
+        return False
+
+    # Shared decisions.
+
+    def _pool(self, board: Blackboard, service: ServiceName, now: float) -> _Pool:
+        pool = self._pools.get(service)
+        interval = board.options.report_interval
+        if pool is not None and now - pool.refreshed_at < interval:
+            return pool
+        replicas = board.upstreams.by_service(service)
+        self._rates.observe(replicas)
+        windows = {one.replica_id: window_of(one, now) for one in replicas}
+        slots = sum(windows.values())
+        capacity = slots * self._rates.rate_of_slot(replicas)
+        pool = self._pools[service] = _Pool(replicas, windows, slots, capacity, now)
+        return pool
+
+    def _note_waiting(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        names: Iterable[OrganisationName],
+        now: float,
+    ) -> None:
+        """Takes note who is backlogged, and lifts those that were idle before."""
+        limit = now - board.options.idle_before_lift
+        ledger = board.ledger
+        for name in names:
+            if self._waited_at.get((service, name), float("-inf")) < limit:
+                ledger.lift_to(service, name, ledger.virtual_time(service))
+            self._waited_at[service, name] = now
+
+    def _build_view(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> ServiceView:
+        """Returns the service as this router sees it."""
+        pool = self._pool(board, service, now)
+        options = board.options
+        demands = self._peer_demands(board, service)
+        own_running = self._running_counts.get(service, {})
+        averages = self._averages.get(service, {})
+        organisations: dict[OrganisationName, OrganisationView] = {}
+        names = {*board.queues.organisations(service), *own_running, *demands}
+        for name in names:
+            part = demands.get(name)
+            waiting = board.queues.count(service, name)
+            running = own_running.get(name, 0)
+            deadline = float("inf")
+            if waiting:
+                first = board.queues.peek(service, name)
+                assert first is not None
+                deadline = first.deadline
+            if part is not None:
+                waiting += part.waiting
+                running += part.running
+                deadline = min(deadline, part.deadline)
+            cost = self._costs.expect_any(service, name)
+            organisations[name] = OrganisationView(
+                key=board.ledger.total(service, name) + running * cost,
+                running_cost=cost,
+                waiting=waiting,
+                running=running,
+                deadline=deadline,
+                average_slots=averages.get(name, 0.0),
+            )
+        waiting_names = [one for one, state in organisations.items() if state.waiting]
+        board.ledger.advance_virtual_time(service, waiting_names)
+        return ServiceView(
+            organisations=organisations,
+            slots=pool.slots,
+            allowed_gap=options.allowed_gap_seconds * pool.capacity,
+            cap_factor=options.slot_cap_factor,
+            floor_factor=options.slot_floor_factor,
+        )
+
+    def choose_start(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> Start | None:
+        """Returns the next start, or None without waiting work or a free slot."""
+        names = board.queues.organisations(service)
+        if not names:
+            return None
+        self._note_waiting(board, service, names, now)
+        free = self._find_free(board, service, now)
+        if not free:
+            if not self._note_unserved(board, service, now):
+                return None
+            free = self._find_free(board, service, now)
+        view = self._build_view(board, service, now)
+        while names and free:
+            name = choose_organisation(names, view) or min(
+                names, key=lambda one: view.organisations[one].key
+            )
+            request = board.queues.peek(service, name)
+            assert request is not None
+            usable = [one for one in free if one[0].replica_id not in request.excluded]
+            if usable:
+                return self._start(board, request, usable, now)
+            names.remove(name)
+        return None
+
+    def _find_free(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> list[tuple[Replica, int]]:
+        return [
+            (one, free)
+            for one in self._pool(board, service, now).replicas
+            if (free := self._free_slots(board, one, now)) > 0 and one.is_available(now)
+        ]
+
+    def _start(
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        free: list[tuple[Replica, int]],
+        now: float,
+    ) -> Start:
+        replica = self._choose_replica(board, request, free)
+        service, name = request.service, request.organisation
+        declaration = board.configuration.declaration
+        is_plain = (
+            declaration is not None
+            and service in declaration.services
+            and declaration.services[service].kind is ServiceKind.PLAIN
+        )
+        self._running[request.call_id] = _Running(
+            request, replica.replica_id, is_plain, now
+        )
+        counts = self._running_counts.setdefault(service, {})
+        counts[name] = counts.get(name, 0) + 1
+        if request.prefix_key is not None:
+            key = (service, request.prefix_key)
+            self._prefixes[key] = replica.replica_id
+            self._prefixes.move_to_end(key)
+            while len(self._prefixes) > _PREFIXES_KEPT:
+                self._prefixes.popitem(last=False)
+        self._note_started(replica.replica_id)
+        return Start(request.call_id, replica.replica_id)
+
+    def _choose_replica(
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        free: list[tuple[Replica, int]],
+    ) -> Replica:
+        warm = None
+        if request.prefix_key is not None:
+            warm = self._prefixes.get((request.service, request.prefix_key))
+        zone = board.identity.zone
+        best, _ = max(
+            free,
+            key=lambda one: (
+                one[0].replica_id == warm,
+                one[0].zone == zone,
+                one[1],
+                self._rng.random(),
+            ),
+        )
+        return best
+
+    def finish(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
+    ) -> list[Action]:
+        """Takes note that an attempt ended and its slot is free."""
+        running = self._running.pop(request.call_id, None)
+        if running is None:
+            return []
+        self._charge_elapsed(board, running, now)
+        counts = self._running_counts[request.service]
+        counts[request.organisation] -= 1
+        if not counts[request.organisation]:
+            del counts[request.organisation]
+        if request.charged > 0:
+            self._costs.learn(request, request.charged)
+        return self._free_slot(board, request.service, replica_id, now)
+
+    def _free_slot(
+        self, board: Blackboard, service: ServiceName, replica_id: ReplicaId, now: float
+    ) -> list[Action]:
+        """Decides what becomes of a slot whose request ended."""
+        return []
+
+    def _charge_elapsed(self, board: Blackboard, running: _Running, now: float) -> None:
+        """Charges a plain service's request for the time since the last charge."""
+        if not running.is_plain:
+            return
+        units = max(now - running.charged_at, 0.0) * 1000
+        running.charged_at = now
+        request = running.request
+        request.charged += units
+        board.ledger.charge(request.service, request.organisation, units)
+
+    def step(self, board: Blackboard, now: float) -> list[Action]:
+        """Charges running work and updates the moving averages."""
+        for running in self._running.values():
+            self._charge_elapsed(board, running, now)
+        elapsed = min(max(now - self._stepped_at, 0.0), 1.0)
+        self._stepped_at = now
+        weight = 1 - math.exp(-elapsed / board.options.slot_average_time)
+        for service in self._services(board):
+            view = self._build_view(board, service, now)
+            names = [one for one, state in view.organisations.items() if state.waiting]
+            self._note_waiting(board, service, names, now)
+            averages = self._averages.setdefault(service, {})
+            for name in view.organisations.keys() - averages.keys():
+                averages[name] = 0.0
+            for name, average in list(averages.items()):
+                state = view.organisations.get(name)
+                running_now = 0 if state is None else state.running
+                averages[name] = average + weight * (running_now - average)
+                if state is None and averages[name] < 0.01:
+                    del averages[name]
+        return []
+
+    def _services(self, board: Blackboard) -> set[ServiceName]:
+        return {one.service for one in board.upstreams.replicas.values()}
+
+    # Without an exchange between routers.
+
+    def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
+        """Returns nothing: no slots are granted."""
+        return ()
+
+    def build_snapshot(self, board: Blackboard) -> Snapshot:
+        """Returns an empty snapshot."""
+        return Snapshot(())
+
+    def take_report(
+        self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
+    ) -> list[Action]:
+        """Does nothing: each router decides alone."""
+        return []
+
+    def take_grants(
+        self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
+    ) -> list[Action]:
+        """Does nothing: no slots are granted."""
+        return []
+
+    def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
+        """Does nothing: each router decides alone."""
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -93,6 +93,7 @@
         is_repeatable: Whether the service allows a second execution.
         attempts: Number of attempts started so far.
         excluded: Replicas where an attempt failed.
+        charged: Work charged for the request so far, in service units.
     """
 
     call_id: str
@@ -112,3 +113,4 @@
     is_repeatable: bool = True
     attempts: int = 0
     excluded: frozenset[ReplicaId] = frozenset()
+    charged: float = 0.0
