--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -43,7 +43,9 @@
 
 def build_identity(number: int) -> RouterIdentity:
     """Returns the identity of a router in one of the zones."""
-    return RouterIdentity(f"router-{number:03}", 1_800_000_000_000, f"z{number % ZONES}")
+    return RouterIdentity(
+        f"router-{number:03}", 1_800_000_000_000, f"z{number % ZONES}"
+    )
 
 
 def build_rows(count: int, round_number: int) -> tuple[CounterRow, ...]:
@@ -317,7 +319,7 @@
         requests.append((float(count), float(measure_memory(build))))
     return [
         fit_line("replica memory", replicas, unit="B", per="replica"),
-        fit_line("waiting request memory (1 KB body)", requests, unit="B", per="request"),
+        fit_line("waiting request memory", requests, unit="B", per="request"),
     ]
 
 
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -211,6 +211,7 @@
         self._is_flush_due = True
 
     def _flush_if_due(self) -> None:
+        self._is_report_due |= self._board.is_report_due
         if not (self._is_report_due or self._is_flush_due):
             return
         now = time.monotonic()
@@ -226,6 +227,7 @@
 
     def _build_report(self, now: float) -> Report:
         self._sequence += 1
+        self._board.report_sequence = self._sequence
         queues = self._board.queues
         self._reported_waiting = {
             (service, name)
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -57,6 +57,7 @@
         self._first: list[Message] = []
         self._states: dict[ReplicaId, UpstreamState] = {}
         self._grants: dict[ReplicaId, GrantRow] = {}
+        self._acknowledged = 0
         self._loads: dict[ReplicaId, LoadRow] = {}
         self._request: ConfigurationRequest | None = None
         self._configuration: Configuration | None = None
@@ -69,8 +70,9 @@
         match message:
             case Report():
                 self._report = message
-            case Grants(rows):
+            case Grants(rows, acknowledged):
                 self._grants.update((row.replica_id, row) for row in rows)
+                self._acknowledged = acknowledged
             case Loads(rows):
                 self._loads.update((row.replica_id, row) for row in rows)
             case UpstreamState():
@@ -90,7 +92,7 @@
         """Removes and returns all messages in the order to send them."""
         messages: list[Message] = [*self._first, *self._states.values()]
         if self._grants:
-            messages.append(Grants(tuple(self._grants.values())))
+            messages.append(Grants(tuple(self._grants.values()), self._acknowledged))
         if self._request is not None:
             messages.append(self._request)
         if self._configuration is not None:
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -16,9 +16,10 @@
                      deadline + 1 or nil, lift
 - slots              rows: replica, in use, released, epoch, base; a row with
                      the replica alone removes it
-Grants               rows: replica, epoch, granted, recalled
-Snapshot             origins: router id, incarnation, zone, rows of service,
-                     organisation, served, lift, waiting, running, deadline
+Grants               rows: replica, epoch, granted, recalled; acknowledged report
+Snapshot             in parts: whether it is the last one, router id, incarnation,
+                     zone, rows of service, organisation, served, lift, waiting,
+                     running, deadline
 ConfigurationRequest version
 Configuration        version, document
 UpstreamState        replica, incarnation, leaving
@@ -129,8 +130,8 @@
         match message:
             case Report():
                 yield self._report(message)
-            case Grants(rows):
-                yield [_GRANTS, [self._grant(row) for row in rows]]
+            case Grants(rows, acknowledged):
+                yield [_GRANTS, [self._grant(row) for row in rows], acknowledged]
             case Loads(rows):
                 yield [_LOADS, [self._load(row) for row in rows]]
             case UpstreamState(replica_id, incarnation, is_leaving):
@@ -229,27 +230,31 @@
         return _trim(fields, 2)
 
     def _snapshot(self, origins: tuple[OriginCounters, ...]) -> Iterator[list[Any]]:
-        for one in origins:
-            identity = one.origin
-            head = [
+        parts = [
+            (one.origin, one.counters[start : start + SNAPSHOT_PART_ROWS])
+            for one in origins
+            for start in range(0, max(1, len(one.counters)), SNAPSHOT_PART_ROWS)
+        ]
+        for number, (identity, counters) in enumerate(parts, start=1):
+            yield [
+                _SNAPSHOT,
+                int(number == len(parts)),
                 self._index(identity.router_id),
                 identity.incarnation,
                 self._index(identity.zone),
+                [self._snapshot_row(row) for row in counters],
             ]
-            for start in range(0, max(1, len(one.counters)), SNAPSHOT_PART_ROWS):
-                rows = [
-                    [
-                        self._index(row.service),
-                        self._index(row.organisation),
-                        row.served,
-                        row.lift,
-                        row.waiting,
-                        row.running,
-                        row.deadline_ms,
-                    ]
-                    for row in one.counters[start : start + SNAPSHOT_PART_ROWS]
-                ]
-                yield [_SNAPSHOT, *head, rows]
+
+    def _snapshot_row(self, row: CounterRow) -> list[Any]:
+        return [
+            self._index(row.service),
+            self._index(row.organisation),
+            row.served,
+            row.lift,
+            row.waiting,
+            row.running,
+            row.deadline_ms,
+        ]
 
 
 class Decoder:
@@ -269,7 +274,9 @@
         self._slots: dict[str, SlotRow] = {}
         self._slot_rows: tuple[SlotRow, ...] = ()
         self._loads: dict[str, LoadRow] = {}
-        self._readers: dict[int, Callable[[list[Any]], Message]] = {
+        self._snapshot_parts: list[OriginCounters] = []
+        self._snapshot_row_count = 0
+        self._readers: dict[int, Callable[[list[Any]], Message | None]] = {
             _REPORT: self._report,
             _GRANTS: self._grants,
             _LOADS: self._read_loads,
@@ -417,8 +424,10 @@
         self._slot_rows = tuple(self._slots.values())
 
     def _grants(self, fields: list[Any]) -> Grants:
-        (rows,) = fields
-        return Grants(tuple([self._grant(row) for row in _rows(rows)]))
+        rows, acknowledged = fields
+        return Grants(
+            tuple([self._grant(row) for row in _rows(rows)]), _count(acknowledged)
+        )
 
     def _grant(self, fields: Any) -> GrantRow:
         replica, epoch, granted, recalled = _pad(fields, 1, (0, 0, 0))
@@ -453,13 +462,22 @@
         self._loads[replica_id] = row
         return row
 
-    def _snapshot(self, fields: list[Any]) -> Snapshot:
-        router, incarnation, zone, rows = fields
+    def _snapshot(self, fields: list[Any]) -> Snapshot | None:
+        is_last, router, incarnation, zone, rows = fields
         identity = RouterIdentity(
             self._name(router), _count(incarnation), self._name(zone)
         )
         counters = tuple([self._snapshot_row(row) for row in _rows(rows)])
-        return Snapshot((OriginCounters(identity, counters),))
+        self._snapshot_parts.append(OriginCounters(identity, counters))
+        self._snapshot_row_count += max(len(counters), 1)
+        if self._snapshot_row_count > ROWS_LIMIT:
+            raise ProtocolError(f"a snapshot has more than {ROWS_LIMIT} counters")
+        if not _flag(is_last):
+            return None
+        snapshot = Snapshot(tuple(self._snapshot_parts))
+        self._snapshot_parts = []
+        self._snapshot_row_count = 0
+        return snapshot
 
     def _snapshot_row(self, fields: Any) -> CounterRow:
         service, organisation, served, lift, waiting, running, deadline = fields
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -208,9 +208,10 @@
     received = Decoder()
     parts = Encoder().encode(Snapshot((OriginCounters(origin, rows),)))
     messages = [one for part in parts for one in received.feed(part)]
-    snapshots = [one for one in messages if isinstance(one, Snapshot)]
-    assert len(snapshots) == 3
-    merged = [row for one in snapshots for part in one.origins for row in part.counters]
+    assert max(map(len, parts)) < MESSAGE_LIMIT_BYTES
+    (snapshot,) = [one for one in messages if isinstance(one, Snapshot)]
+    assert [one.origin for one in snapshot.origins] == [origin] * 3
+    merged = [row for part in snapshot.origins for row in part.counters]
     assert tuple(merged) == rows
 
 
