Wake the control task on demand instead of every 20 ms

Cause: half of the wake-ups of an idle router were the control task looking for urgent messages every flush interval. Ruled out: curio.Event, whose set is a coroutine that plain functions cannot run.

--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -29,6 +29,7 @@
 from ..core.versions import Verdict, Versions
 from ..metrics import Metrics
 from ..net.peers import Peers
+from ..net.wakeup import Wakeup
 from ..policies import Policy
 from ..settings import RouterSettings
 from ..types import (
@@ -79,6 +80,7 @@
         self._is_report_due = False
         self._is_flush_due = False
         self._flushed_at = float("-inf")
+        self._wakeup = Wakeup()
         self._reported_waiting: set[tuple[ServiceName, OrganisationName]] = set()
 
     async def run(self, dispatch: Dispatch) -> None:
@@ -155,14 +157,20 @@
 
     async def _tick(self) -> None:
         next_at = time.monotonic()
-        while True:
-            now = time.monotonic()
-            if now >= next_at:
-                await self._step(now)
-                next_at = max(next_at + self._options.report_interval, now)
-            else:
-                self._flush_if_due()
-            await curio.sleep(self._options.flush_interval)
+        try:
+            while True:
+                now = time.monotonic()
+                if now >= next_at:
+                    await self._step(now)
+                    next_at = max(next_at + self._options.report_interval, now)
+                await curio.ignore_after(next_at - now, self._wakeup.wait)
+                if self._is_report_due or self._is_flush_due:
+                    # Actions that come within this time share one flush.
+                    rest = self._flushed_at + self._options.flush_interval
+                    await curio.sleep(max(0.0, rest - time.monotonic()))
+                    self._flush_if_due()
+        finally:
+            await self._wakeup.close()
 
     async def _step(self, now: float) -> None:
         self._update_members(now)
@@ -216,6 +224,8 @@
         now = time.monotonic()
         if now - self._flushed_at >= self._options.flush_interval:
             self._flush(now)
+        else:
+            self._wakeup.set()
 
     def _flush(self, now: float) -> None:
         if self._is_report_due:
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -153,7 +153,12 @@
     series = "sequoiamoor_control_protocol_errors_total"
     vms = fetch(fleet.platform, "GET", "/vms")[1]["vms"]
     (vm,) = [one for one in vms if one["id"] == name]
-    for data in (b"GET / HTTP/1.1\r\n\r\n", b"\xc1", b"\x91\x63", Random(1).randbytes(512)):
+    for data in (
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\xc1",
+        b"\x91\x63",
+        Random(1).randbytes(512),
+    ):
         count = read_series(fleet.routers[name], series)
         with socket.create_connection((vm["address"], vm["control_port"])) as sock:
             sock.settimeout(HEAL_SECONDS)
