--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -2,23 +2,33 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import time
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
 import curio
+import h11
 
 from ..core.blackboard import Blackboard
 from ..core.upstreams import Replica
-from ..errors import RefusalError, UpstreamUnreachableError, WaitLimitError
+from ..errors import (
+    AnswerIncompleteError,
+    InternalError,
+    RefusalError,
+    UpstreamFailedError,
+    UpstreamUnreachableError,
+    WaitLimitError,
+)
 from ..metrics import Metrics
 from ..net.caller import send_refusal, to_refusal_body
 from ..net.exchange import Answer, Attempt, ConnectionPool
 from ..net.http import ServerConnection
-from ..net.relay import StreamCheck
+from ..net.relay import StreamCheck, build_document
 from ..policies import Policy
-from ..types import CallRequest, ReplicaId, ServiceKind
+from ..types import CallRequest, Execution, ServiceKind
 
 _LOG = logging.getLogger(__name__)
 
@@ -29,19 +39,31 @@
 
 @dataclass(slots=True)
 class _PendingStart:
-    """Wakes the task of a waiting call when it may start."""
+    """Wakes the task of a waiting call when it may start.
+
+    Attributes:
+        replica: Replica where the call holds a slot, from its start to its release.
+    """
 
     event: Any = field(default_factory=curio.Event)
-    replica_id: ReplicaId | None = None
+    replica: Replica | None = None
 
 
 class CallerSink:
-    """Passes an answer on to the caller's connection."""
+    """Passes an answer on to the caller's connection.
+
+    Every failure of that connection is raised as CallerGoneError, so that it is never
+    taken for a failure of the upstream.
+    """
 
-    def __init__(self, connection: ServerConnection, call: CallRequest) -> None:
+    def __init__(
+        self, connection: ServerConnection, call: CallRequest, *, answer_limit: int
+    ) -> None:
+        self._answer_limit = answer_limit
         self._connection = connection
         self._call = call
         self._parts: list[bytes] = []
+        self._held_bytes = 0
         self.is_started = False
         self.first_at: float | None = None
 
@@ -60,47 +82,62 @@
             return
         self.is_started = True
         headers = {**self._headers("text/event-stream"), "cache-control": "no-store"}
-        try:
-            await self._connection.start_stream(200, headers)
-        except OSError as err:
-            raise CallerGoneError from err
+        await self._deliver(self._connection.start_stream(200, headers))
 
     async def send_events(self, data: bytes) -> None:
         """Passes on whole events of a streamed answer."""
-        if not self._call.wants_stream:
-            self._parts.append(data)
+        if self._call.wants_stream:
+            await self._deliver(self._connection.send_data(data))
             return
-        try:
-            await self._connection.send_data(data)
-        except OSError as err:
-            raise CallerGoneError from err
+        self._held_bytes += len(data)
+        if self._held_bytes > self._answer_limit:
+            raise UpstreamFailedError(
+                f"the answer is over {self._answer_limit} bytes; ask for a stream"
+            )
+        self._parts.append(data)
 
     async def finish_stream(self) -> None:
-        """Ends the answer as complete."""
+        """Ends the answer as complete.
+
+        A caller that did not ask for a stream gets one JSON document instead.
+        """
         if self._call.wants_stream:
-            await self._connection.end_stream()
+            await self._deliver(self._connection.end_stream())
             return
-        body = b"".join(self._parts)
-        await self._connection.send_response(
-            200, self._headers("text/event-stream"), body
-        )
+        document = build_document(b"".join(self._parts))
+        body = json.dumps(document).encode() + b"\n"
+        await self.send_answer(Answer(200, "application/json", body))
 
     async def send_answer(self, answer: Answer) -> None:
-        """Sends a whole answer of a plain service."""
-        self.first_at = time.monotonic()
-        await self._connection.send_response(
-            answer.status, self._headers(answer.content_type), answer.body
+        """Sends a whole answer of an upstream."""
+        if self.is_started:
+            raise AnswerIncompleteError(
+                f"the upstream answered the rest of a stream with {answer.status}"
+            )
+        if self.first_at is None:
+            self.first_at = time.monotonic()
+        headers = self._headers(answer.content_type)
+        await self._deliver(
+            self._connection.send_response(answer.status, headers, answer.body)
         )
 
+    async def _deliver(self, sending: Coroutine[Any, Any, None]) -> None:
+        try:
+            await sending
+        except (OSError, h11.LocalProtocolError) as err:
+            raise CallerGoneError(str(err)) from err
+
     async def refuse(self, error: RefusalError) -> None:
         """Ends the answer as refused or, if it has begun, as incomplete."""
         if not self.is_started:
-            await send_refusal(self._connection, error, self._call.request_id)
+            if self._connection.can_refuse:
+                await self._deliver(
+                    send_refusal(self._connection, error, self._call.request_id)
+                )
             return
         body = to_refusal_body(error, self._call.request_id)
-        await self._connection.send_data(
-            b"event: incomplete\ndata: " + body.strip() + b"\n\n"
-        )
+        event = b"event: incomplete\ndata: " + body.strip() + b"\n\n"
+        await self._deliver(self._connection.send_data(event))
 
 
 class CallServer:
@@ -111,7 +148,7 @@
         self._policy = policy
         self._metrics = metrics
         self._options = board.options
-        self._pool = ConnectionPool(options=board.options)
+        self._pool = ConnectionPool(options=board.options, metrics=metrics)
         self._pending: dict[str, _PendingStart] = {}
 
     def accept(self, call: CallRequest) -> None:
@@ -123,68 +160,134 @@
         self._board.queues.add(call)
         self._pending[call.call_id] = _PendingStart()
 
+    async def watch(self) -> None:
+        """Watches the connections to upstreams until cancelled."""
+        await self._pool.watch()
+
     async def close(self) -> None:
         """Closes the idle connections to upstreams."""
         await self._pool.close()
 
     async def serve(self, connection: ServerConnection, call: CallRequest) -> None:
-        """Serves a queued call to its end."""
-        sink = CallerSink(connection, call)
+        """Serves an accepted call until it ends or its caller is gone."""
+        try:
+            async with curio.TaskGroup(wait=any) as tasks:
+                await tasks.spawn(self._serve, connection, call)
+                await tasks.spawn(connection.wait_closed)
+        finally:
+            await self._forget(call)
+
+    async def _forget(self, call: CallRequest) -> None:
+        self._board.queues.remove(call.call_id)
+        pending = self._pending.pop(call.call_id, None)
+        # A call can be given a slot in the same turn in which its caller goes.
+        if pending is not None and pending.replica is not None:
+            await self._release(call, pending)
+
+    async def _serve(self, connection: ServerConnection, call: CallRequest) -> None:
+        sink = CallerSink(
+            connection, call, answer_limit=self._options.answer_limit_bytes
+        )
+        try:
+            await self._run_or_refuse(call, sink)
+        except CallerGoneError as err:
+            self._note_caller_gone(connection, call, str(err))
+        except curio.CancelledError:
+            if connection.is_peer_closed:
+                self._note_caller_gone(connection, call, "the caller hung up")
+            raise
+
+    def _note_caller_gone(
+        self, connection: ServerConnection, call: CallRequest, reason: str
+    ) -> None:
+        self._metrics.callers_gone.inc()
+        if connection.is_peer_slow:
+            self._metrics.callers_slow.inc()
+        _LOG.info("caller gone", extra=describe_call(call, reason=reason))
+
+    async def _run_or_refuse(self, call: CallRequest, sink: CallerSink) -> None:
         try:
             await self._run_call(call, sink)
         except RefusalError as error:
-            self._metrics.refusals.labels(error.code).inc()
-            _LOG.info("refused", extra=describe_call(call, reason=error.code))
-            try:
-                await sink.refuse(error)
-            except OSError as err:
-                _LOG.debug("caller gone: %s", err)
+            await self._refuse(call, sink, error)
             return
-        except (CallerGoneError, OSError):
-            _LOG.info("caller gone", extra=describe_call(call))
+        except CallerGoneError:
+            raise
+        except Exception as err:
+            _LOG.exception("call failed", extra=describe_call(call, reason=repr(err)))
+            fault = InternalError("a fault of the router ended the call")
+            await self._refuse(call, sink, fault)
             return
-        finally:
-            self._board.queues.remove(call.call_id)
-            self._pending.pop(call.call_id, None)
         self._metrics.calls.labels(call.service, call.organisation).inc()
         if sink.first_at is not None:
             self._metrics.first_token_seconds.labels(call.class_name).observe(
                 sink.first_at - call.arrival
             )
 
+    async def _refuse(
+        self, call: CallRequest, sink: CallerSink, error: RefusalError
+    ) -> None:
+        # A refusal tells about the whole call: it counts what any attempt sent.
+        if call.is_sent and error.execution is Execution.WAS_NOT_RUN:
+            error.execution = Execution.MAY_HAVE_RUN
+        self._metrics.refusals.labels(error.code).inc()
+        _LOG.info("refused", extra=describe_call(call, reason=error.code))
+        await sink.refuse(error)
+
     async def _run_call(self, call: CallRequest, sink: CallerSink) -> None:
         check = StreamCheck(call.call_id)
         while True:
             replica = await self._wait_start(call)
             try:
-                await self._run_attempt(call, replica, check, sink)
-                return
+                answer = await self._run_attempt(call, replica, check, sink)
+                break
             except RefusalError as error:
-                self._board.upstreams.record_failure(
-                    replica.replica_id, time.monotonic()
+                if _is_connection_failure(error):
+                    self._board.upstreams.record_failure(
+                        replica.replica_id, time.monotonic()
+                    )
+                is_unsent = not call.is_sent and isinstance(
+                    error, UpstreamUnreachableError
                 )
-                is_unsent = isinstance(error, UpstreamUnreachableError)
                 if call.attempts >= self._options.max_attempts or not (
                     call.is_repeatable or is_unsent
                 ):
                     raise
                 self._metrics.retries.labels(error.code).inc()
-                call.excluded |= {replica.replica_id}
-                self._pending[call.call_id] = _PendingStart()
-                self._board.queues.add_again(call)
+                self._prepare_retry(call, replica, sink)
+        if answer is None:
+            await sink.finish_stream()
+        else:
+            await sink.send_answer(answer)
+
+    def _prepare_retry(
+        self, call: CallRequest, replica: Replica, sink: CallerSink
+    ) -> None:
+        call.excluded |= {replica.replica_id}
+        replicas = self._board.upstreams.by_service(call.service)
+        if all(one.replica_id in call.excluded for one in replicas):
+            # Each replica failed once; the last one alone has just done so.
+            call.excluded = frozenset()
+        if sink.is_started:
+            call.wait_limit_at = max(
+                call.wait_limit_at,
+                time.monotonic() + self._options.resume_wait_limit,
+            )
+        self._pending[call.call_id] = _PendingStart()
+        self._board.queues.add_again(call)
 
     async def _wait_start(self, call: CallRequest) -> Replica:
         pending = self._pending[call.call_id]
         await self.dispatch(call.service)
         remaining = call.wait_limit_at - time.monotonic()
         await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
-        if pending.replica_id is None:
+        if pending.replica is None:
             raise WaitLimitError(
                 "the request waited as long as its class or deadline allows; try "
                 "again later",
                 retry_after=1.0,
             )
-        return self._board.upstreams.replicas[pending.replica_id]
+        return pending.replica
 
     async def dispatch(self, service: str) -> None:
         """Starts waiting calls until the policy has no further start."""
@@ -196,36 +299,58 @@
             assert call is not None
             call.attempts += 1
             self._board.running[call.call_id] = call
-            self._board.upstreams.replicas[start.replica_id].in_use += 1
+            replica = self._board.upstreams.replicas[start.replica_id]
+            replica.in_use += 1
             pending = self._pending[start.call_id]
-            pending.replica_id = start.replica_id
+            pending.replica = replica
             await pending.event.set()
 
     async def _run_attempt(
         self, call: CallRequest, replica: Replica, check: StreamCheck, sink: CallerSink
-    ) -> None:
+    ) -> Answer | None:
+        # Looked up once: the labels cost more than the rest of a token's accounting.
+        served = self._metrics.served.labels(call.service, call.organisation)
+
         def charge(units: float) -> None:
             self._board.ledger.charge(call.service, call.organisation, units)
-            self._metrics.served.labels(call.service, call.organisation).inc(units)
+            served.inc(units)
 
         attempt = Attempt(
-            call, replica, pool=self._pool, options=self._options, charge=charge
+            call,
+            replica,
+            pool=self._pool,
+            options=self._options,
+            metrics=self._metrics,
+            charge=charge,
         )
         declaration = self._board.configuration.declaration
         assert declaration is not None
         try:
             if declaration.services[call.service].kind is ServiceKind.ENGINE:
-                await attempt.stream(check, sink)
-                await sink.finish_stream()
+                answer = await attempt.stream(check, sink)
             else:
                 answer = await attempt.call()
-                await sink.send_answer(answer)
             self._board.upstreams.record_success(replica.replica_id)
+            return answer
+        except (CallerGoneError, curio.CancelledError):
+            self._metrics.attempts_cancelled.inc()
+            raise
         finally:
-            replica.in_use -= 1
-            self._board.running.pop(call.call_id, None)
-            self._policy.finish(self._board, call, replica.replica_id, time.monotonic())
-            await self.dispatch(call.service)
+            await self._release(call, self._pending[call.call_id])
+
+    async def _release(self, call: CallRequest, pending: _PendingStart) -> None:
+        """Frees the slot of a call that was started."""
+        replica, pending.replica = pending.replica, None
+        assert replica is not None
+        replica.in_use -= 1
+        self._board.running.pop(call.call_id, None)
+        self._policy.finish(self._board, call, replica.replica_id, time.monotonic())
+        await self.dispatch(call.service)
+
+
+def _is_connection_failure(error: RefusalError) -> bool:
+    """Whether an attempt failed because the replica could not be talked to."""
+    return isinstance(error, (UpstreamUnreachableError, AnswerIncompleteError))
 
 
 def describe_call(
--- /dev/null
+++ b/sequoiamoor/daemon/listener.py
@@ -0,0 +1,127 @@
+"""Connections of callers: their limits, their requests in turn, refusals."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ..core.blackboard import Blackboard
+from ..errors import LeavingError, RefusalError, TooManyConnectionsError
+from ..metrics import Metrics
+from ..net.caller import parse_call, read_request_id, send_refusal
+from ..net.http import Request, ServerConnection
+from ..settings import LimitSettings
+from .calls import CallServer
+from .pages import Pages
+
+_LOG = logging.getLogger(__name__)
+
+# Connections over the limit that are refused at the same time; more than these are
+# closed without a response, so that refusals need a bounded number of descriptors.
+EXCESS_CONNECTIONS = 64
+
+
+class Listener:
+    """Serves the connections of callers."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        calls: CallServer,
+        pages: Pages,
+        metrics: Metrics,
+        *,
+        limits: LimitSettings,
+        make_call_id: Callable[[], str],
+    ) -> None:
+        self._board = board
+        self._calls = calls
+        self._pages = pages
+        self._metrics = metrics
+        self._limits = limits
+        self._make_call_id = make_call_id
+        self._connections = 0
+
+    async def accept(self, sock: Any, peer: Any) -> None:
+        """Serves one connection until it ends."""
+        connection = ServerConnection(
+            sock,
+            header_limit=self._limits.header_bytes,
+            body_limit=self._limits.body_bytes,
+            send_timeout=self._limits.send_timeout,
+        )
+        self._connections += 1
+        try:
+            if self._connections > self._limits.connections:
+                await self._refuse_connection(connection)
+            else:
+                await self._serve_connection(connection)
+        except OSError as err:
+            _LOG.debug("connection lost: %s", err)
+        finally:
+            try:
+                await connection.close_cleanly()
+            finally:
+                self._connections -= 1
+
+    async def _refuse_connection(self, connection: ServerConnection) -> None:
+        error = TooManyConnectionsError(
+            f"this router has {self._limits.connections} connections; try another one",
+            retry_after=1.0,
+        )
+        if self._connections > self._limits.connections + EXCESS_CONNECTIONS:
+            self._metrics.refusals.labels(error.code).inc()
+            return
+        await self._refuse(connection, error)
+
+    async def _serve_connection(self, connection: ServerConnection) -> None:
+        while True:
+            try:
+                request = await connection.receive_request(
+                    idle_timeout=self._limits.idle_timeout,
+                    receive_timeout=self._limits.receive_timeout,
+                )
+            except RefusalError as error:
+                await self._refuse(connection, error)
+                return
+            if request is None:
+                return
+            await self._serve_request(connection, request)
+            if not connection.start_next_cycle():
+                return
+
+    async def _serve_request(
+        self, connection: ServerConnection, request: Request
+    ) -> None:
+        if request.method in ("GET", "HEAD") and request.path in self._pages:
+            await self._pages.send(connection, request.path)
+            return
+        try:
+            if self._board.is_leaving:
+                raise LeavingError(
+                    "this router is shutting down; send the request to another one",
+                    retry_after=1.0,
+                )
+            call = parse_call(
+                request,
+                self._board,
+                call_id=self._make_call_id(),
+                now=time.monotonic(),
+            )
+            self._calls.accept(call)
+        except RefusalError as error:
+            await self._refuse(connection, error, read_request_id(request))
+            return
+        await self._calls.serve(connection, call)
+
+    async def _refuse(
+        self,
+        connection: ServerConnection,
+        error: RefusalError,
+        request_id: str | None = None,
+    ) -> None:
+        self._metrics.refusals.labels(error.code).inc()
+        if connection.can_refuse:
+            await send_refusal(connection, error, request_id)
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -12,15 +12,8 @@
 import curio
 
 from ..core.blackboard import create_blackboard
-from ..errors import (
-    LeavingError,
-    RefusalError,
-    TooManyConnectionsError,
-)
 from ..logs import configure_logs
 from ..metrics import Metrics
-from ..net.caller import parse_call, send_refusal
-from ..net.http import Request, ServerConnection
 from ..net.platform import PlatformClient
 from ..net.signals import SignalWatch
 from ..policies import create_policy
@@ -29,6 +22,7 @@
     RouterIdentity,
 )
 from .calls import CallServer, describe_call
+from .listener import Listener
 from .pages import Pages
 from .pollers import Pollers
 
@@ -55,7 +49,14 @@
         self._pages = Pages(self.board, self.metrics)
         self._pollers = Pollers(self.board, self._platform)
         self._numbers = itertools.count(1)
-        self._connections = 0
+        self._listener = Listener(
+            self.board,
+            self._calls,
+            self._pages,
+            self.metrics,
+            limits=settings.limits,
+            make_call_id=self._make_call_id,
+        )
         self._stop = curio.Event()
 
     def _make_call_id(self) -> str:
@@ -75,7 +76,10 @@
 
     async def _serve_until(self, signals: SignalWatch, sock: Any) -> None:
         async with curio.TaskGroup() as tasks:
-            listener = await tasks.spawn(curio.network.run_server, sock, self._accept)
+            listener = await tasks.spawn(
+                curio.network.run_server, sock, self._listener.accept
+            )
+            await tasks.spawn(self._calls.watch)
             await tasks.spawn(self._pollers.poll_platform)
             await tasks.spawn(self._pollers.poll_loads)
             await tasks.spawn(self._tick)
@@ -99,81 +103,6 @@
             _LOG.warning("request cut", extra=describe_call(call, reason="drain-limit"))
             self.metrics.refusals.labels("drain-limit").inc()
 
-    async def _accept(self, sock: Any, peer: Any) -> None:
-        limits = self._settings.limits
-        connection = ServerConnection(
-            sock, header_limit=limits.header_bytes, body_limit=limits.body_bytes
-        )
-        if self._connections >= limits.connections:
-            error = TooManyConnectionsError(
-                f"this router has {limits.connections} connections; try another one",
-                retry_after=1.0,
-            )
-            await self._refuse(connection, error)
-            return
-        self._connections += 1
-        try:
-            await self._serve_connection(connection)
-        except OSError as err:
-            _LOG.debug("connection lost: %s", err)
-        finally:
-            self._connections -= 1
-            await connection.close()
-
-    async def _serve_connection(self, connection: ServerConnection) -> None:
-        limits = self._settings.limits
-        while True:
-            try:
-                request = await connection.receive_request(
-                    idle_timeout=limits.idle_timeout,
-                    receive_timeout=limits.receive_timeout,
-                )
-            except RefusalError as error:
-                await self._refuse(connection, error)
-                return
-            if request is None:
-                return
-            await self._serve_request(connection, request)
-            if not connection.start_next_cycle():
-                return
-
-    async def _refuse(
-        self,
-        connection: ServerConnection,
-        error: RefusalError,
-        request_id: str | None = None,
-    ) -> None:
-        self.metrics.refusals.labels(error.code).inc()
-        if connection.can_refuse:
-            await send_refusal(connection, error, request_id)
-
-    async def _serve_request(
-        self, connection: ServerConnection, request: Request
-    ) -> None:
-        if request.method == "GET" and request.path in self._pages:
-            await self._pages.send(connection, request.path)
-            return
-        try:
-            if self.board.is_leaving:
-                raise LeavingError(
-                    "this router is shutting down; send the request to another one",
-                    retry_after=1.0,
-                )
-            call = parse_call(
-                request,
-                self.board,
-                call_id=self._make_call_id(),
-                now=time.monotonic(),
-            )
-            self._calls.accept(call)
-        except RefusalError as error:
-            request_id = request.headers.get("x-request-id")
-            await self._refuse(connection, error, request_id)
-            return
-        async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self._calls.serve, connection, call)
-            await tasks.spawn(connection.wait_closed)
-
     async def _tick(self) -> None:
         while True:
             await curio.sleep(self._options.report_interval)
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -192,6 +192,12 @@
     execution = Execution.MAY_HAVE_RUN
 
 
+class UpstreamRefusedError(RefusalError):
+    """An upstream stated that it did not run the request."""
+
+    code = "upstream-refused"
+
+
 class AnswerMismatchError(UpstreamFailedError):
     """An upstream sent something that is not the answer to this request."""
 
@@ -204,6 +210,13 @@
     code = "answer-incomplete"
 
 
+class InternalError(RefusalError):
+    """A fault of the router ended the call."""
+
+    code = "internal"
+    status = 500
+
+
 class RecordUnavailableError(RefusalError):
     """The at-most-once record cannot be written, so the call is not sent."""
 
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -4,6 +4,14 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+LIMIT_CODES = (
+    "headers-too-large",
+    "body-too-large",
+    "request-timeout",
+    "too-many-connections",
+    "queue-full",
+)
+
 
 class Metrics:
     """The series of one router, in a registry of their own."""
@@ -28,6 +36,35 @@
             ["code"],
             registry=self.registry,
         )
+        # The limits of the caller interface are exported from the start, so that a
+        # counter that never moved can be told from one that does not exist.
+        for code in LIMIT_CODES:
+            self.refusals.labels(code)
+        self.callers_gone = Counter(
+            "sequoiamoor_callers_gone",
+            "Calls whose caller closed the connection before the answer was whole.",
+            registry=self.registry,
+        )
+        self.callers_slow = Counter(
+            "sequoiamoor_callers_slow",
+            "Calls whose caller read nothing for the send timeout.",
+            registry=self.registry,
+        )
+        self.attempts_cancelled = Counter(
+            "sequoiamoor_attempts_cancelled",
+            "Attempts whose late answer is dropped because the caller is gone.",
+            registry=self.registry,
+        )
+        self.mismatches = Counter(
+            "sequoiamoor_answer_mismatches",
+            "Upstream answers or parts of them that belong to no present attempt.",
+            registry=self.registry,
+        )
+        self.pool_stale = Counter(
+            "sequoiamoor_pool_stale_connections",
+            "Idle upstream connections found closed or with unread bytes.",
+            registry=self.registry,
+        )
         self.served = Counter(
             "sequoiamoor_served_units",
             "Work done, in service units.",
--- a/sequoiamoor/net/caller.py
+++ b/sequoiamoor/net/caller.py
@@ -20,8 +20,13 @@
 from ..types import CallRequest
 from .http import Request, ServerConnection
 
-_CALL_PATH = re.compile(r"^/v1/services/([^/]+)/calls$")
-_REQUEST_ID = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+_CALL_PATH = re.compile(r"/v1/services/([^/]+)/calls")
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
+# Values that are passed on to upstreams: printable ASCII, since other bytes have no
+# agreed meaning in a header field.
+_PREFIX_KEY = re.compile(r"[\x21-\x7e]{1,256}")
+_CONTENT_TYPE = re.compile(r"[\x20-\x7e]{1,256}")
 
 
 def parse_call(
@@ -41,13 +46,19 @@
     Raises:
         RefusalError: If the request cannot be accepted.
     """
-    match = _CALL_PATH.match(request.path)
+    match = _CALL_PATH.fullmatch(request.path)
     if match is None:
         raise NotFoundError(
-            f"path {request.path!r} is unknown; use /v1/services/SERVICE/calls"
+            f"path {_cut(request.path)} is unknown; use /v1/services/SERVICE/calls"
         )
     if request.method != "POST":
         raise MethodNotAllowedError(f"method {request.method} is not allowed; use POST")
+    if request.http_version != "1.1":
+        # An HTTP/1.0 response has no chunks, so an incomplete stream would end like
+        # a complete one.
+        raise MalformedRequestError(
+            f"calls need HTTP/1.1 and not HTTP/{request.http_version}; send HTTP/1.1"
+        )
     declaration = board.configuration.declaration
     if declaration is None:
         raise NotReadyError(
@@ -57,17 +68,20 @@
     service = match.group(1)
     if service not in declaration.services:
         raise UnknownServiceError(
-            f"service {service!r} is unknown; use one of {_list(declaration.services)}"
+            f"service {_cut(service)} is unknown; use one of "
+            f"{_list(declaration.services)}"
         )
     organisation = _require(request, "x-organisation")
     if organisation not in declaration.organisations:
         raise UnknownOrganisationError(
-            f"organisation {organisation!r} is unknown; ask an operator to declare it"
+            f"organisation {_cut(organisation)} is unknown; ask an operator to declare "
+            "it"
         )
     class_name = _require(request, "x-class")
     if class_name not in declaration.classes:
         raise UnknownClassError(
-            f"class {class_name!r} is unknown; use one of {_list(declaration.classes)}"
+            f"class {_cut(class_name)} is unknown; use one of "
+            f"{_list(declaration.classes)}"
         )
     work_class = declaration.classes[class_name]
     wait_limit = work_class.wait_limit_ms / 1000
@@ -75,10 +89,22 @@
     if limit_ms is not None:
         wait_limit = min(wait_limit, limit_ms / 1000)
     request_id = request.headers.get("x-request-id")
-    if request_id is not None and not _REQUEST_ID.match(request_id):
+    if request_id is not None and not _REQUEST_ID.fullmatch(request_id):
+        raise MalformedRequestError(
+            f"X-Request-Id {_cut(request_id)} is invalid; use 1 to 128 letters, "
+            "digits, '.', '_', ':' or '-'"
+        )
+    prefix_key = request.headers.get("x-prefix-key")
+    if prefix_key is not None and not _PREFIX_KEY.fullmatch(prefix_key):
         raise MalformedRequestError(
-            f"X-Request-Id {request_id!r} is invalid; use 1 to 128 letters, digits, "
-            "'.', '_', ':' or '-'"
+            f"X-Prefix-Key {_cut(prefix_key)} is invalid; use 1 to 256 visible ASCII "
+            "characters"
+        )
+    content_type = request.headers.get("content-type", "application/json")
+    if not _CONTENT_TYPE.fullmatch(content_type):
+        raise MalformedRequestError(
+            f"Content-Type {_cut(content_type)} is invalid; use 1 to 256 ASCII "
+            "characters"
         )
     return CallRequest(
         call_id=call_id,
@@ -90,10 +116,10 @@
         deadline=now + work_class.target_seconds,
         wait_limit_at=now + wait_limit,
         body=request.body,
-        content_type=request.headers.get("content-type", "application/json"),
+        content_type=content_type,
         cost_hint=_read_number(request, "x-cost-hint"),
-        prefix_key=request.headers.get("x-prefix-key"),
-        wants_stream="text/event-stream" in request.headers.get("accept", ""),
+        prefix_key=prefix_key,
+        wants_stream=_accepts_stream(request.headers.get("accept", "")),
         has_caller_id=request_id is not None,
         is_repeatable=declaration.services[service].repeatable,
     )
@@ -115,17 +141,30 @@
     text = request.headers.get(name)
     if text is None:
         return None
-    try:
-        value = float(text)
-    except ValueError as err:
+    if not _NUMBER.fullmatch(text) or not float(text):
         raise MalformedRequestError(
-            f"header {name!r} is {text!r}; send a positive number"
-        ) from err
-    if not math.isfinite(value) or value <= 0:
-        raise MalformedRequestError(
-            f"header {name!r} is {text!r}; send a positive number"
+            f"header {name!r} is {_cut(text)}; send a positive decimal number of at "
+            "most 12 digits"
         )
-    return value
+    return float(text)
+
+
+def _cut(value: str) -> str:
+    """Returns a value of a caller for a message, shortened."""
+    return repr(value if len(value) <= 80 else value[:80] + "...")
+
+
+def _accepts_stream(accept: str) -> bool:
+    types = (part.partition(";")[0].strip().lower() for part in accept.split(","))
+    return "text/event-stream" in types
+
+
+def read_request_id(request: Request) -> str | None:
+    """Returns the caller's identifier of the request if it gave a valid one."""
+    request_id = request.headers.get("x-request-id")
+    if request_id is None or not _REQUEST_ID.fullmatch(request_id):
+        return None
+    return request_id
 
 
 def to_refusal_body(error: RefusalError, request_id: str | None) -> bytes:
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import math
+import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import curio
 import h11
@@ -13,13 +17,21 @@
 from ..errors import (
     AnswerIncompleteError,
     AnswerMismatchError,
+    RefusalError,
     UpstreamFailedError,
+    UpstreamRefusedError,
     UpstreamUnreachableError,
 )
+from ..metrics import Metrics
 from ..options import Options
 from ..types import Address, CallRequest, Execution
 from .http import ClientConnection, Response
-from .relay import StreamCheck
+from .relay import Advance, StreamCheck
+
+# The end of a response normally arrives with its last event; a connection whose
+# response takes longer to end is closed instead of being kept.
+END_WAIT_SECONDS = 0.25
+FAILURE_BODY_BYTES = 65_536
 
 
 class Sink(Protocol):
@@ -34,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """A whole answer of a plain service."""
+    """A whole answer of an upstream."""
 
     status: int
     content_type: str
@@ -42,43 +54,107 @@
 
 
 class ConnectionPool:
-    """Connections to upstreams that may be used again."""
+    """Connections to upstreams that may be used again, and those in use.
+
+    One periodic check ends receives that wait too long and drops old idle
+    connections. A timeout object per receive would cost more than the receive.
+    """
 
-    def __init__(self, *, options: Options) -> None:
+    def __init__(self, *, options: Options, metrics: Metrics) -> None:
         self._options = options
-        self._idle: dict[Address, list[ClientConnection]] = {}
+        self._metrics = metrics
+        self._idle: dict[Address, deque[tuple[float, ClientConnection]]] = {}
+        self._used: set[ClientConnection] = set()
+        self._idle_count = 0
+
+    def __len__(self) -> int:
+        """Returns the number of idle connections."""
+        return self._idle_count
 
-    async def take(self, address: Address, *, is_fresh: bool) -> ClientConnection:
-        """Returns a connection; a fresh one was never used.
+    async def take(
+        self, address: Address, *, is_fresh: bool
+    ) -> tuple[ClientConnection, bool]:
+        """Returns a connection and whether it was used before.
+
+        Args:
+            address: Address of the upstream.
+            is_fresh: Whether only a connection that was never used will do.
 
         Raises:
             OSError: If no connection can be made.
         """
         idle = self._idle.get(address)
-        if idle and not is_fresh:
-            return idle.pop()
-        return await ClientConnection.connect(
+        while idle and not is_fresh:
+            connection = idle.pop()[1]
+            self._idle_count -= 1
+            if connection.is_quiet:
+                self._used.add(connection)
+                return connection, True
+            self._metrics.pool_stale.inc()
+            await connection.close()
+        connection = await ClientConnection.connect(
             address, timeout=self._options.connect_timeout
         )
+        self._used.add(connection)
+        return connection, False
 
     async def give_back(self, connection: ClientConnection) -> None:
         """Keeps a connection whose response was read to its end, else closes it."""
-        if connection.is_reusable:
-            connection.start_next_cycle()
-            self._idle.setdefault(connection.address, []).append(connection)
-        else:
-            await connection.close()
+        idle = self._idle.get(connection.address, ())
+        if (
+            not connection.is_reusable
+            or self._idle_count >= self._options.pool_limit
+            or len(idle) >= self._options.pool_limit_per_replica
+        ):
+            await self.discard(connection)
+            return
+        self._used.discard(connection)
+        connection.start_next_cycle()
+        entry = (time.monotonic(), connection)
+        self._idle.setdefault(connection.address, deque()).append(entry)
+        self._idle_count += 1
+
+    async def discard(self, connection: ClientConnection) -> None:
+        """Closes a connection; an engine thereby cancels the request on it."""
+        self._used.discard(connection)
+        await connection.close()
+
+    async def check(self, now: float) -> None:
+        """Ends receives that wait too long and closes old idle connections."""
+        for connection in self._used:
+            since = connection.waits_since
+            if since is not None and now - since >= self._options.upstream_idle_timeout:
+                connection.abort()
+        limit = now - self._options.pool_idle_time
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0][0] <= limit:
+                self._idle_count -= 1
+                await idle.popleft()[1].close()
+            if not idle and self._idle.get(address) is idle:
+                del self._idle[address]
+
+    async def watch(self) -> None:
+        """Checks the connections periodically until cancelled."""
+        interval = min(1.0, self._options.upstream_idle_timeout / 8)
+        while True:
+            await curio.sleep(interval)
+            await self.check(time.monotonic())
 
     async def close(self) -> None:
         """Closes all idle connections."""
         for idle in self._idle.values():
-            for connection in idle:
+            for _, connection in idle:
                 await connection.close()
         self._idle.clear()
+        self._idle_count = 0
 
 
 class Attempt:
-    """One try of a call at one replica."""
+    """One try of a call at one replica.
+
+    Attributes:
+        is_sent: Whether a byte of the request was handed to the kernel.
+    """
 
     def __init__(
         self,
@@ -87,117 +163,237 @@
         *,
         pool: ConnectionPool,
         options: Options,
+        metrics: Metrics,
         charge: Callable[[float], None],
     ) -> None:
         self._call = call
         self._replica = replica
         self._pool = pool
         self._options = options
+        self._metrics = metrics
         self._charge = charge
+        self._was_sent_before = call.is_sent
+        self._connection: ClientConnection | None = None
         self.is_sent = False
 
-    async def _open(self, path: str, headers: dict[str, str]) -> ClientConnection:
+    async def stream(self, check: StreamCheck, sink: Sink) -> Answer | None:
+        """Runs the call at an engine and passes its events on.
+
+        Returns:
+            None if the whole stream was passed on, or the answer of an engine that
+            did not accept the request and streams nothing.
+
+        Raises:
+            RefusalError: If the answer did not come to its end.
+        """
+        headers = {"accept": "text/event-stream"}
+        if self._call.prefix_key is not None:
+            headers["x-prefix-key"] = self._call.prefix_key
+        if check.next_index:
+            headers["x-resume-from"] = str(check.next_index)
+        check.start_attempt()
+        try:
+            response = await self._request("/v1/generate", headers)
+            if response.status != 200:
+                return await self._read_answer(response)
+            await self._copy_stream(check, sink)
+            await self._finish_stream()
+            return None
+        except AnswerMismatchError:
+            self._metrics.mismatches.inc()
+            raise
+        except (OSError, h11.ProtocolError) as err:
+            raise self._to_refusal(err) from err
+        finally:
+            await self._close()
+
+    async def call(self) -> Answer:
+        """Runs the call at a plain service.
+
+        Raises:
+            RefusalError: If no whole answer came.
+        """
+        began = time.monotonic()
         try:
-            connection = await self._pool.take(
-                self._replica.address, is_fresh=not self._call.is_repeatable
-            )
-        except OSError as err:
-            raise UpstreamUnreachableError(
-                f"replica {self._replica.replica_id!r} cannot be reached: {err}; try "
-                "again",
-                retry_after=1.0,
-            ) from err
-        self.is_sent = True
+            response = await self._request("/v1/call", {})
+            answer = await self._read_answer(response)
+        except AnswerMismatchError:
+            self._metrics.mismatches.inc()
+            raise
+        except (OSError, h11.ProtocolError) as err:
+            raise self._to_refusal(err) from err
+        finally:
+            await self._close()
+        elapsed_ms = (time.monotonic() - began) * 1000
+        self._charge(_read_service_ms(response, default=elapsed_ms))
+        return answer
+
+    async def _close(self) -> None:
+        if self._connection is not None:
+            connection, self._connection = self._connection, None
+            await self._pool.discard(connection)
+
+    async def _request(self, path: str, headers: dict[str, str]) -> Response:
+        """Sends the request and receives a checked response head."""
         fields = {
             "x-request-id": self._call.request_id,
             "x-call-id": self._call.call_id,
             "content-type": self._call.content_type,
             **headers,
         }
+        is_fresh = not self._call.is_repeatable
+        while True:
+            connection, is_reused = await self._take(is_fresh=is_fresh)
+            received = connection.bytes_received
+            try:
+                await self._send(connection, path, fields)
+                response = await connection.receive_response()
+                break
+            except (OSError, h11.ProtocolError):
+                # An upstream may close an idle connection while the request is on
+                # its way. That says nothing about the replica, so a repeatable
+                # request is sent once more on a connection of its own.
+                if not is_reused or connection.bytes_received != received:
+                    raise
+                self._metrics.pool_stale.inc()
+                await self._close()
+                is_fresh = True
+        await self._check_head(response)
+        return response
+
+    async def _take(self, *, is_fresh: bool) -> tuple[ClientConnection, bool]:
+        try:
+            connection, is_reused = await self._pool.take(
+                self._replica.address, is_fresh=is_fresh
+            )
+        except OSError as err:
+            raise self._to_refusal(err) from err
+        self._connection = connection
+        return connection, is_reused
+
+    async def _send(
+        self, connection: ClientConnection, path: str, fields: dict[str, str]
+    ) -> None:
+        before = connection.bytes_sent
         try:
             await connection.send_request("POST", path, fields, self._call.body)
-        except BaseException:
-            await connection.close()
-            raise
-        return connection
+        finally:
+            if connection.bytes_sent != before:
+                self.is_sent = self._call.is_sent = True
+
+    def _to_refusal(self, error: Exception) -> RefusalError:
+        if not self.is_sent:
+            return UpstreamUnreachableError(
+                f"replica {self._replica.replica_id!r} cannot be reached: {error}; try "
+                "again",
+                retry_after=1.0,
+            )
+        return AnswerIncompleteError(
+            f"replica {self._replica.replica_id!r} broke off: {error!r}"
+        )
 
-    def _check_head(self, response: Response) -> None:
-        if response.headers.get("x-call-id") != self._call.call_id:
+    async def _check_head(self, response: Response) -> None:
+        call_id = response.headers.get("x-call-id")
+        is_ours = call_id == self._call.call_id
+        if not is_ours and (call_id is not None or response.status < 500):
             raise AnswerMismatchError(
-                f"replica {self._replica.replica_id!r} answered for call "
-                f"{response.headers.get('x-call-id')!r}; the answer is dropped"
+                f"replica {self._replica.replica_id!r} answered for call {call_id!r}; "
+                "the answer is dropped"
             )
-        if response.status >= 500:
+        if is_ours and response.status in (429, 503):
+            await self._check_not_run(response)
+        if response.status >= 500 or not (
+            200 <= response.status < 300 or response.status >= 400
+        ):
             raise UpstreamFailedError(
                 f"replica {self._replica.replica_id!r} failed with status "
                 f"{response.status}",
                 execution=Execution.MAY_HAVE_RUN,
             )
+        if not response.is_framed:
+            raise AnswerMismatchError(
+                f"replica {self._replica.replica_id!r} sent an answer whose end cannot "
+                "be told from a broken connection"
+            )
 
-    async def stream(self, check: StreamCheck, sink: Sink) -> None:
-        """Runs the call at an engine and passes its events on.
-
-        Raises:
-            RefusalError: If the answer did not come to its end.
-        """
-        headers = {"accept": "text/event-stream"}
-        if self._call.prefix_key is not None:
-            headers["x-prefix-key"] = self._call.prefix_key
-        if check.next_index:
-            headers["x-resume-from"] = str(check.next_index)
-        check.start_attempt()
-        connection = None
+    async def _check_not_run(self, response: Response) -> None:
+        """Raises if the upstream states that it did not run the request."""
+        if not response.is_framed:
+            return
+        assert self._connection is not None
+        body = await self._connection.receive_body(limit=FAILURE_BODY_BYTES)
         try:
-            connection = await self._open("/v1/generate", headers)
-            async with curio.timeout_after(self._options.upstream_idle_timeout):
-                response = await connection.receive_response()
-            self._check_head(response)
-            while (data := await self._receive(connection)) is not None:
-                advance = check.feed(data)
-                self._charge(advance.tokens + advance.prefilled)
-                if advance.data:
+            document: Any = json.loads(body)
+        except (ValueError, RecursionError):
+            document = None
+        if isinstance(document, dict) and (
+            document.get("execution") == Execution.WAS_NOT_RUN.value
+        ):
+            self._call.is_sent = self._was_sent_before
+            raise UpstreamRefusedError(
+                f"replica {self._replica.replica_id!r} did not take the request; try "
+                "again",
+                retry_after=1.0,
+            )
+        raise UpstreamFailedError(
+            f"replica {self._replica.replica_id!r} failed with status {response.status}"
+        )
+
+    async def _copy_stream(self, check: StreamCheck, sink: Sink) -> None:
+        connection = self._connection
+        assert connection is not None
+        is_started = False
+        while (data := await connection.receive_data()) is not None:
+            advance = check.feed(data)
+            if units := advance.tokens + advance.prefilled:
+                self._charge(units)
+            if advance.data:
+                if not is_started:
                     await sink.start_stream()
-                    await sink.send_events(advance.data)
-            if not check.is_complete:
-                raise AnswerIncompleteError(
-                    f"replica {self._replica.replica_id!r} ended the answer early"
-                )
-            await self._pool.give_back(connection)
-            connection = None
-        except (OSError, h11.RemoteProtocolError, curio.TaskTimeout) as err:
-            raise AnswerIncompleteError(
-                f"replica {self._replica.replica_id!r} broke off: {err!r}"
-            ) from err
-        finally:
-            if connection is not None:
-                await connection.close()
+                    is_started = True
+                await sink.send_events(advance.data)
+            if advance.is_end:
+                self._note_excess(advance)
+                return
+        raise AnswerIncompleteError(
+            f"replica {self._replica.replica_id!r} ended the answer early"
+        )
 
-    async def _receive(self, connection: ClientConnection) -> bytes | None:
-        async with curio.timeout_after(self._options.upstream_idle_timeout):
-            return await connection.receive_data()
+    def _note_excess(self, advance: Advance) -> None:
+        if advance.has_excess:
+            self._metrics.mismatches.inc()
 
-    async def call(self) -> Answer:
-        """Runs the call at a plain service.
+    async def _finish_stream(self) -> None:
+        """Reads the end of a response whose events were all passed on.
 
-        Raises:
-            RefusalError: If no whole answer came.
+        The answer is whole, so a fault from here on costs only the connection.
         """
-        connection = None
+        connection = self._connection
+        assert connection is not None
         try:
-            connection = await self._open("/v1/call", {})
-            async with curio.timeout_after(self._options.upstream_idle_timeout):
-                response = await connection.receive_response()
-                body = await connection.receive_body()
-            self._check_head(response)
-            await self._pool.give_back(connection)
-            connection = None
-        except (OSError, h11.RemoteProtocolError, curio.TaskTimeout) as err:
-            raise AnswerIncompleteError(
-                f"replica {self._replica.replica_id!r} broke off: {err!r}"
-            ) from err
-        finally:
-            if connection is not None:
-                await connection.close()
-        self._charge(float(response.headers.get("x-service-ms", "0")))
+            async with curio.timeout_after(END_WAIT_SECONDS):
+                if await connection.receive_data() is not None:
+                    self._metrics.mismatches.inc()
+                    return
+        except (OSError, h11.ProtocolError, curio.TaskTimeout):
+            return
+        self._connection = None
+        await self._pool.give_back(connection)
+
+    async def _read_answer(self, response: Response) -> Answer:
+        connection = self._connection
+        assert connection is not None
+        body = await connection.receive_body(limit=self._options.answer_limit_bytes)
+        self._connection = None
+        await self._pool.give_back(connection)
         content_type = response.headers.get("content-type", "application/json")
         return Answer(response.status, content_type, body)
+
+
+def _read_service_ms(response: Response, *, default: float) -> float:
+    """Returns the service time that the upstream states, if it is a valid one."""
+    try:
+        value = float(response.headers.get("x-service-ms", ""))
+    except ValueError:
+        return default
+    return value if math.isfinite(value) and value >= 0 else default
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import re
+import socket
+import time
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any
 
 import curio
@@ -17,6 +21,15 @@
 from ..types import Address
 
 RECEIVE_BYTES = 65_536
+SEND_TIMEOUT_SECONDS = 30.0
+LINGER_SECONDS = 2.0
+LINGER_BYTES = 4_194_304
+CHUNK_LINE_BYTES = 256
+RESPONSE_HEAD_BYTES = 65_536
+
+_HEAD_END = re.compile(rb"\n\r?\n")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
+_BODY_FRAMING = (b"content-length", b"transfer-encoding")
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -30,6 +43,7 @@
     query: str
     headers: dict[str, str]
     body: bytes = b""
+    http_version: str = "1.1"
 
 
 @dataclass(slots=True)
@@ -39,6 +53,15 @@
     status: int
     headers: dict[str, str] = field(default_factory=dict)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body can be told from a broken connection."""
+        return (
+            self.status in (204, 304)
+            or "content-length" in self.headers
+            or "transfer-encoding" in self.headers
+        )
+
 
 def to_headers(values: dict[str, str]) -> Headers:
     """Returns header fields in the form that h11 takes."""
@@ -46,24 +69,77 @@
 
 
 def from_headers(headers: Any) -> dict[str, str]:
-    """Returns header fields with lower-case names as text."""
-    return {
-        name.decode("ascii"): value.decode("latin-1") for name, value in list(headers)
-    }
+    """Returns header fields with lower-case names as text.
+
+    The values of repeated fields are joined with commas, so that a repeated field
+    that allows one value only is seen as a wrong value and not as its last one.
+    """
+    values: dict[str, str] = {}
+    for raw_name, raw_value in list(headers):
+        name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
+        values[name] = f"{values[name]}, {value}" if name in values else value
+    return values
+
+
+def check_request_head(head: bytes) -> None:
+    """Checks what h11 accepts silently but another parser may read differently.
+
+    Args:
+        head: Raw bytes up to the empty line.
+
+    Raises:
+        MalformedRequestError: If a line is folded, or if the head has both
+            Content-Length and Transfer-Encoding.
+    """
+    names = set()
+    for line in head.split(b"\n")[1:]:
+        if line[:1] in (b" ", b"\t"):
+            raise MalformedRequestError(
+                "a header line is folded; send each header field on one line"
+            )
+        names.add(line.partition(b":")[0].strip().lower())
+    if names.issuperset(_BODY_FRAMING):
+        raise MalformedRequestError(
+            "the request has both Content-Length and Transfer-Encoding; send one"
+        )
+
+
+def _set_no_delay(sock: Any) -> None:
+    # Without it the kernel may hold a small chunk until the one before it is
+    # acknowledged.
+    if sock.family in (socket.AF_INET, socket.AF_INET6):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 class ServerConnection:
     """The server's side of one connection."""
 
-    def __init__(self, sock: Any, *, header_limit: int, body_limit: int) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        *,
+        header_limit: int,
+        body_limit: int,
+        send_timeout: float = SEND_TIMEOUT_SECONDS,
+    ) -> None:
         self._sock = sock
+        # The plain socket below curio's: one call sends without a coroutine, and
+        # only a peer that does not read costs a timeout.
+        self._raw = sock._socket
         self._body_limit = body_limit
         self._header_limit = header_limit
+        self._send_timeout = send_timeout
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=header_limit)
+        self._is_head = False
+        self.is_peer_closed = False
+        self.is_peer_slow = False
         self.bytes_sent = 0
+        _set_no_delay(self._raw)
 
     async def _receive(self) -> None:
-        self._h11.receive_data(await self._sock.recv(RECEIVE_BYTES))
+        data = await self._sock.recv(RECEIVE_BYTES)
+        self.is_peer_closed = not data
+        self._h11.receive_data(data)
 
     async def receive_request(
         self, *, idle_timeout: float, receive_timeout: float
@@ -81,12 +157,9 @@
             RefusalError: If the request is malformed, too large or too slow.
         """
         if self._h11.trailing_data == (b"", False):
-            data = await curio.ignore_after(
-                idle_timeout, self._sock.recv, RECEIVE_BYTES
-            )
-            if not data:
+            await curio.ignore_after(idle_timeout, self._receive)
+            if self._h11.trailing_data[0] == b"":
                 return None
-            self._h11.receive_data(data)
         try:
             async with curio.timeout_after(receive_timeout):
                 return await self._receive_whole()
@@ -96,15 +169,28 @@
                 "faster"
             ) from err
 
+    def _check_head(self) -> None:
+        buffered = self._h11.trailing_data[0]
+        match = _HEAD_END.search(buffered)
+        if (match.end() if match else len(buffered)) > self._header_limit:
+            raise HeadersTooLargeError(
+                f"the request head is over {self._header_limit} bytes; send fewer or "
+                "shorter header fields"
+            )
+        if match:
+            check_request_head(buffered[: match.start()])
+
     async def _next_event(self) -> Any:
         while True:
+            if self._h11.their_state is h11.IDLE:
+                self._check_head()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as err:
                 if err.error_status_hint == 431:
                     raise HeadersTooLargeError(
-                        f"the request head is over {self._header_limit} bytes; send "
-                        "fewer or shorter header fields"
+                        f"the request head, a chunk's head or the trailer is over "
+                        f"{self._header_limit} bytes; send fewer or shorter fields"
                     ) from err
                 raise MalformedRequestError(
                     f"{err}; send a request that follows HTTP/1.1"
@@ -119,13 +205,18 @@
         event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
+        self._is_head = event.method == b"HEAD"
         headers = from_headers(event.headers)
-        if "content-length" in headers and "transfer-encoding" in headers:
-            raise MalformedRequestError(
-                "the request has both Content-Length and Transfer-Encoding; send one"
-            )
         path, _, query = event.target.decode("latin-1").partition("?")
-        request = Request(event.method.decode("ascii"), path, query, headers)
+        request = Request(
+            event.method.decode("ascii"),
+            path,
+            query,
+            headers,
+            http_version=event.http_version.decode("ascii"),
+        )
+        # Before 100-continue is sent, so that a body over the limit is not sent.
+        self._check_size(int(headers.get("content-length", "0")))
         parts: list[bytes] = []
         size = 0
         while True:
@@ -134,55 +225,96 @@
                 request.body = b"".join(parts)
                 return request
             size += len(event.data)
-            if size > self._body_limit:
-                raise BodyTooLargeError(
-                    f"the request body is over {self._body_limit} bytes; send less"
-                )
+            self._check_size(size)
             parts.append(bytes(event.data))
 
+    def _check_size(self, size: int) -> None:
+        if size > self._body_limit:
+            raise BodyTooLargeError(
+                f"the request body is over {self._body_limit} bytes; send less"
+            )
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            sent = self._raw.send(data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(data):
+            try:
+                async with curio.timeout_after(self._send_timeout):
+                    await self._sock.sendall(memoryview(data)[sent:])
+            except curio.TaskTimeout as err:
+                self.is_peer_slow = True
+                raise TimeoutError(
+                    f"the peer read nothing for {self._send_timeout} s"
+                ) from err
+        self.bytes_sent += len(data)
+
     async def _send(self, event: Any) -> None:
         data = self._h11.send(event)
         if data:
-            self.bytes_sent += len(data)
-            await self._sock.sendall(data)
+            await self._write(data)
 
     async def send_response(
         self, status: int, headers: dict[str, str], body: bytes
     ) -> None:
-        """Sends a whole response."""
+        """Sends a whole response; to a HEAD request without its body.
+
+        Raises:
+            OSError: If the connection fails or the peer does not read.
+        """
         fields = to_headers({**headers, "content-length": str(len(body))})
+        if self._h11.their_state is not h11.DONE:
+            fields.append((b"connection", b"close"))
         head = self._h11.send(h11.Response(status_code=status, headers=fields))
-        data = self._h11.send(h11.Data(data=body)) if body else b""
+        data = b""
+        if body and not self._is_head:
+            data = self._h11.send(h11.Data(data=body))
         end = self._h11.send(h11.EndOfMessage())
-        message = b"".join(part for part in (head, data, end) if part)
-        self.bytes_sent += len(message)
-        await self._sock.sendall(message)
+        await self._write(b"".join((head, data, end)))
 
     async def start_stream(self, status: int, headers: dict[str, str]) -> None:
-        """Sends the head of a chunked response."""
+        """Sends the head of a chunked response.
+
+        Raises:
+            OSError: If the connection fails or the peer does not read.
+        """
         fields = to_headers({**headers, "transfer-encoding": "chunked"})
         await self._send(h11.Response(status_code=status, headers=fields))
 
     async def send_data(self, data: bytes) -> None:
-        """Sends one chunk of a chunked response."""
-        await self._send(h11.Data(data=data))
+        """Sends one chunk of a chunked response.
+
+        The framing of a chunk is written here, since passing each through h11 costs
+        more than sending it; h11 keeps the state between head and end.
+
+        Raises:
+            OSError: If the connection fails or the peer does not read.
+        """
+        if self._h11.our_state is not h11.SEND_BODY:
+            raise h11.LocalProtocolError("a chunk can follow only the head of a stream")
+        await self._write(b"%x\r\n%b\r\n" % (len(data), data))
 
     async def end_stream(self) -> None:
-        """Ends a chunked response as complete."""
+        """Ends a chunked response as complete.
+
+        Raises:
+            OSError: If the connection fails or the peer does not read.
+        """
         await self._send(h11.EndOfMessage())
 
     async def wait_closed(self) -> None:
         """Returns when the peer closes its side; keeps data that comes earlier."""
-        while True:
+        while len(self._h11.trailing_data[0]) <= self._header_limit:
             try:
-                data = await self._sock.recv(RECEIVE_BYTES)
+                await self._receive()
             except OSError:
+                self.is_peer_closed = True
+            if self.is_peer_closed:
                 return
-            if not data:
-                return
-            self._h11.receive_data(data)
-            if len(self._h11.trailing_data[0]) > self._header_limit:
-                return
+        # More pipelined bytes than may be kept: they stay in the kernel until the
+        # present request is answered.
+        await curio.Event().wait()
 
     @property
     def can_refuse(self) -> bool:
@@ -202,16 +334,120 @@
         """Closes the connection."""
         await self._sock.close()
 
+    async def close_cleanly(self) -> None:
+        """Closes the connection so that the peer can read all that was sent.
+
+        The kernel resets a connection that is closed with unread data, and a reset
+        drops what the peer has not read yet. Therefore data of the peer is read and
+        dropped until it closes, within limits of time and size.
+        """
+        try:
+            if self.bytes_sent and not self.is_peer_closed and not self.is_peer_slow:
+                self._raw.shutdown(socket.SHUT_WR)
+                await curio.ignore_after(LINGER_SECONDS, self._drop_received)
+        except OSError:
+            pass
+        finally:
+            await self.close()
+
+    async def _drop_received(self) -> None:
+        left = LINGER_BYTES
+        while left > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
+            left -= len(data)
+
+
+@lru_cache(maxsize=1024)
+def parse_chunk_size(line: bytes) -> int:
+    """Returns the size in the head of a chunk.
+
+    Raises:
+        h11.RemoteProtocolError: If the line is not the head of a chunk.
+    """
+    match = _CHUNK_SIZE.fullmatch(line)
+    if match is None:
+        raise h11.RemoteProtocolError(f"illegal chunk head {line[:80]!r}")
+    return int(match[1], 16)
+
+
+class ChunkDecoder:
+    """Removes the framing of a chunked body up to its last, empty chunk.
+
+    Attributes:
+        rest: Bytes from the last chunk on, once it is reached; they are left to h11,
+            which then knows that the body is complete.
+    """
+
+    __slots__ = ("_buffer", "_left", "rest")
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._left = 0
+        self.rest: bytes | None = None
+
+    def feed(self, data: bytes) -> bytes:
+        """Takes received bytes and returns the body bytes among them.
+
+        Raises:
+            h11.RemoteProtocolError: If the framing is wrong.
+        """
+        if self._buffer:
+            data = self._buffer + data
+        size = len(data)
+        position = 0
+        parts: list[bytes] = []
+        while position < size:
+            # _left counts the rest of the chunk with the line end behind it.
+            if self._left > 2:
+                part = data[position : position + self._left - 2]
+                parts.append(part)
+                position += len(part)
+                self._left -= len(part)
+            elif self._left:
+                if not b"\r\n".startswith(data[position : position + 2]):
+                    raise h11.RemoteProtocolError("a chunk does not end at its size")
+                if size - position < 2:
+                    break
+                position += 2
+                self._left = 0
+            else:
+                end = data.find(b"\r\n", position)
+                if end < 0:
+                    if size - position > CHUNK_LINE_BYTES:
+                        raise h11.RemoteProtocolError("the head of a chunk is too long")
+                    break
+                chunk_size = parse_chunk_size(data[position:end])
+                if not chunk_size:
+                    self.rest = data[position:]
+                    self._buffer = b""
+                    return b"".join(parts)
+                position = end + 2
+                self._left = chunk_size + 2
+        self._buffer = data[position:]
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
 
 class ClientConnection:
-    """The client's side of one connection."""
+    """The client's side of one connection.
+
+    Attributes:
+        bytes_sent: Bytes handed to the kernel so far.
+        bytes_received: Bytes received so far.
+        waits_since: Monotonic time since which a receive waits, else None.
+    """
 
     def __init__(self, sock: Any, address: Address) -> None:
         self._sock = sock
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._raw = sock._socket
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_BYTES
+        )
+        self._unread = b""
+        self._decoder: ChunkDecoder | None = None
         self.address = address
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.waits_since: float | None = None
+        _set_no_delay(self._raw)
 
     @classmethod
     async def connect(cls, address: Address, *, timeout: float) -> ClientConnection:
@@ -221,13 +457,20 @@
             OSError: If the connection fails or takes longer than ``timeout``
                 seconds.
         """
+        # Addresses are IP addresses, so no name is looked up: curio does that in a
+        # thread, even for a number.
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = curio.socket.socket(family, socket.SOCK_STREAM)
         try:
-            sock = await curio.timeout_after(
-                timeout, curio.open_connection, address.host, address.port
-            )
+            async with curio.timeout_after(timeout):
+                await sock.connect((address.host, address.port))
+            return cls(sock, address)
         except curio.TaskTimeout as err:
+            await sock.close()
             raise TimeoutError(f"no connection to {address} in {timeout} s") from err
-        return cls(sock, address)
+        except BaseException:
+            await sock.close()
+            raise
 
     async def send_request(
         self, method: str, path: str, headers: dict[str, str], body: bytes
@@ -235,7 +478,8 @@
         """Sends a whole request.
 
         Raises:
-            OSError: If the connection fails.
+            OSError: If the connection fails; ``bytes_sent`` tells whether any byte
+                was handed to the kernel before.
         """
         fields = to_headers(
             {"host": str(self.address), **headers, "content-length": str(len(body))}
@@ -243,14 +487,18 @@
         head = self._h11.send(h11.Request(method=method, target=path, headers=fields))
         data = self._h11.send(h11.Data(data=body)) if body else b""
         self._h11.send(h11.EndOfMessage())
-        message = (head or b"") + (data or b"")
-        self.bytes_sent += len(message)
-        await self._sock.sendall(message)
-
-    async def _receive(self) -> None:
-        data = await self._sock.recv(RECEIVE_BYTES)
+        left = memoryview((head or b"") + (data or b""))
+        while left:
+            sent = await self._sock.send(left)
+            self.bytes_sent += sent
+            left = left[sent:]
+
+    async def _receive(self) -> bytes:
+        self.waits_since = time.monotonic()
+        data: bytes = await self._sock.recv(RECEIVE_BYTES)
+        self.waits_since = None
         self.bytes_received += len(data)
-        self._h11.receive_data(data)
+        return data
 
     async def receive_response(self) -> Response:
         """Receives the head of the response.
@@ -262,12 +510,38 @@
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
-                await self._receive()
+                await self._receive_head()
             elif isinstance(event, h11.Response):
-                return Response(event.status_code, from_headers(event.headers))
-            elif isinstance(event, h11.ConnectionClosed):
+                response = Response(event.status_code, from_headers(event.headers))
+                if "transfer-encoding" in response.headers:
+                    self._decoder = ChunkDecoder()
+                return response
+            elif not isinstance(event, h11.InformationalResponse):
                 raise ConnectionResetError(f"{self.address} closed the connection")
 
+    async def _receive_head(self) -> None:
+        """Gives h11 one head and keeps what follows it for the body."""
+        data = self._unread
+        while (match := _HEAD_END.search(data)) is None:
+            if len(data) > RESPONSE_HEAD_BYTES:
+                raise h11.RemoteProtocolError("the response head is too long")
+            more = await self._receive()
+            if not more:
+                if data:
+                    self._h11.receive_data(data)
+                self._h11.receive_data(b"")
+                self._unread = b""
+                return
+            data += more
+        self._h11.receive_data(data[: match.end()])
+        self._unread = data[match.end() :]
+
+    async def _receive_body(self) -> bytes:
+        if self._unread:
+            data, self._unread = self._unread, b""
+            return data
+        return await self._receive()
+
     async def receive_data(self) -> bytes | None:
         """Receives the next part of the body, all that is buffered at once.
 
@@ -278,6 +552,21 @@
             OSError: If the connection fails.
             h11.RemoteProtocolError: If the body ends early.
         """
+        decoder = self._decoder
+        while (
+            decoder is not None
+            and decoder.rest is None
+            and self._h11.their_state is h11.SEND_BODY
+        ):
+            received = await self._receive_body()
+            if not received:
+                self._h11.receive_data(b"")
+                break
+            data = decoder.feed(received)
+            if decoder.rest:
+                self._h11.receive_data(decoder.rest)
+            if data:
+                return data
         parts: list[bytes] = []
         while True:
             if self._h11.their_state is not h11.SEND_BODY:
@@ -286,14 +575,24 @@
             if event is h11.NEED_DATA:
                 if parts:
                     return b"".join(parts)
-                await self._receive()
+                self._h11.receive_data(await self._receive_body())
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
 
-    async def receive_body(self) -> bytes:
-        """Receives the rest of the body."""
+    async def receive_body(self, *, limit: int | None = None) -> bytes:
+        """Receives the rest of the body.
+
+        Raises:
+            OSError: If the connection fails.
+            h11.RemoteProtocolError: If the body ends early or is over ``limit``
+                bytes.
+        """
         parts = []
+        size = 0
         while (data := await self.receive_data()) is not None:
+            size += len(data)
+            if limit is not None and size > limit:
+                raise h11.RemoteProtocolError(f"the body is over {limit} bytes")
             parts.append(data)
         return b"".join(parts)
 
@@ -303,12 +602,32 @@
         return (
             self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
+            and not self._unread
             and self._h11.trailing_data == (b"", False)
         )
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the peer neither closed the idle connection nor sent anything."""
+        try:
+            self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def start_next_cycle(self) -> None:
         """Prepares for the next request."""
         self._h11.start_next_cycle()
+        self._decoder = None
+
+    def abort(self) -> None:
+        """Ends the connection; a receive that waits sees it closed."""
+        try:
+            self._raw.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
 
     async def close(self) -> None:
         """Closes the connection."""
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -44,5 +44,14 @@
     flat_limit: int = Field(16, ge=2, description="largest fleet without a report tree")
     connect_timeout: float = Field(1.0, gt=0)
     upstream_idle_timeout: float = Field(15.0, gt=0)
+    answer_limit_bytes: int = Field(
+        16_777_216, ge=1, description="largest answer that is held as a whole"
+    )
+    pool_limit: int = Field(1_024, ge=0, description="idle connections to upstreams")
+    pool_limit_per_replica: int = Field(64, ge=0)
+    pool_idle_time: float = Field(30.0, gt=0)
+    resume_wait_limit: float = Field(
+        5.0, gt=0, description="wait of a broken stream for another replica"
+    )
     probe_base_delay: float = Field(0.25, gt=0)
     probe_max_delay: float = Field(5.0, gt=0)
--- a/sequoiamoor/settings.py
+++ b/sequoiamoor/settings.py
@@ -54,6 +54,9 @@
     body_bytes: int = Field(1_048_576, ge=0)
     receive_timeout: float = Field(10.0, gt=0, description="seconds")
     idle_timeout: float = Field(60.0, gt=0, description="seconds")
+    send_timeout: float = Field(
+        30.0, gt=0, description="seconds without progress to a caller that must read"
+    )
     connections: int = Field(2_000, ge=1)
 
 
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -93,6 +93,7 @@
         is_repeatable: Whether the service allows a second execution.
         attempts: Number of attempts started so far.
         excluded: Replicas where an attempt failed.
+        is_sent: Whether a byte of any attempt may have reached an upstream.
     """
 
     call_id: str
@@ -112,3 +113,4 @@
     is_repeatable: bool = True
     attempts: int = 0
     excluded: frozenset[ReplicaId] = frozenset()
+    is_sent: bool = False
--- /dev/null
+++ b/tests/border.py
@@ -0,0 +1,411 @@
+"""Sessions of a caller with the listener, against scripted upstreams."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import re
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import curio
+import curio.io
+
+from sequoiamoor.core.blackboard import Blackboard, create_blackboard
+from sequoiamoor.core.upstreams import Replica
+from sequoiamoor.daemon.calls import CallServer
+from sequoiamoor.daemon.listener import Listener
+from sequoiamoor.daemon.pages import Pages
+from sequoiamoor.declaration import parse_declaration
+from sequoiamoor.metrics import Metrics
+from sequoiamoor.options import Options
+from sequoiamoor.policies.round_robin import RoundRobinPolicy
+from sequoiamoor.settings import LimitSettings
+from sequoiamoor.types import Address, RouterIdentity
+
+# Bound on a whole session: a session that hangs fails instead of stopping the run.
+SESSION_SECONDS = 20.0
+
+DECLARATION = {
+    "organisations": {"a": {}, "b": {}},
+    "classes": {
+        "chat": {"first_token_ms": 800},
+        "quick": {"first_token_ms": 10, "wait_limit_ms": 50},
+    },
+    "services": {
+        "talk": {"kind": "engine"},
+        "once": {"kind": "engine", "repeatable": False},
+        "desk": {"kind": "plain", "repeatable": False},
+        "look": {"kind": "plain"},
+    },
+}
+
+
+@dataclass(frozen=True)
+class Until:
+    """Step of a script: waits until the caller received these bytes."""
+
+    marker: bytes
+
+
+@dataclass(frozen=True)
+class Hang:
+    """Step of a script: waits until the router closes the connection."""
+
+
+@dataclass(frozen=True)
+class Close:
+    """Step of a script: closes the connection, with a reset if asked to."""
+
+    is_reset: bool = False
+
+
+Step = bytes | Until | Hang | Close
+Answerer = Callable[[bytes], Sequence[Step]]
+
+
+def token(call_id: str, index: int) -> bytes:
+    return b'data: {"id":"%b","i":%d,"t":"t%d "}\n\n' % (call_id.encode(), index, index)
+
+
+def events(call_id: str, tokens: int, *, first: int = 0) -> list[bytes]:
+    start = b'event: start\ndata: {"id":"%b","prefilled":3,"cached":1}\n\n'
+    end = b'event: end\ndata: {"id":"%b","tokens":%d}\n\n'
+    return [
+        start % call_id.encode(),
+        *(token(call_id, index) for index in range(first, tokens)),
+        end % (call_id.encode(), tokens),
+    ]
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def stream_head(call_id: str) -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"X-Call-Id: %b\r\nTransfer-Encoding: chunked\r\n\r\n" % call_id.encode()
+    )
+
+
+def whole(call_id: str, body: bytes, *, status: int = 200, extra: bytes = b"") -> bytes:
+    return (
+        b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nX-Call-Id: %b\r\n"
+        b"X-Service-Ms: 5\r\nContent-Length: %d\r\n%b\r\n%b"
+        % (status, call_id.encode(), len(body), extra, body)
+    )
+
+
+def request(
+    service: str = "talk",
+    *,
+    stream: bool = True,
+    body: bytes = b"{}",
+    organisation: str = "a",
+    class_name: str = "chat",
+    extra: bytes = b"",
+) -> bytes:
+    accept = b"Accept: text/event-stream\r\n" if stream else b""
+    return (
+        b"POST /v1/services/%b/calls HTTP/1.1\r\nHost: r\r\nX-Organisation: %b\r\n"
+        b"X-Class: %b\r\n%b%bContent-Length: %d\r\n\r\n%b"
+        % (
+            service.encode(),
+            organisation.encode(),
+            class_name.encode(),
+            accept,
+            extra,
+            len(body),
+            body,
+        )
+    )
+
+
+@dataclass
+class ScriptedUpstream:
+    """An upstream that answers each request with the next script."""
+
+    border: Border
+    scripts: deque[Answerer]
+    requests: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    closed_by_router: int = 0
+    address: Address | None = None
+    tasks: Any = None
+
+    async def listen(self) -> None:
+        sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+        self.address = Address(*sock.getsockname()[:2])
+        self.tasks = await curio.spawn(
+            curio.network.run_server, sock, self._serve, daemon=True
+        )
+
+    async def _serve(self, sock: Any, peer: Any) -> None:
+        self.connections += 1
+        data = b""
+        try:
+            while True:
+                while (end := _find_end(data)) is None:
+                    if not (more := await sock.recv(65_536)):
+                        return
+                    data += more
+                self.requests.append(data[:end])
+                script = self.scripts.popleft()(data[:end])
+                data = data[end:]
+                for step in script:
+                    if not await self._take(sock, step):
+                        return
+        except OSError:
+            self.closed_by_router += 1
+
+    async def _take(self, sock: Any, step: Step) -> bool:
+        if isinstance(step, bytes):
+            await sock.sendall(step)
+        elif isinstance(step, Until):
+            await self.border.wait_received(step.marker)
+        elif isinstance(step, Hang):
+            while await sock.recv(65_536):
+                pass
+            self.closed_by_router += 1
+            return False
+        else:
+            if step.is_reset:
+                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            return False
+        return True
+
+
+def _find_end(data: bytes) -> int | None:
+    head = data.find(b"\r\n\r\n")
+    if head < 0:
+        return None
+    match = re.search(rb"(?i)content-length: (\d+)", data[:head])
+    end = head + 4 + (int(match[1]) if match else 0)
+    return end if len(data) >= end else None
+
+
+def read_call_id(received: bytes) -> str:
+    match = re.search(rb"(?i)x-call-id: (\S+)", received)
+    assert match is not None
+    return match[1].decode()
+
+
+def _connect_pair() -> tuple[socket.socket, socket.socket]:
+    """Returns two ends of a TCP connection; only TCP drops data at a reset."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        ours = socket.create_connection(server.getsockname())
+        return ours, server.accept()[0]
+
+
+class Caller:
+    """A caller's side of one connection."""
+
+    def __init__(self, border: Border, sock: Any) -> None:
+        self._border = border
+        self.sock = sock
+        self.received = b""
+        self.is_closed = False
+
+    async def send(self, data: bytes) -> None:
+        await self.sock.sendall(data)
+
+    async def receive(self) -> bool:
+        try:
+            data = await self.sock.recv(65_536)
+        except ConnectionError:
+            data = b""
+        self.received += data
+        self.is_closed = not data
+        await self._border.note()
+        return bool(data)
+
+    async def receive_until(self, marker: bytes) -> bytes:
+        while marker not in self.received and await self.receive():
+            pass
+        return self.received
+
+    async def receive_all(self) -> bytes:
+        while await self.receive():
+            pass
+        return self.received
+
+    async def close(self) -> None:
+        await self.sock.close()
+        self.is_closed = True
+
+
+class Border:
+    """A listener with its calls and scripted upstreams, all in this process."""
+
+    def __init__(
+        self,
+        *,
+        limits: dict[str, Any] | None = None,
+        options: dict[str, Any] | None = None,
+    ) -> None:
+        self.metrics = Metrics()
+        self.board: Blackboard = create_blackboard(
+            RouterIdentity("router-0", 1, "zone-a"),
+            Options.model_validate(options or {}),
+        )
+        self.board.configuration.declaration = parse_declaration(DECLARATION)
+        self.board.configuration.version = 1
+        policy = RoundRobinPolicy(rng=Random(1))
+        self.calls = CallServer(self.board, policy, self.metrics)
+        numbers = itertools.count(1)
+        self.listener = Listener(
+            self.board,
+            self.calls,
+            Pages(self.board, self.metrics),
+            self.metrics,
+            limits=LimitSettings.model_validate(limits or {}),
+            make_call_id=lambda: f"call-{next(numbers)}",
+        )
+        self.upstreams: list[ScriptedUpstream] = []
+        self._callers: list[Caller] = []
+        self._progress = curio.Condition()
+
+    async def add_upstream(
+        self, *scripts: Answerer, service: str = "talk"
+    ) -> ScriptedUpstream:
+        upstream = ScriptedUpstream(self, deque(scripts))
+        await upstream.listen()
+        assert upstream.address is not None
+        self.upstreams.append(upstream)
+        name = f"replica-{len(self.upstreams)}"
+        self.board.upstreams.replicas[name] = Replica(
+            name, service, "zone-a", upstream.address
+        )
+        return upstream
+
+    def add_dead_upstream(self, service: str = "talk") -> str:
+        """Adds a replica whose address refuses connections."""
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = Address(*sock.getsockname()[:2])
+        name = f"dead-{len(self.board.upstreams.replicas)}"
+        self.board.upstreams.replicas[name] = Replica(name, service, "zone-a", address)
+        return name
+
+    async def connect(self) -> Caller:
+        ours, theirs = _connect_pair()
+        caller = Caller(self, curio.io.Socket(ours))
+        self._callers.append(caller)
+        await curio.spawn(
+            self.listener.accept, curio.io.Socket(theirs), None, daemon=True
+        )
+        return caller
+
+    async def ask(self, *parts: bytes) -> bytes:
+        """Sends the parts, closes nothing, and returns all until the router closes."""
+        caller = await self.connect()
+        for part in parts:
+            await caller.send(part)
+        return await caller.receive_all()
+
+    async def note(self) -> None:
+        async with self._progress:
+            await self._progress.notify_all()
+
+    async def wait_received(self, marker: bytes) -> None:
+        async with self._progress:
+            while not any(marker in caller.received for caller in self._callers):
+                await self._progress.wait()
+
+    async def wait_for(self, check: Callable[[], bool]) -> None:
+        """Waits until the check holds; the session's bound ends a failing wait."""
+        while not check():
+            await curio.sleep(0.002)
+
+    def counter(self, name: str, **labels: str) -> float:
+        value = self.metrics.registry.get_sample_value(
+            f"sequoiamoor_{name}_total", labels
+        )
+        return value or 0.0
+
+    def is_idle(self) -> bool:
+        """Whether no slot, queue entry or running call is left."""
+        return (
+            not self.board.running
+            and not len(self.board.queues)
+            and not self.calls._pending
+            and not self.calls._pool._used
+            and all(one.in_use == 0 for one in self.board.upstreams.replicas.values())
+        )
+
+    async def wait_idle(self) -> None:
+        """Waits until all that a call occupied is free again."""
+        await self.wait_for(self.is_idle)
+
+
+def run(
+    session: Callable[[Border], Awaitable[Any]],
+    *,
+    limits: dict[str, Any] | None = None,
+    options: dict[str, Any] | None = None,
+) -> Any:
+    """Runs one session on a loop of its own."""
+    border = Border(limits=limits, options=options)
+
+    async def main() -> Any:
+        watch = await curio.spawn(border.calls.watch, daemon=True)
+        async with curio.timeout_after(SESSION_SECONDS):
+            result = await session(border)
+        await watch.cancel()
+        await border.calls.close()
+        return result
+
+    return curio.run(main)
+
+
+@dataclass(frozen=True)
+class Seen:
+    """A parsed response as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+    rest: bytes
+
+    @property
+    def refusal(self) -> dict[str, Any]:
+        document: dict[str, Any] = json.loads(self.body)
+        return document
+
+
+def parse(received: bytes) -> Seen:
+    """Parses one response strictly and tells whether it is whole."""
+    head, separator, rest = received.partition(b"\r\n\r\n")
+    assert separator, f"no whole response head: {received!r}"
+    lines = head.split(b"\r\n")
+    assert lines[0].startswith(b"HTTP/1.1 ")
+    status = int(lines[0].split(b" ")[1])
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(b": ")
+        headers[name.decode().lower()] = value.decode()
+    if "content-length" in headers:
+        length = int(headers["content-length"])
+        return Seen(status, headers, rest[:length], len(rest) >= length, rest[length:])
+    assert headers["transfer-encoding"] == "chunked"
+    body = b""
+    while True:
+        line, separator, after = rest.partition(b"\r\n")
+        if not separator:
+            return Seen(status, headers, body, False, rest)
+        size = int(line, 16)
+        if not size:
+            is_whole = after.startswith(b"\r\n")
+            return Seen(status, headers, body, is_whole, after[2:])
+        if len(after) < size + 2:
+            return Seen(status, headers, body, False, rest)
+        body += after[:size]
+        assert after[size : size + 2] == b"\r\n"
+        rest = after[size + 2 :]
--- /dev/null
+++ b/tests/daemon/test_listener.py
@@ -0,0 +1,374 @@
+"""Tests of caller connections: malformed requests, limits, refusals, hang-ups."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from tests.border import (
+    Border,
+    Hang,
+    Until,
+    chunk,
+    events,
+    parse,
+    read_call_id,
+    request,
+    run,
+    stream_head,
+    token,
+    whole,
+)
+
+HEAD = (
+    b"POST /v1/services/talk/calls HTTP/1.1\r\nHost: r\r\nX-Organisation: a\r\n"
+    b"X-Class: chat\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "code"),
+    [
+        (
+            HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+            "request-malformed",
+        ),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n{}",
+            400,
+            "request-malformed",
+        ),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\nContent-Length : 2\r\n\r\n{}",
+            400,
+            "request-malformed",
+        ),
+        (
+            HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            400,
+            "request-malformed",
+        ),
+        (
+            HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}",
+            400,
+            "request-malformed",
+        ),
+        (HEAD + b"Content-Length: +2\r\n\r\n{}", 400, "request-malformed"),
+        (HEAD + b"Content-Length: -2\r\n\r\n{}", 400, "request-malformed"),
+        (HEAD + b"X-Note: a\r\n b\r\n\r\n", 400, "request-malformed"),
+        (HEAD + b"X-Note: a\r\n\tb\r\n\r\n", 400, "request-malformed"),
+        (HEAD + b"X-Note: a\n b\n\n", 400, "request-malformed"),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+            400,
+            "request-malformed",
+        ),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n-2\r\n{}\r\n",
+            400,
+            "request-malformed",
+        ),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}XX0\r\n\r\n",
+            400,
+            "request-malformed",
+        ),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"f" * 30 + b"\r\n",
+            400,
+            "request-malformed",
+        ),
+        (HEAD + b"Bad Name: x\r\n\r\n", 400, "request-malformed"),
+        (HEAD + b"X-Note: a\x00b\r\n\r\n", 400, "request-malformed"),
+        (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400, "request-malformed"),
+        (b"GET /v1\r\n\r\n", 400, "request-malformed"),
+        (
+            HEAD.replace(b"HTTP/1.1", b"HTTP/1.0") + b"\r\n",
+            400,
+            "request-malformed",
+        ),
+        (HEAD + b"X-Note: " + b"x" * 2_000 + b"\r\n\r\n", 431, "headers-too-large"),
+        (HEAD + b"X-Note: " + b"x" * 2_000, 431, "headers-too-large"),
+        (HEAD + b"Content-Length: 2000000\r\n\r\n", 413, "body-too-large"),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n80\r\n" + b"x" * 128 + b"\r\n",
+            413,
+            "body-too-large",
+        ),
+        (
+            HEAD + b"Expect: 100-continue\r\nContent-Length: 101\r\n\r\n" + b"x" * 101,
+            413,
+            "body-too-large",
+        ),
+    ],
+)
+def test_malformed_request_gets_readable_refusal(
+    data: bytes, status: int, code: str
+) -> None:
+    """Guards against a reset, a wrong status or acceptance of an ambiguous request."""
+
+    async def session(border: Border) -> None:
+        caller = await border.connect()
+        # More data behind the request makes a hasty close reset the connection.
+        await caller.send(data + b"x" * 50_000)
+        seen = parse(await caller.receive_all())
+        assert (seen.status, seen.refusal["code"]) == (status, code)
+        assert seen.refusal["execution"] == "was not run"
+        assert seen.is_whole and seen.rest == b""
+        assert seen.headers["connection"] == "close"
+        assert border.counter("refusals", code=code) == 1
+        await border.wait_idle()
+
+    run(session, limits={"header_bytes": 1_024, "body_bytes": 100})
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "code"),
+    [
+        (request(organisation="nobody"), 403, "organisation-unknown"),
+        (request(organisation="a\u00e9"), 403, "organisation-unknown"),
+        (
+            request(extra=b"X-Organisation: b\r\n"),
+            403,
+            "organisation-unknown",
+        ),
+        (request(class_name="slow"), 400, "class-unknown"),
+        (request(class_name="\u00ff"), 400, "class-unknown"),
+        (request("none"), 404, "service-unknown"),
+        (request("%ff"), 404, "service-unknown"),
+        (request(extra=b"X-Prefix-Key: \xff\xfe\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Prefix-Key: a b\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Prefix-Key:\r\n"), 400, "request-malformed"),
+        (request(extra=b"Content-Type: \xff\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Request-Id: \xe9\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Request-Id: a b\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Cost-Hint: nan\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Cost-Hint: 1e400\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Cost-Hint: \xb2\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Cost-Hint: 1_0\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Deadline-Ms: 0\r\n"), 400, "request-malformed"),
+        (request(extra=b"X-Deadline-Ms: -5\r\n"), 400, "request-malformed"),
+        (b"GET /v1/services/talk/calls HTTP/1.1\r\nHost: r\r\n\r\n", 405, None),
+        (b"HEAD /v1/services/talk/calls HTTP/1.1\r\nHost: r\r\n\r\n", 405, None),
+        (b"GET /\xff HTTP/1.1\r\nHost: r\r\n\r\n", 400, "request-malformed"),
+        (b"GET /none HTTP/1.1\r\nHost: r\r\n\r\n", 404, "not-found"),
+        (b"CONNECT r:1 HTTP/1.1\r\nHost: r\r\n\r\n", 404, "not-found"),
+        (
+            b"GET /none HTTP/1.1\r\nHost: r\r\nUpgrade: h2c\r\n"
+            b"Connection: upgrade\r\n\r\n",
+            404,
+            "not-found",
+        ),
+    ],
+)
+def test_wrong_value_is_refused(data: bytes, status: int, code: str | None) -> None:
+    """Guards against unhandled exceptions and guesses about wrong values."""
+
+    async def session(border: Border) -> None:
+        caller = await border.connect()
+        await caller.send(data)
+        await caller.receive_until(b"\r\n\r\n")
+        await caller.sock.shutdown(1)
+        received = await caller.receive_all()
+        assert received.startswith(b"HTTP/1.1 %d " % status)
+        if code is not None:
+            assert parse(received).refusal["code"] == code
+        await border.wait_idle()
+
+    run(session)
+
+
+def test_refused_request_leaves_connection_usable() -> None:
+    """Guards against a refusal of a well-formed request that breaks keep-alive."""
+
+    async def session(border: Border) -> None:
+        caller = await border.connect()
+        await caller.send(request(organisation="nobody") + request("none"))
+        await caller.receive_until(b"service-unknown")
+        assert b"organisation-unknown" in caller.received
+
+    run(session)
+
+
+def test_slow_sender_is_refused() -> None:
+    """Guards against a connection that a slow sender holds for ever."""
+
+    async def session(border: Border) -> None:
+        seen = parse(await border.ask(request()[:-1]))
+        assert (seen.status, seen.refusal["code"]) == (408, "request-timeout")
+        assert border.counter("refusals", code="request-timeout") == 1
+
+    run(session, limits={"receive_timeout": 0.05})
+
+
+def test_idle_connection_is_closed() -> None:
+    """Guards against idle connections that are kept for ever."""
+
+    async def session(border: Border) -> None:
+        assert await border.ask() == b""
+
+    run(session, limits={"idle_timeout": 0.05})
+
+
+def test_connection_over_limit_is_refused_and_place_is_freed() -> None:
+    """Guards against unbounded connections and against places that leak."""
+
+    async def session(border: Border) -> None:
+        first = await border.connect()
+        await curio.sleep(0)
+        second = await border.connect()
+        await second.send(request())
+        seen = parse(await second.receive_all())
+        assert (seen.status, seen.refusal["code"]) == (503, "too-many-connections")
+        assert border.counter("refusals", code="too-many-connections") == 1
+        await first.close()
+        await second.close()
+        await border.wait_for(lambda: border.listener._connections == 0)
+        third = await border.connect()
+        await third.send(b"GET /healthz HTTP/1.1\r\nHost: r\r\n\r\n")
+        assert b"200" in await third.receive_until(b"ok\n")
+
+    run(session, limits={"connections": 1})
+
+
+def test_full_queue_is_refused_for_its_organisation_only() -> None:
+    """Guards against an unbounded queue and against one that others share."""
+
+    async def session(border: Border) -> None:
+        first = await border.connect()
+        await first.send(request())
+        await border.wait_for(lambda: len(border.board.queues) == 1)
+        second = await border.connect()
+        await second.send(request())
+        received = await second.receive_until(b"queue-full")
+        assert received.startswith(b"HTTP/1.1 429 ") and b"retry-after: 1" in received
+        assert border.counter("refusals", code="queue-full") == 1
+        other = await border.connect()
+        await other.send(request(organisation="b"))
+        await border.wait_for(lambda: len(border.board.queues) == 2)
+
+    run(session, options={"queue_limit_per_organisation": 1})
+
+
+def test_caller_that_hangs_up_while_waiting_is_forgotten() -> None:
+    """Guards against queue entries of callers that are gone."""
+
+    async def session(border: Border) -> None:
+        caller = await border.connect()
+        await caller.send(request())
+        await border.wait_for(lambda: len(border.board.queues) == 1)
+        await caller.close()
+        await border.wait_for(lambda: border.listener._connections == 0)
+        await border.wait_idle()
+        assert border.counter("callers_gone") == 1
+
+    run(session)
+
+
+@pytest.mark.parametrize("is_begun", [False, True])
+def test_caller_that_hangs_up_frees_slot_and_cancels_upstream(is_begun: bool) -> None:
+    """Guards against upstream work and slots for callers that are gone."""
+
+    async def session(border: Border) -> None:
+        head = stream_head("call-1") + chunk(events("call-1", 1)[0])
+        script = [head, Hang()] if is_begun else [Hang()]
+        upstream = await border.add_upstream(lambda _: script)
+        caller = await border.connect()
+        await caller.send(request())
+        if is_begun:
+            await caller.receive_until(b"event: start")
+        await border.wait_for(lambda: len(upstream.requests) == 1)
+        await caller.close()
+        await border.wait_for(lambda: upstream.closed_by_router == 1)
+        await border.wait_for(lambda: border.listener._connections == 0)
+        await border.wait_idle()
+        assert border.counter("attempts_cancelled") == 1
+        replica = border.board.upstreams.replicas["replica-1"]
+        assert replica.failures == 0
+
+    run(session)
+
+
+def test_caller_that_does_not_read_is_cut_off() -> None:
+    """Guards against a slot that a silent caller holds, and blame on the replica."""
+
+    async def session(border: Border) -> None:
+        def answer(received: bytes) -> list[bytes | Hang]:
+            call_id = read_call_id(received).encode()
+            text = b"x" * 60_000
+            tokens = [
+                chunk(b'data: {"id":"%b","i":%d,"t":"%b"}\n\n' % (call_id, index, text))
+                for index in range(200)
+            ]
+            start = chunk(events(call_id.decode(), 0)[0])
+            return [stream_head(call_id.decode()), start, *tokens, Hang()]
+
+        await border.add_upstream(answer)
+        caller = await border.connect()
+        await caller.send(request())
+        await border.wait_for(lambda: border.counter("callers_slow") == 1)
+        await border.wait_for(lambda: border.listener._connections == 0)
+        await border.wait_idle()
+        assert border.board.upstreams.replicas["replica-1"].failures == 0
+        assert not parse(await caller.receive_all()).is_whole
+
+    run(session, limits={"send_timeout": 0.1})
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    """Guards against a pipelined request that is lost or taken for a hang-up."""
+
+    async def session(border: Border) -> None:
+        def answer(received: bytes) -> list[bytes]:
+            call_id = read_call_id(received)
+            return [whole(call_id, b'{"call":"%b"}' % call_id.encode())]
+
+        await border.add_upstream(answer, answer, service="look")
+        caller = await border.connect()
+        await caller.send(request("look", stream=False) * 2)
+        seen = parse(await caller.receive_until(b'{"call":"call-2"}'))
+        assert seen.body == b'{"call":"call-1"}'
+        assert parse(seen.rest).body == b'{"call":"call-2"}'
+
+    run(session)
+
+
+def test_token_is_passed_on_before_the_next_one_comes() -> None:
+    """Guards against tokens that are held back until more arrive."""
+
+    async def session(border: Border) -> None:
+        start, first, second, end = events("call-1", 2)
+        script = [
+            stream_head("call-1") + chunk(start),
+            Until(start),
+            # A chunk that holds a whole event and a part of the next one.
+            chunk(first + second[:9])[:-2],
+            Until(token("call-1", 0)),
+            b"\r\n" + chunk(second[9:]),
+            Until(second),
+            chunk(end) + b"0\r\n\r\n",
+        ]
+        await border.add_upstream(lambda _: script)
+        caller = await border.connect()
+        await caller.send(request())
+        seen = parse(await caller.receive_until(b"0\r\n\r\n"))
+        assert seen.body == start + first + second + end and seen.is_whole
+
+    run(session)
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_pages_answer(method: bytes) -> None:
+    """Guards against a body in the answer to HEAD and against a lost page."""
+
+    async def session(border: Border) -> None:
+        caller = await border.connect()
+        await caller.send(method + b" /readyz HTTP/1.1\r\nHost: r\r\n\r\n")
+        await caller.receive_until(b"\r\n\r\n")
+        await caller.sock.shutdown(1)
+        received = await caller.receive_all()
+        assert received.startswith(b"HTTP/1.1 200 ")
+        assert received.endswith(b"ready\n") == (method == b"GET")
+
+    run(session)
--- /dev/null
+++ b/tests/net/test_exchange.py
@@ -0,0 +1,519 @@
+"""Tests of attempts: execution values, retries, resumption, the connection pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import curio
+import pytest
+
+from tests.border import (
+    Answerer,
+    Border,
+    Close,
+    Hang,
+    Step,
+    Until,
+    chunk,
+    events,
+    parse,
+    read_call_id,
+    request,
+    run,
+    stream_head,
+    token,
+    whole,
+)
+
+START, T0, T1, T2, END = events("call-1", 3)
+
+
+def script(*steps: Step) -> Answerer:
+    return lambda _: steps
+
+
+def answer_stream(received: bytes) -> list[Step]:
+    """Answers as an engine does, from X-Resume-From on."""
+    call_id = read_call_id(received)
+    first = 0
+    for line in received.split(b"\r\n"):
+        if line.lower().startswith(b"x-resume-from: "):
+            first = int(line.split(b" ")[1])
+    parts = events(call_id, 3, first=first)
+    return [stream_head(call_id) + b"".join(map(chunk, parts)) + b"0\r\n\r\n"]
+
+
+def answer_call(received: bytes) -> list[Step]:
+    return [whole(read_call_id(received), b"{}")]
+
+
+NOT_RUN = b'{"code":"busy","execution":"was not run"}'
+FAILURES: list[tuple[str, Sequence[Step], str, str]] = [
+    # name, what the upstream does with the request, code, execution
+    ("closes before a byte", [Close()], "answer-incomplete", "may have run"),
+    ("resets", [Close(is_reset=True)], "answer-incomplete", "may have run"),
+    ("is silent", [Hang()], "answer-incomplete", "may have run"),
+    ("no protocol", [b"hello\r\n\r\n", Hang()], "answer-incomplete", "may have run"),
+    (
+        "truncated body",
+        [whole("call-1", b"{}" * 50)[:-3], Close()],
+        "answer-incomplete",
+        "may have run",
+    ),
+    ("other call", [whole("call-9", b"{}")], "answer-mismatch", "may have run"),
+    (
+        "two identifiers",
+        [whole("call-1", b"{}", extra=b"X-Call-Id: call-9\r\n")],
+        "answer-mismatch",
+        "may have run",
+    ),
+    (
+        "no length",
+        [b"HTTP/1.1 200 OK\r\nX-Call-Id: call-1\r\n\r\n{}", Close()],
+        "answer-mismatch",
+        "may have run",
+    ),
+    (
+        "fails",
+        [whole("call-1", b"{}", status=500)],
+        "upstream-failed",
+        "may have run",
+    ),
+    (
+        "fails without identifier",
+        [b"HTTP/1.1 502 X\r\nContent-Length: 0\r\n\r\n"],
+        "upstream-failed",
+        "may have run",
+    ),
+    (
+        "redirects",
+        [whole("call-1", b"", status=302)],
+        "upstream-failed",
+        "may have run",
+    ),
+    (
+        "is busy without a statement",
+        [whole("call-1", b"{}", status=503)],
+        "upstream-failed",
+        "may have run",
+    ),
+    (
+        "states that it did not run",
+        [whole("call-1", NOT_RUN, status=503)],
+        "upstream-refused",
+        "was not run",
+    ),
+    (
+        "states it for another call",
+        [whole("call-9", NOT_RUN, status=503)],
+        "answer-mismatch",
+        "may have run",
+    ),
+    (
+        "too large",
+        [whole("call-1", b"x" * 2_000)],
+        "answer-incomplete",
+        "may have run",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("steps", "code", "execution"),
+    [pytest.param(*row[1:], id=row[0]) for row in FAILURES],
+)
+def test_execution_of_one_failed_attempt(
+    steps: Sequence[Step], code: str, execution: str
+) -> None:
+    """Guards against `was not run` for a request that was sent, and second runs."""
+
+    async def session(border: Border) -> None:
+        upstreams = [
+            await border.add_upstream(script(*steps), service="desk") for _ in range(2)
+        ]
+        caller = await border.connect()
+        await caller.send(request("desk", stream=False))
+        seen = parse(await caller.receive_until(b"}\n"))
+        assert seen.is_whole
+        assert (seen.refusal["code"], seen.refusal["execution"]) == (code, execution)
+        assert seen.refusal["request_id"] == "call-1"
+        assert sum(len(one.requests) for one in upstreams) == 1
+        await border.wait_idle()
+
+    run(session, options={"upstream_idle_timeout": 0.1, "answer_limit_bytes": 1_000})
+
+
+def test_unreachable_replicas_mean_was_not_run() -> None:
+    """Guards against `may have run` where no byte was sent."""
+
+    async def session(border: Border) -> None:
+        names = [border.add_dead_upstream("desk") for _ in range(2)]
+        seen = parse(await _ask(border, request("desk", stream=False), b"}\n"))
+        assert seen.refusal["execution"] == "was not run"
+        replicas = border.board.upstreams.replicas
+        assert all(replicas[name].failures for name in names)
+
+    run(session, options={"max_attempts": 2})
+
+
+def test_unsent_attempt_moves_a_call_that_must_run_once() -> None:
+    """Guards against a refusal while another replica could serve the call."""
+
+    async def session(border: Border) -> None:
+        border.add_dead_upstream("desk")
+        await border.add_upstream(answer_call, answer_call, service="desk")
+        for _ in range(2):
+            seen = parse(await _ask(border, request("desk", stream=False), b"{}"))
+            assert seen.status == 200
+
+    run(session)
+
+
+async def _ask(border: Border, data: bytes, marker: bytes) -> bytes:
+    caller = await border.connect()
+    await caller.send(data)
+    return await caller.receive_until(marker)
+
+
+def test_wait_limit_after_sent_attempt_is_may_have_run() -> None:
+    """Guards against `was not run` said by a later refusal of a call that was sent."""
+
+    async def session(border: Border) -> None:
+        await border.add_upstream(script(Close()), service="look")
+        data = request("look", stream=False, class_name="quick")
+        seen = parse(await _ask(border, data, b"}\n"))
+        assert seen.refusal["code"] == "wait-limit"
+        assert seen.refusal["execution"] == "may have run"
+
+    run(session, options={"probe_base_delay": 5.0})
+
+
+def test_unreachable_after_sent_attempt_is_may_have_run() -> None:
+    """Guards against the last attempt alone deciding what the caller is told."""
+
+    async def session(border: Border) -> None:
+        for _ in range(2):
+            border.add_dead_upstream("look")
+        await border.add_upstream(script(Close()), service="look")
+        seen = parse(await _ask(border, request("look", stream=False), b"}\n"))
+        assert seen.refusal["execution"] == "may have run"
+
+    run(session)
+
+
+def test_wait_limit_without_attempt_is_was_not_run() -> None:
+    """Guards against `may have run` for a call that only waited."""
+
+    async def session(border: Border) -> None:
+        data = request("look", stream=False, class_name="quick")
+        seen = parse(await _ask(border, data, b"}\n"))
+        assert seen.refusal["code"] == "wait-limit"
+        assert seen.refusal["execution"] == "was not run"
+        assert "retry-after" in seen.headers
+
+    run(session)
+
+
+def test_statement_of_upstream_does_not_cover_earlier_attempts() -> None:
+    """Guards against `was not run` because only the last upstream said so."""
+
+    async def session(border: Border) -> None:
+        asked: list[bytes] = []
+
+        def answer(received: bytes) -> Sequence[Step]:
+            asked.append(received)
+            if len(asked) == 1:
+                return [Close()]
+            return [whole("call-1", NOT_RUN, status=503)]
+
+        for _ in range(2):
+            await border.add_upstream(answer, service="look")
+        seen = parse(await _ask(border, request("look", stream=False), b"}\n"))
+        assert seen.refusal["code"] == "upstream-refused"
+        assert seen.refusal["execution"] == "may have run"
+        assert len(asked) == 2
+
+    run(session, options={"max_attempts": 2})
+
+
+@pytest.mark.parametrize("status", [400, 404, 413, 422, 429])
+@pytest.mark.parametrize("service", ["desk", "look", "talk"])
+def test_caller_error_is_passed_on_and_does_not_blame(
+    status: int, service: str
+) -> None:
+    """Guards against retries and downed replicas because of a caller's mistake."""
+
+    async def session(border: Border) -> None:
+        upstream = await border.add_upstream(
+            script(whole("call-1", b'{"code":"bad"}', status=status)), service=service
+        )
+        seen = parse(await _ask(border, request(service), b"}"))
+        if status == 429:
+            assert seen.refusal["code"] in ("upstream-failed", "wait-limit")
+            return
+        assert (seen.status, seen.body) == (status, b'{"code":"bad"}')
+        assert seen.headers["x-call-id"] == "call-1"
+        assert len(upstream.requests) == 1
+        assert border.board.upstreams.replicas["replica-1"].failures == 0
+        await border.wait_idle()
+
+    run(session, options={"max_attempts": 1})
+
+
+BREAKS: list[tuple[str, list[Step], str | None]] = [
+    # name, end of the first attempt, X-Resume-From of the second
+    ("before the head", [Close()], None),
+    ("after the head", [stream_head("call-1"), Close()], None),
+    ("after the start", [stream_head("call-1") + chunk(START), Close()], None),
+    (
+        "after a token",
+        [stream_head("call-1") + chunk(START + T0), Until(T0), Close()],
+        "1",
+    ),
+    (
+        "inside a token",
+        [stream_head("call-1") + chunk(START + T0 + T1[:12])[:-2], Until(T0), Close()],
+        "1",
+    ),
+    (
+        "wrong index in one read",
+        [stream_head("call-1") + chunk(START + T0 + T2), Hang()],
+        None,
+    ),
+    (
+        "repeated token",
+        [stream_head("call-1") + chunk(START + T0), Until(T0), chunk(T0), Hang()],
+        "1",
+    ),
+    (
+        "other stream's token",
+        [
+            stream_head("call-1") + chunk(START + T0),
+            Until(T0),
+            chunk(token("call-2", 1)),
+            Hang(),
+        ],
+        "1",
+    ),
+    (
+        "early end",
+        [stream_head("call-1") + chunk(START + T0), Until(T0), chunk(END), Hang()],
+        "1",
+    ),
+    (
+        "terminating chunk without an end",
+        [stream_head("call-1") + chunk(START + T0), Until(T0), b"0\r\n\r\n"],
+        "1",
+    ),
+    (
+        "bad chunk",
+        [stream_head("call-1") + chunk(START + T0), Until(T0), b"xx\r\n", Hang()],
+        "1",
+    ),
+    (
+        "all tokens, no end",
+        [stream_head("call-1") + chunk(START + T0 + T1 + T2), Until(T2), Close()],
+        "3",
+    ),
+    (
+        "silence",
+        [stream_head("call-1") + chunk(START + T0), Until(T0), Hang()],
+        "1",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("steps", "resume_from"),
+    [pytest.param(*row[1:], id=row[0]) for row in BREAKS],
+)
+def test_broken_stream_resumes_elsewhere(
+    steps: list[Step], resume_from: str | None
+) -> None:
+    """Guards against gaps, repetitions and endings of a stream that broke."""
+
+    async def session(border: Border) -> None:
+        asked: list[int] = []
+
+        def first_fails(number: int) -> Callable[[bytes], Sequence[Step]]:
+            def answer(received: bytes) -> Sequence[Step]:
+                asked.append(number)
+                return steps if len(asked) == 1 else answer_stream(received)
+
+            return answer
+
+        upstreams = [await border.add_upstream(first_fails(n)) for n in range(2)]
+        seen = parse(await _ask(border, request(), b"0\r\n\r\n"))
+        assert seen.body == START + T0 + T1 + T2 + END and seen.is_whole
+        assert len(asked) == 2 and asked[0] != asked[1]
+        second = upstreams[asked[1]].requests[0].lower()
+        if resume_from is None:
+            assert b"x-resume-from" not in second
+        else:
+            assert b"x-resume-from: %b\r\n" % resume_from.encode() in second
+        await border.wait_idle()
+
+    run(session, options={"upstream_idle_timeout": 0.1})
+
+
+def test_broken_stream_without_replica_is_incomplete() -> None:
+    """Guards against a broken stream that ends like a whole one."""
+
+    async def session(border: Border) -> None:
+        await border.add_upstream(
+            script(stream_head("call-1") + chunk(START + T0), Until(T0), Close()),
+            service="once",
+        )
+        caller = await border.connect()
+        await caller.send(request("once"))
+        seen = parse(await caller.receive_all())
+        assert not seen.is_whole
+        assert seen.body.startswith(START + T0 + b"event: incomplete\ndata: ")
+        assert b'"execution": "may have run"' in seen.body
+        await border.wait_idle()
+
+    run(session)
+
+
+def test_rest_of_stream_refused_with_4xx_is_incomplete() -> None:
+    """Guards against a second response head inside a stream."""
+
+    async def session(border: Border) -> None:
+        asked: list[bytes] = []
+
+        def answer(received: bytes) -> Sequence[Step]:
+            asked.append(received)
+            if len(asked) == 1:
+                return [stream_head("call-1") + chunk(START + T0), Until(T0), Close()]
+            return [whole("call-1", b"{}", status=400)]
+
+        for _ in range(2):
+            await border.add_upstream(answer)
+        caller = await border.connect()
+        await caller.send(request())
+        seen = parse(await caller.receive_all())
+        assert b"event: incomplete" in seen.body and not seen.is_whole
+        assert seen.status == 200 and b"HTTP/1.1" not in seen.body
+
+    run(session)
+
+
+def test_bytes_behind_the_end_do_not_spoil_a_whole_answer() -> None:
+    """Guards against excess bytes that reach a caller, or the next call."""
+
+    async def session(border: Border) -> None:
+        excess = chunk(START + T0 + T1 + T2 + END + START) + b"0\r\n\r\n"
+        upstream = await border.add_upstream(
+            script(stream_head("call-1") + excess), answer_stream
+        )
+        caller = await border.connect()
+        await caller.send(request() * 2)
+        seen = parse(
+            await caller.receive_until(b'"call-2","tokens":3}\n\n\r\n0\r\n\r\n')
+        )
+        assert seen.body == START + T0 + T1 + T2 + END and seen.is_whole
+        assert parse(seen.rest).body == b"".join(events("call-2", 3))
+        assert border.counter("answer_mismatches") == 1
+        assert len(upstream.requests) == 2
+
+    run(session)
+
+
+def test_whole_answer_of_engine_is_one_document() -> None:
+    """Guards against raw events for callers that did not ask for a stream."""
+
+    async def session(border: Border) -> None:
+        await border.add_upstream(answer_stream)
+        seen = parse(await _ask(border, request(stream=False), b"}\n"))
+        assert seen.headers["content-type"] == "application/json"
+        assert seen.is_whole and seen.refusal == {
+            "id": "call-1",
+            "prefilled": 3,
+            "cached": 1,
+            "tokens": 3,
+            "text": "t0 t1 t2 ",
+        }
+
+    run(session)
+
+
+@pytest.mark.parametrize("ending", [b"", whole("call-1", b"{}")])
+@pytest.mark.parametrize("service", ["look", "desk"])
+def test_idle_connection_that_is_not_clean_is_not_used(
+    ending: bytes, service: str
+) -> None:
+    """Guards against a call that fails or is swapped on a stale connection."""
+
+    async def session(border: Border) -> None:
+        def answer(received: bytes) -> list[Step]:
+            reply = whole(read_call_id(received), b"{}")
+            return [reply, Until(b"{}"), ending, Close()]
+
+        upstream = await border.add_upstream(answer, answer_call, service=service)
+        caller = await border.connect()
+        await caller.send(request(service, stream=False))
+        await caller.receive_until(b"{}")
+        await border.wait_for(lambda: not upstream.scripts or upstream.connections == 1)
+        await curio.sleep(0.02)
+        await caller.send(request(service, stream=False))
+        received = await caller.receive_until(b"x-call-id: call-2\r\n")
+        assert received.count(b"HTTP/1.1 200 ") == 2
+        assert border.counter("retries", code="answer-incomplete") == 0
+        assert upstream.connections == 2
+
+    run(session)
+
+
+def test_idle_connection_closed_under_the_request_is_replaced() -> None:
+    """Guards against blame and a used attempt for a race on an idle connection."""
+
+    async def session(border: Border) -> None:
+        upstream = await border.add_upstream(
+            answer_call, script(Close()), answer_call, service="look"
+        )
+        caller = await border.connect()
+        await caller.send(request("look", stream=False) * 2)
+        received = await caller.receive_until(b"x-call-id: call-2\r\n")
+        assert received.count(b"HTTP/1.1 200 ") == 2
+        assert (len(upstream.requests), upstream.connections) == (3, 2)
+        assert border.counter("pool_stale_connections") == 1
+        assert border.board.upstreams.replicas["replica-1"].failures == 0
+
+    run(session, options={"max_attempts": 1})
+
+
+@pytest.mark.parametrize(
+    ("options", "expected"),
+    [
+        ({"pool_limit_per_replica": 2}, 2),
+        ({"pool_limit": 1}, 1),
+        ({"pool_limit": 0}, 0),
+        ({}, 4),
+    ],
+)
+def test_pool_is_bounded(options: dict[str, Any], expected: int) -> None:
+    """Guards against idle connections without bound."""
+
+    async def session(border: Border) -> None:
+        def answer(received: bytes) -> list[Step]:
+            # All four run at once, each on a connection of its own.
+            return [whole(read_call_id(received), b"{}")]
+
+        upstream = await border.add_upstream(*[answer] * 4, service="look")
+        pool = border.calls._pool
+        assert upstream.address is not None
+        taken = [
+            (await pool.take(upstream.address, is_fresh=False))[0] for _ in range(4)
+        ]
+        for connection in taken:
+            headers = {"x-call-id": "x"}
+            await connection.send_request("POST", "/v1/call", headers, b"")
+            await connection.receive_response()
+            await connection.receive_body()
+            await pool.give_back(connection)
+        assert len(pool) == expected
+        await pool.check(1e12)
+        assert len(pool) == 0
+
+    run(session, options=options)
