--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -94,6 +94,7 @@
         attempts: Number of attempts started so far.
         excluded: Replicas where an attempt failed.
         charged: Work charged for the request so far, in service units.
+        is_sent: Whether a byte of any attempt may have reached an upstream.
     """
 
     call_id: str
@@ -114,3 +115,4 @@
     attempts: int = 0
     excluded: frozenset[ReplicaId] = frozenset()
     charged: float = 0.0
+    is_sent: bool = False
