Measure the chosen policy on a fully connected mesh of routers

Cause: single calls of the policy say little about its cost, since peers that never adopt an epoch make an arbiter look for work that it cannot grant. Change: benchmarks/mesh.py runs real policies and the wire codec, every organisation waiting at every router.

--- /dev/null
+++ b/benchmarks/mesh.py
@@ -0,0 +1,220 @@
+"""Routers' decisions in one process, fully connected, to measure their CPU time."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import TypeVar
+
+from sequoiamoor.core.actions import Action, Send
+from sequoiamoor.core.blackboard import Blackboard, create_blackboard
+from sequoiamoor.core.messages import Grants, Message, Report, Snapshot
+from sequoiamoor.core.upstreams import LoadReport, Replica
+from sequoiamoor.net.wire import Decoder, Encoder
+from sequoiamoor.options import Options
+from sequoiamoor.policies import create_policy
+from sequoiamoor.types import Address, CallRequest, RouterIdentity
+
+SERVICE = "model-0"
+SLOTS = 16
+ZONES = 3
+INTERVAL_SECONDS = 0.2
+REQUEST_SECONDS = 2.0
+TOKENS_PER_SECOND = 40.0
+
+_Result = TypeVar("_Result")
+
+
+class MeshRouter:
+    """One router's blackboard and policy; its CPU time is counted."""
+
+    def __init__(self, number: int) -> None:
+        identity = RouterIdentity(f"router-{number:03}", 1, f"zone-{number % ZONES}")
+        options = Options.model_validate({"queue_limit_per_organisation": 1_000_000})
+        self.board: Blackboard = create_blackboard(identity, options)
+        self.policy = create_policy("arbitrated", rng=Random(number))
+        self.running: deque[tuple[float, CallRequest, str]] = deque()
+        self.cpu_seconds = 0.0
+
+    def measure(self, work: Callable[[], _Result]) -> _Result:
+        """Runs work and adds its CPU time."""
+        began = time.process_time()
+        result = work()
+        self.cpu_seconds += time.process_time() - began
+        return result
+
+
+class Mesh:
+    """A fully connected fleet in which every organisation always has work waiting."""
+
+    def __init__(self, routers: int, replicas: int, organisations: int) -> None:
+        self.now = 100.0
+        self.bytes_sent = 0
+        self.messages_sent = 0
+        self._organisations = [f"organisation-{n:03}" for n in range(organisations)]
+        self._numbers = iter(range(1, 10**9))
+        self.routers = [MeshRouter(number) for number in range(routers)]
+        self._by_id = {one.board.identity.router_id: one for one in self.routers}
+        self._encoders = {
+            (a, b): (Encoder(), Decoder())
+            for a in self._by_id
+            for b in self._by_id
+            if a != b
+        }
+        for router in self.routers:
+            self._connect(router, replicas)
+        self._sequence = 0
+
+    def _connect(self, router: MeshRouter, replicas: int) -> None:
+        for peer in self.routers:
+            if peer is not router:
+                identity = peer.board.identity
+                router.board.members[identity.router_id] = identity
+        for number in range(replicas):
+            replica = Replica(
+                f"replica-{number:04}",
+                SERVICE,
+                f"zone-{number % ZONES}",
+                Address("10.1.0.1", number + 1),
+            )
+            rate = SLOTS * TOKENS_PER_SECOND
+            replica.load = LoadReport(1, SLOTS, SLOTS, 0, rate, False)
+            router.board.upstreams.replicas[replica.replica_id] = replica
+
+    def run_interval(self) -> None:
+        """Advances all routers by one report interval."""
+        for router in self.routers:
+            self._refill(router)
+            self._finish(router)
+            actions = router.measure(
+                lambda one=router: one.policy.step(one.board, self.now)
+            )
+            self._perform(router, actions)
+            self._start(router)
+            self._report(router)
+            self.now += INTERVAL_SECONDS / len(self.routers)
+
+    def _refill(self, router: MeshRouter) -> None:
+        for name in self._organisations:
+            while router.board.queues.count(SERVICE, name) < 2:
+                number = next(self._numbers)
+                call = CallRequest(
+                    call_id=f"c{number}",
+                    request_id=f"c{number}",
+                    organisation=name,
+                    class_name="chat",
+                    service=SERVICE,
+                    arrival=self.now,
+                    deadline=self.now + 1,
+                    wait_limit_at=self.now + 1_000,
+                    body=b"",
+                )
+                router.board.queues.add(call)
+
+    def _finish(self, router: MeshRouter) -> None:
+        while router.running and router.running[0][0] <= self.now:
+            _, call, replica_id = router.running.popleft()
+            units = REQUEST_SECONDS * TOKENS_PER_SECOND
+            router.board.ledger.charge(SERVICE, call.organisation, units)
+            call.charged = units
+            actions = router.measure(
+                lambda one=router, c=call, r=replica_id: one.policy.finish(
+                    one.board, c, r, self.now
+                )
+            )
+            self._perform(router, actions)
+            self._start(router)
+
+    def _start(self, router: MeshRouter) -> None:
+        board = router.board
+        while True:
+            start = router.measure(
+                lambda: router.policy.choose_start(board, SERVICE, self.now)
+            )
+            if start is None:
+                return
+            call = board.queues.remove(start.call_id)
+            assert call is not None
+            ends_at = self.now + REQUEST_SECONDS
+            router.running.append((ends_at, call, start.replica_id))
+
+    def _report(self, router: MeshRouter) -> None:
+        self._sequence += 1
+        board = router.board
+        board.report_sequence = self._sequence
+        report = router.measure(
+            lambda: Report(
+                self._sequence,
+                1,
+                False,
+                router.policy.build_counters(board, self.now),
+                router.policy.build_slots(board, self.now),
+            )
+        )
+        for peer in self.routers:
+            if peer is not router:
+                self._deliver(router, peer, report)
+
+    def _perform(self, router: MeshRouter, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                for peer in self.routers:
+                    identity = peer.board.identity
+                    if peer is not router and (
+                        action.router_id in (None, identity.router_id)
+                    ):
+                        self._deliver(router, peer, action.message)
+
+    def _deliver(self, sender: MeshRouter, peer: MeshRouter, message: Message) -> None:
+        ids = (sender.board.identity.router_id, peer.board.identity.router_id)
+        encoder, decoder = self._encoders[ids]
+        parts = sender.measure(lambda: encoder.encode(message))
+        self.messages_sent += 1
+        for part in parts:
+            self.bytes_sent += len(part)
+            for received in peer.measure(lambda data=part: decoder.feed(data)):
+                self._take(peer, sender.board.identity, received)
+
+    def _take(
+        self, router: MeshRouter, sender: RouterIdentity, message: Message
+    ) -> None:
+        board, policy, now = router.board, router.policy, self.now
+        actions: list[Action] = []
+        if isinstance(message, Report):
+            actions = router.measure(
+                lambda: policy.take_report(board, sender, message, now)
+            )
+        elif isinstance(message, Grants):
+            actions = router.measure(
+                lambda: policy.take_grants(board, sender, message, now)
+            )
+        elif isinstance(message, Snapshot):
+            router.measure(lambda: policy.take_snapshot(board, message))
+        self._perform(router, actions)
+        self._start(router)
+
+
+def measure_mesh(
+    routers: int, replicas: int, organisations: int, *, seconds: float = 4.0
+) -> dict[str, float]:
+    """Returns figures of one router per second of fleet time."""
+    mesh = Mesh(routers, replicas, organisations)
+    warm_up = round(3.0 / INTERVAL_SECONDS)
+    for _ in range(warm_up):
+        mesh.run_interval()
+    for router in mesh.routers:
+        router.cpu_seconds = 0.0
+    mesh.bytes_sent = mesh.messages_sent = 0
+    for _ in range(round(seconds / INTERVAL_SECONDS)):
+        mesh.run_interval()
+    cpu = sum(router.cpu_seconds for router in mesh.routers)
+    running = sum(len(router.running) for router in mesh.routers)
+    return {
+        "cpu_percent": 100 * cpu / routers / seconds,
+        # Each byte that one router sends is received by another.
+        "bytes_per_second": 2 * mesh.bytes_sent / routers / seconds,
+        "messages_per_second": 2 * mesh.messages_sent / routers / seconds,
+        "used_slots": running / (replicas * SLOTS),
+    }
