Share the VM list between routers and test versions, members and upstreams

Cause: a router that restarted while the platform was out got the configuration from its peers but no upstream addresses, so it was ready and refused every call. Ruled out: replacing the Replica object when an address changes: attempts that still run decrement the slot count of the object they find under the identifier. Change: message UpstreamList, after Hello and on change; lists made earlier and empty ones change nothing; a changed address resets the replica in place; leaving holds per incarnation, and for as long as the list says so.

--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -11,6 +11,7 @@
     ReplicaId,
     RouterIdentity,
     ServiceName,
+    ZoneName,
 )
 
 
@@ -166,6 +167,29 @@
     rows: tuple[LoadRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamRow:
+    """An upstream in the VM list of the sender."""
+
+    replica_id: ReplicaId
+    service: ServiceName
+    zone: ZoneName
+    address: Address
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamList:
+    """The upstreams in the VM list that the sender uses.
+
+    Attributes:
+        made_at_ms: Time at which the platform made the list, in milliseconds.
+    """
+
+    made_at_ms: int
+    rows: tuple[UpstreamRow, ...]
+
+
 Message: TypeAlias = (
     Hello
     | Report
@@ -175,4 +199,5 @@
     | Configuration
     | UpstreamState
     | Loads
+    | UpstreamList
 )
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -80,13 +80,13 @@
 
     Attributes:
         listed: Identifiers in the VM list last taken.
-        list_made_at: Time at which the platform made that list.
+        list_made_at_ms: Time at which the platform made that list, in milliseconds.
     """
 
     options: Options
     replicas: dict[ReplicaId, Replica] = field(default_factory=dict)
     listed: frozenset[ReplicaId] = frozenset()
-    list_made_at: float = float("-inf")
+    list_made_at_ms: int = -1
 
     def by_service(self, service: ServiceName) -> list[Replica]:
         """Returns the service's replicas ordered by identifier."""
@@ -104,7 +104,7 @@
         ]
 
     def take_list(
-        self, upstreams: Iterable[ListedUpstream], *, made_at: float, now: float
+        self, upstreams: Iterable[ListedUpstream], *, made_at_ms: int, now: float
     ) -> list[Replica]:
         """Takes a VM list.
 
@@ -113,16 +113,16 @@
 
         Args:
             upstreams: The upstreams in the list.
-            made_at: Time at which the platform made the list.
+            made_at_ms: Time at which the platform made the list, in milliseconds.
             now: Monotonic time in seconds.
 
         Returns:
             The replicas that are leaving and were not known to be.
         """
         entries = {one.replica_id: one for one in upstreams}
-        if not entries or made_at < self.list_made_at:
+        if not entries or made_at_ms < self.list_made_at_ms:
             return []
-        self.list_made_at = made_at
+        self.list_made_at_ms = made_at_ms
         self.listed = frozenset(entries)
         leaving = []
         for entry in entries.values():
@@ -140,12 +140,7 @@
 
     def _take_entry(self, entry: ListedUpstream, now: float) -> Replica:
         replica = self.replicas.get(entry.replica_id)
-        if (
-            replica is None
-            or replica.address != entry.address
-            or replica.service != entry.service
-        ):
-            # Attempts at the old address keep the object that they started with.
+        if replica is None:
             replica = Replica(
                 entry.replica_id,
                 entry.service,
@@ -154,9 +149,34 @@
                 heard_at=now,
             )
             self.replicas[entry.replica_id] = replica
+        elif replica.address != entry.address:
+            # Another process has taken over the identifier. Attempts at the earlier
+            # one still hold the object, so it is changed and not replaced.
+            replica.address = entry.address
+            replica.incarnation = 0
+            replica.is_leaving = False
+            replica.load = None
+            replica.load_at = float("-inf")
+            replica.heard_at = now
+            replica.failures = 0
+        replica.service = entry.service
         replica.zone = entry.zone
         return replica
 
+    def entries(self) -> list[ListedUpstream]:
+        """Returns the replicas in the form of a VM list, for peers without one."""
+        return [
+            ListedUpstream(
+                one.replica_id,
+                one.service,
+                one.zone,
+                one.address,
+                one.is_listed_leaving,
+            )
+            for one in self.replicas.values()
+            if one.replica_id in self.listed
+        ]
+
     def forget(self, now: float) -> list[ReplicaId]:
         """Removes replicas that left the list and gave no sign of life for long."""
         gone = [
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -23,9 +23,11 @@
     Message,
     Report,
     Snapshot,
+    UpstreamList,
+    UpstreamRow,
     UpstreamState,
 )
-from ..core.upstreams import LoadReport, Replica
+from ..core.upstreams import ListedUpstream, LoadReport, Replica
 from ..core.versions import Verdict, Versions
 from ..metrics import Metrics
 from ..net.peers import Peers
@@ -140,6 +142,37 @@
             self._send(UpstreamState(replica.replica_id, replica.incarnation, True))
         self._flush_if_due()
 
+    def take_list(
+        self, upstreams: list[ListedUpstream], *, made_at_ms: int, source: str
+    ) -> None:
+        """Takes a VM list that the platform or a peer gave.
+
+        A change is told to all peers, since a zone can be cut from the platform and
+        most routers read the list only every 20 s.
+        """
+        state = self._board.upstreams
+        before = state.entries()
+        leaving = state.take_list(
+            upstreams, made_at_ms=made_at_ms, now=time.monotonic()
+        )
+        self.announce_leaving(leaving)
+        if state.entries() == before:
+            return
+        _LOG.info("VM list changed", extra={"peer": source})
+        if len(self._board.members) < self._options.flat_limit:
+            self._send(self._build_list())
+            self._flush_if_due()
+
+    def _build_list(self) -> UpstreamList:
+        state = self._board.upstreams
+        rows = tuple(
+            UpstreamRow(
+                one.replica_id, one.service, one.zone, one.address, one.is_leaving
+            )
+            for one in state.entries()
+        )
+        return UpstreamList(state.list_made_at_ms, rows)
+
     def share_load(self, replica_id: ReplicaId, load: LoadReport) -> None:
         """Tells all peers a load report, with the next report at the latest."""
         row = LoadRow(
@@ -257,6 +290,8 @@
             board.identity, board.configuration.version, self.membership.own_address
         )
         yield self._policy.build_snapshot(board)
+        if board.upstreams.listed:
+            yield self._build_list()
         for replica in board.upstreams.replicas.values():
             if replica.is_leaving:
                 yield UpstreamState(replica.replica_id, replica.incarnation, True)
@@ -284,6 +319,22 @@
                 upstreams = self._board.upstreams
                 if upstreams.take_state(replica_id, incarnation, is_leaving=is_leaving):
                     self.announce_leaving([upstreams.replicas[replica_id]])
+            case UpstreamList(made_at_ms, upstream_rows):
+                upstreams_in_list = [
+                    ListedUpstream(
+                        row.replica_id,
+                        row.service,
+                        row.zone,
+                        row.address,
+                        row.is_leaving,
+                    )
+                    for row in upstream_rows
+                ]
+                self.take_list(
+                    upstreams_in_list,
+                    made_at_ms=made_at_ms,
+                    source=identity.router_id,
+                )
             case Snapshot():
                 self._policy.take_snapshot(self._board, message)
             case Hello():
--- a/sequoiamoor/daemon/pollers.py
+++ b/sequoiamoor/daemon/pollers.py
@@ -41,7 +41,7 @@
         self._options = board.options
         self._rng = rng
         self._is_platform_reachable = True
-        self._polling: dict[ReplicaId, Address] = {}
+        self._polling: set[ReplicaId] = set()
 
     def _is_responsible(self, key: str, zone: ZoneName) -> bool:
         board = self._board
@@ -111,16 +111,15 @@
         ]
         if routers:
             self._control.membership.take_list(routers)
-        leaving = self._board.upstreams.take_list(
+        self._control.take_list(
             [
                 to_listed_upstream(vm, vm.service)
                 for vm in vms.vms
                 if vm.role is VmRole.UPSTREAM and vm.service is not None
             ],
-            made_at=vms.as_of,
-            now=time.monotonic(),
+            made_at_ms=int(vms.as_of * 1000),
+            source="platform",
         )
-        self._control.announce_leaving(leaving)
 
     async def poll_loads(self) -> None:
         """Reads load reports of the replicas of this router until cancelled."""
@@ -139,7 +138,7 @@
                     continue
                 delay = self._find_load_delay(failures.get(replica_id, 0))
                 due[replica_id] = now + delay
-                self._polling[replica_id] = replica.address
+                self._polling.add(replica_id)
                 # The timeout of the read bounds the life of the task.
                 await curio.spawn(self._poll_load, replica, failures, daemon=True)
             for replica_id in due.keys() - replicas.keys():
@@ -159,18 +158,18 @@
     async def _poll_load(
         self, replica: Replica, failures: dict[ReplicaId, int]
     ) -> None:
-        replica_id = replica.replica_id
+        replica_id, address = replica.replica_id, replica.address
         try:
-            load = await self._read_load(replica.address)
+            load = await self._read_load(address)
         except (OSError, ValueError, KeyError, TypeError) as err:
             failures[replica_id] = failures.get(replica_id, 0) + 1
             _LOG.debug("load report of %s failed: %s", replica_id, err)
             return
         finally:
-            del self._polling[replica_id]
+            self._polling.discard(replica_id)
         failures.pop(replica_id, None)
         upstreams = self._board.upstreams
-        if upstreams.replicas.get(replica_id) is not replica:
+        if replica.address != address or replica_id not in upstreams.replicas:
             # The VM list gave the identifier another address during the read.
             return
         if upstreams.record_load(replica_id, load, time.monotonic()):
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -28,6 +28,7 @@
     Message,
     Report,
     Snapshot,
+    UpstreamList,
     UpstreamState,
 )
 from ..core.reports import ReportFilter
@@ -60,6 +61,7 @@
         self._loads: dict[ReplicaId, LoadRow] = {}
         self._request: ConfigurationRequest | None = None
         self._configuration: Configuration | None = None
+        self._upstreams: UpstreamList | None = None
         self._report: Report | None = None
         self.is_empty = True
 
@@ -83,12 +85,17 @@
                     or message.version > self._configuration.version
                 ):
                     self._configuration = message
+            case UpstreamList():
+                self._upstreams = message
             case Hello() | Snapshot():
                 self._first.append(message)
 
     def take(self) -> list[Message]:
         """Removes and returns all messages in the order to send them."""
-        messages: list[Message] = [*self._first, *self._states.values()]
+        messages: list[Message] = list(self._first)
+        if self._upstreams is not None:
+            messages.append(self._upstreams)
+        messages.extend(self._states.values())
         if self._grants:
             messages.append(Grants(tuple(self._grants.values())))
         if self._request is not None:
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -24,6 +24,7 @@
 UpstreamState        replica, incarnation, leaving
 Loads                rows: replica, incarnation, slots, running, queued, rate,
                      leaving; the replica alone repeats the row before
+UpstreamList         time in ms, rows: replica, service, zone, host, port, leaving
 ==================== ==========================================================
 """
 
@@ -48,6 +49,8 @@
     Report,
     SlotRow,
     Snapshot,
+    UpstreamList,
+    UpstreamRow,
     UpstreamState,
 )
 from ..errors import ProtocolError
@@ -68,7 +71,9 @@
 _INTEGER_LIMIT = 1 << 62
 
 _HELLO, _NAMES, _REPORT, _GRANTS, _SNAPSHOT = range(5)
-_CONFIGURATION_REQUEST, _CONFIGURATION, _UPSTREAM_STATE, _LOADS = range(5, 9)
+_CONFIGURATION_REQUEST, _CONFIGURATION, _UPSTREAM_STATE, _LOADS, _UPSTREAM_LIST = range(
+    5, 10
+)
 
 _CounterKey = tuple[str, str]
 
@@ -142,6 +147,12 @@
                 yield [_CONFIGURATION, version, document]
             case Snapshot(origins):
                 yield from self._snapshot(origins)
+            case UpstreamList(made_at_ms, upstreams):
+                yield [
+                    _UPSTREAM_LIST,
+                    made_at_ms,
+                    [self._upstream(r) for r in upstreams],
+                ]
             case Hello(identity, version, control):
                 place = [control.host, control.port] if control else [None, 0]
                 yield [
@@ -228,6 +239,16 @@
         ]
         return _trim(fields, 2)
 
+    def _upstream(self, row: UpstreamRow) -> list[Any]:
+        return [
+            self._index(row.replica_id),
+            self._index(row.service),
+            self._index(row.zone),
+            self._index(row.address.host),
+            row.address.port,
+            int(row.is_leaving),
+        ]
+
     def _snapshot(self, origins: tuple[OriginCounters, ...]) -> Iterator[list[Any]]:
         for one in origins:
             identity = one.origin
@@ -277,6 +298,7 @@
             _CONFIGURATION_REQUEST: self._configuration_request,
             _CONFIGURATION: self._configuration,
             _SNAPSHOT: self._snapshot,
+            _UPSTREAM_LIST: self._upstream_list,
             _HELLO: self._hello,
         }
         self.messages = 0
@@ -355,9 +377,7 @@
             )
         _, router_id, incarnation, zone, version, host, port = fields
         identity = RouterIdentity(_text(router_id), _count(incarnation), _text(zone))
-        address = None if host is None else Address(_text(host), _count(port))
-        if address is not None and not 0 < address.port <= 65_535:
-            raise ProtocolError(f"port {address.port} is not between 1 and 65535")
+        address = None if host is None else Address(_text(host), _port(port))
         return Hello(identity, _count(version), address)
 
     def _report(self, fields: list[Any]) -> Report:
@@ -485,6 +505,27 @@
         replica, incarnation, leaving = fields
         return UpstreamState(self._name(replica), _count(incarnation), _flag(leaving))
 
+    def _upstream_list(self, fields: list[Any]) -> UpstreamList:
+        made_at_ms, rows = fields
+        upstreams = tuple([self._upstream(row) for row in _rows(rows)])
+        return UpstreamList(_count(made_at_ms), upstreams)
+
+    def _upstream(self, fields: Any) -> UpstreamRow:
+        replica, service, zone, host, port, leaving = fields
+        return UpstreamRow(
+            self._name(replica),
+            self._name(service),
+            self._name(zone),
+            Address(self._name(host), _port(port)),
+            _flag(leaving),
+        )
+
+
+def _port(value: Any) -> int:
+    if not 0 < _count(value) <= 65_535:
+        raise ProtocolError(f"port {value} is not between 1 and 65535")
+    return _count(value)
+
 
 def _integer(value: Any) -> int:
     if type(value) is not int or not -_INTEGER_LIMIT < value < _INTEGER_LIMIT:
--- /dev/null
+++ b/tests/core/test_upstreams.py
@@ -0,0 +1,130 @@
+"""Tests of the replicas that a router knows."""
+
+from __future__ import annotations
+
+import pytest
+
+from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Upstreams
+from sequoiamoor.options import Options
+from sequoiamoor.types import Address
+
+OPTIONS = Options.model_validate({})
+
+
+def build_entry(
+    number: int, *, port: int = 4_000, is_leaving: bool = False
+) -> ListedUpstream:
+    address = Address("127.0.1.1", port + number)
+    return ListedUpstream(f"talk-{number}", "talk", "zone-a", address, is_leaving)
+
+
+def build_load(incarnation: int, *, is_leaving: bool = False) -> LoadReport:
+    return LoadReport(incarnation, 8, 1, 0, 50.0, is_leaving)
+
+
+def build_upstreams() -> Upstreams:
+    upstreams = Upstreams(OPTIONS)
+    entries = [build_entry(0), build_entry(1)]
+    assert upstreams.take_list(entries, made_at_ms=1_000, now=0.0) == []
+    return upstreams
+
+
+def names(upstreams: Upstreams, now: float) -> list[str]:
+    return [one.replica_id for one in upstreams.available("talk", now)]
+
+
+def test_missing_replica_stays_while_it_responds() -> None:
+    """Guards against a stale list that takes live upstreams out of use."""
+    upstreams = build_upstreams()
+    for tick in range(1, 300):
+        upstreams.record_load("talk-1", build_load(5), float(tick))
+        upstreams.take_list([build_entry(0)], made_at_ms=1_000 + tick, now=float(tick))
+    assert names(upstreams, 300.0) == ["talk-0", "talk-1"]
+
+
+def test_missing_and_silent_replica_is_forgotten() -> None:
+    """Guards against probing replaced upstreams forever, or during their requests."""
+    upstreams = build_upstreams()
+    upstreams.replicas["talk-1"].in_use = 1
+    late = 1.0 + OPTIONS.forget_upstream_after
+    upstreams.take_list([build_entry(0)], made_at_ms=1_001, now=late)
+    assert "talk-1" in upstreams.replicas
+    upstreams.replicas["talk-1"].in_use = 0
+    upstreams.take_list([build_entry(0)], made_at_ms=1_002, now=late)
+    assert list(upstreams.replicas) == ["talk-0"]
+
+
+@pytest.mark.parametrize(
+    ("entries", "made_at_ms"),
+    [
+        ([], 2_000),
+        ([build_entry(0, is_leaving=True)], 999),
+        ([build_entry(0, port=5_000)], 999),
+    ],
+)
+def test_empty_or_earlier_list_changes_nothing(
+    entries: list[ListedUpstream], made_at_ms: int
+) -> None:
+    """Guards against a list that lags behind, or a platform that lost its list."""
+    upstreams = build_upstreams()
+    before = upstreams.entries()
+    late = 1.0 + OPTIONS.forget_upstream_after
+    assert upstreams.take_list(entries, made_at_ms=made_at_ms, now=late) == []
+    assert upstreams.entries() == before
+    assert names(upstreams, late) == ["talk-0", "talk-1"]
+
+
+def test_changed_address_is_a_new_process() -> None:
+    """Guards against the state of an earlier process that is kept for the next one."""
+    upstreams = build_upstreams()
+    replica = upstreams.replicas["talk-0"]
+    replica.in_use = 2
+    upstreams.record_load("talk-0", build_load(9, is_leaving=True), 1.0)
+    upstreams.record_failure("talk-0", 1.0)
+    assert names(upstreams, 1.1) == ["talk-1"]
+    entry = build_entry(0, port=5_000)
+    upstreams.take_list([entry], made_at_ms=1_001, now=2.0)
+    assert replica.address == entry.address
+    assert names(upstreams, 2.0) == ["talk-0", "talk-1"]
+    # An attempt at the earlier process still ends on the same object.
+    assert upstreams.replicas["talk-0"] is replica
+    # The incarnation of another VM can be lower, since clocks differ.
+    upstreams.record_load("talk-0", build_load(3), 2.1)
+    assert replica.load == build_load(3)
+
+
+def test_restarted_replica_is_taken_back() -> None:
+    """Guards against a restarted replica that stays out of use, or a late report."""
+    upstreams = build_upstreams()
+    assert upstreams.record_load("talk-0", build_load(5, is_leaving=True), 1.0)
+    assert not upstreams.record_load("talk-0", build_load(5), 1.1)
+    assert names(upstreams, 1.1) == ["talk-1"], "the same process returned"
+    upstreams.record_load("talk-0", build_load(6), 1.2)
+    assert names(upstreams, 1.2) == ["talk-0", "talk-1"]
+    upstreams.record_load("talk-0", build_load(5, is_leaving=True), 1.3)
+    assert not upstreams.take_state("talk-0", 5, is_leaving=True)
+    assert names(upstreams, 1.3) == ["talk-0", "talk-1"]
+
+
+def test_restart_does_not_end_the_leaving_of_the_vm() -> None:
+    """Guards against a process that restarts on a VM which the list says leaves."""
+    upstreams = build_upstreams()
+    upstreams.record_load("talk-0", build_load(5), 0.5)
+    entries = [build_entry(0, is_leaving=True), build_entry(1)]
+    (leaving,) = upstreams.take_list(entries, made_at_ms=1_001, now=1.0)
+    assert leaving.replica_id == "talk-0"
+    assert upstreams.take_list(entries, made_at_ms=1_002, now=1.1) == []
+    upstreams.record_load("talk-0", build_load(6), 1.2)
+    assert names(upstreams, 1.2) == ["talk-1"]
+
+
+@pytest.mark.parametrize("incarnation", [0, 5, 6])
+def test_leaving_is_told_once(incarnation: int) -> None:
+    """Guards against a peer's word that is ignored, or passed on for ever."""
+    upstreams = build_upstreams()
+    if incarnation:
+        upstreams.record_load("talk-0", build_load(5), 0.5)
+    assert upstreams.take_state("talk-0", incarnation, is_leaving=True)
+    assert not upstreams.take_state("talk-0", incarnation, is_leaving=True)
+    assert names(upstreams, 1.0) == ["talk-1"]
+    assert not upstreams.take_state("unknown", incarnation, is_leaving=True)
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -24,6 +24,8 @@
     Report,
     SlotRow,
     Snapshot,
+    UpstreamList,
+    UpstreamRow,
     UpstreamState,
 )
 from sequoiamoor.errors import ProtocolError
@@ -89,6 +91,21 @@
     ),
     st.builds(ConfigurationRequest, COUNTS),
     st.builds(Configuration, COUNTS, st.just({"document": {"x": [1, 2.5, "y"]}})),
+    st.builds(
+        UpstreamList,
+        COUNTS,
+        st.lists(
+            st.builds(
+                UpstreamRow,
+                NAMES,
+                NAMES,
+                NAMES,
+                st.builds(Address, NAMES, st.integers(1, 65_535)),
+                st.booleans(),
+            ),
+            max_size=3,
+        ).map(tuple),
+    ),
     st.builds(UpstreamState, NAMES, COUNTS, st.booleans()),
 )
 
@@ -155,7 +172,7 @@
 
 
 @settings(derandomize=True, max_examples=500, deadline=None)
-@given(st.integers(0, 9), st.lists(JSON_LIKE, max_size=8))
+@given(st.integers(0, 10), st.lists(JSON_LIKE, max_size=8))
 def test_wrong_fields_raise_only_protocol_errors(kind: int, fields: list[Any]) -> None:
     """Guards against a field of a wrong type that a reader does not check."""
     decoder = Decoder()
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -78,7 +78,13 @@
         set_outage(fleet, outage=True)
         restart(fleet, "router-1")
         wait_fleet(fleet)
-        assert read_status(fleet.routers["router-1"])["configuration_version"] == 2
+        address = fleet.routers["router-1"]
+        assert read_status(address)["configuration_version"] == version
+        wait_until(
+            lambda: call(address, "first")[0] == 200,
+            limit=HEAL_SECONDS,
+            what="a call at an upstream whose address only the peers know",
+        )
 
 
 def test_router_alone_without_platform_is_not_ready() -> None:
