Bound what is kept for a slow peer, and test the control side in one process

Cause: a peer that takes nothing had megabytes of old reports in the socket buffer before newer ones could replace any; curio logs a warning for each timeout that ends at the same time as its operation, which the control task met often.

--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -91,12 +91,18 @@
             self._dispatch = dispatch
             await tasks.spawn(self._peers.run, self._note_bound)
             await tasks.spawn(self._tick)
+            await tasks.spawn(self._flush_on_demand)
 
     async def _note_bound(self, address: Address) -> None:
         self.membership.own_address = address
 
     # What the rest of the router asks for.
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Encoded bytes that the peers have not taken yet."""
+        return self._peers.unsent_bytes
+
     def perform(self, actions: Iterable[Action]) -> None:
         """Carries out actions of the policy; urgent messages leave at once."""
         for action in actions:
@@ -190,18 +196,20 @@
 
     async def _tick(self) -> None:
         next_at = time.monotonic()
+        while True:
+            now = time.monotonic()
+            await self._step(now)
+            next_at = max(next_at + self._options.report_interval, now)
+            await curio.sleep(max(0.0, next_at - time.monotonic()))
+
+    async def _flush_on_demand(self) -> None:
         try:
             while True:
-                now = time.monotonic()
-                if now >= next_at:
-                    await self._step(now)
-                    next_at = max(next_at + self._options.report_interval, now)
-                await curio.ignore_after(next_at - now, self._wakeup.wait)
-                if self._is_report_due or self._is_flush_due:
-                    # Actions that come within this time share one flush.
-                    rest = self._flushed_at + self._options.flush_interval
-                    await curio.sleep(max(0.0, rest - time.monotonic()))
-                    self._flush_if_due()
+                await self._wakeup.wait()
+                # Actions that come within this time share one flush.
+                rest = self._flushed_at + self._options.flush_interval
+                await curio.sleep(max(0.0, rest - time.monotonic()))
+                self._flush_if_due()
         finally:
             await self._wakeup.close()
 
@@ -266,6 +274,9 @@
         self._is_report_due = self._is_flush_due = False
         self._flushed_at = now
         self._peers.flush(now)
+        if self._peers.unsent_bytes:
+            self._is_flush_due = True
+            self._wakeup.set()
 
     def _build_report(self, now: float) -> Report:
         self._sequence += 1
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -42,6 +42,9 @@
 _LOG = logging.getLogger(__name__)
 
 HELLO_TIMEOUT_SECONDS = 5.0
+# Reports that wait in a socket buffer cannot be replaced by newer ones, so a slow
+# peer would get old reports for longer with a larger buffer.
+SEND_BUFFER_BYTES = 65_536
 
 
 class Outbox:
@@ -142,9 +145,9 @@
         self._stalled_at: float | None = None
 
     @property
-    def is_open(self) -> bool:
-        """Whether the connection is established."""
-        return self._sock is not None
+    def unsent_bytes(self) -> int:
+        """Encoded bytes that the socket has not taken yet."""
+        return len(self._unsent)
 
     def put(self, message: Message) -> None:
         """Keeps a message for the next flush; without a connection it is dropped."""
@@ -219,6 +222,7 @@
             REACHABILITY.check(self.address.host)
             REACHABILITY.track(sock, self.address.host)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             self._sock = sock
             for message in handler.greet():
                 self._outbox.put(message)
@@ -326,9 +330,9 @@
                     sock._socket.shutdown(socket.SHUT_RDWR)
 
     @property
-    def open_links(self) -> int:
-        """Number of outgoing connections that are established."""
-        return sum(link.is_open for link, _ in self._links.values())
+    def unsent_bytes(self) -> int:
+        """Encoded bytes that the sockets have not taken yet."""
+        return sum(link.unsent_bytes for link, _ in self._links.values())
 
     async def _accept(self, sock: Any, peer: Any) -> None:
         host = peer[0]
--- /dev/null
+++ b/tests/daemon/test_control.py
@@ -0,0 +1,355 @@
+"""Tests of the control side between routers in one process."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+import curio
+import msgpack
+import pytest
+
+from sequoiamoor.core.actions import Action, Send, SendReport
+from sequoiamoor.core.blackboard import Blackboard, create_blackboard
+from sequoiamoor.core.messages import (
+    CounterRow,
+    GrantRow,
+    Grants,
+    Hello,
+    OriginCounters,
+    Report,
+    SlotRow,
+    Snapshot,
+)
+from sequoiamoor.core.upstreams import ListedUpstream, LoadReport
+from sequoiamoor.daemon.control import Control, ObservedPolicy
+from sequoiamoor.metrics import Metrics
+from sequoiamoor.net.peers import Outbox
+from sequoiamoor.net.wire import Encoder
+from sequoiamoor.policies.round_robin import RoundRobinPolicy
+from sequoiamoor.settings import RouterSettings
+from sequoiamoor.types import Address, CallRequest, RouterIdentity
+
+WAIT_SECONDS = 10.0
+
+
+class RecordingPolicy(RoundRobinPolicy):
+    """Records what it is given, and returns the actions that a test sets."""
+
+    def __init__(self) -> None:
+        super().__init__(rng=Random(1))
+        self.counters: tuple[CounterRow, ...] = ()
+        self.slots: tuple[SlotRow, ...] = ()
+        self.snapshot = Snapshot(())
+        self.reports: list[tuple[str, Report]] = []
+        self.grants: list[tuple[str, Grants]] = []
+        self.snapshots: list[Snapshot] = []
+        self.answers: dict[str, list[Action]] = {}
+
+    def _answer(self, event: str) -> list[Action]:
+        return self.answers.pop(event, [])
+
+    def finish(
+        self, board: Blackboard, request: CallRequest, replica_id: str, now: float
+    ) -> list[Action]:
+        return self._answer("finish")
+
+    def step(self, board: Blackboard, now: float) -> list[Action]:
+        return self._answer("step")
+
+    def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
+        return self.counters
+
+    def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
+        return self.slots
+
+    def build_snapshot(self, board: Blackboard) -> Snapshot:
+        return self.snapshot
+
+    def take_report(
+        self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
+    ) -> list[Action]:
+        self.reports.append((origin.router_id, report))
+        return self._answer("take_report")
+
+    def take_grants(
+        self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
+    ) -> list[Action]:
+        self.grants.append((sender.router_id, grants))
+        return self._answer("take_grants")
+
+    def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
+        self.snapshots.append(snapshot)
+
+
+class Node:
+    """A router without its caller and upstream sides."""
+
+    def __init__(self, name: str, *peers: Address, **options: float) -> None:
+        settings = RouterSettings.model_validate(
+            {
+                "router_id": name,
+                "zone": "zone-a",
+                "http": {"host": "127.0.0.1", "port": 0},
+                "control": {"host": "127.0.0.1", "port": 0},
+                "platform": {"host": "127.0.0.1", "port": 1},
+                "peers": [{"host": one.host, "port": one.port} for one in peers],
+                "options": options,
+            }
+        )
+        identity = RouterIdentity(name, 1, "zone-a")
+        self.board = create_blackboard(identity, settings.options)
+        self.policy = RecordingPolicy()
+        self.metrics = Metrics()
+        self.control = Control(
+            self.board, self.policy, self.metrics, settings=settings, rng=Random(1)
+        )
+        self.observed = ObservedPolicy(self.policy, self.control)
+        self.dispatched: list[str] = []
+
+    async def dispatch(self, service: str) -> None:
+        self.dispatched.append(service)
+
+    async def start(self) -> Address:
+        self.task = await curio.spawn(self.control.run, self.dispatch)
+        await wait_until(lambda: self.control.membership.own_address is not None)
+        address = self.control.membership.own_address
+        assert address is not None
+        return address
+
+    def read(self, name: str, **labels: str) -> float:
+        return self.metrics.registry.get_sample_value(name, labels) or 0.0
+
+
+async def wait_until(is_done: Callable[[], bool]) -> None:
+    end = time.monotonic() + WAIT_SECONDS
+    while not is_done():
+        assert time.monotonic() < end, "not within the wait limit"
+        await curio.sleep(0.01)
+
+
+async def start_pair(**options: float) -> tuple[Node, Node]:
+    first = Node("router-1", **options)
+    second = Node("router-2", await first.start(), **options)
+    await second.start()
+    await wait_until(lambda: bool(first.board.members and second.board.members))
+    return first, second
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    async def main() -> None:
+        # The kernel cancels the tasks that the test leaves behind.
+        await test()
+
+    curio.run(main)
+
+
+def build_call() -> CallRequest:
+    return CallRequest(
+        "c", "r", "a", "chat", "talk", 0.0, 1.0, time.monotonic() + 60, b""
+    )
+
+
+def build_row(served: int, *, waiting: int = 0) -> CounterRow:
+    return CounterRow("talk", "a", served, 0, waiting, 0, None)
+
+
+def test_actions_reach_the_peer_and_its_policy() -> None:
+    """Guards against actions of the policy that are lost on the way."""
+
+    async def test() -> None:
+        # Only the first report is sent by the interval.
+        first, second = await start_pair(report_interval=5.0)
+        grants = Grants((GrantRow("talk-0", 3, 2, 0),))
+        count = len(second.policy.reports)
+        first.policy.answers["finish"] = [Send("router-2", grants), SendReport()]
+        first.observed.finish(first.board, build_call(), "talk-0", 0.0)
+        await wait_until(lambda: second.policy.grants == [("router-1", grants)])
+        await wait_until(lambda: len(second.policy.reports) > count)
+        answer = Grants((GrantRow("talk-1", 1, 1, 0),))
+        second.policy.answers["take_grants"] = [Send("router-1", answer)]
+        first.control.perform([Send("router-2", grants)])
+        await wait_until(lambda: first.policy.grants == [("router-2", answer)])
+
+    run(test)
+
+
+def test_counters_are_sent_only_when_changed() -> None:
+    """Guards against control traffic that grows with the number of organisations."""
+
+    async def test() -> None:
+        first, second = await start_pair(report_interval=0.02)
+        first.policy.counters = (build_row(5), CounterRow("talk", "b", 1, 0, 0, 0, 7))
+        reports = second.policy.reports
+
+        def received() -> list[CounterRow]:
+            return [row for _, report in reports for row in report.counters]
+
+        await wait_until(lambda: len(received()) >= 2)
+        first.policy.counters = (build_row(9), first.policy.counters[1])
+        await wait_until(lambda: build_row(9) in received())
+        count = len(reports)
+        await wait_until(lambda: len(reports) > count + 5)
+        served = [row.served for row in received() if row.organisation == "a"]
+        assert served == [5, 9]
+
+    run(test)
+
+
+def test_start_of_waiting_is_reported_at_once_and_once() -> None:
+    """Guards against an urgent report per request of a backlogged organisation."""
+
+    async def test() -> None:
+        first, second = await start_pair(report_interval=5.0)
+        count = len(second.policy.reports)
+        first.board.queues.add(build_call())
+        assert first.observed.choose_start(first.board, "talk", 0.0) is None
+        await wait_until(lambda: len(second.policy.reports) > count)
+        sent = first.read("sequoiamoor_control_messages_total", direction="out")
+        for _ in range(20):
+            first.observed.choose_start(first.board, "talk", 0.0)
+            await curio.sleep(0.005)
+        now = first.read("sequoiamoor_control_messages_total", direction="out")
+        assert now == sent
+
+    run(test)
+
+
+def test_new_peer_gets_the_snapshot_and_work_is_dispatched() -> None:
+    """Guards against a restarted router that starts from zero totals."""
+
+    async def test() -> None:
+        first = Node("router-1")
+        address = await first.start()
+        origin = RouterIdentity("router-9", 4, "zone-b")
+        first.policy.snapshot = Snapshot(
+            (OriginCounters(origin, (build_row(70), build_row(80))),)
+        )
+        first.policy.slots = (SlotRow("talk-0", 1, 0, 4, 2),)
+        second = Node("router-2", address)
+        entry = ListedUpstream("talk-0", "talk", "zone-a", Address("127.0.0.1", 9))
+        second.board.upstreams.take_list([entry], made_at_ms=1, now=0.0)
+        second.board.queues.add(build_call())
+        await second.start()
+        await wait_until(lambda: first.policy.snapshot in second.policy.snapshots)
+        await wait_until(lambda: "talk" in second.dispatched)
+        # The slots are complete in each report, although only changes are sent.
+        await wait_until(lambda: len(second.policy.reports) > 3)
+        assert all(
+            report.slots == first.policy.slots for _, report in second.policy.reports
+        )
+
+    run(test)
+
+
+def test_loads_and_lists_reach_peers() -> None:
+    """Guards against peers that know a replica only by their own poll."""
+
+    async def test() -> None:
+        first, second = await start_pair()
+        entry = ListedUpstream("talk-0", "talk", "zone-a", Address("127.0.0.1", 9))
+        first.control.take_list([entry], made_at_ms=1, source="platform")
+        upstreams = second.board.upstreams
+        await wait_until(lambda: "talk-0" in upstreams.replicas)
+        load = LoadReport(7, 8, 3, 0, 120.0, False)
+        first.control.share_load("talk-0", load)
+        await wait_until(lambda: upstreams.replicas["talk-0"].load == load)
+        leaving = LoadReport(7, 8, 3, 0, 120.0, True)
+        replica = first.board.upstreams.replicas["talk-0"]
+        first.board.upstreams.record_load("talk-0", leaving, time.monotonic())
+        first.control.announce_leaving([replica])
+        await wait_until(lambda: upstreams.replicas["talk-0"].is_leaving)
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xc1",
+        msgpack.packb([99]),
+        # A report before Hello.
+        b"".join(Encoder().encode(Report(1, 1, False))),
+        # Hello a second time.
+        2 * b"".join(Encoder().encode(Hello(RouterIdentity("x", 1, "z"), 1, None))),
+    ],
+)
+def test_bad_message_closes_only_its_connection(data: bytes) -> None:
+    """Guards against a faulty peer that disturbs the other connections."""
+
+    async def test() -> None:
+        first, second = await start_pair()
+        address = first.control.membership.own_address
+        assert address is not None
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(data)
+        async with curio.timeout_after(WAIT_SECONDS):
+            assert await sock.recv(1) == b""
+        await sock.close()
+        assert first.read("sequoiamoor_control_protocol_errors_total") == 1
+        count = len(first.policy.reports)
+        await wait_until(lambda: len(first.policy.reports) > count + 2)
+        assert second.board.identity.router_id in first.board.members
+
+    run(test)
+
+
+def test_peer_that_does_not_read_costs_bounded_memory() -> None:
+    """Guards against a router that waits for a slow peer, or buffers without end."""
+
+    async def test() -> None:
+        first = Node("router-1", report_interval=0.02)
+        address = await first.start()
+        server = curio.network.tcp_server_socket("127.0.0.1", 0)
+        server.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_RCVBUF, 4_096)
+        port = server.getsockname()[1]
+        slow = await curio.open_connection(address.host, address.port)
+        hello = Hello(RouterIdentity("slow", 1, "z"), 0, Address("127.0.0.1", port))
+        for part in Encoder().encode(hello):
+            await slow.sendall(part)
+        accepted, _ = await server.accept()
+        second = Node("router-2", address)
+        await second.start()
+        rows = [
+            tuple(
+                CounterRow("talk", f"o{one}", served, 0, 0, 0, None)
+                for one in range(900)
+            )
+            for served in range(1, 1_200)
+        ]
+        most = 0
+        for counters in rows:
+            first.policy.counters = counters
+            first.control.perform([SendReport()])
+            await curio.sleep(0.001)
+            most = max(most, first.control.unsent_bytes)
+        # The socket buffers are full, and what is kept beyond them is one report.
+        assert 0 < most < 32_768
+        await wait_until(lambda: rows[-1][0] in _last_rows(second))
+        await accepted.close()
+        await slow.close()
+        await server.close()
+
+    run(test)
+
+
+def _last_rows(node: Node) -> tuple[CounterRow, ...]:
+    for _, report in reversed(node.policy.reports):
+        if report.counters:
+            return report.counters
+    return ()
+
+
+def test_outbox_keeps_the_latest_of_each_kind() -> None:
+    """Guards against a buffer that grows while a peer takes nothing."""
+    outbox = Outbox()
+    for number in range(1_000):
+        outbox.put(Report(number, 1, False))
+        outbox.put(Grants((GrantRow(f"talk-{number % 3}", 1, number, 0),)))
+    messages = outbox.take()
+    assert outbox.is_empty
+    assert [one.sequence for one in messages if isinstance(one, Report)] == [999]
+    (grants,) = [one for one in messages if isinstance(one, Grants)]
+    assert sorted(row.granted for row in grants.rows) == [997, 998, 999]
