--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -23,9 +23,11 @@
     Message,
     Report,
     Snapshot,
+    UpstreamList,
+    UpstreamRow,
     UpstreamState,
 )
-from ..core.upstreams import LoadReport, Replica
+from ..core.upstreams import ListedUpstream, LoadReport, Replica
 from ..core.versions import Verdict, Versions
 from ..metrics import Metrics
 from ..net.peers import Peers
@@ -89,12 +91,18 @@
             self._dispatch = dispatch
             await tasks.spawn(self._peers.run, self._note_bound)
             await tasks.spawn(self._tick)
+            await tasks.spawn(self._flush_on_demand)
 
     async def _note_bound(self, address: Address) -> None:
         self.membership.own_address = address
 
     # What the rest of the router asks for.
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Encoded bytes that the peers have not taken yet."""
+        return self._peers.unsent_bytes
+
     def perform(self, actions: Iterable[Action]) -> None:
         """Carries out actions of the policy; urgent messages leave at once."""
         for action in actions:
@@ -140,6 +148,37 @@
             self._send(UpstreamState(replica.replica_id, replica.incarnation, True))
         self._flush_if_due()
 
+    def take_list(
+        self, upstreams: list[ListedUpstream], *, made_at_ms: int, source: str
+    ) -> None:
+        """Takes a VM list that the platform or a peer gave.
+
+        A change is told to all peers, since a zone can be cut from the platform and
+        most routers read the list only every 20 s.
+        """
+        state = self._board.upstreams
+        before = state.entries()
+        leaving = state.take_list(
+            upstreams, made_at_ms=made_at_ms, now=time.monotonic()
+        )
+        self.announce_leaving(leaving)
+        if state.entries() == before:
+            return
+        _LOG.info("VM list changed", extra={"peer": source})
+        if len(self._board.members) < self._options.flat_limit:
+            self._send(self._build_list())
+            self._flush_if_due()
+
+    def _build_list(self) -> UpstreamList:
+        state = self._board.upstreams
+        rows = tuple(
+            UpstreamRow(
+                one.replica_id, one.service, one.zone, one.address, one.is_leaving
+            )
+            for one in state.entries()
+        )
+        return UpstreamList(state.list_made_at_ms, rows)
+
     def share_load(self, replica_id: ReplicaId, load: LoadReport) -> None:
         """Tells all peers a load report, with the next report at the latest."""
         row = LoadRow(
@@ -157,18 +196,20 @@
 
     async def _tick(self) -> None:
         next_at = time.monotonic()
+        while True:
+            now = time.monotonic()
+            await self._step(now)
+            next_at = max(next_at + self._options.report_interval, now)
+            await curio.sleep(max(0.0, next_at - time.monotonic()))
+
+    async def _flush_on_demand(self) -> None:
         try:
             while True:
-                now = time.monotonic()
-                if now >= next_at:
-                    await self._step(now)
-                    next_at = max(next_at + self._options.report_interval, now)
-                await curio.ignore_after(next_at - now, self._wakeup.wait)
-                if self._is_report_due or self._is_flush_due:
-                    # Actions that come within this time share one flush.
-                    rest = self._flushed_at + self._options.flush_interval
-                    await curio.sleep(max(0.0, rest - time.monotonic()))
-                    self._flush_if_due()
+                await self._wakeup.wait()
+                # Actions that come within this time share one flush.
+                rest = self._flushed_at + self._options.flush_interval
+                await curio.sleep(max(0.0, rest - time.monotonic()))
+                self._flush_if_due()
         finally:
             await self._wakeup.close()
 
@@ -234,6 +275,9 @@
         self._is_report_due = self._is_flush_due = False
         self._flushed_at = now
         self._peers.flush(now)
+        if self._peers.unsent_bytes:
+            self._is_flush_due = True
+            self._wakeup.set()
 
     def _build_report(self, now: float) -> Report:
         self._sequence += 1
@@ -259,6 +303,8 @@
             board.identity, board.configuration.version, self.membership.own_address
         )
         yield self._policy.build_snapshot(board)
+        if board.upstreams.listed:
+            yield self._build_list()
         for replica in board.upstreams.replicas.values():
             if replica.is_leaving:
                 yield UpstreamState(replica.replica_id, replica.incarnation, True)
@@ -286,6 +332,22 @@
                 upstreams = self._board.upstreams
                 if upstreams.take_state(replica_id, incarnation, is_leaving=is_leaving):
                     self.announce_leaving([upstreams.replicas[replica_id]])
+            case UpstreamList(made_at_ms, upstream_rows):
+                upstreams_in_list = [
+                    ListedUpstream(
+                        row.replica_id,
+                        row.service,
+                        row.zone,
+                        row.address,
+                        row.is_leaving,
+                    )
+                    for row in upstream_rows
+                ]
+                self.take_list(
+                    upstreams_in_list,
+                    made_at_ms=made_at_ms,
+                    source=identity.router_id,
+                )
             case Snapshot():
                 self._policy.take_snapshot(self._board, message)
             case Hello():
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -28,6 +28,7 @@
     Message,
     Report,
     Snapshot,
+    UpstreamList,
     UpstreamState,
 )
 from ..core.reports import ReportFilter
@@ -41,6 +42,9 @@
 _LOG = logging.getLogger(__name__)
 
 HELLO_TIMEOUT_SECONDS = 5.0
+# Reports that wait in a socket buffer cannot be replaced by newer ones, so a slow
+# peer would get old reports for longer with a larger buffer.
+SEND_BUFFER_BYTES = 65_536
 
 
 class Outbox:
@@ -61,6 +65,7 @@
         self._loads: dict[ReplicaId, LoadRow] = {}
         self._request: ConfigurationRequest | None = None
         self._configuration: Configuration | None = None
+        self._upstreams: UpstreamList | None = None
         self._report: Report | None = None
         self.is_empty = True
 
@@ -85,12 +90,17 @@
                     or message.version > self._configuration.version
                 ):
                     self._configuration = message
+            case UpstreamList():
+                self._upstreams = message
             case Hello() | Snapshot():
                 self._first.append(message)
 
     def take(self) -> list[Message]:
         """Removes and returns all messages in the order to send them."""
-        messages: list[Message] = [*self._first, *self._states.values()]
+        messages: list[Message] = list(self._first)
+        if self._upstreams is not None:
+            messages.append(self._upstreams)
+        messages.extend(self._states.values())
         if self._grants:
             messages.append(Grants(tuple(self._grants.values()), self._acknowledged))
         if self._request is not None:
@@ -137,9 +147,9 @@
         self._stalled_at: float | None = None
 
     @property
-    def is_open(self) -> bool:
-        """Whether the connection is established."""
-        return self._sock is not None
+    def unsent_bytes(self) -> int:
+        """Encoded bytes that the socket has not taken yet."""
+        return len(self._unsent)
 
     def put(self, message: Message) -> None:
         """Keeps a message for the next flush; without a connection it is dropped."""
@@ -214,6 +224,7 @@
             REACHABILITY.check(self.address.host)
             REACHABILITY.track(sock, self.address.host)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             self._sock = sock
             for message in handler.greet():
                 self._outbox.put(message)
@@ -321,9 +332,9 @@
                     sock._socket.shutdown(socket.SHUT_RDWR)
 
     @property
-    def open_links(self) -> int:
-        """Number of outgoing connections that are established."""
-        return sum(link.is_open for link, _ in self._links.values())
+    def unsent_bytes(self) -> int:
+        """Encoded bytes that the sockets have not taken yet."""
+        return sum(link.unsent_bytes for link, _ in self._links.values())
 
     async def _accept(self, sock: Any, peer: Any) -> None:
         host = peer[0]
