Try: report the expected remaining cost of running requests

Cause: the key multiplies running requests by the organisation's mean cost, although the hint and the work already charged say more. Change: CounterRow.committed, the expected cost with hint less the charge.

--- a/sequoiamoor/core/demand.py
+++ b/sequoiamoor/core/demand.py
@@ -15,11 +15,13 @@
 
     Attributes:
         deadline: Monotonic time of the earliest deadline among waiting requests.
+        committed: Units that the running requests are expected to add.
     """
 
     waiting: int = 0
     running: int = 0
     deadline: float = float("inf")
+    committed: float = 0.0
 
 
 Demands = dict[ServiceName, dict[OrganisationName, Demand]]
@@ -59,6 +61,7 @@
                 float("inf")
                 if row.deadline_ms is None
                 else now + row.deadline_ms / 1000,
+                float(row.committed),
             )
         return True
 
@@ -88,6 +91,7 @@
                     whole = found[name] = Demand()
                 whole.waiting += part.waiting
                 whole.running += part.running
+                whole.committed += part.committed
                 if part.waiting and part.deadline < whole.deadline:
                     whole.deadline = part.deadline
         return found
