--- a/sequoiamoor/core/demand.py
+++ b/sequoiamoor/core/demand.py
@@ -15,13 +15,11 @@
 
     Attributes:
         deadline: Monotonic time of the earliest deadline among waiting requests.
-        committed: Units that the running requests are expected to add.
     """
 
     waiting: int = 0
     running: int = 0
     deadline: float = float("inf")
-    committed: float = 0.0
 
 
 Demands = dict[ServiceName, dict[OrganisationName, Demand]]
@@ -61,7 +59,6 @@
                 float("inf")
                 if row.deadline_ms is None
                 else now + row.deadline_ms / 1000,
-                float(row.committed),
             )
         return True
 
@@ -91,7 +88,6 @@
                     whole = found[name] = Demand()
                 whole.waiting += part.waiting
                 whole.running += part.running
-                whole.committed += part.committed
                 if part.waiting and part.deadline < whole.deadline:
                     whole.deadline = part.deadline
         return found
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -37,7 +37,6 @@
         running: Requests with an attempt under way at the origin now.
         deadline_ms: Milliseconds until the earliest deadline among the waiting
             requests, negative if it has passed; None without waiting requests.
-        committed: Units that the running requests are expected to add.
     """
 
     service: ServiceName
@@ -47,7 +46,6 @@
     waiting: int
     running: int
     deadline_ms: int | None
-    committed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -317,7 +317,6 @@
             lift=int(board.ledger.lift(service, name)),
             waiting=board.queues.count(service, name),
             running=self._running_counts.get(service, {}).get(name, 0),
-            committed=int(self._committed(board, service, name)),
             deadline_ms=None if first is None else int((first.deadline - now) * 1000),
         )
 
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -38,7 +38,6 @@
     replica_id: ReplicaId
     is_plain: bool
     charged_at: float
-    expected: float
 
 
 @dataclass(slots=True)
@@ -138,15 +137,13 @@
                 first = board.queues.peek(service, name)
                 assert first is not None
                 deadline = first.deadline
-            committed = self._committed(board, service, name)
             if part is not None:
-                committed += part.committed
                 waiting += part.waiting
                 running += part.running
                 deadline = min(deadline, part.deadline)
             cost = self._costs.expect_any(service, name)
             organisations[name] = OrganisationView(
-                key=board.ledger.total(service, name) + committed,
+                key=board.ledger.total(service, name) + running * cost,
                 running_cost=cost,
                 waiting=waiting,
                 running=running,
@@ -163,16 +160,6 @@
             floor_factor=options.slot_floor_factor,
         )
 
-    def _committed(
-        self, board: Blackboard, service: ServiceName, name: OrganisationName
-    ) -> float:
-        """Returns the units that running requests of this router should add."""
-        return sum(
-            max(one.expected - one.request.charged, 0.0)
-            for one in self._running.values()
-            if one.request.organisation == name and one.request.service == service
-        )
-
     def choose_start(
         self, board: Blackboard, service: ServiceName, now: float
     ) -> Start | None:
@@ -224,11 +211,7 @@
             and declaration.services[service].kind is ServiceKind.PLAIN
         )
         self._running[request.call_id] = _Running(
-            request,
-            replica.replica_id,
-            is_plain,
-            now,
-            self._costs.expect(request, trust_factor=board.options.hint_trust_factor),
+            request, replica.replica_id, is_plain, now
         )
         counts = self._running_counts.setdefault(service, {})
         counts[name] = counts.get(name, 0) + 1
