Keep at-most-once records and shut down as decided

Cause: repeats of a booking ran once per repeat (4 executions of each of 30 bookings repeated 4 times), a retry after a sent attempt could end as 'was not run', and a forced shutdown broke connections without a word. Ruled out: claiming before a slot is free (claims would expire in the queue); holding the slot until the table answers (a slow table would stop the service: the claim has 1 s, then refusals need no slot for another second). Change: daemon/records.py carries out the claims and writes the end in the background; exchange.py takes the check that it makes right before the first byte; calls.py asks core/retries.py and core/overload.py; router.py follows core/drain.py. Conclusion: repeats are safe with the platform's faults; calls with an expired claim send nothing.

--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -10,15 +10,24 @@
 import curio
 
 from ..core.blackboard import Blackboard
+from ..core.overload import Overload, bound_retry_after
+from ..core.records import KeptAnswer
+from ..core.retries import GiveUp, Retries, is_attempt_failure
 from ..core.upstreams import Replica
-from ..errors import RefusalError, UpstreamUnreachableError, WaitLimitError
+from ..errors import (
+    DrainLimitError,
+    LeavingError,
+    QueueFullError,
+    RefusalError,
+)
 from ..metrics import Metrics
 from ..net.caller import send_refusal, to_refusal_body
 from ..net.exchange import Answer, Attempt, ConnectionPool
 from ..net.http import ServerConnection
 from ..net.relay import StreamCheck
 from ..policies import Policy
-from ..types import CallRequest, ReplicaId, ServiceKind
+from ..types import CallRequest, Execution, ReplicaId, ServiceKind
+from .records import CallRecord, Records
 
 _LOG = logging.getLogger(__name__)
 
@@ -92,6 +101,11 @@
             answer.status, self._headers(answer.content_type), answer.body
         )
 
+    async def send_replay(self, answer: KeptAnswer) -> None:
+        """Sends the kept answer of an earlier execution of the same call."""
+        headers = {**self._headers(answer.content_type), "x-replayed": "true"}
+        await self._connection.send_response(answer.status, headers, answer.body)
+
     async def refuse(self, error: RefusalError) -> None:
         """Ends the answer as refused or, if it has begun, as incomplete."""
         if not self.is_started:
@@ -106,12 +120,24 @@
 class CallServer:
     """Serves the calls that a router accepted."""
 
-    def __init__(self, board: Blackboard, policy: Policy, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        policy: Policy,
+        metrics: Metrics,
+        *,
+        records: Records,
+        retries: Retries,
+    ) -> None:
         self._board = board
         self._policy = policy
         self._metrics = metrics
+        self._records = records
+        self._retries = retries
         self._options = board.options
         self._pool = ConnectionPool(options=board.options)
+        self._overload = Overload(board.options)
+        self._tasks: dict[str, Any] = {}
         self._pending: dict[str, _PendingStart] = {}
 
     def accept(self, call: CallRequest) -> None:
@@ -120,9 +146,47 @@
         Raises:
             RefusalError: If the call cannot be queued.
         """
-        self._board.queues.add(call)
+        now = time.monotonic()
+        self._records.check_available(call, now)
+        waiting = self._count_waiting(call)
+        self._overload.check_arrival(call, waiting, now)
+        try:
+            self._board.queues.add(call)
+        except QueueFullError as error:
+            expected = self._overload.estimate_wait(call, waiting, now)
+            error.retry_after = bound_retry_after(expected / 2)
+            raise
+        self._overload.note_waiting(call, waiting + 1, now)
         self._pending[call.call_id] = _PendingStart()
 
+    def _count_waiting(self, call: CallRequest) -> int:
+        return self._board.queues.count(call.service, call.organisation)
+
+    @property
+    def in_service(self) -> int:
+        """How many accepted calls have not been answered completely."""
+        return len(self._pending)
+
+    async def cut(self, reason: str) -> None:
+        """Ends all calls: waiting ones as not run, the others as incomplete."""
+        for call_id, task in list(self._tasks.items()):
+            call = self._board.running.get(call_id)
+            if call is None:
+                error: RefusalError = LeavingError(
+                    "this router ends before the request could start; send it to "
+                    "another one",
+                    retry_after=1.0,
+                )
+            else:
+                extra = describe_call(call, reason=reason)
+                _LOG.warning("request cut", extra=extra)
+                self._metrics.requests_cut.labels(reason).inc()
+                error = DrainLimitError(
+                    "this router ended before the request did; if the request may "
+                    "be repeated, send it to another one"
+                )
+            await task.cancel(exc=error, blocking=False)
+
     async def close(self) -> None:
         """Closes the idle connections to upstreams."""
         await self._pool.close()
@@ -130,21 +194,28 @@
     async def serve(self, connection: ServerConnection, call: CallRequest) -> None:
         """Serves a queued call to its end."""
         sink = CallerSink(connection, call)
+        self._tasks[call.call_id] = await curio.current_task()
         try:
             await self._run_call(call, sink)
         except RefusalError as error:
+            if call.may_have_run and error.execution is Execution.WAS_NOT_RUN:
+                error.execution = Execution.MAY_HAVE_RUN
             self._metrics.refusals.labels(error.code).inc()
             _LOG.info("refused", extra=describe_call(call, reason=error.code))
+            self._tasks.pop(call.call_id, None)
             try:
                 await sink.refuse(error)
-            except OSError as err:
-                _LOG.debug("caller gone: %s", err)
+            except (OSError, RefusalError) as err:
+                _LOG.debug("refusal not sent: %s", err)
             return
         except (CallerGoneError, OSError):
             _LOG.info("caller gone", extra=describe_call(call))
             return
         finally:
-            self._board.queues.remove(call.call_id)
+            if self._board.queues.remove(call.call_id) is not None:
+                waiting = self._count_waiting(call)
+                self._overload.note_waiting(call, waiting, time.monotonic())
+            self._tasks.pop(call.call_id, None)
             self._pending.pop(call.call_id, None)
         self._metrics.calls.labels(call.service, call.organisation).inc()
         if sink.first_at is not None:
@@ -154,24 +225,51 @@
 
     async def _run_call(self, call: CallRequest, sink: CallerSink) -> None:
         check = StreamCheck(call.call_id)
-        while True:
-            replica = await self._wait_start(call)
-            try:
-                await self._run_attempt(call, replica, check, sink)
-                return
-            except RefusalError as error:
-                self._board.upstreams.record_failure(
-                    replica.replica_id, time.monotonic()
-                )
-                is_unsent = isinstance(error, UpstreamUnreachableError)
-                if call.attempts >= self._options.max_attempts or not (
-                    call.is_repeatable or is_unsent
-                ):
-                    raise
-                self._metrics.retries.labels(error.code).inc()
-                call.excluded |= {replica.replica_id}
-                self._pending[call.call_id] = _PendingStart()
-                self._board.queues.add_again(call)
+        record = self._records.open(call)
+        error: RefusalError | None = None
+        try:
+            while True:
+                try:
+                    replica = await self._wait_start(call)
+                    replayed = await self._run_attempt(
+                        call, replica, check, sink, record
+                    )
+                    break
+                except RefusalError as latest:
+                    error = latest
+                    await self._prepare_retry(call, error, check)
+            if replayed is not None:
+                self._metrics.replays.labels(call.service, call.organisation).inc()
+                await sink.send_replay(replayed)
+        finally:
+            if record is not None:
+                await record.close(error)
+
+    async def _prepare_retry(
+        self,
+        call: CallRequest,
+        error: RefusalError,
+        check: StreamCheck,
+    ) -> None:
+        replica_id = self._pending[call.call_id].replica_id
+        if replica_id is None or not is_attempt_failure(error):
+            raise error
+        if error.execution is not Execution.WAS_NOT_RUN:
+            call.may_have_run = True
+        now = time.monotonic()
+        self._board.upstreams.record_failure(replica_id, now)
+        has_begun = check.next_index > 0
+        decision = self._retries.decide(call, error, now, has_begun=has_begun)
+        if isinstance(decision, GiveUp):
+            self._metrics.retries_refused.labels(decision.reason).inc()
+            raise error
+        self._metrics.retries.labels(error.code).inc()
+        call.excluded |= {replica_id}
+        call.wait_limit_at = decision.wait_limit_at
+        await curio.sleep(decision.delay)
+        self._pending[call.call_id] = _PendingStart()
+        self._board.queues.add_again(call)
+        self._overload.note_waiting(call, self._count_waiting(call), time.monotonic())
 
     async def _wait_start(self, call: CallRequest) -> Replica:
         pending = self._pending[call.call_id]
@@ -179,10 +277,8 @@
         remaining = call.wait_limit_at - time.monotonic()
         await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
         if pending.replica_id is None:
-            raise WaitLimitError(
-                "the request waited as long as its class or deadline allows; try "
-                "again later",
-                retry_after=1.0,
+            raise self._overload.build_wait_limit_error(
+                call, self._count_waiting(call), time.monotonic()
             )
         return self._board.upstreams.replicas[pending.replica_id]
 
@@ -194,6 +290,7 @@
         ) is not None:
             call = self._board.queues.remove(start.call_id)
             assert call is not None
+            self._overload.note_start(call, self._count_waiting(call), now)
             call.attempts += 1
             self._board.running[call.call_id] = call
             self._board.upstreams.replicas[start.replica_id].in_use += 1
@@ -202,25 +299,48 @@
             await pending.event.set()
 
     async def _run_attempt(
-        self, call: CallRequest, replica: Replica, check: StreamCheck, sink: CallerSink
-    ) -> None:
+        self,
+        call: CallRequest,
+        replica: Replica,
+        check: StreamCheck,
+        sink: CallerSink,
+        record: CallRecord | None,
+    ) -> KeptAnswer | None:
         def charge(units: float) -> None:
             self._board.ledger.charge(call.service, call.organisation, units)
             self._metrics.served.labels(call.service, call.organisation).inc(units)
 
         attempt = Attempt(
-            call, replica, pool=self._pool, options=self._options, charge=charge
+            call,
+            replica,
+            pool=self._pool,
+            options=self._options,
+            charge=charge,
+            check_before_send=record.check_before_send if record else None,
         )
         declaration = self._board.configuration.declaration
         assert declaration is not None
         try:
+            if record is not None and (replayed := await record.take()) is not None:
+                return replayed
             if declaration.services[call.service].kind is ServiceKind.ENGINE:
                 await attempt.stream(check, sink)
+                if record is not None:
+                    await record.finish(200, None)
                 await sink.finish_stream()
             else:
                 answer = await attempt.call()
+                if record is not None:
+                    kept = KeptAnswer(answer.status, answer.content_type, answer.body)
+                    await record.finish(answer.status, kept)
                 await sink.send_answer(answer)
             self._board.upstreams.record_success(replica.replica_id)
+            self._retries.budget.record_success()
+            return None
+        except LeavingError as error:
+            if attempt.is_sent:
+                error.execution = Execution.MAY_HAVE_RUN
+            raise
         finally:
             replica.in_use -= 1
             self._board.running.pop(call.call_id, None)
--- /dev/null
+++ b/sequoiamoor/daemon/records.py
@@ -0,0 +1,246 @@
+"""Carries out the writes of at-most-once records with the platform client."""
+
+from __future__ import annotations
+
+import logging
+import time
+from random import Random
+from typing import Any
+
+import curio
+
+from ..core.records import Claim, KeptAnswer, needs_record
+from ..core.retries import draw_backoff
+from ..core.writes import ConditionalWrite, Put, Rejected, WriteResult
+from ..errors import (
+    PlatformUnavailableError,
+    RecordUnavailableError,
+    RefusalError,
+    VersionConflictError,
+)
+from ..metrics import Metrics
+from ..net.platform import PlatformClient
+from ..options import Options
+from ..types import CallRequest, Execution
+
+_LOG = logging.getLogger(__name__)
+
+BASE_DELAY_SECONDS = 0.02
+MAX_DELAY_SECONDS = 0.5
+
+
+async def settle(
+    platform: PlatformClient, write: ConditionalWrite, *, rng: Random
+) -> WriteResult:
+    """Repeats a conditional write and reads it back until its effect is known.
+
+    The caller bounds the time with a timeout; the effect is unknown after it.
+    """
+    failures = 0
+    while write.result is None:
+        operation = write.next_operation()
+        try:
+            if isinstance(operation, Put):
+                write.take_written(
+                    await platform.write(
+                        operation.key,
+                        operation.value,
+                        expected_version=operation.expected_version,
+                    )
+                )
+            else:
+                entry = await platform.read(operation.key)
+                write.take_present(entry.version, entry.value)
+        except VersionConflictError as err:
+            write.take_present(err.version, err.value)
+        except (PlatformUnavailableError, ValueError, KeyError, TypeError) as err:
+            write.take_unknown()
+            failures += 1
+            _LOG.debug("table operation on %s is not answered: %s", write.key, err)
+            await curio.sleep(
+                draw_backoff(
+                    failures, base=BASE_DELAY_SECONDS, limit=MAX_DELAY_SECONDS, rng=rng
+                )
+            )
+    return write.result
+
+
+class Records:
+    """The at-most-once records of the calls of one router."""
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        *,
+        options: Options,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        self._platform = platform
+        self._options = options
+        self._metrics = metrics
+        self._rng = rng
+        self._is_down = False
+        self._refused_until = float("-inf")
+        self._probe_call_id: str | None = None
+        self._background: set[Any] = set()
+
+    @property
+    def is_available(self) -> bool:
+        """Whether the last claim could be settled in time."""
+        return not self._is_down
+
+    @property
+    def unfinished(self) -> int:
+        """How many records are still to be written after their calls ended."""
+        return len(self._background)
+
+    def check_available(self, call: CallRequest, now: float) -> None:
+        """Refuses a call that needs a record while the table is out of reach.
+
+        One call per pause is let through to find out whether the table is back, so
+        that an outage does not keep slots of upstreams busy.
+
+        Raises:
+            RecordUnavailableError: If the call cannot be claimed now.
+        """
+        if not self._is_down or not needs_record(call):
+            return
+        if now < self._refused_until:
+            raise self._unavailable()
+        self._refused_until = now + self._options.claim_timeout
+        self._probe_call_id = call.call_id
+
+    def _unavailable(self) -> RecordUnavailableError:
+        return RecordUnavailableError(
+            "the platform's table does not answer, so this call could run twice; "
+            "nothing was sent, try again later",
+            retry_after=self._options.table_pause,
+        )
+
+    def open(self, call: CallRequest) -> CallRecord | None:
+        """Returns the record of a call, or None if the call needs none."""
+        if not needs_record(call):
+            return None
+        claim = Claim(
+            call,
+            lifetime=self._options.claim_lifetime,
+            kept_answer_bytes=self._options.kept_answer_bytes,
+        )
+        return CallRecord(self, claim, call)
+
+    async def take(self, claim: Claim, call: CallRequest) -> KeptAnswer | None:
+        """Claims a record, for at most the claim timeout.
+
+        Raises:
+            RefusalError: If the call must not be sent.
+        """
+        now = time.monotonic()
+        is_probe = call.call_id == self._probe_call_id
+        if self._is_down and now < self._refused_until and not is_probe:
+            raise self._unavailable()
+        if claim.is_valid(now):
+            return None
+        try:
+            async with curio.timeout_after(self._options.claim_timeout):
+                found = await self._claim(claim, now)
+        except curio.TaskTimeout as err:
+            self._note_failure()
+            raise self._unavailable() from err
+        self._is_down = False
+        return found
+
+    async def _claim(self, claim: Claim, now: float) -> KeptAnswer | None:
+        write = claim.start(now)
+        while True:
+            result = await settle(self._platform, write, rng=self._rng)
+            step = claim.take_result(result, time.monotonic())
+            if not isinstance(step, ConditionalWrite):
+                return step
+            write = step
+
+    def _note_failure(self) -> None:
+        if not self._is_down:
+            _LOG.warning("table out of reach", extra={"reason": "record-unavailable"})
+        self._is_down = True
+        self._probe_call_id = None
+        self._refused_until = time.monotonic() + self._options.table_pause
+
+    async def write_later(self, claim: Claim, write: ConditionalWrite) -> None:
+        """Writes the end of a record in the background, for a bounded time."""
+        task = await curio.spawn(self._write_end, claim, write, daemon=True)
+        self._background.add(task)
+
+    async def _write_end(self, claim: Claim, write: ConditionalWrite) -> None:
+        state = write.value["state"]
+        next_write: ConditionalWrite | None = write
+        outcome = state
+        try:
+            async with curio.timeout_after(self._options.record_retry_time):
+                while next_write is not None:
+                    result = await settle(self._platform, next_write, rng=self._rng)
+                    if state == "done":
+                        next_write = None
+                    else:
+                        next_write = claim.take_abandon_result(result)
+                    if next_write is None and isinstance(result, Rejected):
+                        outcome = f"{state}-rejected"
+        except curio.TaskTimeout:
+            outcome = f"{state}-given-up"
+        finally:
+            self._background.discard(await curio.current_task())
+        self._metrics.record_ends.labels(outcome).inc()
+        if outcome != state:
+            _LOG.warning(
+                "record not written", extra={"reason": outcome, "request_id": claim.key}
+            )
+
+
+class CallRecord:
+    """The record of one call, as the server of calls uses it."""
+
+    def __init__(self, records: Records, claim: Claim, call: CallRequest) -> None:
+        self._records = records
+        self._claim = claim
+        self._call = call
+        self._is_closed = False
+
+    async def take(self) -> KeptAnswer | None:
+        """Claims the record, unless an earlier claim of this call is valid.
+
+        Returns:
+            The answer of an earlier execution, or None if the call may be sent.
+
+        Raises:
+            RefusalError: If the call must not be sent.
+        """
+        return await self._records.take(self._claim, self._call)
+
+    def check_before_send(self) -> None:
+        """Allows the first byte.
+
+        Raises:
+            ClaimExpiredError: If the claim has expired.
+        """
+        self._claim.check_before_send(time.monotonic())
+
+    async def finish(self, status: int, answer: KeptAnswer | None) -> None:
+        """Makes the record ``done`` in the background."""
+        self._is_closed = True
+        write = self._claim.finish(status, answer)
+        if write is not None:
+            await self._records.write_later(self._claim, write)
+
+    async def close(self, error: RefusalError | None = None) -> None:
+        """Abandons the record in the background if the call did not run."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        was_refused = (
+            error is not None
+            and error.execution is Execution.WAS_NOT_RUN
+            and not self._call.may_have_run
+        )
+        write = self._claim.abandon(was_refused=was_refused)
+        if write is not None:
+            await self._records.write_later(self._claim, write)
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import signal
+import sys
 import time
 from random import Random
 from typing import Any
@@ -12,6 +13,8 @@
 import curio
 
 from ..core.blackboard import create_blackboard
+from ..core.drain import Drain, DrainEnd
+from ..core.retries import Retries
 from ..errors import (
     LeavingError,
     RefusalError,
@@ -28,12 +31,15 @@
 from ..types import (
     RouterIdentity,
 )
-from .calls import CallServer, describe_call
+from .calls import CallServer
 from .pages import Pages
 from .pollers import Pollers
+from .records import Records
 
 _LOG = logging.getLogger(__name__)
 
+DRAIN_CHECK_SECONDS = 0.02
+
 
 class Router:
     """One router of the fleet."""
@@ -51,7 +57,21 @@
         self._platform = PlatformClient(
             settings.platform.to_address(), timeout=self._options.platform_timeout
         )
-        self._calls = CallServer(self.board, self._policy, self.metrics)
+        self._records = Records(
+            PlatformClient(
+                settings.platform.to_address(), timeout=self._options.table_timeout
+            ),
+            options=self._options,
+            metrics=self.metrics,
+            rng=self._rng,
+        )
+        self._calls = CallServer(
+            self.board,
+            self._policy,
+            self.metrics,
+            records=self._records,
+            retries=Retries(self._options, rng=self._rng),
+        )
         self._pages = Pages(self.board, self.metrics)
         self._pollers = Pollers(self.board, self._platform)
         self._numbers = itertools.count(1)
@@ -63,41 +83,64 @@
         number = next(self._numbers)
         return f"{identity.router_id}.{identity.incarnation:x}.{number:x}"
 
-    async def serve(self) -> None:
+    async def serve(self) -> DrainEnd:
         """Serves until the router is told to stop and its work is done."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT)
         http = self._settings.http
         sock = curio.network.tcp_server_socket(http.host, http.port, backlog=1024)
         _LOG.info("listening", extra={"router_id": self.board.identity.router_id})
         with signals:
-            await self._serve_until(signals, sock)
+            end = await self._serve_until(signals, sock)
         await self._calls.close()
+        return end
 
-    async def _serve_until(self, signals: SignalWatch, sock: Any) -> None:
+    async def _serve_until(self, signals: SignalWatch, sock: Any) -> DrainEnd:
         async with curio.TaskGroup() as tasks:
             listener = await tasks.spawn(curio.network.run_server, sock, self._accept)
             await tasks.spawn(self._pollers.poll_platform)
             await tasks.spawn(self._pollers.poll_loads)
             await tasks.spawn(self._tick)
             await signals.wait()
-            self.board.is_leaving = True
-            _LOG.info("draining")
-            await self._drain(signals)
+            end = await self._drain(signals)
             await listener.cancel()
             await tasks.cancel_remaining()
+        return end
 
-    async def _drain(self, signals: SignalWatch) -> None:
-        async def wait_idle() -> None:
-            while self.board.running or len(self.board.queues):
-                await curio.sleep(0.05)
+    async def _drain(self, signals: SignalWatch) -> DrainEnd:
+        drain = Drain(
+            limit=self._options.drain_limit,
+            announce_time=self._options.drain_announce_time,
+            record_time=self._options.drain_record_time,
+        )
+        drain.take_signal(time.monotonic())
+        self.board.is_leaving = drain.is_leaving
+        _LOG.info("draining")
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(self._take_signals, drain, signals)
+            while (end := self._find_end(drain)) is None:
+                await curio.sleep(DRAIN_CHECK_SECONDS)
+            await tasks.cancel_remaining()
+        if end is not DrainEnd.IDLE:
+            await self._calls.cut(end.value)
+            await curio.ignore_after(self._options.drain_cut_time, self._wait_answered)
+        _LOG.info("drained", extra={"reason": end.value})
+        return end
 
-        async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(wait_idle)
-            await tasks.spawn(signals.wait)
-            await tasks.spawn(curio.sleep, self._options.drain_limit)
-        for call in self.board.running.values():
-            _LOG.warning("request cut", extra=describe_call(call, reason="drain-limit"))
-            self.metrics.refusals.labels("drain-limit").inc()
+    async def _take_signals(self, drain: Drain, signals: SignalWatch) -> None:
+        while True:
+            await signals.wait()
+            drain.take_signal(time.monotonic())
+
+    def _find_end(self, drain: Drain) -> DrainEnd | None:
+        return drain.find_end(
+            time.monotonic(),
+            in_service=self._calls.in_service,
+            records=self._records.unfinished,
+        )
+
+    async def _wait_answered(self) -> None:
+        while self._calls.in_service:
+            await curio.sleep(DRAIN_CHECK_SECONDS)
 
     async def _accept(self, sock: Any, peer: Any) -> None:
         limits = self._settings.limits
@@ -183,6 +226,12 @@
 
 
 def run_router(settings: RouterSettings) -> None:
-    """Runs a router until it is told to stop and its work is done."""
+    """Runs a router until it is told to stop and its work is done.
+
+    Raises:
+        SystemExit: With code 1 if the drain limit or a second signal ended it.
+    """
     configure_logs(settings.log_level)
-    curio.run(Router(settings).serve)
+    end = curio.run(Router(settings).serve)
+    if end is not DrainEnd.IDLE:
+        sys.exit(1)
--- a/sequoiamoor/net/caller.py
+++ b/sequoiamoor/net/caller.py
@@ -96,6 +96,7 @@
         wants_stream="text/event-stream" in request.headers.get("accept", ""),
         has_caller_id=request_id is not None,
         is_repeatable=declaration.services[service].repeatable,
+        caller_deadline_at=None if limit_ms is None else now + limit_ms / 1000,
     )
 
 
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -88,12 +88,14 @@
         pool: ConnectionPool,
         options: Options,
         charge: Callable[[float], None],
+        check_before_send: Callable[[], None] | None = None,
     ) -> None:
         self._call = call
         self._replica = replica
         self._pool = pool
         self._options = options
         self._charge = charge
+        self._check_before_send = check_before_send
         self.is_sent = False
 
     async def _open(self, path: str, headers: dict[str, str]) -> ClientConnection:
@@ -107,7 +109,6 @@
                 "again",
                 retry_after=1.0,
             ) from err
-        self.is_sent = True
         fields = {
             "x-request-id": self._call.request_id,
             "x-call-id": self._call.call_id,
@@ -115,6 +116,9 @@
             **headers,
         }
         try:
+            if self._check_before_send is not None:
+                self._check_before_send()
+            self.is_sent = True
             await connection.send_request("POST", path, fields, self._call.body)
         except BaseException:
             await connection.close()
--- /dev/null
+++ b/tests/daemon/test_records.py
@@ -0,0 +1,130 @@
+"""Tests of at-most-once records through real routers."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+from typing import Any
+
+import curio
+import pytest
+
+from .fleet import (
+    call,
+    call_async,
+    read_counter,
+    read_executions,
+    read_record,
+    run_small_fleet,
+    set_faults,
+    wait_until,
+)
+
+pytestmark = pytest.mark.processes
+
+
+def test_repeats_through_two_routers_while_answers_are_lost() -> None:
+    """Guards against a booking that is made twice when a caller repeats it."""
+    bookings = 30
+
+    async def book(routers: list[Any], number: int, told: list[Any]) -> None:
+        for turn in range(4):
+            router = routers[(number + turn) % 2]
+            status, _, data = await call_async(router, f"booking-{number}", work_ms=5)
+            told.append((number, status, data))
+
+    async def book_all(routers: list[Any]) -> list[Any]:
+        told: list[Any] = []
+        async with curio.TaskGroup() as tasks:
+            for number in range(bookings):
+                await tasks.spawn(book, routers, number, told)
+        return told
+
+    with run_small_fleet() as (fleet, routers):
+        set_faults(fleet, lose=0.3)
+        told = curio.run(book_all, routers)
+        set_faults(fleet)
+        counts = read_executions(fleet)
+        assert set(counts.values()) <= {1}
+        for number, status, data in told:
+            if status == 200:
+                assert counts[f"booking-{number}"] == 1
+            else:
+                assert b'"execution": ' in data
+        assert sum(status == 200 for _, status, _ in told) >= bookings
+
+
+def test_repeat_gets_the_kept_answer_or_its_own_refusal() -> None:
+    """Guards against another call's answer under a request identifier used twice."""
+    with run_small_fleet() as (fleet, (first, second)):
+        status, headers, answer = call(first, "lane-7", work_ms=1)
+        assert status == 200 and "x-replayed" not in headers
+        wait_until(lambda: read_record(fleet, "lane-7")["state"] == "done")
+        status, headers, repeated = call(second, "lane-7", work_ms=1)
+        assert (status, headers["x-replayed"], repeated) == (200, "true", answer)
+        status, _, refusal = call(second, "lane-7", work_ms=2)
+        assert (status, refusal["code"]) == (422, "request-id-reused")
+        assert refusal["execution"] == "was not run"
+        assert read_executions(fleet) == {"lane-7": 1}
+
+
+@pytest.mark.parametrize("faults", [{"outage": True}, {"delay_ms": 5_000}])
+def test_platform_out_refuses_only_bookings_with_an_identifier(
+    faults: dict[str, Any],
+) -> None:
+    """Guards against a booking without a record and against an outage for all."""
+    with run_small_fleet(1) as (fleet, (router,)):
+        set_faults(fleet, **faults)
+        for number in range(3):
+            status, headers, refusal = call(router, f"b-{number}")
+            assert (status, refusal["code"]) == (503, "record-unavailable")
+            assert refusal["execution"] == "was not run"
+            assert int(headers["retry-after"]) >= 1
+        assert read_executions(fleet) == {}
+        assert call(router, None)[0] == 200
+        status, _, _ = call_talk(router)
+        assert status == 200
+        set_faults(fleet)
+        wait_until(lambda: call(router, "b-0")[0] == 200)
+
+
+def call_talk(router: Any) -> tuple[int, dict[str, str], bytes]:
+    async def run() -> tuple[int, dict[str, str], bytes]:
+        return await call_async(
+            router, "t-1", service="talk", class_name="chat", tokens=4
+        )
+
+    return curio.run(run)
+
+
+def test_router_paused_after_its_claim_sends_nothing() -> None:
+    """Guards against a router that was paused sending on an expired claim."""
+    options = {"claim_lifetime": 0.5, "claim_timeout": 30.0, "table_timeout": 30.0}
+    with run_small_fleet(options=options) as (fleet, (paused, other)):
+        process = fleet.processes["router-0"]
+        set_faults(fleet, delay_ms=2_000)
+
+        def pause_over_lifetime() -> None:
+            wait_until(lambda: read_counter(paused, "sequoiamoor_running_requests"))
+            time.sleep(0.2)
+            process.send_signal(signal.SIGSTOP)
+            set_faults(fleet)
+            wait_until(lambda: read_record(fleet, "lane-9") is not None)
+            time.sleep(0.5)
+            process.send_signal(signal.SIGCONT)
+
+        async def book() -> tuple[int, dict[str, str], bytes]:
+            task = await curio.spawn(call_async, paused, "lane-9")
+            await curio.run_in_thread(pause_over_lifetime)
+            result: tuple[int, dict[str, str], bytes] = await task.join()
+            return result
+
+        status, _, data = curio.run(book)
+        refusal = json.loads(data)
+        assert (status, refusal["code"]) == (503, "claim-expired")
+        assert refusal["execution"] == "was not run"
+        wait_until(lambda: read_record(fleet, "lane-9")["state"] == "abandoned")
+        assert read_executions(fleet) == {}
+        assert call(other, "lane-9")[0] == 200
+        assert read_executions(fleet) == {"lane-9": 1}
