--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -7,20 +7,26 @@
 import time
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any
 
 import curio
 import h11
 
 from ..core.blackboard import Blackboard
+from ..core.overload import Overload, bound_retry_after
+from ..core.records import KeptAnswer
+from ..core.retries import GiveUp, Retries, is_attempt_failure
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
+    DrainLimitError,
     InternalError,
+    LeavingError,
+    QueueFullError,
     RefusalError,
     UpstreamFailedError,
     UpstreamUnreachableError,
-    WaitLimitError,
 )
 from ..metrics import Metrics
 from ..net.caller import send_refusal, to_refusal_body
@@ -29,6 +35,7 @@
 from ..net.relay import StreamCheck, build_document
 from ..policies import Policy
 from ..types import CallRequest, Execution, ServiceKind
+from .records import CallRecord, Records
 
 _LOG = logging.getLogger(__name__)
 
@@ -121,6 +128,13 @@
             self._connection.send_response(answer.status, headers, answer.body)
         )
 
+    async def send_replay(self, answer: KeptAnswer) -> None:
+        """Sends the kept answer of an earlier execution of the same call."""
+        headers = {**self._headers(answer.content_type), "x-replayed": "true"}
+        await self._deliver(
+            self._connection.send_response(answer.status, headers, answer.body)
+        )
+
     async def _deliver(self, sending: Coroutine[Any, Any, None]) -> None:
         try:
             await sending
@@ -143,12 +157,24 @@
 class CallServer:
     """Serves the calls that a router accepted."""
 
-    def __init__(self, board: Blackboard, policy: Policy, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        policy: Policy,
+        metrics: Metrics,
+        *,
+        records: Records | None = None,
+        retries: Retries | None = None,
+    ) -> None:
         self._board = board
         self._policy = policy
         self._metrics = metrics
+        self._records = records
+        self._retries = retries or Retries(board.options, rng=Random())
         self._options = board.options
         self._pool = ConnectionPool(options=board.options, metrics=metrics)
+        self._overload = Overload(board.options)
+        self._tasks: dict[str, Any] = {}
         self._pending: dict[str, _PendingStart] = {}
 
     def accept(self, call: CallRequest) -> None:
@@ -157,9 +183,48 @@
         Raises:
             RefusalError: If the call cannot be queued.
         """
-        self._board.queues.add(call)
+        now = time.monotonic()
+        if self._records is not None:
+            self._records.check_available(call, now)
+        waiting = self._count_waiting(call)
+        self._overload.check_arrival(call, waiting, now)
+        try:
+            self._board.queues.add(call)
+        except QueueFullError as error:
+            expected = self._overload.estimate_wait(call, waiting, now)
+            error.retry_after = bound_retry_after(expected / 2)
+            raise
+        self._overload.note_waiting(call, waiting + 1, now)
         self._pending[call.call_id] = _PendingStart()
 
+    def _count_waiting(self, call: CallRequest) -> int:
+        return self._board.queues.count(call.service, call.organisation)
+
+    @property
+    def in_service(self) -> int:
+        """How many accepted calls have not been answered completely."""
+        return len(self._pending)
+
+    async def cut(self, reason: str) -> None:
+        """Ends all calls: waiting ones as not run, the others as incomplete."""
+        for call_id, task in list(self._tasks.items()):
+            call = self._board.running.get(call_id)
+            if call is None:
+                error: RefusalError = LeavingError(
+                    "this router ends before the request could start; send it to "
+                    "another one",
+                    retry_after=1.0,
+                )
+            else:
+                extra = describe_call(call, reason=reason)
+                _LOG.warning("request cut", extra=extra)
+                self._metrics.requests_cut.labels(reason).inc()
+                error = DrainLimitError(
+                    "this router ended before the request did; if the request may "
+                    "be repeated, send it to another one"
+                )
+            await task.cancel(exc=error, blocking=False)
+
     async def watch(self) -> None:
         """Watches the connections to upstreams until cancelled."""
         await self._pool.watch()
@@ -178,7 +243,10 @@
             await self._forget(call)
 
     async def _forget(self, call: CallRequest) -> None:
-        self._board.queues.remove(call.call_id)
+        if self._board.queues.remove(call.call_id) is not None:
+            waiting = self._count_waiting(call)
+            self._overload.note_waiting(call, waiting, time.monotonic())
+        self._tasks.pop(call.call_id, None)
         pending = self._pending.pop(call.call_id, None)
         # A call can be given a slot in the same turn in which its caller goes.
         if pending is not None and pending.replica is not None:
@@ -188,6 +256,7 @@
         sink = CallerSink(
             connection, call, answer_limit=self._options.answer_limit_bytes
         )
+        self._tasks[call.call_id] = await curio.current_task()
         try:
             await self._run_or_refuse(call, sink)
         except CallerGoneError as err:
@@ -232,49 +301,70 @@
             error.execution = Execution.MAY_HAVE_RUN
         self._metrics.refusals.labels(error.code).inc()
         _LOG.info("refused", extra=describe_call(call, reason=error.code))
+        # A shutdown must not cut the refusal itself.
+        self._tasks.pop(call.call_id, None)
         await sink.refuse(error)
 
     async def _run_call(self, call: CallRequest, sink: CallerSink) -> None:
         check = StreamCheck(call.call_id)
-        while True:
-            replica = await self._wait_start(call)
-            try:
-                answer = await self._run_attempt(call, replica, check, sink)
-                break
-            except RefusalError as error:
-                if _is_connection_failure(error):
-                    self._board.upstreams.record_failure(
-                        replica.replica_id, time.monotonic()
-                    )
-                is_unsent = not call.is_sent and isinstance(
-                    error, UpstreamUnreachableError
-                )
-                if call.attempts >= self._options.max_attempts or not (
-                    call.is_repeatable or is_unsent
-                ):
-                    raise
-                self._metrics.retries.labels(error.code).inc()
-                self._prepare_retry(call, replica, sink)
-        if answer is None:
-            await sink.finish_stream()
-        else:
-            await sink.send_answer(answer)
-
-    def _prepare_retry(
-        self, call: CallRequest, replica: Replica, sink: CallerSink
+        record = self._records.open(call) if self._records is not None else None
+        error: RefusalError | None = None
+        try:
+            while True:
+                replica = await self._wait_start(call)
+                try:
+                    answer = await self._run_attempt(call, replica, check, sink, record)
+                    break
+                except RefusalError as latest:
+                    error = latest
+                    await self._prepare_retry(call, replica, error, sink)
+        except RefusalError as latest:
+            error = latest
+            raise
+        finally:
+            if record is not None:
+                await record.close(error)
+        match answer:
+            case None:
+                await sink.finish_stream()
+            case KeptAnswer():
+                self._metrics.replays.labels(call.service, call.organisation).inc()
+                await sink.send_replay(answer)
+            case _:
+                await sink.send_answer(answer)
+
+    async def _prepare_retry(
+        self, call: CallRequest, replica: Replica, error: RefusalError, sink: CallerSink
     ) -> None:
+        """Queues a call again after a failed attempt.
+
+        Raises:
+            RefusalError: The failure, if there must be no further attempt.
+        """
+        if not is_attempt_failure(error):
+            raise error
+        now = time.monotonic()
+        if _is_connection_failure(error):
+            self._board.upstreams.record_failure(replica.replica_id, now)
+        if call.is_sent and error.execution is Execution.WAS_NOT_RUN:
+            error.execution = Execution.MAY_HAVE_RUN
+        decision = self._retries.decide(
+            call, error, now, has_begun=sink.first_at is not None
+        )
+        if isinstance(decision, GiveUp):
+            self._metrics.retries_refused.labels(decision.reason).inc()
+            raise error
+        self._metrics.retries.labels(error.code).inc()
         call.excluded |= {replica.replica_id}
         replicas = self._board.upstreams.by_service(call.service)
         if all(one.replica_id in call.excluded for one in replicas):
             # Each replica failed once; the last one alone has just done so.
             call.excluded = frozenset()
-        if sink.is_started:
-            call.wait_limit_at = max(
-                call.wait_limit_at,
-                time.monotonic() + self._options.resume_wait_limit,
-            )
+        call.wait_limit_at = decision.wait_limit_at
+        await curio.sleep(decision.delay)
         self._pending[call.call_id] = _PendingStart()
         self._board.queues.add_again(call)
+        self._overload.note_waiting(call, self._count_waiting(call), time.monotonic())
 
     async def _wait_start(self, call: CallRequest) -> Replica:
         pending = self._pending[call.call_id]
@@ -282,10 +372,8 @@
         remaining = call.wait_limit_at - time.monotonic()
         await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
         if pending.replica is None:
-            raise WaitLimitError(
-                "the request waited as long as its class or deadline allows; try "
-                "again later",
-                retry_after=1.0,
+            raise self._overload.build_wait_limit_error(
+                call, self._count_waiting(call), time.monotonic()
             )
         return pending.replica
 
@@ -297,6 +385,7 @@
         ) is not None:
             call = self._board.queues.remove(start.call_id)
             assert call is not None
+            self._overload.note_start(call, self._count_waiting(call), now)
             call.attempts += 1
             self._board.running[call.call_id] = call
             replica = self._board.upstreams.replicas[start.replica_id]
@@ -306,8 +395,13 @@
             await pending.event.set()
 
     async def _run_attempt(
-        self, call: CallRequest, replica: Replica, check: StreamCheck, sink: CallerSink
-    ) -> Answer | None:
+        self,
+        call: CallRequest,
+        replica: Replica,
+        check: StreamCheck,
+        sink: CallerSink,
+        record: CallRecord | None,
+    ) -> Answer | KeptAnswer | None:
         declaration = self._board.configuration.declaration
         assert declaration is not None
         is_engine = declaration.services[call.service].kind is ServiceKind.ENGINE
@@ -328,13 +422,19 @@
             options=self._options,
             metrics=self._metrics,
             charge=charge,
+            check_before_send=record.check_before_send if record else None,
         )
         try:
+            if record is not None and (replayed := await record.take()) is not None:
+                return replayed
             if is_engine:
                 answer = await attempt.stream(check, sink)
             else:
                 answer = await attempt.call()
+            if record is not None:
+                await _finish_record(record, answer)
             self._board.upstreams.record_success(replica.replica_id)
+            self._retries.budget.record_success()
             return answer
         except (CallerGoneError, curio.CancelledError):
             self._metrics.attempts_cancelled.inc()
@@ -352,6 +452,14 @@
         await self.dispatch(call.service)
 
 
+async def _finish_record(record: CallRecord, answer: Answer | None) -> None:
+    if answer is None:
+        await record.finish(200, None)
+    else:
+        kept = KeptAnswer(answer.status, answer.content_type, answer.body)
+        await record.finish(answer.status, kept)
+
+
 def _is_connection_failure(error: RefusalError) -> bool:
     """Whether an attempt failed because the replica could not be talked to."""
     return isinstance(error, (UpstreamUnreachableError, AnswerIncompleteError))
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -51,6 +51,30 @@
         self.value = value
 
 
+class ChangeConflictError(SequoiamoorError):
+    """Another version of the configuration is current; nothing was changed."""
+
+    code = "change-conflict"
+
+
+class ChangeUnknownError(SequoiamoorError):
+    """The platform did not tell whether a change was accepted."""
+
+    code = "change-unknown"
+
+
+class VersionUnknownError(SequoiamoorError):
+    """The configuration has no such version."""
+
+    code = "version-unknown"
+
+
+class RouterUnavailableError(SequoiamoorError):
+    """A router does not answer an operator's command."""
+
+    code = "router-unavailable"
+
+
 class RefusalError(SequoiamoorError):
     """A request is refused; the caller gets status, code and execution.
 
@@ -231,6 +255,21 @@
     execution = Execution.MAY_HAVE_RUN
 
 
+class RequestIdReusedError(RefusalError):
+    """Another call was made under the same request identifier."""
+
+    code = "request-id-reused"
+    status = 422
+
+
+class AnswerNotKeptError(RefusalError):
+    """The call was run before, but its record holds no answer."""
+
+    code = "answer-not-kept"
+    status = 409
+    execution = Execution.WAS_RUN
+
+
 class ClaimExpiredError(RefusalError):
     """The claim on a non-repeatable call expired before anything was sent."""
 
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -165,7 +165,9 @@
         options: Options,
         metrics: Metrics,
         charge: Callable[[float], None],
+        check_before_send: Callable[[], None] | None = None,
     ) -> None:
+        self._check_before_send = check_before_send
         self._call = call
         self._replica = replica
         self._pool = pool
@@ -274,6 +276,8 @@
     async def _send(
         self, connection: ClientConnection, path: str, fields: dict[str, str]
     ) -> None:
+        if self._check_before_send is not None:
+            self._check_before_send()
         before = connection.bytes_sent
         try:
             await connection.send_request("POST", path, fields, self._call.body)
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -91,6 +91,7 @@
         wants_stream: Whether the caller asked for an event stream.
         has_caller_id: Whether the caller gave the request identifier.
         is_repeatable: Whether the service allows a second execution.
+        caller_deadline_at: Monotonic time of the caller's own limit, if it gave one.
         attempts: Number of attempts started so far.
         excluded: Replicas where an attempt failed.
         charged: Work charged for the request so far, in service units.
@@ -112,6 +113,7 @@
     wants_stream: bool = False
     has_caller_id: bool = False
     is_repeatable: bool = True
+    caller_deadline_at: float | None = None
     attempts: int = 0
     excluded: frozenset[ReplicaId] = frozenset()
     charged: float = 0.0
