Charge requests to plain services in one place for all policies

Change: core/charges.py is shared by the policies; operator reads are repeated for 5 s; the status page lists the live routers.

--- a/sequoiamoor/commands/configuration.py
+++ b/sequoiamoor/commands/configuration.py
@@ -33,7 +33,8 @@
 
 OPERATION_TIMEOUT_SECONDS = 3.0
 SETTLE_TIMEOUT_SECONDS = 20.0
-READ_TRIES = 3
+# Reads are repeated this long, so that a few lost answers do not fail a command.
+READ_TIME_SECONDS = 5.0
 
 
 def make_change_id() -> str:
@@ -82,12 +83,14 @@
         return TableEntry(version, entry.value)
 
     async def _read(self, key: str) -> TableEntry:
-        for _ in range(READ_TRIES - 1):
+        give_up_at = time.monotonic() + READ_TIME_SECONDS
+        while True:
             try:
                 return await self._platform.read(key)
             except PlatformUnavailableError:
+                if time.monotonic() >= give_up_at:
+                    raise
                 await curio.sleep(self._rng.uniform(0, 0.2))
-        return await self._platform.read(key)
 
     async def put(self, change: ConfigurationChange) -> int:
         """Makes a change of the configuration.
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -95,14 +95,17 @@
 
 
 def _list_members(board: Blackboard) -> list[dict[str, Any]]:
-    return [
+    own = board.identity
+    rows = [
         {
-            "router_id": board.identity.router_id,
-            "incarnation": board.identity.incarnation,
-            "zone": board.identity.zone,
-            "state": "leaving" if board.is_leaving else "live",
+            "router_id": identity.router_id,
+            "incarnation": identity.incarnation,
+            "zone": identity.zone,
+            "state": "leaving" if identity == own and board.is_leaving else "live",
         }
+        for identity in (own, *board.members.values())
     ]
+    return sorted(rows, key=lambda row: str(row["router_id"]))
 
 
 def _list_upstreams(board: Blackboard, now: float) -> list[dict[str, Any]]:
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -10,6 +10,7 @@
 
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
+from ..core.charges import ElapsedCharges
 from ..core.demand import Demand
 from ..core.fairness import (
     CostEstimates,
@@ -25,21 +26,12 @@
     OrganisationName,
     ReplicaId,
     RouterIdentity,
-    ServiceKind,
     ServiceName,
 )
 
 _PREFIXES_KEPT = 4_096
 
 
-@dataclass(slots=True)
-class _Running:
-    request: CallRequest
-    replica_id: ReplicaId
-    is_plain: bool
-    charged_at: float
-
-
 @dataclass(slots=True)
 class _Pool:
     """Replicas of a service and what they can do, refreshed every interval."""
@@ -58,7 +50,8 @@
         self._rng = rng
         self._costs = CostEstimates()
         self._rates = SlotRates()
-        self._running: dict[str, _Running] = {}
+        self._running: set[str] = set()
+        self._charges = ElapsedCharges()
         self._running_counts: dict[ServiceName, dict[OrganisationName, int]] = {}
         self._averages: dict[ServiceName, dict[OrganisationName, float]] = {}
         self._waited_at: dict[tuple[ServiceName, OrganisationName], float] = {}
@@ -210,15 +203,8 @@
     ) -> Start:
         replica = self._choose_replica(board, request, free)
         service, name = request.service, request.organisation
-        declaration = board.configuration.declaration
-        is_plain = (
-            declaration is not None
-            and service in declaration.services
-            and declaration.services[service].kind is ServiceKind.PLAIN
-        )
-        self._running[request.call_id] = _Running(
-            request, replica.replica_id, is_plain, now
-        )
+        self._running.add(request.call_id)
+        self._charges.start(board, request, now)
         counts = self._running_counts.setdefault(service, {})
         counts[name] = counts.get(name, 0) + 1
         if request.prefix_key is not None:
@@ -255,10 +241,10 @@
         self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
     ) -> list[Action]:
         """Takes note that an attempt ended and its slot is free."""
-        running = self._running.pop(request.call_id, None)
-        if running is None:
+        if request.call_id not in self._running:
             return []
-        self._charge_elapsed(board, running, now)
+        self._running.remove(request.call_id)
+        self._charges.finish(board, request, now)
         counts = self._running_counts[request.service]
         counts[request.organisation] -= 1
         if not counts[request.organisation]:
@@ -273,20 +259,9 @@
         """Decides what becomes of a slot whose request ended."""
         return []
 
-    def _charge_elapsed(self, board: Blackboard, running: _Running, now: float) -> None:
-        """Charges a plain service's request for the time since the last charge."""
-        if not running.is_plain:
-            return
-        units = max(now - running.charged_at, 0.0) * 1000
-        running.charged_at = now
-        request = running.request
-        request.charged += units
-        board.ledger.charge(request.service, request.organisation, units)
-
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Charges running work and updates the moving averages."""
-        for running in self._running.values():
-            self._charge_elapsed(board, running, now)
+        self._charges.charge_all(board, now)
         elapsed = min(max(now - self._stepped_at, 0.0), 1.0)
         self._stepped_at = now
         weight = 1 - math.exp(-elapsed / board.options.slot_average_time)
--- a/sequoiamoor/policies/round_robin.py
+++ b/sequoiamoor/policies/round_robin.py
@@ -6,6 +6,7 @@
 
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
+from ..core.charges import ElapsedCharges
 from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
 from ..core.upstreams import Replica
 from ..types import CallRequest, ReplicaId, RouterIdentity, ServiceName
@@ -17,6 +18,7 @@
     def __init__(self, *, rng: Random) -> None:
         self._rng = rng
         self._turns: dict[ServiceName, int] = {}
+        self._charges = ElapsedCharges()
 
     def choose_start(
         self, board: Blackboard, service: ServiceName, now: float
@@ -31,6 +33,7 @@
             replicas = board.upstreams.available(service, now, request.excluded)
             if replicas:
                 replica = self._choose_replica(service, replicas)
+                self._charges.start(board, request, now)
                 return Start(request.call_id, replica.replica_id)
         return None
 
@@ -42,11 +45,13 @@
     def finish(
         self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
     ) -> list[Action]:
-        """Does nothing: there are no slots."""
+        """Charges the time that a plain service took; there are no slots."""
+        self._charges.finish(board, request, now)
         return []
 
     def step(self, board: Blackboard, now: float) -> list[Action]:
-        """Does nothing: there is no periodic work."""
+        """Charges requests that run at plain services."""
+        self._charges.charge_all(board, now)
         return []
 
     def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
