--- a/sequoiamoor/core/queues.py
+++ b/sequoiamoor/core/queues.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from ..errors import QueueFullError
@@ -99,6 +99,19 @@
         """Returns the organisations with requests waiting for the service."""
         return [name for (queued, name) in self._counts if queued == service]
 
+    def update_deadlines(self, find_target: Callable[[CallRequest], float]) -> None:
+        """Applies changed class targets to the requests that wait.
+
+        Args:
+            find_target: Returns the target of a request in seconds after arrival.
+        """
+        for entry in self._entries.values():
+            request = entry.request
+            request.deadline = request.arrival + find_target(request)
+            entry.deadline = request.deadline
+        for heap in self._heaps.values():
+            heapq.heapify(heap)
+
     def services(self) -> set[ServiceName]:
         """Returns the services with waiting requests."""
         return {service for (service, _) in self._counts}
--- a/sequoiamoor/core/versions.py
+++ b/sequoiamoor/core/versions.py
@@ -8,8 +8,8 @@
 
 from ..declaration import parse_declaration
 from ..errors import SettingsError
-from ..types import RouterId
-from .blackboard import ConfigurationState
+from ..types import CallRequest, RouterId
+from .blackboard import Blackboard, ConfigurationState
 
 
 class Verdict(enum.StrEnum):
@@ -96,3 +96,21 @@
         self._asked.add(source)
         self._requested_at = now
         return source
+
+
+def apply_targets(board: Blackboard) -> None:
+    """Applies the class targets in force to the requests that wait.
+
+    A request of a class that is no longer declared keeps its deadline.
+    """
+    declaration = board.configuration.declaration
+    if declaration is None:
+        return
+    classes = declaration.classes
+
+    def find_target(request: CallRequest) -> float:
+        if request.class_name in classes:
+            return classes[request.class_name].target_seconds
+        return request.deadline - request.arrival
+
+    board.queues.update_deadlines(find_target)
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -28,7 +28,7 @@
     UpstreamState,
 )
 from ..core.upstreams import ListedUpstream, LoadReport, Replica
-from ..core.versions import Verdict, Versions
+from ..core.versions import Verdict, Versions, apply_targets
 from ..metrics import Metrics
 from ..net.peers import Peers
 from ..net.wakeup import Wakeup
@@ -125,6 +125,7 @@
         """Takes a configuration that the platform or a peer gave."""
         verdict = self.versions.offer(version, value)
         if verdict is Verdict.ADOPTED:
+            apply_targets(self._board)
             _LOG.info(
                 "configuration in force", extra={"version": version, "peer": source}
             )
