Keep control traffic within a byte and a message budget

Cause: a report carried every changed counter to every peer, and each freed slot led to an early report to the whole fleet, so the traffic grew with the number of organisations and, up to 50 reports per second, with the request rate. Ruled out: a fixed number of counters per report (it is too small for idle organisations and too large with grants); sending slots only to the arbiter that a router assumes (another arbiter would take them for free).

--- a/sequoiamoor/core/reports.py
+++ b/sequoiamoor/core/reports.py
@@ -1,21 +1,67 @@
-"""Which counters a report on one connection has to carry."""
+"""What a report on one connection has to carry, and which peers need it early."""
 
 from __future__ import annotations
 
+import heapq
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ..types import OrganisationName, ServiceName
-from .messages import CounterRow
+from ..options import Options
+from ..types import OrganisationName, ReplicaId, RouterId, ServiceName
+from .messages import CounterRow, SlotRow
 
 # A deadline is sent relative to the time of the report; a smaller difference than
 # this comes from the delay between two reports and not from another request.
 DEADLINE_TOLERANCE_MS = 50
+# Sizes of an encoded report without rows and of a changed row, rounded up.
+REPORT_BYTES = 12
+COUNTER_ROW_BYTES = 12
+# Without any row, peers would take the totals of this router for final.
+LEAST_ROWS = 2
+# A changed row that waits longer than this goes before rows with a larger change.
+HELD_BACK_SECONDS = 1.0
 
 
 @dataclass(slots=True)
 class _SentRow:
     row: CounterRow
     deadline_at_ms: int | None
+    sent_at: float
+
+
+_NOTHING_SENT = _SentRow(CounterRow("", "", 0, 0, 0, 0, None), None, float("-inf"))
+
+
+@dataclass(slots=True)
+class ByteBudget:
+    """How many counters a report may carry, so that the traffic stays bounded.
+
+    Every byte to other routers counts, but only counters are held back: they are
+    the part that grows with the number of organisations, and a later report carries
+    the whole change.
+    """
+
+    options: Options
+    _bytes: float = 0.0
+    _filled_at: float = float("-inf")
+
+    def fill(self, now: float) -> None:
+        """Adds what the time since the last call allows."""
+        rate = self.options.control_bytes_per_second
+        # At most one second is saved up, or owed after a snapshot.
+        self._bytes = min(rate, self._bytes + rate * (now - self._filled_at))
+        self._filled_at = now
+
+    def spend(self, size: int) -> None:
+        """Takes note of sent bytes."""
+        rate = self.options.control_bytes_per_second
+        self._bytes = max(-rate, self._bytes - size)
+
+    def find_row_limit(self, peers: int) -> int:
+        """Returns how many counters a report to each of the peers may carry."""
+        share = self.options.report_interval * self.options.control_bytes_per_second
+        allowed = min(self._bytes, share) / max(1, peers) - REPORT_BYTES
+        return max(LEAST_ROWS, int(allowed / COUNTER_ROW_BYTES))
 
 
 @dataclass(slots=True)
@@ -27,20 +73,49 @@
     )
 
     def select(
-        self, counters: tuple[CounterRow, ...], now: float
+        self,
+        counters: tuple[CounterRow, ...],
+        now: float,
+        *,
+        limit: int,
+        is_early: bool = False,
     ) -> tuple[CounterRow, ...]:
-        """Returns the rows to send and takes them as sent."""
+        """Returns the rows to send, at most ``limit``, and takes them as sent.
+
+        A report before the interval ends carries only work that begins or ceases to
+        wait.
+
+        Work that begins or ceases to wait goes first, then rows held back for long,
+        then the largest change of service; a row that is left out is compared again
+        for the next report, with all of its change.
+        """
         now_ms = int(now * 1000)
-        return tuple([row for row in counters if self._take(row, now_ms)])
+        changed = []
+        for row in counters:
+            old = self._sent.get((row.service, row.organisation), _NOTHING_SENT)
+            at = None if row.deadline_ms is None else now_ms + row.deadline_ms
+            if is_early and not _is_turning(row, old.row):
+                continue
+            if old is _NOTHING_SENT or not _is_same(old, row, at):
+                changed.append((row, at, old))
+        if len(changed) > limit:
+            changed = heapq.nlargest(
+                limit, changed, key=lambda one: _rank(one[0], one[2], now)
+            )
+        for row, at, _ in changed:
+            self._sent[row.service, row.organisation] = _SentRow(row, at, now)
+        return tuple([row for row, _, _ in changed])
 
-    def _take(self, row: CounterRow, now_ms: int) -> bool:
-        at = None if row.deadline_ms is None else now_ms + row.deadline_ms
-        key = (row.service, row.organisation)
-        old = self._sent.get(key)
-        if old is not None and _is_same(old, row, at):
-            return False
-        self._sent[key] = _SentRow(row, at)
-        return True
+
+def _rank(row: CounterRow, old: _SentRow, now: float) -> tuple[bool, float, int]:
+    is_turning = _is_turning(row, old.row)
+    held_back = now - old.sent_at
+    growth = row.served - old.row.served + row.lift - old.row.lift
+    return is_turning, held_back if held_back > HELD_BACK_SECONDS else 0.0, growth
+
+
+def _is_turning(row: CounterRow, old: CounterRow) -> bool:
+    return (row.waiting > 0) != (old.waiting > 0)
 
 
 def _is_same(old: _SentRow, row: CounterRow, at: int | None) -> bool:
@@ -54,3 +129,60 @@
     if at is None or old.deadline_at_ms is None:
         return at is old.deadline_at_ms
     return abs(at - old.deadline_at_ms) <= DEADLINE_TOLERANCE_MS
+
+
+@dataclass(slots=True)
+class UrgentReports:
+    """Decides which peers get a report before the interval ends.
+
+    A released slot matters only to the router that granted it, and an early report
+    to every peer costs as many messages as there are routers. The rate is bounded by
+    a token bucket, one token per message; what does not fit waits for the interval.
+    """
+
+    options: Options
+    _grantors: dict[ReplicaId, RouterId] = field(default_factory=dict)
+    _released: dict[ReplicaId, tuple[int, int]] = field(default_factory=dict)
+    _tokens: float = 0.0
+    _filled_at: float = float("-inf")
+
+    def note_grants(self, router_id: RouterId, replicas: Iterable[ReplicaId]) -> None:
+        """Notes from which router slots of these replicas came last."""
+        for replica_id in replicas:
+            self._grantors[replica_id] = router_id
+
+    def note_sent(self, slots: Iterable[SlotRow]) -> None:
+        """Notes the slots of a report that goes to all peers."""
+        for row in slots:
+            self._released[row.replica_id] = (row.epoch, row.released)
+
+    def choose_peers(
+        self, slots: Iterable[SlotRow], *, peers: Iterable[RouterId], now: float
+    ) -> list[RouterId] | None:
+        """Returns the peers to report to now, or None if it has to wait.
+
+        Without a released slot the report is about waiting work, and goes to all.
+        """
+        chosen = set()
+        changed = []
+        for row in slots:
+            if self._released.get(row.replica_id) != (row.epoch, row.released):
+                changed.append(row)
+                grantor = self._grantors.get(row.replica_id)
+                if grantor is not None:
+                    chosen.add(grantor)
+        known = set(peers)
+        wanted = sorted((chosen & known) or known)
+        if not self._take_tokens(len(wanted), now):
+            return None
+        self.note_sent(changed)
+        return wanted
+
+    def _take_tokens(self, count: int, now: float) -> bool:
+        rate = self.options.urgent_messages_per_second
+        self._tokens = min(rate, self._tokens + rate * (now - self._filled_at))
+        self._filled_at = now
+        if self._tokens < count:
+            return False
+        self._tokens -= count
+        return True
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -27,6 +27,7 @@
     UpstreamRow,
     UpstreamState,
 )
+from ..core.reports import ByteBudget, UrgentReports
 from ..core.upstreams import ListedUpstream, LoadReport, Replica
 from ..core.versions import Verdict, Versions
 from ..metrics import Metrics
@@ -79,7 +80,10 @@
             rng=rng,
         )
         self._sequence = 0
+        self._budget = ByteBudget(board.options)
+        self._urgent = UrgentReports(board.options)
         self._is_report_due = False
+        self._is_report_for_all = False
         self._is_flush_due = False
         self._flushed_at = float("-inf")
         self._wakeup = Wakeup()
@@ -119,7 +123,8 @@
         """Reports at once if an organisation's work has started to wait."""
         names = self._board.queues.organisations(service)
         if any((service, name) not in self._reported_waiting for name in names):
-            self.perform([SendReport()])
+            self._is_report_due = self._is_report_for_all = True
+            self._flush_if_due()
 
     def offer_configuration(self, version: int, value: object, source: str) -> None:
         """Takes a configuration that the platform or a peer gave."""
@@ -128,8 +133,6 @@
             _LOG.info(
                 "configuration in force", extra={"version": version, "peer": source}
             )
-            self._is_report_due = True
-            self._flush_if_due()
         elif verdict is Verdict.REFUSED:
             self._metrics.configurations_refused.inc()
             _LOG.error(
@@ -218,9 +221,9 @@
         await self._peers.connect(self.membership.candidates())
         self._peers.close_silent(now)
         actions = self._policy.step(self._board, now)
-        self._is_report_due = True
         self._request_configuration(now)
         self.perform(actions)
+        self._report_to_all(now)
         self._flush(now)
         for service in self._board.queues.services():
             await self._dispatch(service)
@@ -270,22 +273,48 @@
 
     def _flush(self, now: float) -> None:
         if self._is_report_due:
-            self._peers.send(self._build_report(now))
-        self._is_report_due = self._is_flush_due = False
+            self._report_early(now)
+        self._is_flush_due = False
         self._flushed_at = now
-        self._peers.flush(now)
+        self._budget.fill(now)
+        limit = self._budget.find_row_limit(len(self._board.members))
+        self._budget.spend(self._peers.flush(now, row_limit=limit))
         if self._peers.unsent_bytes:
             self._is_flush_due = True
             self._wakeup.set()
 
-    def _build_report(self, now: float) -> Report:
-        self._sequence += 1
+    def _report_to_all(self, now: float) -> None:
+        report = self._build_report(now)
+        self._note_reported(report)
+        self._peers.send(report)
+
+    def _note_reported(self, report: Report) -> None:
         queues = self._board.queues
         self._reported_waiting = {
             (service, name)
             for service in queues.services()
             for name in queues.organisations(service)
         }
+        self._urgent.note_sent(report.slots)
+        self._is_report_due = self._is_report_for_all = False
+
+    def _report_early(self, now: float) -> None:
+        report = self._build_report(now)
+        members = self._board.members
+        peers = self._urgent.choose_peers(
+            () if self._is_report_for_all else report.slots, peers=members, now=now
+        )
+        # What the budget does not allow goes out with the next interval.
+        self._is_report_due = self._is_report_for_all = False
+        for router_id in peers or ():
+            address = self.membership.find_address(router_id)
+            if address is not None:
+                self._peers.send(report, address, is_early=True)
+        if peers is not None and len(peers) == len(members):
+            self._note_reported(report)
+
+    def _build_report(self, now: float) -> Report:
+        self._sequence += 1
         return Report(
             self._sequence,
             self._board.configuration.version,
@@ -320,6 +349,9 @@
             case Report():
                 await self._take_report(identity, message, now)
             case Grants():
+                self._urgent.note_grants(
+                    identity.router_id, [row.replica_id for row in message.rows]
+                )
                 actions = self._policy.take_grants(self._board, identity, message, now)
                 self.perform(actions)
                 await self._dispatch_replicas(row.replica_id for row in message.rows)
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -42,6 +42,8 @@
 _LOG = logging.getLogger(__name__)
 
 HELLO_TIMEOUT_SECONDS = 5.0
+# The first report on a connection carries all counters of the target size.
+FIRST_REPORT_ROWS = 1_000
 # Reports that wait in a socket buffer cannot be replaced by newer ones, so a slow
 # peer would get old reports for longer with a larger buffer.
 SEND_BUFFER_BYTES = 65_536
@@ -66,14 +68,21 @@
         self._configuration: Configuration | None = None
         self._upstreams: UpstreamList | None = None
         self._report: Report | None = None
+        self.is_report_early = True
         self.is_empty = True
 
-    def put(self, message: Message) -> None:
-        """Adds a message; it may replace an earlier one."""
+    def put(self, message: Message, *, is_early: bool = False) -> None:
+        """Adds a message; it may replace an earlier one.
+
+        Args:
+            message: The message.
+            is_early: Whether it is a report before the interval ends.
+        """
         self.is_empty = False
         match message:
             case Report():
                 self._report = message
+                self.is_report_early = self.is_report_early and is_early
             case Grants(rows):
                 self._grants.update((row.replica_id, row) for row in rows)
             case Loads(rows):
@@ -149,24 +158,31 @@
         """Encoded bytes that the socket has not taken yet."""
         return len(self._unsent)
 
-    def put(self, message: Message) -> None:
+    def put(self, message: Message, *, is_early: bool = False) -> None:
         """Keeps a message for the next flush; without a connection it is dropped."""
         if self._sock is not None:
-            self._outbox.put(message)
+            self._outbox.put(message, is_early=is_early)
 
-    def flush(self, now: float) -> None:
+    def flush(self, now: float, *, row_limit: int) -> int:
         """Writes what the socket takes now, without waiting.
 
+        Args:
+            now: Monotonic time in seconds.
+            row_limit: Most counters that a report may carry.
+
+        Returns:
+            The number of bytes written.
+
         Raises:
             OSError: If the connection is broken or takes nothing for ``dead_after``.
             ProtocolError: If the connection must be opened again.
         """
         if self._sock is None or (self._outbox.is_empty and not self._unsent):
-            return
+            return 0
         if not self._unsent:
-            self._unsent = b"".join(self._encode(now))
+            self._unsent = b"".join(self._encode(now, row_limit))
         try:
-            sent = self._sock._socket.send(self._unsent)
+            sent: int = self._sock._socket.send(self._unsent)
         except BlockingIOError:
             sent = 0
         if sent == len(self._unsent):
@@ -179,16 +195,20 @@
             if now - self._stalled_at > self._options.dead_after:
                 raise TimeoutError(f"{self.address} takes no data")
         self._bytes.inc(sent)
+        return sent
 
-    def _encode(self, now: float) -> list[bytes]:
+    def _encode(self, now: float, row_limit: int) -> list[bytes]:
         parts = []
+        is_early = self._outbox.is_report_early
         for message in self._outbox.take():
             if isinstance(message, Report):
                 message = Report(
                     message.sequence,
                     message.configuration_version,
                     message.is_leaving,
-                    self._filter.select(message.counters, now),
+                    self._filter.select(
+                        message.counters, now, limit=row_limit, is_early=is_early
+                    ),
                     message.slots,
                 )
             parts.extend(self._encoder.encode(message))
@@ -226,7 +246,7 @@
             self._sock = sock
             for message in handler.greet():
                 self._outbox.put(message)
-            self.flush(time.monotonic())
+            self.flush(time.monotonic(), row_limit=FIRST_REPORT_ROWS)
             # A peer sends nothing here, so whatever can be read ends the connection.
             await sock.recv(1)
         finally:
@@ -300,27 +320,43 @@
             _, task = self._links.pop(address)
             await task.cancel()
 
-    def send(self, message: Message, address: Address | None = None) -> None:
+    def send(
+        self,
+        message: Message,
+        address: Address | None = None,
+        *,
+        is_early: bool = False,
+    ) -> None:
         """Keeps a message for one peer, or for all, until the next flush."""
         if address is not None:
             found = self._links.get(address)
             if found is not None:
-                found[0].put(message)
+                found[0].put(message, is_early=is_early)
             return
         for link, _ in self._links.values():
-            link.put(message)
+            link.put(message, is_early=is_early)
+
+    def flush(self, now: float, *, row_limit: int) -> int:
+        """Writes what the sockets take now, without waiting.
 
-    def flush(self, now: float) -> None:
-        """Writes what the sockets take now, without waiting."""
+        Args:
+            now: Monotonic time in seconds.
+            row_limit: Most counters that a report may carry.
+
+        Returns:
+            The number of bytes written.
+        """
+        sent = 0
         for link, _ in self._links.values():
             try:
-                link.flush(now)
+                sent += link.flush(now, row_limit=row_limit)
             except (OSError, ProtocolError) as err:
                 _LOG.info(
                     "connection to router ended",
                     extra={"peer": str(link.address), "reason": str(err)},
                 )
                 link.shut()
+        return sent
 
     def close_silent(self, now: float) -> None:
         """Ends accepted connections on which nothing came for a long time."""
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -15,6 +15,12 @@
 
     report_interval: float = Field(0.2, gt=0, le=10)
     flush_interval: float = Field(0.02, gt=0, le=1)
+    control_bytes_per_second: float = Field(
+        4_300.0, gt=0, description="bytes that a router sends to all others"
+    )
+    urgent_messages_per_second: float = Field(
+        40.0, gt=0, description="reports before the interval ends, one per peer"
+    )
     grant_refresh_interval: float = Field(1.0, gt=0)
     grant_expiry: float = Field(2.0, gt=0)
     router_reclaim_after: float = Field(4.0, gt=0)
--- /dev/null
+++ b/tests/core/test_reports.py
@@ -0,0 +1,123 @@
+"""Tests of the selection of counters and of early reports."""
+
+from __future__ import annotations
+
+import pytest
+
+from sequoiamoor.core.messages import CounterRow, SlotRow
+from sequoiamoor.core.reports import (
+    COUNTER_ROW_BYTES,
+    HELD_BACK_SECONDS,
+    LEAST_ROWS,
+    REPORT_BYTES,
+    ByteBudget,
+    ReportFilter,
+    UrgentReports,
+)
+from sequoiamoor.options import Options
+
+OPTIONS = Options.model_validate({})
+PEERS = ("router-1", "router-2", "router-3")
+
+
+def build_row(
+    name: str, served: int = 0, *, waiting: int = 0, deadline_ms: int | None = None
+) -> CounterRow:
+    return CounterRow("talk", name, served, 0, waiting, 0, deadline_ms)
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "elapsed", "is_sent"),
+    [
+        (build_row("a", 1), build_row("a", 1), 0.2, False),
+        (build_row("a", 1), build_row("a", 2), 0.2, True),
+        (build_row("a", 1), build_row("a", 1, waiting=1), 0.2, True),
+        # The same deadline, seen 0.2 s later, and another one.
+        (build_row("a", deadline_ms=800), build_row("a", deadline_ms=600), 0.2, False),
+        (build_row("a", deadline_ms=800), build_row("a", deadline_ms=300), 0.2, True),
+        (build_row("a", deadline_ms=800), build_row("a"), 0.2, True),
+        (build_row("a"), build_row("a", deadline_ms=800), 0.2, True),
+    ],
+)
+def test_only_changed_rows_are_sent(
+    first: CounterRow, second: CounterRow, elapsed: float, is_sent: bool
+) -> None:
+    """Guards against rows sent without news, and against news that are not sent."""
+    chosen = ReportFilter()
+    assert chosen.select((first,), 10.0, limit=9) == (first,)
+    expected = (second,) if is_sent else ()
+    assert chosen.select((second,), 10.0 + elapsed, limit=9) == expected
+
+
+def test_rows_over_the_limit_follow_later() -> None:
+    """Guards against a row that is lost because others changed more."""
+    chosen = ReportFilter()
+    rows = tuple(build_row(f"o{one}", 10 * one) for one in range(1, 8))
+    rows += (build_row("w", 1, waiting=1),)
+    parts = [
+        {row.organisation for row in chosen.select(rows, 10.0, limit=3)}
+        for _ in range(4)
+    ]
+    assert parts == [{"w", "o7", "o6"}, {"o5", "o4", "o3"}, {"o2", "o1"}, set()]
+
+
+def test_small_changes_are_not_held_back_for_long() -> None:
+    """Guards against a row that never goes out beside rows that change more."""
+    chosen = ReportFilter()
+    sent_at = dict.fromkeys(["small", "o1", "o2", "o3"], 0.0)
+    longest = 0.0
+    for tick in range(100):
+        now = 0.2 * tick
+        rows = [build_row(f"o{one}", 1_000 * tick * one) for one in (1, 2, 3)]
+        rows.append(build_row("small", 1, waiting=2 + tick))
+        for row in chosen.select(tuple(rows), now, limit=2):
+            longest = max(longest, now - sent_at[row.organisation])
+            sent_at[row.organisation] = now
+    assert longest <= 2 * HELD_BACK_SECONDS
+    assert min(sent_at.values()) >= 0.2 * 99 - 2 * HELD_BACK_SECONDS
+
+
+@pytest.mark.parametrize(("peers", "others"), [(7, 0), (7, 600), (2, 100)])
+def test_counters_keep_the_byte_budget(peers: int, others: int) -> None:
+    """Guards against control traffic that grows with the number of organisations.
+
+    ``others`` are bytes per interval that are sent in any case.
+    """
+    budget = ByteBudget(OPTIONS)
+    sent = 0
+    for tick in range(500):
+        budget.fill(0.2 * tick)
+        rows = budget.find_row_limit(peers)
+        size = others + peers * (REPORT_BYTES + rows * COUNTER_ROW_BYTES)
+        budget.spend(size)
+        sent += size
+    least = others + peers * (REPORT_BYTES + LEAST_ROWS * COUNTER_ROW_BYTES)
+    allowed = OPTIONS.control_bytes_per_second
+    assert sent <= 100 * max(allowed, 5 * least) + allowed
+    assert sent >= 80 * allowed
+
+
+def test_released_slot_is_reported_to_its_grantor() -> None:
+    """Guards against early reports that cost a message per router and slot."""
+    urgent = UrgentReports(OPTIONS)
+    slots = [SlotRow("talk-0", 1, 0, 5, 3), SlotRow("talk-1", 1, 0, 2, 3)]
+    urgent.note_sent(slots)
+    urgent.note_grants("router-2", ["talk-0"])
+    assert urgent.choose_peers(slots, peers=PEERS, now=0.0) == list(PEERS)
+    slots[0] = SlotRow("talk-0", 1, 0, 6, 2)
+    assert urgent.choose_peers(slots, peers=PEERS, now=0.0) == ["router-2"]
+    # The release is known to its grantor now.
+    assert urgent.choose_peers(slots, peers=PEERS, now=0.0) == list(PEERS)
+    slots[0] = SlotRow("talk-0", 2, 3, 6, 2)
+    assert urgent.choose_peers(slots, peers=PEERS[:1], now=0.0) == ["router-1"]
+
+
+def test_early_reports_stay_within_their_budget() -> None:
+    """Guards against control messages that grow with the request rate."""
+    urgent = UrgentReports(OPTIONS)
+    sent = 0
+    for tick in range(1_000):
+        peers = urgent.choose_peers([], peers=PEERS, now=tick / 100)
+        sent += len(peers or [])
+    rate = OPTIONS.urgent_messages_per_second
+    assert 9 * rate <= sent <= 11 * rate
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -217,6 +217,34 @@
     run(test)
 
 
+def test_released_slot_is_reported_early_only_to_its_arbiter() -> None:
+    """Guards against a report to the whole fleet for each freed slot."""
+
+    async def test() -> None:
+        first, second = await start_pair(report_interval=5.0)
+        third = Node("router-3", await own_address(first), await own_address(second))
+        await third.start()
+        nodes = (first, second, third)
+        await wait_until(lambda: all(len(node.board.members) == 2 for node in nodes))
+        grants = Grants((GrantRow("talk-0", 1, 8, 0),))
+        second.control.perform([Send("router-1", grants)])
+        await wait_until(lambda: bool(first.policy.grants))
+        first.policy.slots = (SlotRow("talk-0", 1, 0, 1, 7),)
+        counts = [len(node.policy.reports) for node in nodes]
+        first.control.perform([SendReport()])
+        await wait_until(lambda: len(second.policy.reports) > counts[1])
+        origins = [name for name, _ in third.policy.reports[counts[2] :]]
+        assert "router-1" not in origins
+
+    run(test)
+
+
+async def own_address(node: Node) -> Address:
+    address = node.control.membership.own_address
+    assert address is not None
+    return address
+
+
 def test_new_peer_gets_the_snapshot_and_work_is_dispatched() -> None:
     """Guards against a restarted router that starts from zero totals."""
 
@@ -300,7 +328,12 @@
     """Guards against a router that waits for a slow peer, or buffers without end."""
 
     async def test() -> None:
-        first = Node("router-1", report_interval=0.02)
+        first = Node(
+            "router-1",
+            report_interval=0.02,
+            control_bytes_per_second=1e9,
+            urgent_messages_per_second=1e6,
+        )
         address = await first.start()
         server = curio.network.tcp_server_socket("127.0.0.1", 0)
         server.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_RCVBUF, 4_096)
