Lift an organisation only where its request waits

Cause: after a heal a router learned from one peer's report that an organisation waits, before the far side's totals arrived, and lifted it by the whole difference. Change: reports of peers only refresh the time at which an organisation last waited; a router lifts for its own waiting requests, and not in its first second. Utilisation in a partition counts each side by itself.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -193,7 +193,7 @@
         self.waits: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.served: dict[str, int] = defaultdict(int)
         self.samples: list[tuple[float, dict[str, int]]] = []
-        self.usage: list[tuple[float, int]] = []
+        self.usage: list[tuple[int, int]] = []
         self.refused = 0
         self.jobs: dict[str, Job] = {}
         self.replicas = {
@@ -371,17 +371,29 @@
 
     def sample(self) -> None:
         self.samples.append((self.now, dict(self.served)))
-        waits = any(
-            len(one.board.queues) for one in self.routers.values() if one.is_alive
-        )
-        if waits and self.now >= WARM_UP:
-            busy = sum(min(len(one.running), SLOTS) for one in self.replicas.values())
-            self.usage.append((self.now, busy))
+        if self.now >= WARM_UP:
+            for is_inside in (False, True):
+                self.sample_side(is_inside)
         self.at(self.now + 0.013, self.sample)
 
+    def sample_side(self, is_inside: bool) -> None:
+        """Notes used slots on one side of the cut if work waits there."""
+        routers = [
+            one
+            for one in self.routers.values()
+            if one.is_alive and (one.board.identity.zone == self.cut) == is_inside
+        ]
+        if any(len(one.board.queues) for one in routers):
+            near = [
+                one
+                for one in self.replicas.values()
+                if (one.zone == self.cut) == is_inside
+            ]
+            busy = sum(min(len(one.running), SLOTS) for one in near)
+            self.usage.append((busy, SLOTS * len(near)))
+
     def utilisation(self) -> float:
-        used = [busy for _, busy in self.usage]
-        return statistics.fmean(used) / (REPLICAS * SLOTS) if used else 1.0
+        return sum(one[0] for one in self.usage) / sum(one[1] for one in self.usage)
 
     def gaps(self, names: list[str], start: float, end: float) -> list[float]:
         """Returns the largest difference of service done since ``start``."""
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -396,13 +396,9 @@
             limit = now - 2 * board.options.flush_interval
             while pending and pending[0][0] < limit:
                 pending.popleft()
-        for service in {row.service for row in report.counters if row.waiting}:
-            names = [
-                row.organisation
-                for row in report.counters
-                if row.service == service and row.waiting
-            ]
-            self._note_waiting(board, service, names, now)
+        for row in report.counters:
+            if row.waiting:
+                self._waited_at[row.service, row.organisation] = now
         self._own_arbiter(board).take_rows(origin, report.slots, now)
         released = self._yield_free(board, now)
         if released:
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -65,6 +65,7 @@
         self._pools: dict[ServiceName, _Pool] = {}
         self._prefixes: OrderedDict[tuple[ServiceName, str], ReplicaId] = OrderedDict()
         self._stepped_at = float("-inf")
+        self._created_at = float("inf")
 
     # What a subclass decides.
 
@@ -115,11 +116,17 @@
         names: Iterable[OrganisationName],
         now: float,
     ) -> None:
-        """Takes note who is backlogged, and lifts those that were idle before."""
+        """Takes note who is backlogged here, and lifts those that were idle.
+
+        Only a router with a waiting request lifts: right after a partition another
+        one may know that work waits, but not yet the totals of the far side.
+        """
         limit = now - board.options.idle_before_lift
+        is_view_complete = self._created_at < limit
         ledger = board.ledger
         for name in names:
-            if self._waited_at.get((service, name), float("-inf")) < limit:
+            waited_at = self._waited_at.get((service, name), float("-inf"))
+            if waited_at < limit and is_view_complete:
                 ledger.lift_to(service, name, ledger.virtual_time(service))
             self._waited_at[service, name] = now
 
@@ -287,13 +294,15 @@
         """Charges running work and updates the moving averages."""
         for running in self._running.values():
             self._charge_elapsed(board, running, now)
+        self._created_at = min(self._created_at, now)
         elapsed = min(max(now - self._stepped_at, 0.0), 1.0)
         self._stepped_at = now
         weight = 1 - math.exp(-elapsed / board.options.slot_average_time)
         for service in self._services(board):
             view = self._build_view(board, service, now)
-            names = [one for one, state in view.organisations.items() if state.waiting]
-            self._note_waiting(board, service, names, now)
+            for name, organisation in view.organisations.items():
+                if organisation.waiting:
+                    self._waited_at[service, name] = now
             averages = self._averages.setdefault(service, {})
             for name in view.organisations.keys() - averages.keys():
                 averages[name] = 0.0
