Give no precedence to a deadline that has passed

Cause: in a contested fleet the heads of long queues have the oldest deadlines, so fresh short requests within the allowed gap came last.

--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -59,6 +59,16 @@
     cap_factor: float
     floor_factor: float
 
+    def urgency(self, name: OrganisationName, now: float) -> float:
+        """Returns the earliest deadline, or infinity if it has passed.
+
+        A deadline that is missed already gives no precedence: in an overload the
+        long queues have the oldest deadlines and would hold up short ones that
+        can still be met.
+        """
+        deadline = self.organisations[name].deadline
+        return deadline if deadline >= now else math.inf
+
     def _share(self) -> float:
         return self.slots / max(len(self.organisations), 1)
 
@@ -85,13 +95,14 @@
 
 
 def choose_organisation(
-    candidates: Iterable[OrganisationName], view: ServiceView
+    candidates: Iterable[OrganisationName], view: ServiceView, now: float
 ) -> OrganisationName | None:
     """Returns the organisation whose request starts next.
 
     Args:
         candidates: Organisations with a request that could start.
         view: All organisations with waiting or running requests.
+        now: Monotonic time in seconds.
     """
     names = view.eligible(candidates)
     names = view.below_floor(names) or names
@@ -101,7 +112,7 @@
     limit = min(known[name].key for name in names) + view.allowed_gap
     return min(
         (name for name in names if known[name].key <= limit),
-        key=lambda name: (known[name].deadline, known[name].key, name),
+        key=lambda name: (view.urgency(name, now), known[name].key, name),
     )
 
 
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -217,7 +217,7 @@
             return
         view = self._build_view(board, service, now)
         for replica_id in slots:
-            name = self._choose_name(uncovered, view)
+            name = self._choose_name(uncovered, view, now)
             if name is None:
                 return
             by_router = uncovered[name]
@@ -246,10 +246,11 @@
         self,
         uncovered: dict[OrganisationName, dict[RouterIdentity, int]],
         view: ServiceView,
+        now: float,
     ) -> OrganisationName | None:
         if not uncovered:
             return None
-        return choose_organisation(uncovered, view) or min(
+        return choose_organisation(uncovered, view, now) or min(
             uncovered, key=lambda one: view.organisations[one].key
         )
 
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -188,7 +188,7 @@
             free = self._find_free(board, service, now)
         view = self._build_view(board, service, now)
         while names and free:
-            name = choose_organisation(names, view) or min(
+            name = choose_organisation(names, view, now) or min(
                 names, key=lambda one: view.organisations[one].key
             )
             request = board.queues.peek(service, name)
