Allow a gap of 0.1 s of capacity instead of 0.25 s

Cause: within the allowed gap a short request of an organisation that is behind waits for requests with earlier deadlines.

--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -26,7 +26,7 @@
     load_poll_interval: float = Field(1.0, gt=0)
     idle_before_lift: float = Field(1.0, ge=0)
     allowed_gap_seconds: float = Field(
-        0.25, ge=0, description="allowed gap in seconds of the service's capacity"
+        0.1, ge=0, description="allowed gap in seconds of the service's capacity"
     )
     slot_cap_factor: float = Field(1.5, ge=1)
     slot_floor_factor: float = Field(0.5, ge=0, le=1)
