Release granted slots whose reason is gone; tell only the arbiter

Cause: several arbiters grant a slot for the same reported request; the spare slots went to whatever else waited at that router. Ruled out: freed slots (144 releases, none kept for it) and grants meant for it (none). Change: a router that gets a slot while work waits elsewhere uses it only for work within 3 allowed gaps. A release is reported only to the replica's arbiter (SendReport.router_id) instead of to all peers.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -19,7 +19,7 @@
 
 import msgpack
 
-from sequoiamoor.core.actions import Action, Send
+from sequoiamoor.core.actions import Action, Send, SendReport
 from sequoiamoor.core.blackboard import create_blackboard
 from sequoiamoor.core.messages import Grants, Message, Report, Snapshot
 from sequoiamoor.core.upstreams import LoadReport, Replica
@@ -71,7 +71,7 @@
         self.is_alive = True
         self.heard: dict[str, tuple[RouterIdentity, float]] = {}
         self.sent: dict[str, dict[Any, Any]] = {}
-        self.flush_at: float | None = None
+        self.due: set[str] = set()
         self.flushed_at = 0.0
         self.busy = 0.0
         for one in fleet.replicas.values():
@@ -92,28 +92,33 @@
                 names = [action.router_id] if action.router_id else list(self.heard)
                 for name in names:
                     self.fleet.send(self, name, action.message)
+            elif isinstance(action, SendReport):
+                self.make_due([action.router_id] if action.router_id else self.heard)
         self.check_due()
 
     def check_due(self) -> None:
-        if self.board.is_report_due and self.flush_at is None:
+        if self.board.is_report_due:
+            self.board.is_report_due = False
+            self.make_due(self.heard)
+
+    def make_due(self, names: Iterable[str]) -> None:
+        if not self.due:
             flush = self.fleet.options.flush_interval
-            self.flush_at = max(self.fleet.now, self.flushed_at + flush)
-            self.fleet.at(self.flush_at, self.flush)
+            when = max(self.fleet.now, self.flushed_at + flush)
+            self.fleet.at(when, self.flush)
+        self.due.update(names)
 
     def flush(self) -> None:
-        if self.flush_at is not None and self.is_alive:
-            self.send_report()
+        if self.due and self.is_alive:
+            self.send_report(sorted(self.due))
 
-    def send_report(self) -> None:
+    def send_report(self, names: Iterable[str]) -> None:
         now = self.fleet.now
-        self.flush_at, self.flushed_at = None, now
+        self.due, self.flushed_at = set(), now
         self.board.report_sequence += 1
         counters = self.timed(self.policy.build_counters, self.board, now)
         slots = self.timed(self.policy.build_slots, self.board, now)
-        self.board.is_report_due = False
-        for name in self.fleet.routers:
-            if name == self.name:
-                continue
+        for name in names:
             sent = self.sent.setdefault(name, {})
             rows: list[list[Any]] = [[], []]
             for part, found in enumerate((counters, slots)):
@@ -137,7 +142,7 @@
             if now - at < options.suspect_after
         }
         self.carry_out(self.timed(self.policy.step, self.board, now))
-        self.send_report()
+        self.send_report([one for one in self.fleet.routers if one != self.name])
         self.dispatch()
         self.fleet.at(now + options.report_interval, self.tick)
 
--- a/sequoiamoor/core/actions.py
+++ b/sequoiamoor/core/actions.py
@@ -28,7 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SendReport:
-    """Send a report to all peers before the interval ends."""
+    """Send a report before the interval ends.
+
+    Attributes:
+        router_id: The only peer that needs it now; None for all peers.
+    """
+
+    router_id: RouterId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sequoiamoor/core/allotment.py
+++ b/sequoiamoor/core/allotment.py
@@ -88,13 +88,14 @@
             holding.released += count
         return count
 
-    def release_recalled(self) -> int:
-        """Gives free slots back that arbiters asked for; returns how many."""
-        return sum(
-            self.release(replica_id, holding.recalled - holding.released)
+    def release_recalled(self) -> list[ReplicaId]:
+        """Gives free slots back that arbiters asked for; returns their replicas."""
+        return [
+            replica_id
             for replica_id, holding in self._holdings.items()
             if holding.recalled > holding.released
-        )
+            and self.release(replica_id, holding.recalled - holding.released)
+        ]
 
     def epoch(self, replica_id: ReplicaId) -> int:
         """Returns the epoch adopted for the replica, 0 without one."""
--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -11,6 +11,9 @@
 
 _K = TypeVar("_K")
 
+GRANT_TOLERANCE = 3.0
+"""Allowed gap of a slot just granted, in allowed gaps of a freed slot."""
+
 COST_SMOOTHING = 0.1
 """Weight of the newest request in the moving average of the cost."""
 
@@ -72,12 +75,13 @@
     def _share(self) -> float:
         return self.slots / max(len(self.organisations), 1)
 
-    def _cap(self) -> int:
+    def cap(self) -> int:
+        """Returns how many slots one organisation may use while others wait."""
         return max(math.ceil(self.cap_factor * self._share()), 1)
 
     def eligible(self, names: Iterable[OrganisationName]) -> list[OrganisationName]:
         """Returns those below their cap, or all if no backlogged one is."""
-        cap = self._cap()
+        cap = self.cap()
         known = self.organisations
         if any(one.waiting > 0 and one.running < cap for one in known.values()):
             return [name for name in names if known[name].running < cap]
@@ -116,22 +120,35 @@
     )
 
 
-def may_keep_slot(name: OrganisationName, view: ServiceView) -> bool:
-    """Returns whether a router may use a freed slot again for the organisation.
+def may_use_slot(
+    name: OrganisationName, view: ServiceView, *, is_granted: bool
+) -> bool:
+    """Returns whether a router may use a slot for the organisation.
 
     It may if the organisation is about as far behind as the one that comes first
     in the whole fleet; otherwise the slot goes back to the arbiter.
+
+    Args:
+        name: An organisation with waiting work at the router.
+        view: All organisations with waiting or running requests.
+        is_granted: Whether an arbiter has just granted the slot. More is tolerated
+            then: the arbiter's view differs by what is not reported yet, and a slot
+            sent back at once could be granted again for the same reason.
     """
-    waiting = [one for one, state in view.organisations.items() if state.waiting > 0]
+    known = view.organisations
+    waiting = [one for one, state in known.items() if state.waiting > 0]
     names = view.eligible(waiting)
+    gap = view.allowed_gap
+    if is_granted:
+        gap *= GRANT_TOLERANCE
+        if name not in names and known[name].running <= view.cap():
+            names.append(name)
     if name not in names:
         return not names
     low = view.below_floor(names)
-    if low:
+    if low and not is_granted:
         return name in low
-    known = view.organisations
-    least = min(known[one].key for one in names)
-    return known[name].key <= least + view.allowed_gap
+    return name in low or known[name].key <= min(known[one].key for one in names) + gap
 
 
 class CostEstimates:
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -11,7 +11,7 @@
 from ..core.arbiter import Arbiter
 from ..core.blackboard import Blackboard
 from ..core.demand import Demand, DemandTable
-from ..core.fairness import ServiceView, choose_organisation, may_keep_slot
+from ..core.fairness import ServiceView, choose_organisation, may_use_slot
 from ..core.messages import CounterRow, GrantRow, Grants, Report, SlotRow, Snapshot
 from ..core.placement import choose_arbiter, hash_pair
 from ..core.upstreams import Replica
@@ -129,12 +129,18 @@
     ) -> list[Action]:
         self._allotment.finish(replica_id)
         released = self._allotment.release_recalled()
-        if not released and not self._may_keep(board, service, now):
-            released = self._allotment.release(replica_id, 1)
+        if (
+            not released
+            and not self._may_use(board, service, now, is_granted=False)
+            and self._allotment.release(replica_id, 1)
+        ):
+            released = [replica_id]
         return self._after_release(board, released, now)
 
-    def _may_keep(self, board: Blackboard, service: ServiceName, now: float) -> bool:
-        """Returns whether a freed slot stays here."""
+    def _may_use(
+        self, board: Blackboard, service: ServiceName, now: float, *, is_granted: bool
+    ) -> bool:
+        """Returns whether a free slot stays here."""
         own = board.queues.organisations(service)
         demands = self._peer_demands(board, service)
         if not any(one.waiting for one in demands.values()):
@@ -142,17 +148,46 @@
         if not own:
             return False
         view = self._build_view(board, service, now)
-        return any(may_keep_slot(name, view) for name in own)
+        return any(may_use_slot(name, view, is_granted=is_granted) for name in own)
+
+    def _release_surplus(self, board: Blackboard, now: float) -> list[ReplicaId]:
+        """Releases granted slots whose reason is gone.
+
+        Several arbiters may have granted a slot for the same request. The rest must
+        not go to whatever else waits here, which may be far ahead of its share.
+        """
+        released = self._allotment.release_recalled()
+        for service in self._services(board):
+            free = [
+                (one.replica_id, count)
+                for one in self._pool(board, service, now).replicas
+                if (count := self._free_slots(board, one, now)) > 0
+            ]
+            if free and not self._may_use(board, service, now, is_granted=True):
+                for replica_id, count in free:
+                    self._allotment.release(replica_id, count)
+                    released.append(replica_id)
+        return released
 
     def _after_release(
-        self, board: Blackboard, released: int, now: float
+        self, board: Blackboard, released: list[ReplicaId], now: float
     ) -> list[Action]:
-        if not released:
-            return []
-        board.is_report_due = True
-        return [SendReport(), *self._arbitrate(board, now)]
+        """Tells the arbiters of the released slots; other routers need not know."""
+        arbiters = {self._arbiter_of(board, one) for one in released}
+        actions: list[Action] = [
+            SendReport(one) for one in sorted(arbiters - {board.identity.router_id})
+        ]
+        if board.identity.router_id in arbiters:
+            actions += self._arbitrate(board, now)
+        return actions
 
-    def _yield_free(self, board: Blackboard, now: float) -> int:
+    def _arbiter_of(self, board: Blackboard, replica_id: ReplicaId) -> RouterId:
+        replica = board.upstreams.replicas.get(replica_id)
+        zone = "" if replica is None else replica.zone
+        members = [board.identity, *board.members.values()]
+        return choose_arbiter(replica_id, zone, members).router_id
+
+    def _yield_free(self, board: Blackboard, now: float) -> list[ReplicaId]:
         """Releases slots granted in advance that work elsewhere needs."""
         released = self._allotment.release_recalled()
         for service in self._services(board):
@@ -165,7 +200,8 @@
                     break
                 count = self._allotment.release(replica.replica_id, needed)
                 needed -= count
-                released += count
+                if count:
+                    released.append(replica.replica_id)
         return released
 
     # Slots of the replicas that this router arbitrates.
@@ -330,10 +366,7 @@
             if replica_id not in board.upstreams.replicas:
                 self._allotment.forget(replica_id)
         arbiter.set_replicas(windows, members, now)
-        released = self._yield_free(board, now)
-        if released:
-            board.is_report_due = True
-            actions.append(SendReport())
+        self._yield_free(board, now)
         actions += self._arbitrate(board, now)
         self._grant_in_advance(board, now)
         return actions + self._arbitrate(board, now)
@@ -402,9 +435,7 @@
                 self._waited_at[row.service, row.organisation] = now
         self._own_arbiter(board).take_rows(origin, report.slots, now)
         released = self._yield_free(board, now)
-        if released:
-            return self._after_release(board, released, now)
-        return self._arbitrate(board, now)
+        return self._arbitrate(board, now) + self._after_release(board, released, now)
 
     def take_grants(
         self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
@@ -418,8 +449,6 @@
         is_new = False
         for row in grants.rows:
             is_new |= self._allotment.take(row, valid_until=valid_until)
-        released = self._allotment.release_recalled()
-        if is_new or released:
-            board.is_report_due = True
-            return [SendReport()]
-        return []
+        if is_new:
+            return [SendReport(sender.router_id)]
+        return self._after_release(board, self._release_surplus(board, now), now)
