--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -11,6 +11,9 @@
 
 _K = TypeVar("_K")
 
+GRANT_TOLERANCE = 3.0
+"""Allowed gap of a slot just granted, in allowed gaps of a freed slot."""
+
 COST_SMOOTHING = 0.1
 """Weight of the newest request in the moving average of the cost."""
 
@@ -59,15 +62,26 @@
     cap_factor: float
     floor_factor: float
 
+    def urgency(self, name: OrganisationName, now: float) -> float:
+        """Returns the earliest deadline, or infinity if it has passed.
+
+        A deadline that is missed already gives no precedence: in an overload the
+        long queues have the oldest deadlines and would hold up short ones that
+        can still be met.
+        """
+        deadline = self.organisations[name].deadline
+        return deadline if deadline >= now else math.inf
+
     def _share(self) -> float:
         return self.slots / max(len(self.organisations), 1)
 
-    def _cap(self) -> int:
+    def cap(self) -> int:
+        """Returns how many slots one organisation may use while others wait."""
         return max(math.ceil(self.cap_factor * self._share()), 1)
 
     def eligible(self, names: Iterable[OrganisationName]) -> list[OrganisationName]:
         """Returns those below their cap, or all if no backlogged one is."""
-        cap = self._cap()
+        cap = self.cap()
         known = self.organisations
         if any(one.waiting > 0 and one.running < cap for one in known.values()):
             return [name for name in names if known[name].running < cap]
@@ -85,13 +99,14 @@
 
 
 def choose_organisation(
-    candidates: Iterable[OrganisationName], view: ServiceView
+    candidates: Iterable[OrganisationName], view: ServiceView, now: float
 ) -> OrganisationName | None:
     """Returns the organisation whose request starts next.
 
     Args:
         candidates: Organisations with a request that could start.
         view: All organisations with waiting or running requests.
+        now: Monotonic time in seconds.
     """
     names = view.eligible(candidates)
     names = view.below_floor(names) or names
@@ -101,26 +116,39 @@
     limit = min(known[name].key for name in names) + view.allowed_gap
     return min(
         (name for name in names if known[name].key <= limit),
-        key=lambda name: (known[name].deadline, known[name].key, name),
+        key=lambda name: (view.urgency(name, now), known[name].key, name),
     )
 
 
-def may_keep_slot(name: OrganisationName, view: ServiceView) -> bool:
-    """Returns whether a router may use a freed slot again for the organisation.
+def may_use_slot(
+    name: OrganisationName, view: ServiceView, *, is_granted: bool
+) -> bool:
+    """Returns whether a router may use a slot for the organisation.
 
     It may if the organisation is about as far behind as the one that comes first
     in the whole fleet; otherwise the slot goes back to the arbiter.
+
+    Args:
+        name: An organisation with waiting work at the router.
+        view: All organisations with waiting or running requests.
+        is_granted: Whether an arbiter has just granted the slot. More is tolerated
+            then: the arbiter's view differs by what is not reported yet, and a slot
+            sent back at once could be granted again for the same reason.
     """
-    waiting = [one for one, state in view.organisations.items() if state.waiting > 0]
+    known = view.organisations
+    waiting = [one for one, state in known.items() if state.waiting > 0]
     names = view.eligible(waiting)
+    gap = view.allowed_gap
+    if is_granted:
+        gap *= GRANT_TOLERANCE
+        if name not in names and known[name].running <= view.cap():
+            names.append(name)
     if name not in names:
         return not names
     low = view.below_floor(names)
-    if low:
+    if low and not is_granted:
         return name in low
-    known = view.organisations
-    least = min(known[one].key for one in names)
-    return known[name].key <= least + view.allowed_gap
+    return name in low or known[name].key <= min(known[one].key for one in names) + gap
 
 
 class CostEstimates:
