--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -132,7 +132,12 @@
         if not self.is_started:
             if self._connection.can_refuse:
                 await self._deliver(
-                    send_refusal(self._connection, error, self._call.request_id)
+                    send_refusal(
+                        self._connection,
+                        error,
+                        self._call.request_id,
+                        call_id=self._call.call_id,
+                    )
                 )
             return
         body = to_refusal_body(error, self._call.request_id)
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import curio
+
 from ..core.blackboard import Blackboard
 from ..errors import LeavingError, RefusalError, TooManyConnectionsError
 from ..metrics import Metrics
@@ -60,6 +62,10 @@
                 await self._serve_connection(connection)
         except OSError as err:
             _LOG.debug("connection lost: %s", err)
+        except curio.CancelledError:
+            # The router ends, so it does not wait for the caller to read and close.
+            await connection.close()
+            raise
         finally:
             try:
                 await connection.close_cleanly()
--- a/sequoiamoor/net/caller.py
+++ b/sequoiamoor/net/caller.py
@@ -179,10 +179,18 @@
 
 
 async def send_refusal(
-    connection: ServerConnection, error: RefusalError, request_id: str | None
+    connection: ServerConnection,
+    error: RefusalError,
+    request_id: str | None,
+    *,
+    call_id: str | None = None,
 ) -> None:
     """Sends a refusal as a whole response."""
     headers = {"content-type": "application/json"}
+    if request_id is not None:
+        headers["x-request-id"] = request_id
+    if call_id is not None:
+        headers["x-call-id"] = call_id
     if error.retry_after is not None:
         headers["retry-after"] = str(max(1, math.ceil(error.retry_after)))
     await connection.send_response(
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -131,6 +131,7 @@
         self._send_timeout = send_timeout
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=header_limit)
         self._is_head = False
+        self._is_closed = False
         self.is_peer_closed = False
         self.is_peer_slow = False
         self.bytes_sent = 0
@@ -332,6 +333,7 @@
 
     async def close(self) -> None:
         """Closes the connection."""
+        self._is_closed = True
         await self._sock.close()
 
     async def close_cleanly(self) -> None:
@@ -342,7 +344,8 @@
         dropped until it closes, within limits of time and size.
         """
         try:
-            if self.bytes_sent and not self.is_peer_closed and not self.is_peer_slow:
+            is_heard = not (self._is_closed or self.is_peer_closed or self.is_peer_slow)
+            if self.bytes_sent and is_heard:
                 self._raw.shutdown(socket.SHUT_WR)
                 await curio.ignore_after(LINGER_SECONDS, self._drop_received)
         except OSError:
--- a/tests/border.py
+++ b/tests/border.py
@@ -135,6 +135,7 @@
     requests: list[bytes] = field(default_factory=list)
     connections: int = 0
     closed_by_router: int = 0
+    ended: int = 0
     address: Address | None = None
     tasks: Any = None
 
@@ -162,6 +163,9 @@
                         return
         except OSError:
             self.closed_by_router += 1
+        finally:
+            await sock.close()
+            self.ended += 1
 
     async def _take(self, sock: Any, step: Step) -> bool:
         if isinstance(step, bytes):
@@ -309,6 +313,13 @@
             await caller.send(part)
         return await caller.receive_all()
 
+    async def tick(self) -> None:
+        """Starts waiting calls periodically, as the router does."""
+        while True:
+            await curio.sleep(0.005)
+            for service in self.board.queues.services():
+                await self.calls.dispatch(service)
+
     async def note(self) -> None:
         async with self._progress:
             await self._progress.notify_all()
@@ -355,9 +366,11 @@
 
     async def main() -> Any:
         watch = await curio.spawn(border.calls.watch, daemon=True)
+        tick = await curio.spawn(border.tick, daemon=True)
         async with curio.timeout_after(SESSION_SECONDS):
             result = await session(border)
         await watch.cancel()
+        await tick.cancel()
         await border.calls.close()
         return result
 
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -454,7 +454,9 @@
         caller = await border.connect()
         await caller.send(request(service, stream=False))
         await caller.receive_until(b"{}")
-        await border.wait_for(lambda: not upstream.scripts or upstream.connections == 1)
+        # The bytes and the close arrive while the connection is idle; a later arrival
+        # would be the race of the next test.
+        await border.wait_for(lambda: upstream.ended == 1)
         await curio.sleep(0.02)
         await caller.send(request(service, stream=False))
         received = await caller.receive_until(b"x-call-id: call-2\r\n")
--- /dev/null
+++ b/tests/net/test_own_answer.py
@@ -0,0 +1,182 @@
+"""Property: a caller gets its own whole answer, or is told that it did not."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.border import (
+    Border,
+    Close,
+    Hang,
+    Seen,
+    Step,
+    chunk,
+    events,
+    parse,
+    read_call_id,
+    request,
+    run,
+    stream_head,
+    whole,
+)
+
+TOKENS = 4
+CALLERS = ("call-1", "call-2", "call-3")
+SERVICES = ("talk", "once", "look", "desk")
+
+
+@dataclass(frozen=True)
+class Fault:
+    """What an upstream does wrong with one answer.
+
+    Attributes:
+        crossed_head: Whether the head carries another call's identifier.
+        crossed_from: First event of another call's answer, if any.
+        repeated: Event that comes twice, if any.
+        left_out: Event that is missing, if any.
+        cuts: Places, in thousandths, at which the answer is split between writes.
+        kept: Thousandths of the answer that are sent before the ending.
+        copies: How often the whole answer is sent.
+        is_reset: Whether the connection ends with a reset.
+        is_silent: Whether the upstream stays silent instead of closing.
+    """
+
+    crossed_head: bool = False
+    crossed_from: int | None = None
+    repeated: int | None = None
+    left_out: int | None = None
+    cuts: tuple[int, ...] = ()
+    kept: int = 1_000
+    copies: int = 1
+    is_reset: bool = False
+    is_silent: bool = False
+
+
+EVENT_INDEX = st.none() | st.integers(0, TOKENS + 1)
+FAULTS = st.builds(
+    Fault,
+    crossed_head=st.sampled_from([False, False, False, True]),
+    crossed_from=st.none() | EVENT_INDEX,
+    repeated=st.none() | EVENT_INDEX,
+    left_out=st.none() | EVENT_INDEX,
+    cuts=st.lists(st.integers(0, 1_000), max_size=4).map(tuple),
+    kept=st.just(1_000) | st.integers(0, 1_000),
+    copies=st.sampled_from([1, 1, 1, 2]),
+    is_reset=st.booleans(),
+    is_silent=st.sampled_from([False, False, False, True]),
+)
+
+
+def plain_body(call_id: str) -> bytes:
+    return json.dumps({"answer of": call_id}).encode()
+
+
+def build_answer(received: bytes, fault: Fault) -> list[Step]:
+    own = read_call_id(received)
+    other = CALLERS[(CALLERS.index(own) + 1) % len(CALLERS)]
+    head_id = other if fault.crossed_head else own
+    if b"/v1/generate" in received:
+        first = 0
+        for line in received.lower().split(b"\r\n"):
+            if line.startswith(b"x-resume-from: "):
+                first = int(line.split()[1])
+        parts = events(own, TOKENS, first=first)
+        if fault.crossed_from is not None:
+            parts[fault.crossed_from :] = events(other, TOKENS)[fault.crossed_from :]
+        if fault.repeated is not None:
+            parts[fault.repeated : fault.repeated] = parts[fault.repeated :][:1]
+        if fault.left_out is not None:
+            del parts[fault.left_out : fault.left_out + 1]
+        data = stream_head(head_id) + b"".join(map(chunk, parts)) + b"0\r\n\r\n"
+    else:
+        data = whole(head_id, plain_body(other if fault.crossed_head else own))
+    data = (data * fault.copies)[: len(data) * fault.copies * fault.kept // 1_000]
+    places = sorted(len(data) * cut // 1_000 for cut in fault.cuts)
+    steps: list[Step] = []
+    for begin, end in zip([0, *places], [*places, len(data)], strict=True):
+        steps.append(data[begin:end])
+    if fault.kept < 1_000 or fault.copies > 1:
+        steps.append(Hang() if fault.is_silent else Close(is_reset=fault.is_reset))
+    return steps
+
+
+def check_seen(seen: Seen, call_id: str, service: str, wants_stream: bool) -> None:
+    """Checks that the caller was served its own whole answer or told the truth."""
+    if seen.status != 200:
+        assert seen.is_whole and seen.refusal["request_id"] == call_id
+        # Every fault of this test happens behind a sent request.
+        assert seen.refusal["execution"] == "may have run"
+        return
+    assert seen.headers["x-call-id"] == call_id
+    if service in ("look", "desk"):
+        assert seen.is_whole and seen.body == plain_body(call_id)
+    elif not wants_stream:
+        text = "".join(f"t{index} " for index in range(TOKENS))
+        assert seen.is_whole and seen.refusal["id"] == call_id
+        assert (seen.refusal["tokens"], seen.refusal["text"]) == (TOKENS, text)
+    elif seen.is_whole:
+        assert seen.body == b"".join(events(call_id, TOKENS))
+    else:
+        body, marker, refusal = seen.body.partition(b"event: incomplete\ndata: ")
+        assert marker and json.loads(refusal)["execution"] == "may have run"
+        assert b"".join(events(call_id, TOKENS)).startswith(body)
+        assert b"event: end" not in body
+
+
+@settings(
+    max_examples=120,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(
+    faults=st.lists(FAULTS, min_size=1, max_size=6),
+    service=st.sampled_from(SERVICES),
+    wants_stream=st.booleans(),
+)
+def test_caller_gets_its_own_whole_answer_or_is_told(
+    faults: list[Fault], service: str, wants_stream: bool
+) -> None:
+    """Guards against swapped, truncated, repeated or silently incomplete answers."""
+
+    async def session(border: Border) -> None:
+        left = list(faults)
+
+        def answer(received: bytes) -> Sequence[Step]:
+            return build_answer(received, left.pop(0) if left else Fault())
+
+        for _ in range(2):
+            upstream = await border.add_upstream(service=service)
+            upstream.scripts.extend([answer] * 20)
+        callers = []
+        for _ in CALLERS:
+            caller = await border.connect()
+            callers.append(caller)
+            # The end of the sending side would be taken for a hang-up, so the
+            # connection is closed by the router only after an incomplete answer.
+            await caller.send(request(service, stream=wants_stream))
+        for caller in callers:
+            while not _is_answered(caller.received) and await caller.receive():
+                pass
+        # Identifiers are given in the order in which the requests arrive.
+        found = set()
+        for caller in callers:
+            seen = parse(caller.received)
+            call_id = seen.headers.get("x-call-id") or seen.refusal["request_id"]
+            found.add(call_id)
+            check_seen(seen, call_id, service, wants_stream)
+            assert seen.rest == b""
+            await caller.close()
+        assert found == set(CALLERS)
+        await border.wait_idle()
+
+    run(session, options={"upstream_idle_timeout": 0.08, "probe_base_delay": 0.001})
+
+
+def _is_answered(received: bytes) -> bool:
+    return b"\r\n\r\n" in received and parse(received).is_whole
