--- a/tests/border.py
+++ b/tests/border.py
@@ -215,6 +215,7 @@
         self.sock = sock
         self.received = b""
         self.is_closed = False
+        self.is_reset = False
 
     async def send(self, data: bytes) -> None:
         await self.sock.sendall(data)
@@ -224,6 +225,7 @@
             data = await self.sock.recv(65_536)
         except ConnectionError:
             data = b""
+            self.is_reset = True
         self.received += data
         self.is_closed = not data
         await self._border.note()
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from sequoiamoor.types import CallRequest
 from tests.border import (
     Border,
     Hang,
@@ -110,9 +111,11 @@
 
     async def session(border: Border) -> None:
         caller = await border.connect()
-        # More data behind the request makes a hasty close reset the connection.
-        await caller.send(data + b"x" * 50_000)
+        # More data behind the request than is read at once: closing the connection
+        # with some of it unread resets it.
+        await caller.send(data + b"x" * 300_000)
         seen = parse(await caller.receive_all())
+        assert not caller.is_reset
         assert (seen.status, seen.refusal["code"]) == (status, code)
         assert seen.refusal["execution"] == "was not run"
         assert seen.is_whole and seen.rest == b""
@@ -266,6 +269,22 @@
     run(session)
 
 
+def test_call_that_gets_its_slot_as_its_caller_goes_returns_it() -> None:
+    """Guards against a slot that leaks if start and hang-up fall into one turn."""
+
+    async def session(border: Border) -> None:
+        call = CallRequest("c", "r", "a", "chat", "talk", 0.0, 1.0, 9.0, b"")
+        border.calls.accept(call)
+        await border.add_upstream()
+        await border.calls.dispatch("talk")
+        replica = border.board.upstreams.replicas["replica-1"]
+        assert replica.in_use == 1
+        await border.calls._forget(call)
+        assert replica.in_use == 0 and border.is_idle()
+
+    run(session)
+
+
 @pytest.mark.parametrize("is_begun", [False, True])
 def test_caller_that_hangs_up_frees_slot_and_cancels_upstream(is_begun: bool) -> None:
     """Guards against upstream work and slots for callers that are gone."""
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -139,6 +139,9 @@
         assert (seen.refusal["code"], seen.refusal["execution"]) == (code, execution)
         assert seen.refusal["request_id"] == "call-1"
         assert sum(len(one.requests) for one in upstreams) == 1
+        # Only a connection that failed says that the replica cannot be used.
+        failures = [one.failures for one in border.board.upstreams.replicas.values()]
+        assert sum(failures) == (code == "answer-incomplete")
         await border.wait_idle()
 
     run(session, options={"upstream_idle_timeout": 0.1, "answer_limit_bytes": 1_000})
@@ -461,12 +464,25 @@
         await caller.send(request(service, stream=False))
         received = await caller.receive_until(b"x-call-id: call-2\r\n")
         assert received.count(b"HTTP/1.1 200 ") == 2
+        assert border.counter("answer_mismatches") == 0
         assert border.counter("retries", code="answer-incomplete") == 0
         assert upstream.connections == 2
 
     run(session)
 
 
+def test_call_that_must_run_once_uses_a_connection_of_its_own() -> None:
+    """Guards against an unclear outcome because an idle connection was closed."""
+
+    async def session(border: Border) -> None:
+        upstream = await border.add_upstream(answer_call, answer_call, service="desk")
+        data = request("desk", stream=False)
+        await _ask(border, data * 2, b"x-call-id: call-2\r\n")
+        assert upstream.connections == 2
+
+    run(session)
+
+
 def test_idle_connection_closed_under_the_request_is_replaced() -> None:
     """Guards against blame and a used attempt for a race on an idle connection."""
 
