--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -94,7 +94,10 @@
     async def send_events(self, data: bytes) -> None:
         """Passes on whole events of a streamed answer."""
         if self._call.wants_stream:
-            await self._deliver(self._connection.send_data(data))
+            try:
+                await self._connection.send_data(data)
+            except (OSError, h11.LocalProtocolError) as err:
+                raise CallerGoneError(str(err)) from err
             return
         self._held_bytes += len(data)
         if self._held_bytes > self._answer_limit:
@@ -146,7 +149,12 @@
         if not self.is_started:
             if self._connection.can_refuse:
                 await self._deliver(
-                    send_refusal(self._connection, error, self._call.request_id)
+                    send_refusal(
+                        self._connection,
+                        error,
+                        self._call.request_id,
+                        call_id=self._call.call_id,
+                    )
                 )
             return
         body = to_refusal_body(error, self._call.request_id)
