Let operators change, compare and inspect from the command line

Cause: the configuration could only be written by hand into the table, two operators could replace each other's change, and 'check' crashed on a directory and named no remedy for most wrong fields. Ruled out: writing the history entry before the compare-and-set (a command that ends in between leaves an entry that was never accepted, and a slower rival may be accepted under it); writing it only afterwards (the same end loses a version). Change: a change first copies the version that it replaces to the history, then replaces it, then writes its own entry; config get, put, diff, history; status with a table or JSON; check lists place, value, valid values and remedy.

--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from pathlib import Path
 from typing import Annotated
 
+import curio
 import typer
 
-from .declaration import read_declaration
+from .declaration import parse_declaration
 from .errors import SequoiamoorError, SettingsError
-from .settings import read_settings
+from .settings import parse_address, read_settings
 from .types import Address
 
 app = typer.Typer(
@@ -23,6 +25,11 @@
     no_args_is_help=True,
 )
 app.add_typer(stand_in, name="stand-in")
+config = typer.Typer(
+    help="Reads and changes the configuration in the platform's table.",
+    no_args_is_help=True,
+)
+app.add_typer(config, name="config")
 
 Host = Annotated[str, typer.Option(help="IP address to listen on.")]
 Port = Annotated[int, typer.Option(help="Port to listen on; 0 takes a free one.")]
@@ -39,14 +46,123 @@
 
 
 @app.command()
-def check(file: Annotated[Path, typer.Argument(help="JSON file to check.")]) -> None:
-    """Checks router settings or a declaration; exits with 0 or 2."""
-    is_settings = file.exists() and b'"router_id"' in file.read_bytes()
-    if is_settings:
-        read_settings(file)
-    else:
-        read_declaration(file)
-    typer.echo(f"{file}: valid {'settings' if is_settings else 'declaration'}")
+def check(
+    file: Annotated[Path, typer.Argument(help="JSON file to check.", dir_okay=True)],
+) -> None:
+    """Checks router settings or a declaration.
+
+    Prints one line per wrong field with its value, the valid values and the remedy.
+    The exit code is 0 if the file is valid and 2 if it is not or cannot be read.
+    """
+    from .commands.checks import check_file
+
+    typer.echo(f"{file}: valid {check_file(file)}")
+
+
+@app.command()
+def status(
+    router: Annotated[str, typer.Option(help="HOST:PORT of a router's HTTP port.")],
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print the status as JSON for programs.")
+    ] = False,
+) -> None:
+    """Shows what a router knows: members, upstreams, backlog, configuration, store.
+
+    The exit code is 1 if the router does not answer.
+    """
+    from .commands.status import format_status, read_status
+
+    document = curio.run(read_status, parse_address(router))
+    typer.echo(json.dumps(document, indent=2) if as_json else format_status(document))
+
+
+Platform = Annotated[str, typer.Option(help="HOST:PORT of the platform.")]
+
+
+@config.command("get")
+def get_configuration(
+    platform: Platform,
+    version: Annotated[
+        int | None, typer.Option(help="Earlier version; default: the current one.")
+    ] = None,
+) -> None:
+    """Prints a configuration as JSON, and its version on standard error.
+
+    The output can be edited and given to 'config put' with '--expect VERSION'.
+    """
+    from .commands.configuration import ConfigurationStore, to_document
+
+    store = ConfigurationStore(parse_address(platform))
+    entry = curio.run(store.read, version)
+    typer.echo(f"version {entry.version}", err=True)
+    typer.echo(json.dumps(to_document(entry), indent=2))
+
+
+@config.command("put")
+def put_configuration(
+    file: Annotated[Path, typer.Argument(help="JSON file with the declaration.")],
+    platform: Platform,
+    expect: Annotated[
+        int, typer.Option(help="Version that the change replaces; 0 for the first.")
+    ],
+) -> None:
+    """Replaces the configuration if its current version is the expected one.
+
+    The change is accepted when the command says so. If another operator was faster,
+    nothing is changed, the command prints the current version and the differences,
+    and the exit code is 1. An invalid file, one with weights or VM names for
+    example, is refused with exit code 2.
+    """
+    from .commands.checks import read_json
+    from .commands.configuration import ConfigurationStore, make_change_id
+    from .core.changes import ConfigurationChange
+
+    parse_declaration(read_json(file), source=str(file))
+    change = ConfigurationChange(read_json(file), make_change_id(), expect)
+    store = ConfigurationStore(parse_address(platform))
+    version = curio.run(store.put, change)
+    typer.echo(f"accepted as version {version}, change {change.change_id}")
+
+
+@config.command("diff")
+def diff_configuration(
+    file: Annotated[Path, typer.Argument(help="JSON file with the declaration.")],
+    platform: Platform,
+    version: Annotated[
+        int | None, typer.Option(help="Earlier version; default: the current one.")
+    ] = None,
+) -> None:
+    """Prints the differences from a version to a file, one line each.
+
+    '+' marks a field that only the file has, '-' one that it does not have and '~'
+    one with another value.
+    """
+    from .commands.checks import read_json
+    from .commands.configuration import ConfigurationStore, to_document
+    from .core.changes import list_differences
+
+    document = read_json(file)
+    store = ConfigurationStore(parse_address(platform))
+    entry = curio.run(store.read, version)
+    typer.echo(f"from version {entry.version} to {file}:")
+    for line in list_differences(to_document(entry) or {}, document) or ["(none)"]:
+        typer.echo(f"  {line}")
+
+
+@config.command("history")
+def list_history(
+    platform: Platform,
+    count: Annotated[int, typer.Option(min=1, help="How many versions.")] = 10,
+) -> None:
+    """Prints the last versions and what each of them changed, newest first."""
+    from .commands.configuration import ConfigurationStore
+
+    store = ConfigurationStore(parse_address(platform))
+    for row in curio.run(store.list_history, count):
+        change_id = row.change_id or "(no history entry)"
+        typer.echo(f"version {row.version}, change {change_id}")
+        for line in row.differences:
+            typer.echo(f"  {line}")
 
 
 @app.command()
--- /dev/null
+++ b/sequoiamoor/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the commands of operators do."""
--- /dev/null
+++ b/sequoiamoor/commands/checks.py
@@ -0,0 +1,48 @@
+"""Checks files that operators write."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from ..declaration import read_declaration
+from ..errors import SettingsError
+from ..settings import RouterSettings, read_settings
+
+
+def check_file(path: Path) -> str:
+    """Validates router settings or a declaration, whichever the file looks like.
+
+    Returns:
+        What kind of file it is.
+
+    Raises:
+        SettingsError: If the file cannot be read, is not JSON or has wrong fields.
+    """
+    document = read_json(path)
+    if isinstance(document, dict) and not document.keys().isdisjoint(
+        RouterSettings.model_fields
+    ):
+        read_settings(path)
+        return "settings"
+    read_declaration(path)
+    return "declaration"
+
+
+def read_json(path: Path) -> Any:
+    """Reads a JSON file.
+
+    Raises:
+        SettingsError: If the file cannot be read or is not JSON.
+    """
+    try:
+        return json.loads(path.read_bytes())
+    except OSError as err:
+        raise SettingsError(
+            f"{path}: cannot be read ({err.strerror}); name a readable JSON file"
+        ) from err
+    except ValueError as err:
+        raise SettingsError(
+            f"{path}: not JSON ({err}); write one JSON object in UTF-8"
+        ) from err
--- /dev/null
+++ b/sequoiamoor/commands/configuration.py
@@ -0,0 +1,183 @@
+"""Reads and changes the configuration in the platform's table."""
+
+from __future__ import annotations
+
+import contextlib
+import secrets
+import time
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import curio
+
+from ..core.changes import (
+    CONFIGURATION_KEY,
+    ConfigurationChange,
+    history_key,
+    list_differences,
+    needs_history_entry,
+    preserve_version,
+)
+from ..core.writes import Rejected, WriteResult
+from ..declaration import parse_declaration
+from ..errors import (
+    ChangeConflictError,
+    ChangeUnknownError,
+    PlatformUnavailableError,
+    VersionUnknownError,
+)
+from ..net.platform import PlatformClient, TableEntry
+from ..net.table import settle
+from ..types import Address
+
+OPERATION_TIMEOUT_SECONDS = 3.0
+SETTLE_TIMEOUT_SECONDS = 20.0
+READ_TIMEOUT_SECONDS = 6.0
+
+
+def make_change_id() -> str:
+    """Returns an identifier with the time of the change that nobody else makes."""
+    made_at = time.strftime("%Y%m%dT%H%M%SZ", time.gmtime())
+    return f"{made_at}-{secrets.token_hex(8)}"
+
+
+def to_document(entry: TableEntry) -> Any:
+    """Returns the document of a configuration or history entry, or None."""
+    return entry.value.get("document") if isinstance(entry.value, dict) else None
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryRow:
+    """One version in the history."""
+
+    version: int
+    change_id: str | None
+    differences: list[str]
+
+
+class ConfigurationStore:
+    """The configuration and its history in the platform's table."""
+
+    def __init__(self, address: Address) -> None:
+        self._platform = PlatformClient(address, timeout=OPERATION_TIMEOUT_SECONDS)
+        self._rng = Random()
+
+    async def read(self, version: int | None = None) -> TableEntry:
+        """Reads the current configuration, or an earlier version.
+
+        Raises:
+            VersionUnknownError: If there is no such version.
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        current = await self._read(CONFIGURATION_KEY)
+        if version is None or version == current.version:
+            return current
+        entry = await self._read(history_key(version))
+        if entry.version == 0:
+            raise VersionUnknownError(
+                f"version {version} is not in the history; the current version is "
+                f"{current.version}, 'sequoiamoor config history' lists the others"
+            )
+        return TableEntry(version, entry.value)
+
+    async def _read(self, key: str) -> TableEntry:
+        give_up_at = time.monotonic() + READ_TIMEOUT_SECONDS
+        while True:
+            try:
+                return await self._platform.read(key)
+            except PlatformUnavailableError:
+                if time.monotonic() >= give_up_at:
+                    raise
+                await curio.sleep(self._rng.uniform(0, 0.2))
+
+    async def put(self, change: ConfigurationChange) -> int:
+        """Makes a change of the configuration.
+
+        Returns:
+            The version of the accepted change.
+
+        Raises:
+            SettingsError: If the document is not a valid declaration.
+            ChangeConflictError: If another version is current.
+            ChangeUnknownError: If the platform did not tell the effect in time.
+            PlatformUnavailableError: If the platform does not answer; nothing was
+                changed.
+        """
+        parse_declaration(change.document)
+        current = await self._read(CONFIGURATION_KEY)
+        if current.version != change.expected_version:
+            raise self._build_conflict(change, current)
+        if current.version:
+            await self._preserve(current)
+        try:
+            async with curio.timeout_after(SETTLE_TIMEOUT_SECONDS):
+                result = await settle(
+                    self._platform, change.build_write(), rng=self._rng
+                )
+                is_accepted = await self._find_accepted(change, result)
+        except (curio.TaskTimeout, PlatformUnavailableError) as err:
+            raise ChangeUnknownError(
+                f"the platform did not tell whether change {change.change_id!r} was "
+                "accepted; look for it with 'sequoiamoor config history' before "
+                "trying again"
+            ) from err
+        if not is_accepted:
+            assert isinstance(result, Rejected)
+            raise self._build_conflict(change, TableEntry(result.version, result.value))
+        # If this fails, the next change writes the entry before it replaces the
+        # version.
+        with contextlib.suppress(PlatformUnavailableError):
+            await self._preserve(TableEntry(change.version, change.value))
+        return change.version
+
+    async def _find_accepted(
+        self, change: ConfigurationChange, result: WriteResult
+    ) -> bool:
+        entry = None
+        if needs_history_entry(change, result):
+            entry = (await self._read(history_key(change.version))).value
+        return change.is_accepted(result, entry)
+
+    async def _preserve(self, entry: TableEntry) -> None:
+        write = preserve_version(entry.version, entry.value)
+        try:
+            async with curio.timeout_after(SETTLE_TIMEOUT_SECONDS):
+                await settle(self._platform, write, rng=self._rng)
+        except curio.TaskTimeout as err:
+            raise PlatformUnavailableError(
+                f"the history entry of version {entry.version} cannot be written; "
+                "try again later"
+            ) from err
+
+    def _build_conflict(
+        self, change: ConfigurationChange, current: TableEntry
+    ) -> ChangeConflictError:
+        differences = list_differences(to_document(current), change.document)
+        text = "\n".join(f"  {line}" for line in differences) or "  (none)"
+        return ChangeConflictError(
+            f"the current version is {current.version}, not "
+            f"{change.expected_version}; nothing was changed\n"
+            f"differences from version {current.version} to your document:\n{text}\n"
+            "merge them into your file and put it with --expect "
+            f"{current.version}"
+        )
+
+    async def list_history(self, count: int) -> list[HistoryRow]:
+        """Returns the last versions, the current one first."""
+        entry = await self._read(CONFIGURATION_KEY)
+        rows: list[HistoryRow] = []
+        while entry.version > 0 and len(rows) < count:
+            before = TableEntry(entry.version - 1, None)
+            if before.version:
+                kept = await self._read(history_key(before.version))
+                before = TableEntry(before.version, kept.value)
+            change_id = None
+            if isinstance(entry.value, dict):
+                change_id = entry.value.get("change_id")
+            differences = list_differences(
+                to_document(before) or {}, to_document(entry) or {}
+            )
+            rows.append(HistoryRow(entry.version, change_id, differences))
+            entry = before
+        return rows
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -4,20 +4,26 @@
 
 import json
 import time
+from collections import Counter
+from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ..core.blackboard import Blackboard
 from ..metrics import Metrics
 from ..net.http import ServerConnection
+from .records import Records
 
 
 class Pages:
     """Answers the requests of operators and of the platform's load balancer."""
 
-    def __init__(self, board: Blackboard, metrics: Metrics) -> None:
+    def __init__(
+        self, board: Blackboard, metrics: Metrics, *, records: Records
+    ) -> None:
         self._board = board
         self._metrics = metrics
+        self._records = records
         self._pages = {
             "/healthz": self._send_health,
             "/readyz": self._send_readiness,
@@ -52,21 +58,89 @@
         await connection.send_response(200, {"content-type": CONTENT_TYPE_LATEST}, body)
 
     async def _send_status(self, connection: ServerConnection) -> None:
-        board = self._board
-        document = {
+        document = build_status(
+            self._board,
+            is_table_available=self._records.is_available,
+            unwritten_records=self._records.unfinished,
+            now=time.monotonic(),
+        )
+        body = json.dumps(document).encode()
+        await connection.send_response(200, {"content-type": "application/json"}, body)
+
+
+def build_status(
+    board: Blackboard, *, is_table_available: bool, unwritten_records: int, now: float
+) -> dict[str, Any]:
+    """Returns the status page: single values, and lists of rows.
+
+    Args:
+        board: State of the router.
+        is_table_available: Whether the last claim of a record could be settled.
+        unwritten_records: Records that are written in the background.
+        now: Monotonic time in seconds.
+    """
+    return {
+        "router_id": board.identity.router_id,
+        "zone": board.identity.zone,
+        "leaving": board.is_leaving,
+        "configuration_version": board.configuration.version,
+        "store": {
+            "available": is_table_available,
+            "unwritten_records": unwritten_records,
+        },
+        "members": _list_members(board),
+        "upstreams": _list_upstreams(board, now),
+        "organisations": _list_organisations(board),
+    }
+
+
+def _list_members(board: Blackboard) -> list[dict[str, Any]]:
+    return [
+        {
             "router_id": board.identity.router_id,
+            "incarnation": board.identity.incarnation,
             "zone": board.identity.zone,
-            "configuration_version": board.configuration.version,
-            "upstreams": [
-                {
-                    "replica": replica.replica_id,
-                    "service": replica.service,
-                    "zone": replica.zone,
-                    "in_use": replica.in_use,
-                    "available": replica.is_available(time.monotonic()),
-                }
-                for replica in board.upstreams.replicas.values()
-            ],
+            "state": "leaving" if board.is_leaving else "live",
         }
-        body = json.dumps(document).encode()
-        await connection.send_response(200, {"content-type": "application/json"}, body)
+    ]
+
+
+def _list_upstreams(board: Blackboard, now: float) -> list[dict[str, Any]]:
+    return [
+        {
+            "replica": replica.replica_id,
+            "service": replica.service,
+            "zone": replica.zone,
+            "available": replica.is_available(now),
+            "leaving": replica.is_leaving,
+            "in_use": replica.in_use,
+            "slots": replica.load.slots if replica.load else None,
+            "running": replica.load.running if replica.load else None,
+            "failures": replica.failures,
+        }
+        for replica in sorted(
+            board.upstreams.replicas.values(),
+            key=lambda one: (one.service, one.replica_id),
+        )
+    ]
+
+
+def _list_organisations(board: Blackboard) -> list[dict[str, Any]]:
+    declaration = board.configuration.declaration
+    if declaration is None:
+        return []
+    running = Counter(
+        (call.service, call.organisation) for call in board.running.values()
+    )
+    rows = [
+        {
+            "organisation": organisation,
+            "service": service,
+            "waiting": board.queues.count(service, organisation),
+            "running": running[service, organisation],
+            "served": round(board.ledger.served(service, organisation), 1),
+        }
+        for organisation in sorted(declaration.organisations)
+        for service in sorted(declaration.services)
+    ]
+    return [row for row in rows if row["waiting"] or row["running"] or row["served"]]
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -72,7 +72,7 @@
             records=self._records,
             retries=Retries(self._options, rng=self._rng),
         )
-        self._pages = Pages(self.board, self.metrics)
+        self._pages = Pages(self.board, self.metrics, records=self._records)
         self._pollers = Pollers(self.board, self._platform)
         self._numbers = itertools.count(1)
         self._connections = 0
--- a/sequoiamoor/declaration.py
+++ b/sequoiamoor/declaration.py
@@ -52,9 +52,13 @@
     @classmethod
     def _explain_unsupported(cls, data: Any) -> Any:
         if isinstance(data, Mapping):
-            for name in data:
-                if name in _REMEDIES and name not in cls.model_fields:
-                    raise ValueError(f"{name!r} is not accepted: {_REMEDIES[name]}")
+            unsupported = [
+                f"{name!r} ({data[name]!r}) is not accepted: {_REMEDIES[name]}"
+                for name in data
+                if name in _REMEDIES and name not in cls.model_fields
+            ]
+            if unsupported:
+                raise ValueError("; ".join(unsupported))
         return data
 
 
@@ -123,7 +127,7 @@
     try:
         return Declaration.model_validate(document)
     except ValidationError as err:
-        raise SettingsError(describe_errors(err, source)) from err
+        raise SettingsError(describe_errors(err, source, Declaration)) from err
 
 
 def read_declaration(path: Path) -> Declaration:
@@ -139,4 +143,4 @@
             f"{path}: cannot be read ({err.strerror}); name a readable JSON file"
         ) from err
     except ValidationError as err:
-        raise SettingsError(describe_errors(err, str(path))) from err
+        raise SettingsError(describe_errors(err, str(path), Declaration)) from err
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -51,6 +51,30 @@
         self.value = value
 
 
+class ChangeConflictError(SequoiamoorError):
+    """Another version of the configuration is current; nothing was changed."""
+
+    code = "change-conflict"
+
+
+class ChangeUnknownError(SequoiamoorError):
+    """The platform did not tell whether a change was accepted."""
+
+    code = "change-unknown"
+
+
+class VersionUnknownError(SequoiamoorError):
+    """The configuration has no such version."""
+
+    code = "version-unknown"
+
+
+class RouterUnavailableError(SequoiamoorError):
+    """A router does not answer an operator's command."""
+
+    code = "router-unavailable"
+
+
 class RefusalError(SequoiamoorError):
     """A request is refused; the caller gets status, code and execution.
 
--- /dev/null
+++ b/sequoiamoor/net/table.py
@@ -0,0 +1,54 @@
+"""Carries out conditional writes with the platform client."""
+
+from __future__ import annotations
+
+import logging
+from random import Random
+
+import curio
+
+from ..core.retries import draw_backoff
+from ..core.writes import ConditionalWrite, Put, WriteResult
+from ..errors import PlatformUnavailableError, VersionConflictError
+from .platform import PlatformClient
+
+_LOG = logging.getLogger(__name__)
+
+BASE_DELAY_SECONDS = 0.02
+MAX_DELAY_SECONDS = 0.5
+
+
+async def settle(
+    platform: PlatformClient, write: ConditionalWrite, *, rng: Random
+) -> WriteResult:
+    """Repeats a conditional write and reads it back until its effect is known.
+
+    The caller bounds the time with a timeout; the effect is unknown after it.
+    """
+    failures = 0
+    while write.result is None:
+        operation = write.next_operation()
+        try:
+            if isinstance(operation, Put):
+                write.take_written(
+                    await platform.write(
+                        operation.key,
+                        operation.value,
+                        expected_version=operation.expected_version,
+                    )
+                )
+            else:
+                entry = await platform.read(operation.key)
+                write.take_present(entry.version, entry.value)
+        except VersionConflictError as err:
+            write.take_present(err.version, err.value)
+        except (PlatformUnavailableError, ValueError, KeyError, TypeError) as err:
+            write.take_unknown()
+            failures += 1
+            _LOG.debug("table operation on %s is not answered: %s", write.key, err)
+            await curio.sleep(
+                draw_backoff(
+                    failures, base=BASE_DELAY_SECONDS, limit=MAX_DELAY_SECONDS, rng=rng
+                )
+            )
+    return write.result
--- a/sequoiamoor/settings.py
+++ b/sequoiamoor/settings.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, get_args
 
 from pydantic import (
     AfterValidator,
@@ -76,21 +76,94 @@
     options: Options = Options.model_validate({})
 
 
-def describe_errors(error: ValidationError, what: str) -> str:
-    """Returns one line per wrong field: its place, its value, what is wrong."""
+def parse_address(text: str) -> Address:
+    """Returns the address that a text of the form HOST:PORT names.
+
+    Raises:
+        SettingsError: If the text has another form.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        settings = AddressSettings.model_validate({"host": host, "port": port})
+    except ValidationError as err:
+        raise SettingsError(
+            f"{text!r} is not an address; write IP:PORT such as '10.0.0.4:8080'"
+        ) from err
+    return settings.to_address()
+
+
+_VALUE_LENGTH = 80
+_REMEDIES = {
+    "missing": "add it",
+    "json_invalid": "write a JSON object",
+    "int_parsing": "write a whole number",
+    "int_type": "write a whole number",
+    "float_parsing": "write a number",
+    "float_type": "write a number",
+    "bool_parsing": "write true or false",
+    "bool_type": "write true or false",
+    "string_type": "write a text in double quotes",
+    "dict_type": "write a JSON object",
+    "model_type": "write a JSON object",
+    "model_attributes_type": "write a JSON object",
+    "tuple_type": "write a JSON array",
+    "string_pattern_mismatch": "use lower-case letters, digits and hyphens, 63 at most",
+}
+
+
+def describe_errors(
+    error: ValidationError, what: str, model: type[BaseModel] | None = None
+) -> str:
+    """Returns one line per wrong field.
+
+    Args:
+        error: Error of the validation.
+        what: Name of the document.
+        model: Model of the document; with it, an unknown field's line lists the
+            fields that are known in its place.
+
+    Returns:
+        Lines with the place, its value, the valid values and the remedy.
+    """
     lines = []
     for item in error.errors():
         place = ".".join(str(part) for part in item["loc"]) or "(top level)"
-        if item["type"] == "missing":
-            value = "missing"
-        elif item["type"] == "extra_forbidden":
-            value = "not a known field"
+        remedy = _REMEDIES.get(item["type"], "write one of the valid values")
+        message = item["msg"].removeprefix("Value error, ")
+        if item["type"] == "value_error":
+            remedy = ""
+        if item["type"] in ("missing", "json_invalid"):
+            value = "missing" if item["type"] == "missing" else "not JSON"
         else:
-            value = f"got {item['input']!r}"
-        lines.append(f"{what}: {place}: {value}: {item['msg']}")
+            text = repr(item["input"])
+            is_long = len(text) > _VALUE_LENGTH
+            value = f"got {text[:_VALUE_LENGTH]}{'...' if is_long else ''}"
+        if item["type"] == "extra_forbidden":
+            names = ", ".join(_list_fields(model, item["loc"][:-1]))
+            message = "not a known field"
+            remedy = f"remove it or use one of: {names}" if names else "remove it"
+        tail = f"; {remedy}" if remedy else ""
+        lines.append(f"{what}: {place}: {value}: {message}{tail}")
     return "\n".join(lines)
 
 
+def _list_fields(
+    model: type[BaseModel] | None, place: tuple[int | str, ...]
+) -> list[str]:
+    """Returns the fields known at a place; a mapping's keys are skipped."""
+    kind: object = model
+    for part in place:
+        if isinstance(kind, type) and issubclass(kind, BaseModel):
+            found = kind.model_fields.get(str(part))
+            kind = found.annotation if found is not None else None
+        else:
+            arguments = [one for one in get_args(kind) if one is not Ellipsis]
+            kind = arguments[-1] if arguments else None
+    if isinstance(kind, type) and issubclass(kind, BaseModel):
+        return list(kind.model_fields)
+    return []
+
+
 def read_settings(path: Path) -> RouterSettings:
     """Reads and validates a settings file.
 
@@ -111,4 +184,4 @@
             f"{path}: cannot be read ({err.strerror}); name a readable JSON file"
         ) from err
     except ValidationError as err:
-        raise SettingsError(describe_errors(err, str(path))) from err
+        raise SettingsError(describe_errors(err, str(path), RouterSettings)) from err
