--- a/tests/daemon/test_records.py
+++ b/tests/daemon/test_records.py
@@ -16,6 +16,7 @@
     read_counter,
     read_executions,
     read_record,
+    read_status,
     run_small_fleet,
     set_faults,
     wait_until,
@@ -89,6 +90,27 @@
         wait_until(lambda: call(router, "b-0")[0] == 200)
 
 
+def test_done_is_written_after_an_outage_without_delaying_the_caller() -> None:
+    """Guards against a repeat that gets no answer because the table was out."""
+    with run_small_fleet(1) as (fleet, (router,)):
+
+        async def book() -> int:
+            task = await curio.spawn(
+                lambda: call_async(router, "lane-3", work_ms=1_000)
+            )
+            await curio.run_in_thread(wait_until, lambda: read_executions(fleet))
+            await curio.run_in_thread(lambda: set_faults(fleet, outage=True))
+            status, _, _ = await task.join()
+            return int(status)
+
+        assert curio.run(book) == 200
+        wait_until(lambda: read_status(router)["store"]["unwritten_records"])
+        set_faults(fleet)
+        wait_until(lambda: read_record(fleet, "lane-3")["state"] == "done")
+        assert call(router, "lane-3", work_ms=1_000)[1]["x-replayed"] == "true"
+        assert read_executions(fleet) == {"lane-3": 1}
+
+
 def call_talk(router: Any) -> tuple[int, dict[str, str], bytes]:
     async def run() -> tuple[int, dict[str, str], bytes]:
         return await call_async(
