--- a/sequoiamoor/commands/configuration.py
+++ b/sequoiamoor/commands/configuration.py
@@ -33,8 +33,7 @@
 
 OPERATION_TIMEOUT_SECONDS = 3.0
 SETTLE_TIMEOUT_SECONDS = 20.0
-# Reads are repeated this long, so that a few lost answers do not fail a command.
-READ_TIME_SECONDS = 5.0
+READ_TIMEOUT_SECONDS = 6.0
 
 
 def make_change_id() -> str:
@@ -83,7 +82,7 @@
         return TableEntry(version, entry.value)
 
     async def _read(self, key: str) -> TableEntry:
-        give_up_at = time.monotonic() + READ_TIME_SECONDS
+        give_up_at = time.monotonic() + READ_TIMEOUT_SECONDS
         while True:
             try:
                 return await self._platform.read(key)
@@ -117,7 +116,7 @@
                     self._platform, change.build_write(), rng=self._rng
                 )
                 is_accepted = await self._find_accepted(change, result)
-        except curio.TaskTimeout as err:
+        except (curio.TaskTimeout, PlatformUnavailableError) as err:
             raise ChangeUnknownError(
                 f"the platform did not tell whether change {change.change_id!r} was "
                 "accepted; look for it with 'sequoiamoor config history' before "
