--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -77,12 +77,28 @@
     replica: Annotated[str, typer.Option(help="Identifier of the replica.")],
     host: Host = "127.0.0.1",
     port: Port = 0,
-    slots: Annotated[int, typer.Option(help="Requests at full rate.")] = 8,
+    slots: Annotated[
+        int, typer.Option(min=1, help="Requests up to which throughput grows.")
+    ] = 8,
+    token_interval: Annotated[
+        float, typer.Option(min=0.001, help="Time between tokens when full, s.")
+    ] = 0.02,
+    fencing: Annotated[
+        bool, typer.Option(help="Whether orders with a stale number are refused.")
+    ] = True,
+    seed: Annotated[int | None, typer.Option(help="Seed of the lost events.")] = None,
 ) -> None:
     """Runs a stand-in for a model engine."""
     from .standin.engine import run_engine
 
-    run_engine(Address(host, port), replica=replica, slots=slots)
+    run_engine(
+        Address(host, port),
+        replica=replica,
+        slots=slots,
+        token_interval=token_interval,
+        checks_fencing=fencing,
+        seed=seed,
+    )
 
 
 @stand_in.command("service")
@@ -90,7 +106,7 @@
     replica: Annotated[str, typer.Option(help="Identifier of the replica.")],
     host: Host = "127.0.0.1",
     port: Port = 0,
-    slots: Annotated[int, typer.Option(help="Calls that run at once.")] = 4,
+    slots: Annotated[int, typer.Option(min=1, help="Calls that run at once.")] = 4,
 ) -> None:
     """Runs a stand-in for a plain service."""
     from .standin.service import run_service
--- a/sequoiamoor/standin/client.py
+++ b/sequoiamoor/standin/client.py
@@ -1,52 +1,76 @@
-"""Calls of the demonstration to the stand-ins and routers."""
+"""Calls of the demonstration, benchmarks and tests to stand-ins and routers."""
 
 from __future__ import annotations
 
 import json
 import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 import curio
+from prometheus_client.parser import text_string_to_metric_families
 
 from ..net.http import exchange
 from ..types import Address
 
 TIMEOUT_SECONDS = 10.0
+READY_POLL_SECONDS = 0.05
 
 
-def fetch(address: Address, method: str, path: str, document: Any = None) -> Any:
-    """Makes one JSON request and returns status and decoded body."""
-    body = b"" if document is None else json.dumps(document).encode()
-
-    async def run() -> tuple[int, bytes]:
-        response, data = await exchange(
-            address, method, path, body=body, timeout=TIMEOUT_SECONDS
-        )
-        return response.status, data
+async def fetch_async(
+    address: Address, method: str, path: str, document: Any = None
+) -> tuple[int, Any]:
+    """Makes one request and returns status and body, decoded if it is JSON.
 
-    status, data = curio.run(run)
+    Raises:
+        OSError: If no answer came.
+    """
+    body = b"" if document is None else json.dumps(document).encode()
+    response, data = await exchange(
+        address, method, path, body=body, timeout=TIMEOUT_SECONDS
+    )
     try:
-        return status, json.loads(data)
+        return response.status, json.loads(data)
     except ValueError:
-        return status, data.decode("utf-8", "replace")
+        return response.status, data.decode("utf-8", "replace")
+
+
+def fetch(address: Address, method: str, path: str, document: Any = None) -> Any:
+    """Does what ``fetch_async`` does, outside a curio task."""
+    return curio.run(fetch_async, address, method, path, document)
+
+
+def change(address: Address, method: str, path: str, document: Any) -> Any:
+    """Makes one request that must succeed and returns its answer.
+
+    Raises:
+        RuntimeError: If the status is not 200.
+    """
+    status, answer = fetch(address, method, path, document)
+    if status != 200:
+        raise RuntimeError(f"{method} {path} at {address}: status {status}: {answer}")
+    return answer
 
 
 def put_vms(platform: Address, vms: list[dict[str, Any]]) -> None:
     """Replaces the VM list of the stand-in platform."""
-    fetch(platform, "PUT", "/admin/vms", {"vms": vms})
+    change(platform, "PUT", "/admin/vms", {"vms": vms})
 
 
 def put_configuration(platform: Address, declaration: dict[str, Any]) -> None:
     """Writes the first configuration."""
     value = {"document": declaration, "change_id": "first"}
-    status, answer = fetch(
-        platform,
-        "PUT",
-        "/table/configuration",
-        {"value": value, "expected_version": 0},
-    )
-    if status != 200:
-        raise RuntimeError(f"the configuration was not accepted: {answer}")
+    body = {"value": value, "expected_version": 0}
+    change(platform, "PUT", "/table/configuration", body)
+
+
+def is_ready(address: Address) -> bool:
+    """Returns whether the router at ``address`` takes requests."""
+    try:
+        return bool(fetch(address, "GET", "/readyz")[0] == 200)
+    except OSError:
+        return False
 
 
 def wait_ready(address: Address, *, timeout: float) -> None:
@@ -57,10 +81,51 @@
     """
     end = time.monotonic() + timeout
     while time.monotonic() < end:
-        try:
-            if fetch(address, "GET", "/readyz")[0] == 200:
-                return
-        except OSError:
-            pass
-        time.sleep(0.05)
+        if is_ready(address):
+            return
+        time.sleep(READY_POLL_SECONDS)
     raise TimeoutError(f"router {address} is not ready after {timeout} s")
+
+
+@dataclass(slots=True)
+class Series:
+    """The samples of one read of ``/metrics``, by name and labels."""
+
+    samples: dict[str, list[tuple[Mapping[str, str], float]]] = field(
+        default_factory=dict
+    )
+
+    def read(self, name: str, **labels: str) -> list[float]:
+        """Returns the values of the samples with at least these labels."""
+        return [
+            value
+            for found, value in self.samples.get(name, [])
+            if labels.items() <= found.items()
+        ]
+
+
+def parse_metrics(text: str) -> Series:
+    """Returns the samples of a page in the text format of Prometheus."""
+    series = Series()
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            series.samples.setdefault(sample.name, []).append(
+                (sample.labels, sample.value)
+            )
+    return series
+
+
+async def read_metrics_async(address: Address) -> Series:
+    """Reads ``/metrics`` of one router.
+
+    Raises:
+        OSError: If the router does not answer.
+    """
+    status, text = await fetch_async(address, "GET", "/metrics")
+    return parse_metrics(text if status == 200 else "")
+
+
+def read_metrics(address: Address) -> Series:
+    """Does what ``read_metrics_async`` does, outside a curio task."""
+    series: Series = curio.run(read_metrics_async, address)
+    return series
--- a/sequoiamoor/standin/demo.py
+++ b/sequoiamoor/standin/demo.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import curio
 
-from .client import wait_ready
-from .launcher import FleetPlan, UpstreamPlan, run_fleet
-from .load import CallerPlan, run_load, summarise
+from ..types import Address
+from .client import Series, read_metrics_async
+from .launcher import Fleet, FleetPlan, LaunchError, UpstreamPlan, run_fleet
+from .load import CallerPlan, CallerResult, run_load, summarise
 
 READY_TIMEOUT_SECONDS = 20.0
+SHOWN_FAULTS = 5
+SAMPLE_INTERVAL_SECONDS = 0.5
 
 DECLARATION: dict[str, dict[str, dict[str, Any]]] = {
     "organisations": {
@@ -31,7 +35,7 @@
 
 
 def build_plan() -> FleetPlan:
-    """Returns the fleet of the demonstration."""
+    """Returns the fleet of the demonstration: two availability zones."""
     upstreams = tuple(
         UpstreamPlan(f"talk-{number}", "lane-talk", zone, "engine", 8)
         for number, zone in enumerate(("zone-a", "zone-a", "zone-b"))
@@ -43,22 +47,42 @@
     )
 
 
-def run_demo(*, seed: int = 1) -> int:
-    """Runs the demonstration and returns 0 if every answer was whole and its own."""
-    with run_fleet(build_plan()) as fleet:
-        routers = tuple(fleet.routers.values())
-        for router in routers:
-            wait_ready(router, timeout=READY_TIMEOUT_SECONDS)
-        services = ("lane-talk", "lane-talk", "lane-desk")
-        plans = [
-            CallerPlan("league-captains", "chat", 8, 60, routers[:1], services),
-            CallerPlan("alley-owners", "chat", 8, 60, routers, services),
-            CallerPlan("grant-partners", "summary", 8, 60, routers[1:], services),
-        ]
-        kinds = {
-            name: service["kind"] for name, service in DECLARATION["services"].items()
-        }
-        results = curio.run(lambda: run_load(plans, kinds, seed=seed))
+def build_callers(fleet: Fleet, *, requests: int) -> list[CallerPlan]:
+    """Returns callers that land unevenly: on one router, on all, on the others."""
+    routers = tuple(fleet.routers.values())
+    plans = []
+    for organisation, work_class, reached in (
+        ("league-captains", "chat", routers[:1]),
+        ("alley-owners", "chat", routers),
+        ("grant-partners", "summary", routers[1:] or routers),
+    ):
+        talk = CallerPlan(
+            organisation,
+            work_class,
+            reached,
+            ("lane-talk",),
+            concurrency=16,
+            requests=requests,
+        )
+        desk = CallerPlan(
+            organisation,
+            "booking",
+            reached,
+            ("lane-desk",),
+            concurrency=2,
+            requests=max(1, requests // 4),
+        )
+        plans += [talk, desk]
+    return plans
+
+
+def list_kinds(declaration: dict[str, Any]) -> dict[str, str]:
+    """Returns the kind of each declared service."""
+    return {name: one["kind"] for name, one in declaration["services"].items()}
+
+
+def print_results(results: list[CallerResult]) -> None:
+    """Prints one line per organisation, then what went wrong."""
     print(
         f"{'organisation':<18}{'requests':>9}{'whole':>7}{'refused':>8}{'tokens':>8}"
         f"{'share':>7}{'p50 ms':>8}{'p95 ms':>8}"
@@ -70,6 +94,116 @@
             f"{row['p50_ms']:>8}{row['p95_ms']:>8}"
         )
     for result in results:
-        for fault in result.faults[:5]:
+        for code, count in result.refused.items():
+            print(f"refused: {result.organisation}: {count} times {code}")
+        for fault in [*result.wrong, *result.broken][:SHOWN_FAULTS]:
             print(f"fault: {result.organisation}: {fault}")
+
+
+async def sample_metrics(routers: list[Address], pages: list[list[Series]]) -> None:
+    """Appends one read of every router's ``/metrics`` per interval to ``pages``."""
+    while True:
+        pages.append([await read_metrics_async(router) for router in routers])
+        await curio.sleep(SAMPLE_INTERVAL_SECONDS)
+
+
+def _format(values: list[float], form: str) -> str:
+    return format(max(values), form) if values else "n/a"
+
+
+def describe_metrics(pages: list[list[Series]], *, seconds: float) -> list[str]:
+    """Returns lines on fairness, utilisation and control traffic.
+
+    The gap is the largest one that any router showed at any time, the utilisation
+    the mean over the reads with waiting requests.
+
+    Args:
+        pages: Reads of ``/metrics`` of all routers, oldest first.
+        seconds: Time between the first and the last read.
+    """
+
+    def collect(page: list[Series], name: str, **labels: str) -> list[float]:
+        return [value for series in page for value in series.read(name, **labels)]
+
+    def largest(name: str, **labels: str) -> list[float]:
+        return [value for page in pages for value in collect(page, name, **labels)]
+
+    waiting = [sum(collect(page, "sequoiamoor_waiting_requests")) for page in pages]
+    first, last = pages[0], pages[-1]
+    services = sorted(
+        {
+            labels["service"]
+            for series in last
+            for labels, _ in series.samples.get("sequoiamoor_served_units_total", [])
+        }
+    )
+    lines = []
+    for service in services:
+        units = largest("sequoiamoor_fairness_gap_units", service=service)
+        gap = largest("sequoiamoor_fairness_gap_seconds", service=service)
+        busy = [
+            max(used)
+            for page, count in zip(pages, waiting, strict=True)
+            if count
+            and (
+                used := collect(page, "sequoiamoor_utilisation_ratio", service=service)
+            )
+        ]
+        mean = [sum(busy) / len(busy)] if busy else []
+        served = sum(collect(last, "sequoiamoor_served_units_total", service=service))
+        lines.append(
+            f"{service}: served {served:.0f} units, largest fairness gap "
+            f"{_format(units, '.0f')} units ({_format(gap, '.3f')} s of capacity), "
+            f"utilisation while requests wait {_format(mean, '.1%')}"
+        )
+    for direction in ("sent", "received"):
+        parts = []
+        for what in ("bytes", "messages"):
+            name = f"sequoiamoor_control_{what}_total"
+            after = collect(last, name, direction=direction)
+            growth = sum(after) - sum(collect(first, name, direction=direction))
+            rate = [growth / len(last) / seconds] if after and seconds > 0 else []
+            parts.append(f"{_format(rate, '.1f')} {what}/s")
+        lines.append(f"control traffic {direction} per router: {', '.join(parts)}")
+    lines.append(f"most requests waiting: {_format(waiting, '.0f')}")
+    return lines
+
+
+async def _run_sampled(
+    fleet: Fleet, *, requests: int, seed: int
+) -> tuple[list[CallerResult], list[list[Series]], float]:
+    routers = list(fleet.routers.values())
+    pages: list[list[Series]] = []
+    began = time.monotonic()
+    async with curio.TaskGroup() as tasks:
+        await tasks.spawn(sample_metrics, routers, pages)
+        plans = build_callers(fleet, requests=requests)
+        results = await run_load(plans, list_kinds(DECLARATION), seed=seed)
+        await tasks.cancel_remaining()
+    pages.append([await read_metrics_async(router) for router in routers])
+    return results, pages, time.monotonic() - began
+
+
+def run_demo(*, seed: int = 1, requests: int = 60) -> int:
+    """Runs the demonstration.
+
+    Args:
+        seed: Seed of the load.
+        requests: Requests per organisation to the engines.
+
+    Returns:
+        0 if every answer was whole and the caller's own, else 1.
+    """
+    try:
+        with run_fleet(build_plan()) as fleet:
+            fleet.wait_ready(timeout=READY_TIMEOUT_SECONDS)
+            results, pages, seconds = curio.run(
+                lambda: _run_sampled(fleet, requests=requests, seed=seed)
+            )
+    except LaunchError as err:
+        print(err)
+        return 1
+    print_results(results)
+    for line in describe_metrics(pages, seconds=seconds):
+        print(line)
     return 0 if all(result.whole == result.requests for result in results) else 1
--- a/sequoiamoor/standin/engine.py
+++ b/sequoiamoor/standin/engine.py
@@ -1,104 +1,527 @@
-"""A stand-in for a model engine with continuous batching."""
+"""A stand-in for a model engine with continuous batching and a prefix cache.
+
+One task per engine advances all running requests by one step at a time, which
+costs far less CPU than one timer per request.
+"""
 
 from __future__ import annotations
 
 import json
+import re
 import time
+from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
-from typing import Any
+from random import Random
+from typing import Any, Literal
+from urllib.parse import parse_qs
 
 import curio
 import xxhash
+from pydantic import ConfigDict, Field
 
-from ..net.http import Request, ServerConnection
+from ..net.http import Request
 from ..types import Address
-from .server import send_json, serve_http
+from .server import (
+    BadInputError,
+    Body,
+    LaggedValue,
+    LeavingOrder,
+    StandInConnection,
+    UpstreamFaults,
+    check_method,
+    parse_body,
+    reject_path,
+    send_json,
+    serve_http,
+)
+
+LARGEST_ANSWER_TOKENS = 1_000_000
+KEPT_CACHE_EVENTS = 10_000
+# Steps that a delayed process may catch up on, so that the capacity stays exact
+# when the machine is busy for a moment.
+LARGEST_LAG_SECONDS = 0.25
+_CALL_ID = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+_NO_ORGANISATION = "unknown"
+
+
+class GenerateBody(Body):
+    """The body of ``POST /v1/generate``; further fields are left alone."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    prompt_tokens: int = Field(16, ge=0, le=LARGEST_ANSWER_TOKENS)
+    prefix_tokens: int | None = Field(None, ge=0, le=LARGEST_ANSWER_TOKENS)
+    tokens: int = Field(32, ge=0, le=LARGEST_ANSWER_TOKENS)
+
+
+class Order(Body):
+    """The body of ``POST /v1/orders``."""
+
+    order: Literal["load-model", "load-adapter", "set-role"]
+    wanted: Any
+    fencing_number: int = Field(ge=0)
+
+
+class EngineFaults(UpstreamFaults):
+    """Fault switches of an engine.
+
+    Attributes:
+        break_after_tokens: Tokens after which the connection is closed.
+        truncate_after_tokens: Tokens after which the answer ends without its end
+            event, but with the terminating chunk.
+        foreign_call_id: Where the identifier of another call is sent.
+    """
+
+    break_after_tokens: int | None = Field(None, ge=0)
+    truncate_after_tokens: int | None = Field(None, ge=0)
+    foreign_call_id: Literal["nowhere", "head", "events"] = "nowhere"
+
+
+def make_token_text(call_id: str, body: bytes, index: int) -> str:
+    """Returns the text of a token, which depends on call, body and index."""
+    seed = xxhash.xxh32_intdigest(body)
+    return xxhash.xxh32_hexdigest(f"{call_id}:{index}".encode(), seed=seed)
 
 
 @dataclass(slots=True)
-class EngineStandIn:
-    """State of the stand-in.
+class PrefixCache:
+    """Prompt prefixes in limited memory; publishes events late and with gaps.
 
     Attributes:
-        slots: Requests that run at full rate.
-        token_interval: Seconds between tokens with up to ``slots`` requests.
-        prefill_rate: Prompt tokens per second.
-        load_lag: Seconds between a change of load and its report.
+        capacity: Tokens that fit.
+        lag: Seconds until an event shows.
+        loss: Fraction of the events that never show.
+    """
+
+    capacity: int
+    lag: float
+    loss: float
+    rng: Random
+    used: int = 0
+    entries: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    events: deque[tuple[float, dict[str, Any]]] = field(
+        default_factory=lambda: deque(maxlen=KEPT_CACHE_EVENTS)
+    )
+    sequence: int = 0
+
+    def match(self, key: str, tokens: int) -> int:
+        """Returns how many of ``tokens`` prefix tokens are cached."""
+        if key not in self.entries:
+            return 0
+        self.entries.move_to_end(key)
+        return min(self.entries[key], tokens)
+
+    def store(self, key: str, tokens: int, now: float) -> None:
+        """Stores a prefix and evicts those used longest ago to make room."""
+        present = self.entries.get(key, 0)
+        if tokens <= present or tokens > self.capacity:
+            return
+        self.entries[key] = tokens
+        self.entries.move_to_end(key)
+        self.used += tokens - present
+        self._publish(key, "stored", now)
+        while self.used > self.capacity:
+            evicted, size = self.entries.popitem(last=False)
+            self.used -= size
+            self._publish(evicted, "evicted", now)
+
+    def _publish(self, key: str, kind: str, now: float) -> None:
+        self.sequence += 1
+        if self.rng.random() >= self.loss:
+            event = {"seq": self.sequence, "prefix_key": key, "kind": kind}
+            self.events.append((now + self.lag, event))
+
+    def list_events(self, after: int, now: float) -> list[dict[str, Any]]:
+        """Returns the events that show by now, from sequence ``after`` on."""
+        return [
+            event
+            for shown_at, event in self.events
+            if event["seq"] > after and shown_at <= now
+        ]
+
+
+@dataclass(slots=True, eq=False)
+class Generation:
+    """One request while the engine runs it.
+
+    Attributes:
+        event_id: Identifier in the events; differs from ``call_id`` by a fault.
+        seed: Hash of the request body.
+        break_at: Index before which the connection is closed, if any.
+        end_at: Index before which the answer is truncated, if any.
+        unsent: Bytes that the connection has not taken yet.
+        is_done: Whether nothing more is added to the answer.
+        is_broken: Whether the connection is closed without the terminating chunk.
+        is_lost: Whether the peer closed the connection.
+    """
+
+    connection: StandInConnection
+    organisation: str
+    event_id: str
+    seed: int
+    call_id: str
+    prefill_left: float
+    prefilled: int
+    cached: int
+    index: int
+    tokens: int
+    break_at: int | None
+    end_at: int | None
+    prefix_key: str | None
+    prefix_tokens: int
+    unsent: bytes = b""
+    is_started: bool = False
+    is_done: bool = False
+    is_broken: bool = False
+    is_lost: bool = False
+    finished: Any = field(default_factory=curio.Event)
+
+    def add_event(self, name: str, document: dict[str, Any]) -> None:
+        """Appends a control event to the answer."""
+        data = json.dumps(document, separators=(",", ":"))
+        self._add_chunk(f"event: {name}\ndata: {data}\n\n")
+
+    def add_token(self) -> None:
+        """Appends the next token to the answer."""
+        text = xxhash.xxh32_hexdigest(
+            f"{self.call_id}:{self.index}".encode(), seed=self.seed
+        )
+        self._add_chunk(
+            f'data: {{"id":"{self.event_id}","i":{self.index},"t":"{text}"}}\n\n'
+        )
+        self.index += 1
+
+    def _add_chunk(self, text: str) -> None:
+        self.unsent += f"{len(text):x}\r\n{text}\r\n".encode()
+
+    def flush(self) -> None:
+        """Sends what the connection takes without waiting."""
+        try:
+            count = self.connection.send_now(self.unsent)
+        except OSError:
+            self.is_done = self.is_broken = self.is_lost = True
+            return
+        self.unsent = self.unsent[count:]
+
+
+@dataclass(slots=True)
+class EngineCounts:
+    """What the engine did so far."""
+
+    requests: int = 0
+    completed: int = 0
+    cancelled: int = 0
+    resumed: int = 0
+    faults: int = 0
+    busy_slot_seconds: float = 0.0
+    generated: Counter[str] = field(default_factory=Counter)
+    prefilled: Counter[str] = field(default_factory=Counter)
+    cached: Counter[str] = field(default_factory=Counter)
+
+
+class EngineStandIn:
+    """The engine.
+
+    With ``n`` running requests a step takes ``token_interval * max((1 + n / slots)
+    / 2, n / slots)`` seconds: each request gets slower as the batch grows, and
+    beyond ``slots`` requests the throughput grows no further.
     """
 
-    replica: str
-    slots: int = 8
-    token_interval: float = 0.02
-    prefill_rate: float = 8_000.0
-    load_lag: float = 0.5
-    incarnation: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
-    running: int = 0
-    is_leaving: bool = False
-    loads: list[tuple[float, int]] = field(default_factory=list)
-
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    def __init__(
+        self,
+        replica: str,
+        *,
+        slots: int = 8,
+        token_interval: float = 0.02,
+        prefill_rate: float = 8_000.0,
+        load_lag: float = 0.5,
+        cache_tokens: int = 20_000,
+        cache_lag: float = 0.5,
+        cache_loss: float = 0.05,
+        checks_fencing: bool = True,
+        rng: Random | None = None,
+    ) -> None:
+        self._replica = replica
+        self._slots = slots
+        self._token_interval = token_interval
+        self._prefill_rate = prefill_rate
+        self._checks_fencing = checks_fencing
+        self._cache = PrefixCache(
+            cache_tokens, cache_lag, cache_loss, rng=rng or Random()
+        )
+        self._incarnation = time.time_ns() // 1_000_000
+        self._started_at = time.monotonic()
+        self._running: set[Generation] = set()
+        self._work = curio.Event()
+        self._load = LaggedValue((0, False), lag=load_lag)
+        self._leaving_at: float | None = None
+        self._last_start: float | None = None
+        self._faults = EngineFaults.model_validate({})
+        self._last_fencing_number = 0
+        self._orders: list[dict[str, Any]] = []
+        self.counts = EngineCounts()
+
+    async def handle(self, connection: StandInConnection, request: Request) -> None:
         """Answers one request."""
-        if request.path == "/v1/load":
-            await send_json(connection, 200, self._report_load())
-        elif request.path == "/v1/generate":
+        match request.path:
+            case "/v1/generate":
+                check_method(request, "POST")
+                await self._generate(connection, request)
+            case "/v1/load":
+                await send_json(connection, 200, self._report_load())
+            case "/v1/cache-events":
+                events = self._cache.list_events(_read_after(request), time.monotonic())
+                await send_json(connection, 200, {"events": events})
+            case "/v1/orders":
+                check_method(request, "POST")
+                status, document = self._take_order(parse_body(Order, request))
+                await send_json(connection, status, document)
+            case "/admin/faults":
+                check_method(request, "POST")
+                self._faults = parse_body(EngineFaults, request)
+                await send_json(connection, 200, {})
+            case "/admin/leaving":
+                check_method(request, "POST")
+                is_leaving = parse_body(LeavingOrder, request).leaving
+                self._leaving_at = time.monotonic() if is_leaving else None
+                self._note_load()
+                await send_json(connection, 200, {})
+            case "/admin/counts":
+                await send_json(connection, 200, self._report_counts())
+            case _:
+                raise reject_path(request)
+
+    async def run_steps(self) -> None:
+        """Advances all running requests until cancelled."""
+        next_at = time.monotonic()
+        while True:
+            if not self._running:
+                self._work.clear()
+                await self._work.wait()
+                next_at = time.monotonic()
+            duration = self._step_seconds(len(self._running))
+            next_at = max(next_at + duration, time.monotonic() - LARGEST_LAG_SECONDS)
+            await curio.sleep(max(0.0, next_at - time.monotonic()))
+            busy = min(len(self._running), self._slots)
+            self.counts.busy_slot_seconds += busy * duration
+            for generation in list(self._running):
+                self._advance(generation, duration)
+                if generation.is_done and (
+                    generation.is_broken or not generation.unsent
+                ):
+                    self._running.discard(generation)
+                    self._note_load()
+                    await generation.finished.set()
+
+    def _step_seconds(self, running: int) -> float:
+        load = running / self._slots
+        return self._token_interval * max((1 + load) / 2, load)
+
+    def _advance(self, generation: Generation, duration: float) -> None:
+        if not generation.is_done:
+            generation.prefill_left -= duration * self._prefill_rate
+            if generation.prefill_left > 0:
+                return
+            if not generation.is_started:
+                self._start(generation)
+            if generation.index == generation.break_at:
+                generation.is_done = generation.is_broken = True
+                return
+            if generation.index == generation.end_at:
+                generation.is_done = True
+            elif generation.index < generation.tokens:
+                generation.add_token()
+                self.counts.generated[generation.organisation] += 1
+            if generation.index == generation.tokens and not generation.is_done:
+                end = {"id": generation.event_id, "tokens": generation.tokens}
+                generation.add_event("end", end)
+                generation.is_done = True
+        generation.flush()
+
+    def _start(self, generation: Generation) -> None:
+        generation.is_started = True
+        self.counts.prefilled[generation.organisation] += generation.prefilled
+        self.counts.cached[generation.organisation] += generation.cached
+        if generation.prefix_key is not None:
+            self._cache.store(
+                generation.prefix_key, generation.prefix_tokens, time.monotonic()
+            )
+        start = {
+            "id": generation.event_id,
+            "prefilled": generation.prefilled,
+            "cached": generation.cached,
+        }
+        generation.add_event("start", start)
+
+    async def _generate(self, connection: StandInConnection, request: Request) -> None:
+        generation = self._accept(connection, request)
+        self.counts.requests += 1
+        faults = self._take_faults()
+        if self._leaving_at is not None:
+            self._last_start = time.monotonic() - self._leaving_at
+        head_id = generation.call_id
+        if faults is not None:
+            self.counts.faults += 1
+            generation.break_at = faults.break_after_tokens
+            generation.end_at = faults.truncate_after_tokens
+            if faults.foreign_call_id == "head":
+                head_id += "-other"
+            elif faults.foreign_call_id == "events":
+                generation.event_id += "-other"
+            await curio.sleep(faults.delay_ms / 1000)
+        headers = {"content-type": "text/event-stream", "x-call-id": head_id}
+        await connection.start_stream(200, headers)
+        self._running.add(generation)
+        self._note_load()
+        await self._work.set()
+        try:
             async with curio.TaskGroup(wait=any) as tasks:
-                await tasks.spawn(self._generate, connection, request)
+                await tasks.spawn(generation.finished.wait)
                 await tasks.spawn(connection.wait_closed)
-        else:
-            await send_json(connection, 404, {"code": "not-found"})
+        finally:
+            self._running.discard(generation)
+            self._note_load()
+            if generation.is_lost or not generation.is_done:
+                self.counts.cancelled += 1
+        if generation.is_broken or not generation.is_done:
+            await connection.close()
+            raise ConnectionAbortedError("the answer was not sent to its end")
+        self.counts.completed += 1
+        await connection.end_stream()
+
+    def _accept(self, connection: StandInConnection, request: Request) -> Generation:
+        call_id = request.headers.get("x-call-id", "")
+        if not _CALL_ID.match(call_id):
+            raise BadInputError(
+                f"X-Call-Id {call_id!r} is invalid; send 1 to 128 letters, digits, "
+                "'.', '_', ':' or '-'"
+            )
+        body = parse_body(GenerateBody, request)
+        index = _read_count(request.headers.get("x-resume-from", "0"), "X-Resume-From")
+        if index > body.tokens:
+            raise BadInputError(
+                f"X-Resume-From is {index}, but the answer has {body.tokens} tokens"
+            )
+        key = request.headers.get("x-prefix-key")
+        prefix = min(
+            body.prompt_tokens if body.prefix_tokens is None else body.prefix_tokens,
+            body.prompt_tokens,
+        )
+        cached = 0 if key is None else self._cache.match(key, prefix)
+        # A resumed answer needs the tokens before it in the KV cache again.
+        prefilled = body.prompt_tokens - cached + index
+        if index:
+            self.counts.resumed += 1
+        return Generation(
+            connection,
+            request.headers.get("x-organisation", _NO_ORGANISATION),
+            event_id=call_id,
+            seed=xxhash.xxh32_intdigest(request.body),
+            call_id=call_id,
+            prefill_left=float(prefilled),
+            prefilled=prefilled,
+            cached=cached,
+            index=index,
+            tokens=body.tokens,
+            break_at=None,
+            end_at=None,
+            prefix_key=key,
+            prefix_tokens=prefix,
+        )
+
+    def _take_faults(self) -> EngineFaults | None:
+        faults = self._faults
+        if faults == EngineFaults.model_validate({}) or faults.remaining == 0:
+            return None
+        if faults.remaining is not None:
+            faults.remaining -= 1
+        return faults
+
+    def _note_load(self) -> None:
+        load = (len(self._running), self._leaving_at is not None)
+        self._load.set(load, time.monotonic())
 
     def _report_load(self) -> dict[str, Any]:
-        self.loads.append((time.monotonic(), self.running))
-        limit = time.monotonic() - self.load_lag
-        while len(self.loads) > 1 and self.loads[1][0] <= limit:
-            self.loads.pop(0)
-        running = self.loads[0][1]
+        running, is_leaving = self._load.read(time.monotonic())
         return {
-            "replica": self.replica,
-            "incarnation": self.incarnation,
-            "slots": self.slots,
+            "replica": self._replica,
+            "incarnation": self._incarnation,
+            "slots": self._slots,
             "running": running,
             "queued": 0,
-            "token_rate": min(running, self.slots) / self.token_interval,
-            "leaving": self.is_leaving,
+            "token_rate": running / self._step_seconds(running),
+            "leaving": is_leaving,
         }
 
-    async def _generate(self, connection: ServerConnection, request: Request) -> None:
-        call_id = request.headers["x-call-id"]
-        document = json.loads(request.body)
-        prompt_tokens = int(document.get("prompt_tokens", 16))
-        tokens = int(document.get("tokens", 32))
-        index = int(request.headers.get("x-resume-from", "0"))
-        self.running += 1
-        try:
-            await curio.sleep(prompt_tokens / self.prefill_rate)
-            headers = {"content-type": "text/event-stream", "x-call-id": call_id}
-            await connection.start_stream(200, headers)
-            start = {"id": call_id, "prefilled": prompt_tokens, "cached": 0}
-            await self._send(connection, "start", start)
-            while index < tokens:
-                await curio.sleep(self._next_interval())
-                text = xxhash.xxh32_hexdigest(f"{call_id}:{index}".encode())
-                await connection.send_data(
-                    f'data: {{"id":"{call_id}","i":{index},"t":"{text}"}}\n\n'.encode()
-                )
-                index += 1
-            await self._send(connection, "end", {"id": call_id, "tokens": tokens})
-            await connection.end_stream()
-        finally:
-            self.running -= 1
+    def _take_order(self, order: Order) -> tuple[int, dict[str, Any]]:
+        if self._checks_fencing and order.fencing_number < self._last_fencing_number:
+            return 409, {
+                "code": "stale-fencing-number",
+                "message": f"fencing number {order.fencing_number} is below "
+                f"{self._last_fencing_number}; take the lease again",
+                "fencing_number": self._last_fencing_number,
+            }
+        self._last_fencing_number = max(self._last_fencing_number, order.fencing_number)
+        self._orders.append(order.model_dump())
+        return 200, {"order": order.order, "wanted": order.wanted}
 
-    def _next_interval(self) -> float:
-        return self.token_interval * max(1.0, self.running / self.slots)
+    def _report_counts(self) -> dict[str, Any]:
+        counts = self.counts
+        return {
+            "replica": self._replica,
+            "slots": self._slots,
+            "capacity_tokens_per_second": self._slots / self._token_interval,
+            "elapsed_seconds": time.monotonic() - self._started_at,
+            "busy_slot_seconds": counts.busy_slot_seconds,
+            "requests": counts.requests,
+            "running": len(self._running),
+            "completed": counts.completed,
+            "cancelled": counts.cancelled,
+            "resumed": counts.resumed,
+            "faults": counts.faults,
+            "generated": counts.generated,
+            "prefilled": counts.prefilled,
+            "cached": counts.cached,
+            "orders": self._orders,
+            "last_start_after_leaving_seconds": self._last_start,
+        }
 
-    async def _send(
-        self, connection: ServerConnection, name: str, document: dict[str, Any]
-    ) -> None:
-        data = json.dumps(document, separators=(",", ":"))
-        await connection.send_data(f"event: {name}\ndata: {data}\n\n".encode())
+
+def _read_count(text: str, name: str) -> int:
+    if not (text.isascii() and text.isdigit() and len(text) < 16):
+        raise BadInputError(f"{name} is {text!r}; send a whole number from 0 on")
+    return int(text)
+
+
+def _read_after(request: Request) -> int:
+    values = parse_qs(request.query, keep_blank_values=True).get("after", ["0"])
+    return _read_count(values[-1], "after")
+
+
+async def serve_engine(address: Address, engine: EngineStandIn) -> None:
+    """Serves an engine until cancelled."""
+    async with curio.TaskGroup(wait=any) as tasks:
+        await tasks.spawn(engine.run_steps)
+        await tasks.spawn(serve_http, address, engine.handle)
+    # Raises the error of the task that ended.
+    tasks.result  # noqa: B018
 
 
-def run_engine(address: Address, *, replica: str, slots: int) -> None:
+def run_engine(
+    address: Address,
+    *,
+    replica: str,
+    slots: int,
+    token_interval: float,
+    checks_fencing: bool,
+    seed: int | None,
+) -> None:
     """Runs the stand-in until it is ended."""
-    engine = EngineStandIn(replica, slots=slots)
-    curio.run(serve_http, address, engine.handle)
+    engine = EngineStandIn(
+        replica,
+        slots=slots,
+        token_interval=token_interval,
+        checks_fencing=checks_fencing,
+        rng=Random(seed),
+    )
+    curio.run(serve_engine, address, engine)
--- a/sequoiamoor/standin/launcher.py
+++ b/sequoiamoor/standin/launcher.py
@@ -4,29 +4,45 @@
 
 import contextlib
 import json
+import select
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterator
+import threading
+import time
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 from ..types import Address
+from . import client
 
-END_TIMEOUT_SECONDS = 10.0
+LISTENING_TIMEOUT_SECONDS = 20.0
+# A router drains after the first SIGTERM and ends at once after the second.
+DRAIN_TIMEOUT_SECONDS = 3.0
+END_TIMEOUT_SECONDS = 5.0
+LOG_TAIL_BYTES = 4_000
 
 
 @dataclass(frozen=True, slots=True)
 class UpstreamPlan:
-    """One upstream process to start."""
+    """One upstream process to start.
+
+    Attributes:
+        kind: ``engine`` or ``service``, the command of the stand-in.
+        options: Further options of the command.
+    """
 
     replica: str
     service: str
     zone: str
     kind: str
     slots: int
+    options: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,165 +62,256 @@
     router_settings: dict[str, Any] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Fleet:
-    """The processes of a running fleet."""
+class LaunchError(Exception):
+    """A process of the fleet did not start; the message has the end of its log."""
 
-    platform: Address
-    routers: dict[str, Address] = field(default_factory=dict)
-    upstreams: dict[str, Address] = field(default_factory=dict)
-    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
+class SignalGuard:
+    """Turns SIGINT and SIGTERM into SystemExit, and holds them back on demand.
 
-def zone_host(zones: list[str], zone: str) -> str:
-    """Returns the loopback address of a zone; each zone has its own prefix."""
-    return f"127.0.{zones.index(zone) + 1}.1"
+    Without it SIGTERM would end the launcher before it ended its processes, and a
+    signal between the start of a process and its registration would leak it.
+    """
+
+    def __init__(self) -> None:
+        self._is_held = False
+        self._received: int | None = None
+        self._previous: dict[signal.Signals, Any] = {}
+
+    def __enter__(self) -> SignalGuard:
+        # Only the main thread may set signal handlers.
+        if threading.current_thread() is threading.main_thread():
+            for number in (signal.SIGINT, signal.SIGTERM):
+                self._previous[number] = signal.signal(number, self._handle)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for number, handler in self._previous.items():
+            signal.signal(number, handler)
+
+    def _handle(self, number: int, _: FrameType | None) -> None:
+        self._received = number
+        if not self._is_held:
+            raise SystemExit(128 + number)
+
+    @contextlib.contextmanager
+    def hold(self) -> Iterator[None]:
+        """Holds signals back during a ``with`` block."""
+        self._is_held = True
+        try:
+            yield
+        finally:
+            self._is_held = False
+        if self._received is not None:
+            raise SystemExit(128 + self._received)
 
 
-def find_free_port(host: str) -> int:
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as sock:
+class Fleet:
+    """The processes of a fleet, ended by id.
+
+    Attributes:
+        platform: Address of the platform.
+        routers: HTTP address of each router.
+        upstreams: Address of each upstream.
+        processes: Running processes by name.
+    """
+
+    def __init__(self, plan: FleetPlan, folder: Path, guard: SignalGuard) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._guard = guard
+        self._zones = sorted(set(plan.zones) | {one.zone for one in plan.upstreams})
+        self._reserved: list[socket.socket] = []
+        self.platform = Address("", 0)
+        self.routers: dict[str, Address] = {}
+        self.upstreams: dict[str, Address] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def zone_prefix(self, zone: str) -> str:
+        """Returns the prefix of the loopback addresses of a zone."""
+        return f"127.0.{self._zones.index(zone) + 1}."
+
+    def read_log(self, name: str) -> str:
+        """Returns the end of the log of a process."""
+        path = self._folder / f"{name}.log"
+        data = path.read_bytes() if path.exists() else b""
+        return data[-LOG_TAIL_BYTES:].decode("utf-8", "replace").strip()
+
+    def start(self) -> None:
+        """Starts all processes; returns before the routers are ready.
+
+        Raises:
+            LaunchError: If a stand-in does not start.
+        """
+        self._start("platform", ["stand-in", "platform", "--list-lag", "0.2"])
+        for upstream in self._plan.upstreams:
+            arguments = ["stand-in", upstream.kind, "--replica", upstream.replica]
+            arguments += ["--host", self.zone_prefix(upstream.zone) + "1"]
+            arguments += ["--slots", str(upstream.slots), *upstream.options]
+            self._start(upstream.replica, arguments)
+        self.platform = self._read_listening("platform")
+        for upstream in self._plan.upstreams:
+            address = self._read_listening(upstream.replica)
+            self.upstreams[upstream.replica] = address
+        vms = [self._describe_upstream(upstream) for upstream in self._plan.upstreams]
+        for number, zone in enumerate(self._plan.zones):
+            vms.append(self._prepare_router(f"router-{number}", zone))
+        client.put_vms(self.platform, vms)
+        client.put_configuration(self.platform, self._plan.declaration)
+        for router_id in self.routers:
+            self.start_router(router_id)
+
+    def start_router(self, router_id: str) -> None:
+        """Starts a router, also again after its process ended."""
+        settings = self._folder / f"{router_id}.json"
+        self._start(router_id, ["router", "--settings", str(settings)])
+
+    def wait_ready(self, *, timeout: float) -> None:
+        """Returns when all routers take requests.
+
+        Raises:
+            LaunchError: If a router ended or is not ready after ``timeout`` seconds.
+        """
+        end = time.monotonic() + timeout
+        for router_id, address in self.routers.items():
+            while not client.is_ready(address):
+                status = self.processes[router_id].poll()
+                if status is None and time.monotonic() < end:
+                    time.sleep(client.READY_POLL_SECONDS)
+                    continue
+                state = "is not ready" if status is None else f"ended with {status}"
+                raise LaunchError(
+                    f"{router_id} {state}; its log ends with:\n"
+                    f"{self.read_log(router_id)}"
+                )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def end(self) -> None:
+        """Ends all processes, the routers before what they depend on."""
+        routers = [name for name in self.processes if name in self.routers]
+        others = [name for name in self.processes if name not in self.routers]
+        for names in (routers, others):
+            _end_processes([self.processes[name] for name in names])
+        for sock in self._reserved:
+            sock.close()
+
+    def _start(self, name: str, arguments: list[str]) -> None:
+        with (
+            (self._folder / f"{name}.log").open("ab") as log,
+            self._guard.hold(),
+        ):
+            # A session of its own keeps Ctrl-C away from the process, so that the
+            # launcher ends the fleet in order.
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "sequoiamoor", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    def _read_listening(self, name: str) -> Address:
+        stdout = self.processes[name].stdout
+        assert stdout is not None
+        readable, _, _ = select.select([stdout], [], [], LISTENING_TIMEOUT_SECONDS)
+        line = stdout.readline() if readable else b""
+        if not line:
+            raise LaunchError(
+                f"{name} does not listen; its log ends with:\n{self.read_log(name)}"
+            )
+        host, port = json.loads(line)["listening"]
+        return Address(host, port)
+
+    def _reserve_port(self, host: str) -> int:
+        # The port stays bound, but not listening, while the fleet runs: other
+        # processes are given other ports, and SO_REUSEADDR lets the router bind it.
+        sock = socket.socket()
+        self._reserved.append(sock)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, 0))
         port: int = sock.getsockname()[1]
         return port
 
+    def _prepare_router(self, router_id: str, zone: str) -> dict[str, Any]:
+        host = self.zone_prefix(zone) + "1"
+        address = Address(host, self._reserve_port(host))
+        control_port = self._reserve_port(host)
+        settings = {
+            "router_id": router_id,
+            "zone": zone,
+            "http": {"host": host, "port": address.port},
+            "control": {"host": host, "port": control_port},
+            "platform": {"host": self.platform.host, "port": self.platform.port},
+            **self._plan.router_settings,
+        }
+        path = self._folder / f"{router_id}.json"
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        self.routers[router_id] = address
+        return {
+            "id": router_id,
+            "role": "router",
+            "zone": zone,
+            "address": host,
+            "port": address.port,
+            "control_port": control_port,
+            "state": "live",
+        }
 
-def start_process(arguments: list[str], log: Path) -> subprocess.Popen[bytes]:
-    """Starts one ``sequoiamoor`` process with its standard error in ``log``."""
-    with log.open("ab") as stream:
-        return subprocess.Popen(
-            [sys.executable, "-m", "sequoiamoor", *arguments],
-            stdout=subprocess.PIPE,
-            stderr=stream,
-            start_new_session=True,
-        )
-
-
-def read_listening(process: subprocess.Popen[bytes]) -> Address:
-    """Reads the line in which a stand-in tells its address."""
-    assert process.stdout is not None
-    line = process.stdout.readline()
-    if not line:
-        raise RuntimeError("a stand-in ended before it was listening")
-    host, port = json.loads(line)["listening"]
-    return Address(host, port)
+    def _describe_upstream(self, upstream: UpstreamPlan) -> dict[str, Any]:
+        address = self.upstreams[upstream.replica]
+        return {
+            "id": upstream.replica,
+            "role": "upstream",
+            "zone": upstream.zone,
+            "address": address.host,
+            "port": address.port,
+            "service": upstream.service,
+            "state": "live",
+        }
 
 
-def end_processes(processes: list[subprocess.Popen[bytes]]) -> None:
-    """Ends processes by id, politely first."""
+def _end_processes(processes: list[subprocess.Popen[bytes]]) -> None:
+    steps: tuple[tuple[Callable[[subprocess.Popen[bytes]], None], float], ...] = (
+        (subprocess.Popen.terminate, DRAIN_TIMEOUT_SECONDS),
+        (subprocess.Popen.terminate, END_TIMEOUT_SECONDS),
+        (subprocess.Popen.kill, END_TIMEOUT_SECONDS),
+    )
     for process in processes:
-        if process.poll() is None:
-            process.terminate()
+        # A paused process could not act on a signal to end.
+        process.send_signal(signal.SIGCONT)
+    for send, timeout in steps:
+        running = [process for process in processes if process.poll() is None]
+        for process in running:
+            send(process)
+        end = time.monotonic() + timeout
+        for process in running:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(max(0.0, end - time.monotonic()))
     for process in processes:
-        try:
-            process.wait(END_TIMEOUT_SECONDS)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
         if process.stdout is not None:
             process.stdout.close()
 
 
 @contextlib.contextmanager
 def run_fleet(plan: FleetPlan) -> Iterator[Fleet]:
-    """Runs a fleet for the duration of a ``with`` block."""
-    from .client import put_configuration, put_vms
+    """Runs a fleet for the duration of a ``with`` block.
 
-    processes: dict[str, subprocess.Popen[bytes]] = {}
-    with tempfile.TemporaryDirectory(prefix="sequoiamoor-") as name:
-        folder = Path(name)
+    SIGINT and SIGTERM end the block with SystemExit and the fleet in order.
+
+    Raises:
+        LaunchError: If a stand-in does not start.
+    """
+    with (
+        SignalGuard() as guard,
+        tempfile.TemporaryDirectory(prefix="sequoiamoor-") as name,
+    ):
+        fleet = Fleet(plan, Path(name), guard)
         try:
-            fleet = _start_stand_ins(plan, folder, processes)
-            _write_settings(plan, fleet, folder)
-            put_vms(fleet.platform, _list_vms(plan, fleet, folder))
-            put_configuration(fleet.platform, plan.declaration)
-            for router_id in fleet.routers:
-                path = folder / f"{router_id}.json"
-                processes[router_id] = start_process(
-                    ["router", "--settings", str(path)], folder / f"{router_id}.log"
-                )
-            fleet.processes = processes
+            fleet.start()
             yield fleet
         finally:
-            end_processes(list(processes.values()))
-
-
-def _start_stand_ins(
-    plan: FleetPlan, folder: Path, processes: dict[str, subprocess.Popen[bytes]]
-) -> Fleet:
-    zones = sorted(set(plan.zones))
-    log = folder / "stand-ins.log"
-    processes["platform"] = start_process(
-        ["stand-in", "platform", "--host", "127.0.0.1", "--list-lag", "0.2"], log
-    )
-    for upstream in plan.upstreams:
-        processes[upstream.replica] = start_process(
-            [
-                "stand-in",
-                upstream.kind,
-                "--host",
-                zone_host(zones, upstream.zone),
-                "--replica",
-                upstream.replica,
-                *(["--slots", str(upstream.slots)]),
-            ],
-            log,
-        )
-    fleet = Fleet(read_listening(processes["platform"]))
-    for upstream in plan.upstreams:
-        fleet.upstreams[upstream.replica] = read_listening(processes[upstream.replica])
-    for number, zone in enumerate(plan.zones):
-        host = zone_host(zones, zone)
-        fleet.routers[f"router-{number}"] = Address(host, find_free_port(host))
-    return fleet
-
-
-def _write_settings(plan: FleetPlan, fleet: Fleet, folder: Path) -> None:
-    for zone, (router_id, address) in zip(
-        plan.zones, fleet.routers.items(), strict=True
-    ):
-        settings = {
-            "router_id": router_id,
-            "zone": zone,
-            "http": {"host": address.host, "port": address.port},
-            "control": {"host": address.host, "port": find_free_port(address.host)},
-            "platform": {
-                "host": fleet.platform.host,
-                "port": fleet.platform.port,
-            },
-            **plan.router_settings,
-        }
-        path = folder / f"{router_id}.json"
-        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
-
-
-def _list_vms(plan: FleetPlan, fleet: Fleet, folder: Path) -> list[dict[str, Any]]:
-    vms: list[dict[str, Any]] = []
-    for upstream in plan.upstreams:
-        address = fleet.upstreams[upstream.replica]
-        vms.append(
-            {
-                "id": upstream.replica,
-                "role": "upstream",
-                "zone": upstream.zone,
-                "address": address.host,
-                "port": address.port,
-                "service": upstream.service,
-                "state": "live",
-            }
-        )
-    for zone, router_id in zip(plan.zones, fleet.routers, strict=True):
-        settings = json.loads((folder / f"{router_id}.json").read_text("utf-8"))
-        vms.append(
-            {
-                "id": router_id,
-                "role": "router",
-                "zone": zone,
-                "address": settings["http"]["host"],
-                "port": settings["http"]["port"],
-                "control_port": settings["control"]["port"],
-                "state": "live",
-            }
-        )
-    return vms
+            with guard.hold():
+                fleet.end()
--- a/sequoiamoor/standin/load.py
+++ b/sequoiamoor/standin/load.py
@@ -2,201 +2,328 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 import curio
-import xxhash
-from h11 import RemoteProtocolError as ProtocolViolation
+from h11 import RemoteProtocolError
 from hdrh.histogram import HdrHistogram
 
 from ..net.http import ClientConnection, exchange
 from ..types import Address
+from .engine import make_token_text
 
 REQUEST_TIMEOUT_SECONDS = 60.0
+CONNECT_TIMEOUT_SECONDS = 5.0
+# Callers pause after a broken connection, as clients of a load balancer do, so
+# that a router that is gone does not keep the load generator busy.
+BROKEN_PAUSE_SECONDS = 0.2
 LARGEST_MS = 600_000
+_TOKEN = b'"i":'
 
 
 @dataclass(frozen=True, slots=True)
 class CallerPlan:
-    """What the callers of one organisation do.
+    """What the callers of one organisation do in one class of work.
 
     Attributes:
-        concurrency: Requests under way at once.
         routers: Routers that the callers reach.
         services: Services asked in turn.
-        tokens: Range of answer lengths.
+        concurrency: Requests under way at once; with a rate, the largest number.
+        requests: Requests to make; None means until the load ends.
+        rate: Requests per second that arrive whatever the fleet does; None means
+            that each of ``concurrency`` callers asks again after an answer.
+        prompt_tokens: Length of each prompt.
+        median_tokens: Median of the answer lengths, which are log-normal.
+        spread: Standard deviation of the logarithm of the answer length.
+        largest_tokens: Upper limit of the answer lengths.
+        hint_error: Largest factor by which the cost hint is wrong; None sends no
+            hint.
+        work_ms: Work of each call to a plain service.
     """
 
     organisation: str
     class_name: str
-    concurrency: int
-    requests: int
     routers: tuple[Address, ...]
     services: tuple[str, ...]
-    tokens: tuple[int, int] = (8, 64)
+    concurrency: int = 8
+    requests: int | None = None
+    rate: float | None = None
+    prompt_tokens: int = 64
+    median_tokens: float = 24.0
+    spread: float = 0.5
+    largest_tokens: int = 64
+    hint_error: float | None = None
+    work_ms: float = 20.0
+
+
+def create_histogram() -> HdrHistogram:
+    """Returns an empty histogram of milliseconds."""
+    return HdrHistogram(1, LARGEST_MS, 3)
 
 
 @dataclass(slots=True)
 class CallerResult:
-    """What the callers of one organisation saw."""
+    """What the callers of one organisation saw in one class of work.
+
+    Attributes:
+        whole: Requests with a whole answer of their own.
+        tokens: Tokens of whole answers.
+        units: Service units received, also of answers under way.
+        skipped: Arrivals left out because ``concurrency`` were under way.
+        refused: Refusals by code.
+        broken: Answers that ended in a way that no caller takes for complete.
+        wrong: Answers that looked complete, but were not whole or not their own.
+    """
 
     organisation: str
+    class_name: str
     requests: int = 0
     whole: int = 0
     tokens: int = 0
-    refused: dict[str, int] = field(default_factory=dict)
-    faults: list[str] = field(default_factory=list)
-    first_token: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(1, LARGEST_MS, 3)
-    )
+    units: int = 0
+    skipped: int = 0
+    refused: Counter[str] = field(default_factory=Counter)
+    broken: list[str] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+    first_token: HdrHistogram = field(default_factory=create_histogram)
 
 
 class StreamError(Exception):
     """An answer was not whole or not the caller's own."""
 
 
-def check_stream(body: bytes, call_id: str, tokens: int) -> None:
-    """Checks that a stream is whole and belongs to the call.
+def check_stream(answer: bytes, call_id: str, body: bytes) -> int:
+    """Checks that a stream is whole and answers the call and the body.
+
+    Returns:
+        The number of tokens.
 
     Raises:
         StreamError: If it is not.
     """
-    events = body.split(b"\n\n")
-    if events.pop() != b"" or not events[0].startswith(b"event: start\n"):
-        raise StreamError("the stream has no start")
+    tokens = int(json.loads(body)["tokens"])
+    events = answer.split(b"\n\n")
+    if events.pop() != b"" or not events or not events[0].startswith(b"event: start\n"):
+        raise StreamError(f"the stream starts with {answer[:120]!r}")
     if events[-1] != b'event: end\ndata: {"id":"%s","tokens":%d}' % (
         call_id.encode(),
         tokens,
     ):
         raise StreamError(f"the stream ends with {events[-1][:120]!r}")
-    if len(events) != tokens + 2:
-        raise StreamError(f"{len(events) - 2} tokens came instead of {tokens}")
-    for index, event in enumerate(events[1:-1]):
-        text = xxhash.xxh32_hexdigest(f"{call_id}:{index}".encode())
-        expected = f'data: {{"id":"{call_id}","i":{index},"t":"{text}"}}'
-        if event != expected.encode():
+    received = [event for event in events[1:-1] if _TOKEN in event]
+    if len(received) != tokens:
+        raise StreamError(f"{len(received)} tokens came instead of {tokens}")
+    for index, event in enumerate(received):
+        text = make_token_text(call_id, body, index)
+        if event != f'data: {{"id":"{call_id}","i":{index},"t":"{text}"}}'.encode():
             raise StreamError(f"token {index} is {event[:120]!r}")
+    return tokens
+
+
+def read_prefilled(event: bytes) -> int:
+    """Returns the uncached prompt tokens that a start event names."""
+    return int(json.loads(event.partition(b"data: ")[2])["prefilled"])
+
+
+async def run_together(functions: Iterable[Callable[[], Awaitable[None]]]) -> None:
+    """Runs coroutine functions at once; an error of one is raised.
+
+    A task group of curio alone would cancel the others and stay silent.
+    """
+    async with curio.TaskGroup() as tasks:
+        for function in functions:
+            await tasks.spawn(function)
+    for error in tasks.exceptions:
+        if error is not None and not isinstance(error, curio.TaskCancelled):
+            raise error
+
+
+class Caller:
+    """Makes the requests of one plan."""
+
+    def __init__(self, plan: CallerPlan, kinds: dict[str, str], *, seed: int) -> None:
+        self._plan = plan
+        self._kinds = kinds
+        self._run = f"{plan.organisation}-{plan.class_name}-{seed}"
+        self._rng = Random(f"{seed}:{plan.organisation}:{plan.class_name}")
+        self._numbers: Iterable[int] = (
+            itertools.count() if plan.requests is None else iter(range(plan.requests))
+        )
+        self._under_way = 0
+        self.result = CallerResult(plan.organisation, plan.class_name)
 
+    async def run(self) -> None:
+        """Makes requests until they are done or the task is cancelled."""
+        if self._plan.rate is not None:
+            await self._run_open(self._plan.rate)
+        else:
+            await run_together([self._run_closed] * self._plan.concurrency)
 
-async def _stream(
-    plan: CallerPlan, router: Address, service: str, tokens: int, result: CallerResult
-) -> None:
-    connection = await ClientConnection.connect(router, timeout=5.0)
-    try:
-        body = json.dumps({"prompt_tokens": 64, "tokens": tokens}).encode()
+    async def _run_closed(self) -> None:
+        for number in self._numbers:
+            await self._request(number)
+
+    async def _run_open(self, rate: float) -> None:
+        next_at = time.monotonic()
+        for number in self._numbers:
+            next_at += self._rng.expovariate(rate)
+            await curio.sleep(max(0.0, next_at - time.monotonic()))
+            if self._under_way >= self._plan.concurrency:
+                self.result.skipped += 1
+                continue
+            await curio.spawn(self._request, number, daemon=True)
+
+    async def _request(self, number: int) -> None:
+        result = self.result
+        result.requests += 1
+        self._under_way += 1
+        router = self._rng.choice(self._plan.routers)
+        service = self._plan.services[number % len(self._plan.services)]
+        try:
+            async with curio.timeout_after(REQUEST_TIMEOUT_SECONDS):
+                if self._kinds[service] == "engine":
+                    await self._stream(router, service)
+                else:
+                    await self._call(router, service, number)
+        except (StreamError, KeyError, ValueError) as err:
+            result.wrong.append(f"{router}: {err!r}")
+        except (OSError, RemoteProtocolError, curio.TaskTimeout) as err:
+            result.broken.append(f"{router}: {err!r}")
+            await curio.sleep(BROKEN_PAUSE_SECONDS)
+        finally:
+            self._under_way -= 1
+
+    def _build_body(self) -> tuple[bytes, int]:
+        plan = self._plan
+        drawn = plan.median_tokens * self._rng.lognormvariate(0.0, plan.spread)
+        tokens = max(1, min(round(drawn), plan.largest_tokens))
+        document = {
+            "prompt_tokens": plan.prompt_tokens,
+            "tokens": tokens,
+            "nonce": self._rng.getrandbits(32),
+        }
+        return json.dumps(document).encode(), plan.prompt_tokens + tokens
+
+    def _build_headers(self, cost: float) -> dict[str, str]:
         headers = {
-            "x-organisation": plan.organisation,
-            "x-class": plan.class_name,
-            "accept": "text/event-stream",
+            "x-organisation": self._plan.organisation,
+            "x-class": self._plan.class_name,
             "content-type": "application/json",
+            "connection": "close",
         }
+        error = self._plan.hint_error
+        if error is not None:
+            factor = error ** self._rng.uniform(-1.0, 1.0)
+            headers["x-cost-hint"] = f"{max(1.0, cost * factor):.0f}"
+        return headers
+
+    async def _stream(self, router: Address, service: str) -> None:
+        result = self.result
+        body, cost = self._build_body()
+        headers = {**self._build_headers(cost), "accept": "text/event-stream"}
         began = time.monotonic()
-        path = f"/v1/services/{service}/calls"
-        await connection.send_request("POST", path, headers, body)
-        response = await connection.receive_response()
+        connection = await ClientConnection.connect(
+            router, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        try:
+            path = f"/v1/services/{service}/calls"
+            await connection.send_request("POST", path, headers, body)
+            response = await connection.receive_response()
+            if response.status != 200:
+                self._count_refusal(await connection.receive_body())
+                return
+            parts: list[bytes] = []
+            has_token = False
+            while (data := await connection.receive_data()) is not None:
+                tokens = data.count(_TOKEN)
+                if tokens and not has_token:
+                    has_token = True
+                    elapsed_ms = int((time.monotonic() - began) * 1000)
+                    result.first_token.record_value(max(1, min(elapsed_ms, LARGEST_MS)))
+                result.units += tokens
+                if not parts and data.startswith(b"event: start"):
+                    result.units += read_prefilled(data.split(b"\n\n")[0])
+                parts.append(data)
+            call_id = response.headers.get("x-call-id", "")
+            result.tokens += check_stream(b"".join(parts), call_id, body)
+            result.whole += 1
+        finally:
+            await connection.close()
+
+    def _count_refusal(self, body: bytes) -> None:
+        try:
+            code = json.loads(body)["code"]
+        except (ValueError, KeyError, TypeError) as err:
+            raise StreamError(f"the refusal is malformed: {body[:120]!r}") from err
+        self.result.refused[code] += 1
+
+    async def _call(self, router: Address, service: str, number: int) -> None:
+        request_id = f"{self._run}-{number}"
+        headers = self._build_headers(self._plan.work_ms)
+        response, body = await exchange(
+            router,
+            "POST",
+            f"/v1/services/{service}/calls",
+            body=json.dumps({"work_ms": self._plan.work_ms}).encode(),
+            headers={**headers, "x-request-id": request_id},
+            timeout=REQUEST_TIMEOUT_SECONDS,
+        )
         if response.status != 200:
-            _count_refusal(result, await connection.receive_body())
+            self._count_refusal(body)
             return
-        parts = [await connection.receive_data() or b""]
-        elapsed_ms = int((time.monotonic() - began) * 1000)
-        result.first_token.record_value(max(1, min(elapsed_ms, LARGEST_MS)))
-        parts.append(await connection.receive_body())
-        check_stream(b"".join(parts), response.headers["x-call-id"], tokens)
-        result.whole += 1
-        result.tokens += tokens
-    finally:
-        await connection.close()
-
-
-def _count_refusal(result: CallerResult, body: bytes) -> None:
-    code = json.loads(body)["code"]
-    result.refused[code] = result.refused.get(code, 0) + 1
-
-
-async def _call(
-    plan: CallerPlan, router: Address, service: str, number: int, result: CallerResult
-) -> None:
-    request_id = f"{plan.organisation}-{number}"
-    headers = {
-        "x-organisation": plan.organisation,
-        "x-class": plan.class_name,
-        "x-request-id": request_id,
-        "content-type": "application/json",
-    }
-    response, body = await exchange(
-        router,
-        "POST",
-        f"/v1/services/{service}/calls",
-        body=b'{"work_ms": 20}',
-        headers=headers,
-        timeout=REQUEST_TIMEOUT_SECONDS,
-    )
-    if response.status != 200:
-        _count_refusal(result, body)
-        return
-    if json.loads(body)["request_id"] != request_id:
-        raise StreamError(f"the answer to {request_id!r} is another one's")
-    result.whole += 1
-
-
-async def run_caller(
-    plan: CallerPlan, kinds: dict[str, str], *, seed: int
-) -> CallerResult:
-    """Runs the callers of one organisation until their requests are done."""
-    result = CallerResult(plan.organisation)
-    rng = Random(f"{seed}:{plan.organisation}")
-    numbers = iter(range(plan.requests))
-
-    async def work() -> None:
-        for number in numbers:
-            result.requests += 1
-            router = rng.choice(plan.routers)
-            service = plan.services[number % len(plan.services)]
-            tokens = rng.randint(*plan.tokens)
-            try:
-                if kinds[service] == "engine":
-                    await _stream(plan, router, service, tokens, result)
-                else:
-                    await _call(plan, router, service, number, result)
-            except (OSError, ProtocolViolation, StreamError, ValueError) as err:
-                result.faults.append(repr(err))
-
-    async with curio.TaskGroup() as tasks:
-        for _ in range(plan.concurrency):
-            await tasks.spawn(work)
-    return result
+        try:
+            answered = json.loads(body)["request_id"]
+        except (ValueError, KeyError, TypeError) as err:
+            raise StreamError(f"the answer is malformed: {body[:120]!r}") from err
+        if answered != request_id:
+            raise StreamError(f"the answer to {request_id!r} is that to {answered!r}")
+        self.result.whole += 1
 
 
 async def run_load(
     plans: list[CallerPlan], kinds: dict[str, str], *, seed: int
 ) -> list[CallerResult]:
-    """Runs the callers of all organisations at once."""
-    async with curio.TaskGroup() as tasks:
-        running = [
-            await tasks.spawn(lambda p=plan: run_caller(p, kinds, seed=seed))
-            for plan in plans
-        ]
-    return [task.result for task in running]
+    """Runs plans with a number of requests until all are done.
+
+    Args:
+        plans: What each group of callers does.
+        kinds: Kind of each service, ``engine`` or ``plain``.
+        seed: Seed of all choices.
+    """
+    callers = [Caller(plan, kinds, seed=seed) for plan in plans]
+    await run_together([caller.run for caller in callers])
+    return [caller.result for caller in callers]
 
 
 def summarise(results: list[CallerResult]) -> list[dict[str, Any]]:
     """Returns one row per organisation."""
     total = sum(result.tokens for result in results) or 1
-    return [
-        {
-            "organisation": result.organisation,
-            "requests": result.requests,
-            "whole": result.whole,
-            "refused": sum(result.refused.values()),
-            "tokens": result.tokens,
-            "share": result.tokens / total,
-            "p50_ms": result.first_token.get_value_at_percentile(50),
-            "p95_ms": result.first_token.get_value_at_percentile(95),
-            "faults": len(result.faults),
-        }
-        for result in results
-    ]
+    rows = []
+    for organisation in dict.fromkeys(result.organisation for result in results):
+        own = [one for one in results if one.organisation == organisation]
+        first_token = create_histogram()
+        for one in own:
+            first_token.add(one.first_token)
+        tokens = sum(one.tokens for one in own)
+        rows.append(
+            {
+                "organisation": organisation,
+                "requests": sum(one.requests for one in own),
+                "whole": sum(one.whole for one in own),
+                "refused": sum(one.refused.total() for one in own),
+                "tokens": tokens,
+                "share": tokens / total,
+                "p50_ms": first_token.get_value_at_percentile(50),
+                "p95_ms": first_token.get_value_at_percentile(95),
+                "broken": sum(len(one.broken) for one in own),
+                "wrong": sum(len(one.wrong) for one in own),
+            }
+        )
+    return rows
--- a/sequoiamoor/standin/platform.py
+++ b/sequoiamoor/standin/platform.py
@@ -2,25 +2,79 @@
 
 from __future__ import annotations
 
-import json
 import time
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 from urllib.parse import unquote
 
 import curio
+from pydantic import Field
 
-from ..net.http import Request, ServerConnection
+from ..net.http import Request
+from ..net.platform import Vm
 from ..types import Address
-from .server import send_json, serve_http
+from .server import (
+    LARGEST_DELAY_MS,
+    BadInputError,
+    Body,
+    StandInConnection,
+    check_method,
+    parse_body,
+    reject_path,
+    send_json,
+    serve_http,
+)
 
+READS_PER_SECOND = 2_000.0
+WRITES_PER_SECOND = 300.0
+
+
+class PlatformFaults(Body):
+    """Fault switches of the platform.
+
+    Attributes:
+        outage: Whether every operation gets status 503.
+        delay_ms: Milliseconds before an operation takes effect.
+        lose_answers: Fraction of operations that take effect without an answer.
+    """
 
-@dataclass(slots=True)
-class _Faults:
     outage: bool = False
-    delay_ms: float = 0.0
-    lose_answers: float = 0.0
+    delay_ms: float = Field(0.0, ge=0, le=LARGEST_DELAY_MS)
+    lose_answers: float = Field(0.0, ge=0, le=1)
+
+
+class VmListBody(Body):
+    """The body of ``PUT /admin/vms``."""
+
+    vms: tuple[Vm, ...]
+
+
+class WriteBody(Body):
+    """The body of ``PUT /table/KEY``."""
+
+    value: Any
+    expected_version: int = Field(ge=0)
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """A rate limit that allows one second's worth at once."""
+
+    rate: float
+    stored: float
+    filled_at: float
+
+    def take(self, now: float) -> bool:
+        """Returns whether one more operation is allowed."""
+        stored = self.stored + (now - self.filled_at) * self.rate
+        self.stored = min(self.rate, stored)
+        self.filled_at = now
+        if self.stored < 1:
+            return False
+        self.stored -= 1
+        return True
 
 
 @dataclass(slots=True)
@@ -29,95 +83,122 @@
     value: Any
 
 
-@dataclass(slots=True)
 class PlatformStandIn:
-    """State of the stand-in.
+    """The platform.
 
-    Attributes:
-        writes_per_second: Rate limit of table writes.
+    Args:
+        rng: Chooses which answers are lost.
         list_lag: Seconds until a change of the VM list shows.
+        reads_per_second: Rate limit of reads of table and object store.
+        writes_per_second: Rate limit of their writes.
     """
 
-    rng: Random
-    writes_per_second: float = 300.0
-    list_lag: float = 1.0
-    faults: _Faults = field(default_factory=_Faults)
-    table: dict[str, _Entry] = field(default_factory=dict)
-    objects: dict[str, bytes] = field(default_factory=dict)
-    lists: list[tuple[float, list[Any]]] = field(default_factory=list)
-    counts: dict[str, int] = field(default_factory=dict)
-    allowance: float = 300.0
-    allowance_at: float = 0.0
-
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    def __init__(
+        self,
+        rng: Random,
+        *,
+        list_lag: float = 1.0,
+        reads_per_second: float = READS_PER_SECOND,
+        writes_per_second: float = WRITES_PER_SECOND,
+    ) -> None:
+        now = time.monotonic()
+        self._rng = rng
+        self._list_lag = list_lag
+        self._reads = TokenBucket(reads_per_second, reads_per_second, now)
+        self._writes = TokenBucket(writes_per_second, writes_per_second, now)
+        self._faults = PlatformFaults.model_validate({})
+        self._table: dict[str, _Entry] = {}
+        self._objects: dict[str, bytes] = {}
+        self._lists: list[tuple[float, list[Any]]] = []
+        self._counts: Counter[str] = Counter(reads=0, writes=0)
+
+    async def handle(self, connection: StandInConnection, request: Request) -> None:
         """Answers one request."""
         if request.path.startswith("/admin/"):
-            await self._administer(connection, request)
+            await send_json(connection, 200, self._administer(request))
             return
-        if self.faults.delay_ms:
-            await curio.sleep(self.faults.delay_ms / 1000)
-        if self.faults.outage:
+        self._counts["reads" if request.method == "GET" else "writes"] += 1
+        if self._faults.delay_ms:
+            await curio.sleep(self._faults.delay_ms / 1000)
+        if self._faults.outage:
+            self._counts["refused_by_outage"] += 1
             await send_json(connection, 503, {"code": "outage"})
             return
-        status, document = self._perform(request)
-        if self.rng.random() < self.faults.lose_answers:
-            await connection.close()
-            raise ConnectionAbortedError("the answer is lost on purpose")
-        await send_json(connection, status, document)
-
-    async def _administer(self, connection: ServerConnection, request: Request) -> None:
+        status, answer = self._perform(request)
+        if self._rng.random() < self._faults.lose_answers:
+            self._counts["answers_lost"] += 1
+            raise ConnectionAbortedError("a fault switch asks to lose the answer")
+        if isinstance(answer, bytes):
+            headers = {"content-type": "application/octet-stream"}
+            await connection.send_response(status, headers, answer)
+        else:
+            await send_json(connection, status, answer)
+
+    def _administer(self, request: Request) -> Any:
         if request.path == "/admin/counts":
-            await send_json(connection, 200, self.counts)
-            return
-        document = json.loads(request.body)
+            check_method(request, "GET")
+            return self._counts
         if request.path == "/admin/vms":
-            self.lists.append((time.time(), document["vms"]))
+            check_method(request, "PUT")
+            vms = parse_body(VmListBody, request).vms
+            shown = [vm.model_dump(mode="json") for vm in vms]
+            self._lists.append((time.time(), shown))
         elif request.path == "/admin/faults":
-            self.faults = _Faults(**document)
-        await send_json(connection, 200, {})
-
-    def _count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
+            check_method(request, "POST")
+            self._faults = parse_body(PlatformFaults, request)
+        else:
+            raise reject_path(request)
+        return {}
 
     def _perform(self, request: Request) -> tuple[int, Any]:
         if request.path == "/vms":
-            self._count("list reads")
+            check_method(request, "GET")
+            self._counts["list_reads"] += 1
             return 200, self._read_list()
         kind, _, key = unquote(request.path).lstrip("/").partition("/")
-        if kind != "table" or not key:
-            return 404, {"code": "not-found"}
-        if request.method == "GET":
-            self._count("table reads")
-            entry = self.table.get(key)
-            if entry is None:
-                return 404, {"code": "absent"}
-            return 200, {"key": key, "version": entry.version, "value": entry.value}
-        self._count("table writes")
-        return self._write(key, json.loads(request.body))
-
-    def _read_list(self) -> Any:
-        shown: tuple[float, list[Any]] = (time.time(), [])
-        for made_at, vms in self.lists:
-            if made_at + self.list_lag <= time.time() or not shown[1]:
-                shown = (made_at, vms)
-        return {"as_of": shown[0], "vms": shown[1]}
-
-    def _write(self, key: str, document: Any) -> tuple[int, Any]:
-        now = time.monotonic()
-        self.allowance = min(
-            self.writes_per_second,
-            self.allowance + (now - self.allowance_at) * self.writes_per_second,
-        )
-        self.allowance_at = now
-        if self.allowance < 1:
+        if kind not in ("table", "objects") or not key:
+            raise reject_path(request)
+        check_method(request, "GET", "PUT")
+        is_read = request.method == "GET"
+        self._counts[f"{kind}_{'reads' if is_read else 'writes'}"] += 1
+        if not (self._reads if is_read else self._writes).take(time.monotonic()):
+            self._counts["rate_limited"] += 1
             return 429, {"code": "rate-limited"}
-        self.allowance -= 1
-        entry = self.table.get(key, _Entry(0, None))
-        if entry.version != document["expected_version"]:
+        if kind == "objects":
+            return self._use_object(key, None if is_read else request.body)
+        if is_read:
+            return self._read(key)
+        return self._write(key, parse_body(WriteBody, request))
+
+    def _use_object(self, key: str, body: bytes | None) -> tuple[int, Any]:
+        if body is not None:
+            self._objects[key] = body
+            return 200, {}
+        if key not in self._objects:
+            raise BadInputError(f"no object {key!r}", status=404, code="absent")
+        return 200, self._objects[key]
+
+    def _read(self, key: str) -> tuple[int, Any]:
+        entry = self._table.get(key)
+        if entry is None:
+            return 404, {"code": "absent"}
+        return 200, {"key": key, "version": entry.version, "value": entry.value}
+
+    def _write(self, key: str, body: WriteBody) -> tuple[int, Any]:
+        entry = self._table.get(key, _Entry(0, None))
+        if entry.version != body.expected_version:
             return 409, {"version": entry.version, "value": entry.value}
-        self.table[key] = _Entry(entry.version + 1, document["value"])
+        self._table[key] = _Entry(entry.version + 1, body.value)
         return 200, {"version": entry.version + 1}
 
+    def _read_list(self) -> Any:
+        limit = time.time() - self._list_lag
+        # The first list shows at once, so that a fleet starts without waiting.
+        while len(self._lists) > 1 and self._lists[1][0] <= limit:
+            self._lists.pop(0)
+        as_of, vms = self._lists[0] if self._lists else (time.time(), [])
+        return {"as_of": as_of, "vms": vms}
+
 
 def run_platform(address: Address, *, seed: int | None, list_lag: float) -> None:
     """Runs the stand-in until it is ended."""
--- a/sequoiamoor/standin/service.py
+++ b/sequoiamoor/standin/service.py
@@ -2,71 +2,179 @@
 
 from __future__ import annotations
 
-import json
 import time
-from dataclasses import dataclass, field
+from collections import Counter
 
 import curio
+from pydantic import ConfigDict, Field
 
-from ..net.http import Request, ServerConnection
-from ..types import Address
-from .server import send_json, serve_http
+from ..net.http import Request
+from ..types import Address, Execution
+from .server import (
+    LARGEST_DELAY_MS,
+    BadInputError,
+    Body,
+    LaggedValue,
+    LeavingOrder,
+    StandInConnection,
+    UpstreamFaults,
+    check_method,
+    parse_body,
+    reject_path,
+    send_json,
+    serve_http,
+)
 
 
-@dataclass(slots=True)
-class ServiceStandIn:
-    """State of the stand-in.
+class CallBody(Body):
+    """The body of ``POST /v1/call``; further fields are left alone."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    work_ms: float = Field(20.0, ge=0, le=LARGEST_DELAY_MS)
+
+
+class ServiceFaults(UpstreamFaults):
+    """Fault switches of a plain service.
 
     Attributes:
-        slots: Calls that run at once; more wait.
-        executions: Number of executions by organisation and request identifier.
+        lose_answer: Whether a call runs, but its answer is never sent.
+        refuse: Whether a call is refused before it runs.
     """
 
-    replica: str
-    slots: int = 4
-    incarnation: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
-    running: int = 0
-    executions: dict[str, int] = field(default_factory=dict)
+    lose_answer: bool = False
+    refuse: bool = False
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+
+class ServiceStandIn:
+    """The service; calls beyond ``slots`` wait for their turn."""
+
+    def __init__(self, replica: str, *, slots: int = 4, load_lag: float = 0.5) -> None:
+        self._replica = replica
+        self._slots = slots
+        self._turns = curio.Semaphore(slots)
+        self._incarnation = time.time_ns() // 1_000_000
+        self._running = 0
+        self._queued = 0
+        self._load = LaggedValue((0, 0, False), lag=load_lag)
+        self._leaving_at: float | None = None
+        self._last_start: float | None = None
+        self._busy_seconds = 0.0
+        self._faults = ServiceFaults.model_validate({})
+        self.executions: Counter[str] = Counter()
+
+    async def handle(self, connection: StandInConnection, request: Request) -> None:
         """Answers one request."""
-        if request.path == "/v1/load":
-            await send_json(connection, 200, self._report_load())
-        elif request.path == "/v1/executions":
-            await send_json(connection, 200, self.executions)
-        elif request.path == "/v1/call":
-            await self._call(connection, request)
-        else:
-            await send_json(connection, 404, {"code": "not-found"})
+        match request.path:
+            case "/v1/call":
+                check_method(request, "POST")
+                await self._call(connection, request)
+            case "/v1/load":
+                await send_json(connection, 200, self._report_load())
+            case "/v1/executions":
+                await send_json(connection, 200, self.executions)
+            case "/admin/counts":
+                await send_json(connection, 200, self._report_counts())
+            case "/admin/faults":
+                check_method(request, "POST")
+                self._faults = parse_body(ServiceFaults, request)
+                await send_json(connection, 200, {})
+            case "/admin/leaving":
+                check_method(request, "POST")
+                is_leaving = parse_body(LeavingOrder, request).leaving
+                self._leaving_at = time.monotonic() if is_leaving else None
+                self._note_load()
+                await send_json(connection, 200, {})
+            case _:
+                raise reject_path(request)
+
+    def _note_load(self) -> None:
+        load = (self._running, self._queued, self._leaving_at is not None)
+        self._load.set(load, time.monotonic())
 
     def _report_load(self) -> dict[str, object]:
+        running, queued, is_leaving = self._load.read(time.monotonic())
         return {
-            "replica": self.replica,
-            "incarnation": self.incarnation,
-            "slots": self.slots,
-            "running": self.running,
-            "queued": 0,
-            "token_rate": 1000.0 * min(self.running, self.slots),
-            "leaving": False,
+            "replica": self._replica,
+            "incarnation": self._incarnation,
+            "slots": self._slots,
+            "running": running,
+            "queued": queued,
+            "token_rate": 1000.0 * running,
+            "leaving": is_leaving,
         }
 
-    async def _call(self, connection: ServerConnection, request: Request) -> None:
-        request_id = request.headers["x-request-id"]
-        document = json.loads(request.body or b"{}")
-        work_ms = float(document.get("work_ms", 20))
-        self.executions[request_id] = self.executions.get(request_id, 0) + 1
-        self.running += 1
-        try:
-            await curio.sleep(work_ms / 1000)
-        finally:
-            self.running -= 1
-        headers = {
-            "x-call-id": request.headers["x-call-id"],
-            "x-service-ms": str(work_ms),
+    def _report_counts(self) -> dict[str, object]:
+        return {
+            "replica": self._replica,
+            "slots": self._slots,
+            "running": self._running,
+            "executions": self.executions.total(),
+            "busy_slot_seconds": self._busy_seconds,
+            "last_start_after_leaving_seconds": self._last_start,
         }
-        answer = {"request_id": request_id, "replica": self.replica, "done": True}
+
+    def _take_faults(self) -> ServiceFaults:
+        faults = self._faults
+        if faults.remaining == 0:
+            return ServiceFaults.model_validate({})
+        if faults.remaining is not None:
+            faults.remaining -= 1
+        return faults
+
+    async def _call(self, connection: StandInConnection, request: Request) -> None:
+        request_id = request.headers.get("x-request-id")
+        call_id = request.headers.get("x-call-id")
+        if not request_id or not call_id:
+            raise BadInputError("X-Request-Id or X-Call-Id is missing; send both")
+        body = parse_body(CallBody, request)
+        faults = self._take_faults()
+        await curio.sleep(faults.delay_ms / 1000)
+        headers = {"x-call-id": call_id}
+        if faults.refuse:
+            refusal = {
+                "code": "refused",
+                "message": "a fault switch asks to refuse this call",
+                "execution": Execution.WAS_NOT_RUN.value,
+                "request_id": request_id,
+            }
+            await send_json(connection, 503, refusal, headers)
+            return
+        elapsed = await self._execute(request, request_id, body)
+        if faults.lose_answer:
+            raise ConnectionAbortedError("a fault switch asks to lose the answer")
+        headers["x-service-ms"] = f"{elapsed * 1000:.3f}"
+        answer = {"request_id": request_id, "replica": self._replica, "done": True}
         await send_json(connection, 200, answer, headers)
 
+    async def _execute(
+        self, request: Request, request_id: str, body: CallBody
+    ) -> float:
+        if self._leaving_at is not None:
+            self._last_start = time.monotonic() - self._leaving_at
+        organisation = request.headers.get("x-organisation")
+        self._queued += 1
+        try:
+            await self._turns.acquire()
+        finally:
+            self._queued -= 1
+        started_at = time.monotonic()
+        # Counted before the work: a call whose sender goes away has run.
+        self.executions[
+            f"{organisation}/{request_id}" if organisation else request_id
+        ] += 1
+        self._running += 1
+        self._note_load()
+        try:
+            await curio.sleep(body.work_ms / 1000)
+        finally:
+            self._running -= 1
+            self._note_load()
+            elapsed = time.monotonic() - started_at
+            self._busy_seconds += elapsed
+            await self._turns.release()
+        return elapsed
+
 
 def run_service(address: Address, *, replica: str, slots: int) -> None:
     """Runs the stand-in until it is ended."""
