--- a/benchmarks/control_busy.py
+++ b/benchmarks/control_busy.py
@@ -25,7 +25,7 @@
 from sequoiamoor.metrics import Metrics
 from sequoiamoor.policies.round_robin import RoundRobinPolicy
 from sequoiamoor.settings import RouterSettings
-from sequoiamoor.standin.launcher import find_free_port
+from sequoiamoor.standin.processes import find_free_port
 from sequoiamoor.types import RouterIdentity
 
 ROUTERS = 8
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -29,7 +29,7 @@
 import curio
 
 from sequoiamoor.standin.client import put_configuration, put_vms, wait_ready
-from sequoiamoor.standin.launcher import (
+from sequoiamoor.standin.processes import (
     end_processes,
     find_free_port,
     read_listening,
--- a/sequoiamoor/standin/launcher.py
+++ b/sequoiamoor/standin/launcher.py
@@ -4,15 +4,13 @@
 
 import contextlib
 import json
-import select
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import FrameType
@@ -20,11 +18,8 @@
 
 from ..types import Address
 from . import client
+from .processes import end_processes, read_listening, reserve_port, start_process
 
-LISTENING_TIMEOUT_SECONDS = 20.0
-# A router drains after the first SIGTERM and ends at once after the second.
-DRAIN_TIMEOUT_SECONDS = 3.0
-END_TIMEOUT_SECONDS = 5.0
 LOG_TAIL_BYTES = 4_000
 
 
@@ -194,44 +189,27 @@
         routers = [name for name in self.processes if name in self.routers]
         others = [name for name in self.processes if name not in self.routers]
         for names in (routers, others):
-            _end_processes([self.processes[name] for name in names])
+            end_processes([self.processes[name] for name in names])
         for sock in self._reserved:
             sock.close()
 
     def _start(self, name: str, arguments: list[str]) -> None:
-        with (
-            (self._folder / f"{name}.log").open("ab") as log,
-            self._guard.hold(),
-        ):
-            # A session of its own keeps Ctrl-C away from the process, so that the
-            # launcher ends the fleet in order.
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "sequoiamoor", *arguments],
-                stdin=subprocess.DEVNULL,
-                stdout=subprocess.PIPE,
-                stderr=log,
-                start_new_session=True,
-            )
+        with self._guard.hold():
+            log = self._folder / f"{name}.log"
+            self.processes[name] = start_process(arguments, log)
 
     def _read_listening(self, name: str) -> Address:
-        stdout = self.processes[name].stdout
-        assert stdout is not None
-        readable, _, _ = select.select([stdout], [], [], LISTENING_TIMEOUT_SECONDS)
-        line = stdout.readline() if readable else b""
-        if not line:
+        try:
+            return read_listening(self.processes[name])
+        except RuntimeError as err:
             raise LaunchError(
                 f"{name} does not listen; its log ends with:\n{self.read_log(name)}"
-            )
-        host, port = json.loads(line)["listening"]
-        return Address(host, port)
+            ) from err
 
     def _reserve_port(self, host: str) -> int:
-        # The port stays bound, but not listening, while the fleet runs: other
-        # processes are given other ports, and SO_REUSEADDR lets the router bind it.
-        sock = socket.socket()
+        # The port stays reserved while the fleet runs, also while its router is down.
+        sock = reserve_port(host)
         self._reserved.append(sock)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, 0))
         port: int = sock.getsockname()[1]
         return port
 
@@ -273,28 +251,6 @@
         }
 
 
-def _end_processes(processes: list[subprocess.Popen[bytes]]) -> None:
-    steps: tuple[tuple[Callable[[subprocess.Popen[bytes]], None], float], ...] = (
-        (subprocess.Popen.terminate, DRAIN_TIMEOUT_SECONDS),
-        (subprocess.Popen.terminate, END_TIMEOUT_SECONDS),
-        (subprocess.Popen.kill, END_TIMEOUT_SECONDS),
-    )
-    for process in processes:
-        # A paused process could not act on a signal to end.
-        process.send_signal(signal.SIGCONT)
-    for send, timeout in steps:
-        running = [process for process in processes if process.poll() is None]
-        for process in running:
-            send(process)
-        end = time.monotonic() + timeout
-        for process in running:
-            with contextlib.suppress(subprocess.TimeoutExpired):
-                process.wait(max(0.0, end - time.monotonic()))
-    for process in processes:
-        if process.stdout is not None:
-            process.stdout.close()
-
-
 @contextlib.contextmanager
 def run_fleet(plan: FleetPlan) -> Iterator[Fleet]:
     """Runs a fleet for the duration of a ``with`` block.
--- a/tests/commands/test_configuration.py
+++ b/tests/commands/test_configuration.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from sequoiamoor.standin.launcher import start_process
+from sequoiamoor.standin.processes import start_process
 
 from ..daemon.fleet import DECLARATION, call, run_small_fleet, set_faults
 
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import curio
 import pytest
 
@@ -273,7 +275,8 @@
     """Guards against a slot that leaks if start and hang-up fall into one turn."""
 
     async def session(border: Border) -> None:
-        call = CallRequest("c", "r", "a", "chat", "talk", 0.0, 1.0, 9.0, b"")
+        now = time.monotonic()
+        call = CallRequest("c", "r", "a", "chat", "talk", now, now + 1, now + 9, b"")
         border.calls.accept(call)
         await border.add_upstream()
         await border.calls.dispatch("talk")
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -14,7 +14,8 @@
 import pytest
 
 from sequoiamoor.standin.client import fetch, put_configuration, put_vms
-from sequoiamoor.standin.launcher import Fleet, read_listening, run_fleet
+from sequoiamoor.standin.launcher import Fleet, run_fleet
+from sequoiamoor.standin.processes import read_listening
 
 from .fleets import (
     DECLARATION,
@@ -125,7 +126,7 @@
         put_configuration(fleet.platform, DECLARATION)
         wait_until(
             lambda: (
-                fetch(fleet.platform, "GET", "/admin/counts")[1].get("table reads", 0)
+                fetch(fleet.platform, "GET", "/admin/counts")[1].get("table_reads", 0)
                 >= 4
             ),
             limit=POLL_SECONDS,
