--- a/sequoiamoor/daemon/pollers.py
+++ b/sequoiamoor/daemon/pollers.py
@@ -59,14 +59,16 @@
                 polled_at = now
                 jitter = self._rng.uniform(0.8, 1.0)
                 is_done = await self._poll_platform_once()
-                failures = 0 if is_done else failures + 1
+                is_known = self._board.configuration.declaration is not None
+                failures = 0 if is_done and is_known else failures + 1
             await curio.sleep(_CHECK_INTERVAL_SECONDS)
 
     def _find_interval(self, failures: int) -> float:
         options = self._options
         if self._board.configuration.declaration is None:
+            # A fleet without a configuration must not load the platform either.
             delay = options.platform_poll_interval / 4
-            return min(delay * 2.0**failures, options.platform_poll_interval)
+            return min(delay * 2.0 ** min(failures, 16), options.platform_poll_interval)
         if self._is_responsible("platform", self._board.identity.zone):
             return options.platform_poll_interval
         return options.platform_poll_interval_others
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -152,6 +152,7 @@
         self._filter = ReportFilter()
         self._unsent = b""
         self._stalled_at: float | None = None
+        self._is_stopped = False
 
     @property
     def unsent_bytes(self) -> int:
@@ -221,10 +222,15 @@
             with contextlib.suppress(OSError):
                 self._sock._socket.shutdown(socket.SHUT_RDWR)
 
+    def stop(self) -> None:
+        """Ends the connection and opens no further one."""
+        self._is_stopped = True
+        self.shut()
+
     async def run(self, handler: Handler, rng: Random) -> None:
-        """Keeps the connection open until cancelled."""
+        """Keeps the connection open until it is stopped."""
         delay = self._options.reconnect_base_delay
-        while True:
+        while not self._is_stopped:
             opened_at = time.monotonic()
             try:
                 await self._run_connection(handler)
@@ -240,9 +246,15 @@
         sock = await curio.timeout_after(self._options.connect_timeout, self._connect)
         try:
             REACHABILITY.check(self.address.host)
+            if self._is_stopped:
+                return
             REACHABILITY.track(sock, self.address.host)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            # Without a limit the retransmissions of a connection that lost contact
+            # back off to minutes, and it stays silent for as long after a partition.
+            limit_ms = int(self._options.dead_after * 1000)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
             self._sock = sock
             for message in handler.greet():
                 self._outbox.put(message)
@@ -289,7 +301,7 @@
         self._metrics = metrics
         self._rng = rng
         self._sock: Any = None
-        self._links: dict[Address, tuple[Link, Any]] = {}
+        self._links: dict[Address, Link] = {}
         self._accepted: dict[Any, float] = {}
 
     def bind(self) -> Address:
@@ -309,23 +321,26 @@
         try:
             await curio.network.run_server(self._sock, self._accept)
         finally:
-            for _, task in self._links.values():
-                await task.cancel()
+            for link in self._links.values():
+                link.stop()
 
     async def connect(self, addresses: set[Address]) -> None:
         """Opens links to new addresses and closes those to all others."""
-        for address in addresses - self._links.keys():
-            link = Link(
-                address,
-                source=self._listen.host,
-                options=self._options,
-                metrics=self._metrics,
-            )
-            task = await curio.spawn(link.run, self._handler, self._rng, daemon=True)
-            self._links[address] = (link, task)
+        for address in addresses:
+            if address not in self._links:
+                link = Link(
+                    address,
+                    source=self._listen.host,
+                    options=self._options,
+                    metrics=self._metrics,
+                )
+                # Known before the task starts, since two tasks call this method.
+                self._links[address] = link
+                await curio.spawn(link.run, self._handler, self._rng, daemon=True)
         for address in self._links.keys() - addresses:
-            _, task = self._links.pop(address)
-            await task.cancel()
+            found = self._links.pop(address, None)
+            if found is not None:
+                found.stop()
 
     def send(
         self,
@@ -338,9 +353,9 @@
         if address is not None:
             found = self._links.get(address)
             if found is not None:
-                found[0].put(message, is_early=is_early)
+                found.put(message, is_early=is_early)
             return
-        for link, _ in self._links.values():
+        for link in self._links.values():
             link.put(message, is_early=is_early)
 
     def flush(self, now: float, *, row_limit: int) -> int:
@@ -354,7 +369,7 @@
             The number of bytes written.
         """
         sent = 0
-        for link, _ in self._links.values():
+        for link in self._links.values():
             try:
                 sent += link.flush(now, row_limit=row_limit)
             except (OSError, ProtocolError) as err:
@@ -375,7 +390,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Encoded bytes that the sockets have not taken yet."""
-        return sum(link.unsent_bytes for link, _ in self._links.values())
+        return sum(link.unsent_bytes for link in self._links.values())
 
     async def _accept(self, sock: Any, peer: Any) -> None:
         host = peer[0]
