Tell peers at once when an organisation no longer waits

Ruled out: letting reported waiting work expire after 60 ms, which would hide work that does wait. Change: the start of the last waiting request whose wait was reported asks for an early report.

--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -16,6 +16,7 @@
 from ..core.placement import choose_arbiter, hash_pair
 from ..core.upstreams import Replica
 from ..types import (
+    CallRequest,
     OrganisationName,
     ReplicaId,
     RouterId,
@@ -103,8 +104,14 @@
     ) -> dict[OrganisationName, Demand]:
         return self._demands.sum(service, board.members)
 
-    def _note_started(self, replica_id: ReplicaId) -> None:
+    def _note_started(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId
+    ) -> None:
         self._allotment.start(replica_id)
+        key = (request.service, request.organisation)
+        known = self._published.get(key)
+        if known is not None and known.row.waiting and board.queues.count(*key) == 1:
+            board.is_report_due = True
 
     def _note_unserved(
         self, board: Blackboard, service: ServiceName, now: float
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -79,7 +79,9 @@
         """Returns the work at the live peers."""
         return {}
 
-    def _note_started(self, replica_id: ReplicaId) -> None:
+    def _note_started(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId
+    ) -> None:
         """Takes note that a slot is used."""
 
     def _note_unserved(
@@ -234,7 +236,7 @@
             self._prefixes.move_to_end(key)
             while len(self._prefixes) > _PREFIXES_KEPT:
                 self._prefixes.popitem(last=False)
-        self._note_started(replica.replica_id)
+        self._note_started(board, request, replica.replica_id)
         return Start(request.call_id, replica.replica_id)
 
     def _choose_replica(
