Send orders to engines under a lease with a fencing number

Cause: orders to load models or change roles had no sender, and two operators could overtake each other. Ruled out: an expiry time in the table (clocks of VMs differ); releasing the lease after an order of unknown effect (the order could arrive after the next one). A rival takes over after it saw the same version for the lease and the longest order on its own clock. Conclusion: the stand-in engine takes no orders yet; the tests bring their own.

--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -10,6 +10,7 @@
 import curio
 import typer
 
+from .core.leases import Order, OrderKind
 from .declaration import parse_declaration
 from .errors import SequoiamoorError, SettingsError
 from .settings import parse_address, read_settings
@@ -165,6 +166,49 @@
             typer.echo(f"  {line}")
 
 
+@app.command()
+def order(
+    replica: Annotated[str, typer.Argument(help="Identifier of the engine's VM.")],
+    kind: Annotated[OrderKind, typer.Argument(help="What the engine is told.")],
+    wanted: Annotated[
+        str,
+        typer.Argument(help="Absolute state as JSON, for example '\"chat-7b\"'."),
+    ],
+    platform: Platform,
+    wait: Annotated[
+        float, typer.Option(min=0, help="Longest wait for an earlier order, s.")
+    ] = 60.0,
+) -> None:
+    """Sends an order to one engine, under a lease with a fencing number.
+
+    The exit code is 0 if the engine accepted the order, 1 if it was not sent, was
+    refused or its effect is unknown (code order-unknown), and 2 for wrong arguments.
+    An order of unknown effect can be sent again, because its state is absolute.
+    """
+    from .commands.orders import OrderSender
+
+    try:
+        state = json.loads(wanted)
+    except ValueError as err:
+        raise SettingsError(
+            f"the wanted state {wanted!r} is not JSON ({err}); put a text in double "
+            "quotes"
+        ) from err
+
+    def report_wait(seconds: float) -> None:
+        text = f"waiting up to {seconds:.0f} s for an earlier order's lease"
+        typer.echo(text, err=True)
+
+    async def run() -> Order:
+        sender = OrderSender(parse_address(platform))
+        return await sender.send(
+            replica, kind, state, wait_limit=wait, report_wait=report_wait
+        )
+
+    sent = curio.run(run)
+    typer.echo(f"accepted by {replica} with fencing number {sent.fencing_number}")
+
+
 @app.command()
 def demo(
     seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
--- a/sequoiamoor/commands/configuration.py
+++ b/sequoiamoor/commands/configuration.py
@@ -28,7 +28,7 @@
     VersionUnknownError,
 )
 from ..net.platform import PlatformClient, TableEntry
-from ..net.table import settle
+from ..net.table import repeat_read, settle
 from ..types import Address
 
 OPERATION_TIMEOUT_SECONDS = 3.0
@@ -82,14 +82,11 @@
         return TableEntry(version, entry.value)
 
     async def _read(self, key: str) -> TableEntry:
-        give_up_at = time.monotonic() + READ_TIMEOUT_SECONDS
-        while True:
-            try:
-                return await self._platform.read(key)
-            except PlatformUnavailableError:
-                if time.monotonic() >= give_up_at:
-                    raise
-                await curio.sleep(self._rng.uniform(0, 0.2))
+        return await repeat_read(
+            lambda: self._platform.read(key),
+            timeout=READ_TIMEOUT_SECONDS,
+            rng=self._rng,
+        )
 
     async def put(self, change: ConfigurationChange) -> int:
         """Makes a change of the configuration.
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -69,6 +69,36 @@
     code = "version-unknown"
 
 
+class LeaseHeldError(SequoiamoorError):
+    """Another holder may still use the lease."""
+
+    code = "lease-held"
+
+
+class LeaseLostError(SequoiamoorError):
+    """The lease is not held, or not any more."""
+
+    code = "lease-lost"
+
+
+class ReplicaUnknownError(SequoiamoorError):
+    """The platform's list has no such engine."""
+
+    code = "replica-unknown"
+
+
+class OrderRefusedError(SequoiamoorError):
+    """An engine refused an order; nothing was changed there."""
+
+    code = "order-refused"
+
+
+class OrderUnknownError(SequoiamoorError):
+    """An engine did not tell whether it carries out an order."""
+
+    code = "order-unknown"
+
+
 class RouterUnavailableError(SequoiamoorError):
     """A router does not answer an operator's command."""
 
--- a/sequoiamoor/net/table.py
+++ b/sequoiamoor/net/table.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import logging
+import time
+from collections.abc import Awaitable, Callable
 from random import Random
+from typing import TypeVar
 
 import curio
 
@@ -18,6 +21,32 @@
 MAX_DELAY_SECONDS = 0.5
 
 
+Result = TypeVar("Result")
+
+
+async def repeat_read(
+    read: Callable[[], Awaitable[Result]], *, timeout: float, rng: Random
+) -> Result:
+    """Repeats a read for some time until the platform answers.
+
+    Args:
+        read: The read.
+        timeout: Seconds after which a failure is final.
+        rng: Generator for the delays between the tries.
+
+    Raises:
+        PlatformUnavailableError: If the platform did not answer in time.
+    """
+    give_up_at = time.monotonic() + timeout
+    while True:
+        try:
+            return await read()
+        except PlatformUnavailableError:
+            if time.monotonic() >= give_up_at:
+                raise
+            await curio.sleep(rng.uniform(0, 0.2))
+
+
 async def settle(
     platform: PlatformClient, write: ConditionalWrite, *, rng: Random
 ) -> WriteResult:
--- /dev/null
+++ b/tests/commands/test_orders.py
@@ -0,0 +1,158 @@
+"""Tests of orders sent through a platform and an engine in this process."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+
+from sequoiamoor.commands.orders import OrderSender
+from sequoiamoor.core.leases import LeaseTerms, OrderKind
+from sequoiamoor.errors import (
+    LeaseHeldError,
+    LeaseLostError,
+    OrderRefusedError,
+    OrderUnknownError,
+    ReplicaUnknownError,
+)
+from sequoiamoor.net.http import Request, ServerConnection
+from sequoiamoor.standin.launcher import find_free_port
+from sequoiamoor.standin.platform import PlatformStandIn
+from sequoiamoor.standin.server import send_json, serve_http
+from sequoiamoor.types import Address
+
+TERMS = LeaseTerms(duration=1.0, longest_order=0.5)
+
+
+class Engine:
+    """Takes orders like an engine; ``mode`` is what it does with them."""
+
+    def __init__(self, mode: str = "accept") -> None:
+        self.mode = mode
+        self.orders: list[Any] = []
+
+    async def handle(self, connection: ServerConnection, request: Request) -> None:
+        assert request.path == "/v1/orders"
+        self.orders.append(json.loads(request.body))
+        if self.mode == "silent":
+            await connection.close()
+            raise ConnectionAbortedError("no answer on purpose")
+        is_accepted = self.mode == "accept"
+        await send_json(
+            connection,
+            200 if is_accepted else 409,
+            {} if is_accepted else {"code": "stale-fencing-number"},
+        )
+
+
+def run_orders(
+    engine: Engine, steps: Callable[[Address], Awaitable[None]], *, lose: float = 0.0
+) -> PlatformStandIn:
+    host = "127.0.0.1"
+    ports = find_free_port(host), find_free_port(host)
+    platform = PlatformStandIn(Random(7), list_lag=0.0)
+    vm = {"role": "upstream", "zone": "z", "address": host, "state": "live"}
+    vms = [
+        {**vm, "id": "talk-0", "port": ports[1], "service": "talk"},
+        {**vm, "id": "desk-0", "port": ports[1], "service": "desk"},
+    ]
+    platform.lists.append((0.0, vms))
+    declaration = {
+        "organisations": {},
+        "classes": {},
+        "services": {"talk": {"kind": "engine"}, "desk": {"kind": "plain"}},
+    }
+    value = {"document": declaration, "change_id": "first"}
+    platform._write("configuration", {"value": value, "expected_version": 0})
+    platform.faults.lose_answers = lose
+
+    async def run() -> None:
+        async with curio.TaskGroup(wait=None) as tasks:
+            await tasks.spawn(serve_http, Address(host, ports[0]), platform.handle)
+            await tasks.spawn(serve_http, Address(host, ports[1]), engine.handle)
+            await curio.sleep(0)
+            await steps(Address(host, ports[0]))
+
+    curio.run(run)
+    return platform
+
+
+async def send(platform: Address, replica: str = "talk-0", wait: float = 0.0) -> Any:
+    sender = OrderSender(platform, terms=TERMS)
+    return await sender.send(replica, OrderKind.LOAD_MODEL, "chat-7b", wait_limit=wait)
+
+
+def test_numbers_rise_from_order_to_order() -> None:
+    """Guards against an engine that cannot tell an old order from a new one."""
+    engine = Engine()
+
+    async def steps(platform: Address) -> None:
+        for _ in range(3):
+            await send(platform)
+
+    run_orders(engine, steps)
+    numbers = [one["fencing_number"] for one in engine.orders]
+    assert numbers == sorted(set(numbers)) and len(numbers) == 3
+    assert engine.orders[0]["order"] == "load-model"
+    assert engine.orders[0]["wanted"] == "chat-7b"
+
+
+@pytest.mark.parametrize(
+    ("mode", "replica", "error", "orders"),
+    [
+        ("refuse", "talk-0", OrderRefusedError, 1),
+        ("silent", "talk-0", OrderUnknownError, 1),
+        ("accept", "desk-0", ReplicaUnknownError, 0),
+        ("accept", "other", ReplicaUnknownError, 0),
+    ],
+)
+def test_failures_say_what_happened(
+    mode: str, replica: str, error: type[Exception], orders: int
+) -> None:
+    """Guards against an order of unknown effect that looks refused or accepted."""
+    engine = Engine(mode)
+
+    async def steps(platform: Address) -> None:
+        with pytest.raises(error):
+            await send(platform, replica)
+
+    run_orders(engine, steps)
+    assert len(engine.orders) == orders
+
+
+def test_order_after_one_of_unknown_effect_waits_for_its_lease() -> None:
+    """Guards against an order that overtakes one that is still under way."""
+    engine = Engine("silent")
+
+    async def steps(platform: Address) -> None:
+        with pytest.raises(OrderUnknownError):
+            await send(platform)
+        with pytest.raises(LeaseHeldError):
+            await send(platform)
+        engine.mode = "accept"
+        await send(platform, wait=30.0)
+
+    run_orders(engine, steps)
+    assert len(engine.orders) == 2
+
+
+def test_lost_answers_of_the_platform_do_not_lose_the_lease() -> None:
+    """Guards against an own lease being taken for another holder's."""
+    engine = Engine()
+
+    async def steps(platform: Address) -> None:
+        sent = 0
+        while sent < 3:
+            try:
+                await send(platform, wait=30.0)
+                sent += 1
+            except LeaseLostError:
+                continue
+
+    platform = run_orders(engine, steps, lose=0.2)
+    assert len(engine.orders) == 3
+    assert platform.table["leases/orders-talk-0"].value["held"] is False
