Measure fairness of whole fleets from the outside

Cause: no figure of section 1.2 had a run behind it, and policies could not be compared.

Engines share their prefill rate in the order of arrival. The load tells the time to the first token from that to the whole answer of a plain service.

--- /dev/null
+++ b/benchmarks/measures.py
@@ -0,0 +1,107 @@
+"""Figures computed from what the benchmark observes from outside the fleet."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+GAP_GOAL_SECONDS = 1.0
+GAP_GOAL_FACTOR = 10.0
+UTILISATION_GOAL = 0.97
+CONTROL_GOAL_BYTES = 9_000.0
+CONTROL_GOAL_CORE = 0.016
+MEMORY_GOAL_BYTES = 256_000_000
+PLATFORM_GOAL_PER_SECOND = 10.0
+FLOOD_GOAL_RATIO = 1.5
+ALLOWED_GAP_SECONDS = 0.25
+REPORT_INTERVAL_SECONDS = 0.2
+# Loopback; the delay between two processes on one machine.
+ONE_WAY_DELAY_SECONDS = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """A goal and whether it was met; None means that it could not be measured."""
+
+    name: str
+    value: float | None
+    limit: float
+    is_met: bool | None
+
+
+def check_at_most(name: str, value: float | None, limit: float) -> Check:
+    """Returns the check that a value is at most ``limit``."""
+    return Check(name, value, limit, None if value is None else value <= limit)
+
+
+def check_at_least(name: str, value: float | None, limit: float) -> Check:
+    """Returns the check that a value is at least ``limit``."""
+    return Check(name, value, limit, None if value is None else value >= limit)
+
+
+def compute_gaps(units: Mapping[str, Sequence[float]]) -> list[float]:
+    """Returns the spread of service since the first sample, for each sample.
+
+    Args:
+        units: Units received per organisation that was backlogged throughout.
+    """
+    if len(units) < 2:
+        return []
+    grown = [[value - series[0] for value in series] for series in units.values()]
+    return [max(values) - min(values) for values in zip(*grown, strict=True)]
+
+
+def compute_percentile(values: Sequence[float], percent: float) -> float | None:
+    """Returns the smallest value that ``percent`` of the values do not exceed."""
+    if not values:
+        return None
+    rank = math.ceil(len(values) * percent / 100)
+    return sorted(values)[max(0, rank - 1)]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSample:
+    """What one poll of routers and engines saw.
+
+    Attributes:
+        waiting: Requests waiting at the routers.
+        busy: Busy slot-seconds of each engine so far.
+        elapsed: Seconds that each engine has run.
+        slots: Slots of each engine.
+    """
+
+    waiting: float
+    busy: tuple[float, ...]
+    elapsed: tuple[float, ...]
+    slots: tuple[int, ...]
+
+
+def compute_utilisation(
+    samples: Sequence[LoadSample], *, only_while_waiting: bool
+) -> float | None:
+    """Returns the busy share of all slots.
+
+    Args:
+        samples: Polls, oldest first.
+        only_while_waiting: Whether only the time between two polls counts that both
+            saw waiting requests.
+    """
+    busy = available = 0.0
+    for before, after in zip(samples, samples[1:], strict=False):
+        if only_while_waiting and not (before.waiting and after.waiting):
+            continue
+        busy += sum(after.busy) - sum(before.busy)
+        available += sum(
+            slots * (end - begin)
+            for slots, begin, end in zip(
+                after.slots, before.elapsed, after.elapsed, strict=True
+            )
+        )
+    return busy / available if available > 0 else None
+
+
+def compute_bound(*, capacity: float, largest_request: float) -> float:
+    """Returns the bound of section 6 of the design in units."""
+    delay = REPORT_INTERVAL_SECONDS + ONE_WAY_DELAY_SECONDS
+    return capacity * (ALLOWED_GAP_SECONDS + delay) + largest_request
--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -83,6 +83,12 @@
     token_interval: Annotated[
         float, typer.Option(min=0.001, help="Time between tokens when full, s.")
     ] = 0.02,
+    load_lag: Annotated[
+        float, typer.Option(min=0.0, help="Lag of the load report, s.")
+    ] = 0.5,
+    cache_tokens: Annotated[
+        int, typer.Option(min=0, help="Prompt tokens that the prefix cache holds.")
+    ] = 20_000,
     fencing: Annotated[
         bool, typer.Option(help="Whether orders with a stale number are refused.")
     ] = True,
@@ -96,6 +102,8 @@
         replica=replica,
         slots=slots,
         token_interval=token_interval,
+        load_lag=load_lag,
+        cache_tokens=cache_tokens,
         checks_fencing=fencing,
         seed=seed,
     )
--- a/sequoiamoor/standin/engine.py
+++ b/sequoiamoor/standin/engine.py
@@ -160,7 +160,7 @@
     event_id: str
     seed: int
     call_id: str
-    prefill_left: float
+    prefill_left: int
     prefilled: int
     cached: int
     index: int
@@ -224,7 +224,8 @@
 
     With ``n`` running requests a step takes ``token_interval * max((1 + n / slots)
     / 2, n / slots)`` seconds: each request gets slower as the batch grows, and
-    beyond ``slots`` requests the throughput grows no further.
+    beyond ``slots`` requests the throughput grows no further. All requests share
+    ``prefill_rate`` prompt tokens per second, first come, first served.
     """
 
     def __init__(
@@ -251,7 +252,8 @@
         )
         self._incarnation = time.time_ns() // 1_000_000
         self._started_at = time.monotonic()
-        self._running: set[Generation] = set()
+        # In the order of arrival, which is the order of prefill.
+        self._running: dict[Generation, None] = {}
         self._work = curio.Event()
         self._load = LaggedValue((0, False), lag=load_lag)
         self._leaving_at: float | None = None
@@ -304,12 +306,13 @@
             await curio.sleep(max(0.0, next_at - time.monotonic()))
             busy = min(len(self._running), self._slots)
             self.counts.busy_slot_seconds += busy * duration
+            budget = max(1, round(duration * self._prefill_rate))
             for generation in list(self._running):
-                self._advance(generation, duration)
+                budget -= self._advance(generation, budget)
                 if generation.is_done and (
                     generation.is_broken or not generation.unsent
                 ):
-                    self._running.discard(generation)
+                    self._running.pop(generation, None)
                     self._note_load()
                     await generation.finished.set()
 
@@ -317,11 +320,16 @@
         load = running / self._slots
         return self._token_interval * max((1 + load) / 2, load)
 
-    def _advance(self, generation: Generation, duration: float) -> None:
+    def _advance(self, generation: Generation, budget: int) -> int:
+        """Advances a request by one step and returns the prompt tokens it used."""
+        used = min(generation.prefill_left, budget)
+        generation.prefill_left -= used
+        if generation.prefill_left == 0:
+            self._decode(generation)
+        return used
+
+    def _decode(self, generation: Generation) -> None:
         if not generation.is_done:
-            generation.prefill_left -= duration * self._prefill_rate
-            if generation.prefill_left > 0:
-                return
             if not generation.is_started:
                 self._start(generation)
             if generation.index == generation.break_at:
@@ -371,7 +379,7 @@
             await curio.sleep(faults.delay_ms / 1000)
         headers = {"content-type": "text/event-stream", "x-call-id": head_id}
         await connection.start_stream(200, headers)
-        self._running.add(generation)
+        self._running[generation] = None
         self._note_load()
         await self._work.set()
         try:
@@ -379,7 +387,7 @@
                 await tasks.spawn(generation.finished.wait)
                 await tasks.spawn(connection.wait_closed)
         finally:
-            self._running.discard(generation)
+            self._running.pop(generation, None)
             self._note_load()
             if generation.is_lost or not generation.is_done:
                 self.counts.cancelled += 1
@@ -418,7 +426,7 @@
             event_id=call_id,
             seed=xxhash.xxh32_intdigest(request.body),
             call_id=call_id,
-            prefill_left=float(prefilled),
+            prefill_left=prefilled,
             prefilled=prefilled,
             cached=cached,
             index=index,
@@ -513,6 +521,8 @@
     replica: str,
     slots: int,
     token_interval: float,
+    load_lag: float,
+    cache_tokens: int,
     checks_fencing: bool,
     seed: int | None,
 ) -> None:
@@ -521,6 +531,8 @@
         replica,
         slots=slots,
         token_interval=token_interval,
+        load_lag=load_lag,
+        cache_tokens=cache_tokens,
         checks_fencing=checks_fencing,
         rng=Random(seed),
     )
--- a/sequoiamoor/standin/launcher.py
+++ b/sequoiamoor/standin/launcher.py
@@ -185,6 +185,14 @@
                     f"{self.read_log(router_id)}"
                 )
 
+    def kill(self, name: str) -> None:
+        """Ends one process at once, without a chance to drain."""
+        process = self.processes[name]
+        process.kill()
+        process.wait()
+        if process.stdout is not None:
+            process.stdout.close()
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to one process."""
         self.processes[name].send_signal(number)
--- a/sequoiamoor/standin/load.py
+++ b/sequoiamoor/standin/load.py
@@ -68,6 +68,11 @@
     return HdrHistogram(1, LARGEST_MS, 3)
 
 
+def to_ms(seconds: float) -> int:
+    """Returns a duration as a value that a histogram takes."""
+    return max(1, min(round(seconds * 1000), LARGEST_MS))
+
+
 @dataclass(slots=True)
 class CallerResult:
     """What the callers of one organisation saw in one class of work.
@@ -80,6 +85,8 @@
         refused: Refusals by code.
         broken: Answers that ended in a way that no caller takes for complete.
         wrong: Answers that looked complete, but were not whole or not their own.
+        first_token: Milliseconds to the first token of a stream.
+        complete: Milliseconds to the whole answer of a plain service.
     """
 
     organisation: str
@@ -93,6 +100,7 @@
     broken: list[str] = field(default_factory=list)
     wrong: list[str] = field(default_factory=list)
     first_token: HdrHistogram = field(default_factory=create_histogram)
+    complete: HdrHistogram = field(default_factory=create_histogram)
 
 
 class StreamError(Exception):
@@ -157,8 +165,20 @@
             itertools.count() if plan.requests is None else iter(range(plan.requests))
         )
         self._under_way = 0
+        self._waiting_since: dict[int, float] = {}
         self.result = CallerResult(plan.organisation, plan.class_name)
 
+    @property
+    def waiting(self) -> int:
+        """Requests under way without a first token."""
+        return len(self._waiting_since)
+
+    @property
+    def longest_wait(self) -> float:
+        """Seconds that the oldest request without a first token has waited."""
+        oldest = min(self._waiting_since.values(), default=None)
+        return 0.0 if oldest is None else time.monotonic() - oldest
+
     async def run(self) -> None:
         """Makes requests until they are done or the task is cancelled."""
         if self._plan.rate is not None:
@@ -184,12 +204,13 @@
         result = self.result
         result.requests += 1
         self._under_way += 1
+        self._waiting_since[number] = time.monotonic()
         router = self._rng.choice(self._plan.routers)
         service = self._plan.services[number % len(self._plan.services)]
         try:
             async with curio.timeout_after(REQUEST_TIMEOUT_SECONDS):
                 if self._kinds[service] == "engine":
-                    await self._stream(router, service)
+                    await self._stream(router, service, number)
                 else:
                     await self._call(router, service, number)
         except (StreamError, KeyError, ValueError) as err:
@@ -199,6 +220,12 @@
             await curio.sleep(BROKEN_PAUSE_SECONDS)
         finally:
             self._under_way -= 1
+            self._waiting_since.pop(number, None)
+
+    def _note_first(self, number: int) -> None:
+        began = self._waiting_since.pop(number, None)
+        if began is not None:
+            self.result.first_token.record_value(to_ms(time.monotonic() - began))
 
     def _build_body(self) -> tuple[bytes, int]:
         plan = self._plan
@@ -224,11 +251,10 @@
             headers["x-cost-hint"] = f"{max(1.0, cost * factor):.0f}"
         return headers
 
-    async def _stream(self, router: Address, service: str) -> None:
+    async def _stream(self, router: Address, service: str, number: int) -> None:
         result = self.result
         body, cost = self._build_body()
         headers = {**self._build_headers(cost), "accept": "text/event-stream"}
-        began = time.monotonic()
         connection = await ClientConnection.connect(
             router, timeout=CONNECT_TIMEOUT_SECONDS
         )
@@ -240,13 +266,10 @@
                 self._count_refusal(await connection.receive_body())
                 return
             parts: list[bytes] = []
-            has_token = False
             while (data := await connection.receive_data()) is not None:
                 tokens = data.count(_TOKEN)
-                if tokens and not has_token:
-                    has_token = True
-                    elapsed_ms = int((time.monotonic() - began) * 1000)
-                    result.first_token.record_value(max(1, min(elapsed_ms, LARGEST_MS)))
+                if tokens:
+                    self._note_first(number)
                 result.units += tokens
                 if not parts and data.startswith(b"event: start"):
                     result.units += read_prefilled(data.split(b"\n\n")[0])
@@ -265,6 +288,7 @@
         self.result.refused[code] += 1
 
     async def _call(self, router: Address, service: str, number: int) -> None:
+        began = time.monotonic()
         request_id = f"{self._run}-{number}"
         headers = self._build_headers(self._plan.work_ms)
         response, body = await exchange(
@@ -284,6 +308,7 @@
             raise StreamError(f"the answer is malformed: {body[:120]!r}") from err
         if answered != request_id:
             raise StreamError(f"the answer to {request_id!r} is that to {answered!r}")
+        self.result.complete.record_value(to_ms(time.monotonic() - began))
         self.result.whole += 1
 
 
--- a/tests/standin/test_engine.py
+++ b/tests/standin/test_engine.py
@@ -58,6 +58,32 @@
     assert engine._step_seconds(running) == expected
 
 
+def test_prefill_is_shared_in_order_of_arrival() -> None:
+    """Guards against prompts that cost the same however many there are."""
+
+    async def client(address: Address) -> list[str]:
+        ended: list[str] = []
+        long = b'{"prompt_tokens": 400, "tokens": 1}'
+        first = await open_stream(address, "long", long)
+
+        async def read_first() -> None:
+            await first.receive_body()
+            ended.append("long")
+
+        async def read_second() -> None:
+            await generate(address, "short", b'{"prompt_tokens": 1, "tokens": 9}')
+            ended.append("short")
+
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(read_first)
+            await tasks.spawn(read_second)
+        await first.close()
+        return ended
+
+    engine = build_engine(token_interval=0.01, prefill_rate=4_000.0)
+    assert run_with(engine, client) == ["long", "short"]
+
+
 @pytest.mark.parametrize(
     ("path", "body", "headers", "status", "message"),
     [
--- a/tests/standin/test_launcher.py
+++ b/tests/standin/test_launcher.py
@@ -51,6 +51,19 @@
         fleet.wait_ready(timeout=60.0)
 
 
+def test_killed_router_starts_again_on_its_ports() -> None:
+    """Guards against a replacement that another process keeps from its port."""
+    plan = replace(build_plan(), zones=("zone-a",), upstreams=())
+    with run_fleet(plan) as fleet:
+        fleet.wait_ready(timeout=60.0)
+        first = fleet.processes["router-0"]
+        fleet.kill("router-0")
+        assert first.returncode == -signal.SIGKILL
+        fleet.start_router("router-0")
+        fleet.wait_ready(timeout=60.0)
+        assert fleet.processes["router-0"].pid != first.pid
+
+
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_signal_to_the_launcher_leaves_no_process(
     number: signal.Signals, tmp_path: Path
