--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -310,7 +310,7 @@
     last = curio.run(poll_fleet, fleet)
     run.figures["router_core_share_idle"] = _largest_core_share(before, after, seconds)
     run.figures["control_bytes_per_second_idle"] = _control_rate(
-        [first, last], "sequoiamoor_control_bytes_total", "sent"
+        [first, last], "sequoiamoor_control_bytes_total", "out"
     )
 
 
@@ -392,8 +392,8 @@
         run.figures[name] = measures.compute_utilisation(loads, only_while_waiting=only)
     run.figures["most_waiting"] = max((one.waiting for one in loads), default=None)
     for what in ("bytes", "messages"):
-        for direction in ("sent", "received"):
-            run.figures[f"control_{what}_{direction}_per_second"] = _control_rate(
+        for direction, verb in (("out", "sent"), ("in", "received")):
+            run.figures[f"control_{what}_{verb}_per_second"] = _control_rate(
                 polls, f"sequoiamoor_control_{what}_total", direction
             )
     first, last = polls[0], polls[-1]
--- /dev/null
+++ b/sequoiamoor/core/figures.py
@@ -0,0 +1,62 @@
+"""What a router measures of a service: fairness gap and utilisation."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from ..types import ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceFigures:
+    """One service as one router sees it.
+
+    Attributes:
+        gap_units: Largest difference in service between two backlogged
+            organisations, in service units.
+        gap_seconds: The same in seconds of the service's capacity; 0 while the
+            capacity is unknown.
+        utilisation: Part of the replicas' slots that is in use, at most 1.
+        waiting: Requests that wait.
+        slots: Slots of all replicas.
+    """
+
+    service: ServiceName
+    gap_units: float
+    gap_seconds: float
+    utilisation: float
+    waiting: int
+    slots: int
+
+
+def build_figures(
+    service: ServiceName,
+    *,
+    backlogged_totals: Collection[float],
+    capacity: float,
+    running: int,
+    waiting: int,
+    slots: int,
+) -> ServiceFigures:
+    """Returns the figures of a service.
+
+    Args:
+        service: Name of the service.
+        backlogged_totals: Service of each backlogged organisation, in units.
+        capacity: Units per second that all slots give together, 0 if unknown.
+        running: Slots in use.
+        waiting: Requests that wait.
+        slots: Slots of all replicas.
+    """
+    gap = 0.0
+    if len(backlogged_totals) > 1:
+        gap = max(backlogged_totals) - min(backlogged_totals)
+    return ServiceFigures(
+        service=service,
+        gap_units=gap,
+        gap_seconds=gap / capacity if capacity > 0 else 0.0,
+        utilisation=min(running / slots, 1.0) if slots else 0.0,
+        waiting=waiting,
+        slots=slots,
+    )
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -88,6 +88,10 @@
     listed: frozenset[ReplicaId] = frozenset()
     list_made_at_ms: int = -1
 
+    def services(self) -> set[ServiceName]:
+        """Returns the services that have replicas."""
+        return {one.service for one in self.replicas.values()}
+
     def by_service(self, service: ServiceName) -> list[Replica]:
         """Returns the service's replicas ordered by identifier."""
         found = [one for one in self.replicas.values() if one.service == service]
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -12,6 +12,7 @@
 from ..core.blackboard import Blackboard
 from ..metrics import Metrics
 from ..net.http import ServerConnection
+from ..policies import Policy
 from .records import Records
 
 
@@ -19,9 +20,15 @@
     """Answers the requests of operators and of the platform's load balancer."""
 
     def __init__(
-        self, board: Blackboard, metrics: Metrics, *, records: Records | None = None
+        self,
+        board: Blackboard,
+        metrics: Metrics,
+        *,
+        records: Records | None = None,
+        policy: Policy | None = None,
     ) -> None:
         self._board = board
+        self._policy = policy
         self._metrics = metrics
         self._records = records
         self._pages = {
@@ -54,6 +61,12 @@
         self._metrics.waiting.set(len(self._board.queues))
         self._metrics.running.set(len(self._board.running))
         self._metrics.configuration_version.set(self._board.configuration.version)
+        if self._policy is not None:
+            for one in self._policy.measure(self._board, time.monotonic()):
+                service = one.service
+                self._metrics.fairness_gap_units.labels(service).set(one.gap_units)
+                self._metrics.fairness_gap_seconds.labels(service).set(one.gap_seconds)
+                self._metrics.utilisation.labels(service).set(one.utilisation)
         body = generate_latest(self._metrics.registry)
         await connection.send_response(200, {"content-type": CONTENT_TYPE_LATEST}, body)
 
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -76,7 +76,9 @@
             records=self._records,
             retries=Retries(self._options, rng=self._rng),
         )
-        self._pages = Pages(self.board, self.metrics, records=self._records)
+        self._pages = Pages(
+            self.board, self.metrics, records=self._records, policy=policy
+        )
         self._pollers = Pollers(
             self.board, self._platform, self._control, rng=self._rng
         )
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -128,6 +128,24 @@
             "Connections of routers that were closed because of a bad message.",
             registry=self.registry,
         )
+        self.fairness_gap_units = Gauge(
+            "sequoiamoor_fairness_gap_units",
+            "Largest difference in service between two backlogged organisations.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.fairness_gap_seconds = Gauge(
+            "sequoiamoor_fairness_gap_seconds",
+            "The fairness gap in seconds of the service's capacity.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.utilisation = Gauge(
+            "sequoiamoor_utilisation_ratio",
+            "Part of the service's slots that is in use.",
+            ["service"],
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             "sequoiamoor_waiting_requests",
             "Requests that wait on this router.",
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -164,7 +164,7 @@
         not go to whatever else waits here, which may be far ahead of its share.
         """
         released = self._allotment.release_recalled()
-        for service in self._services(board):
+        for service in board.upstreams.services():
             free = [
                 (one.replica_id, count)
                 for one in self._pool(board, service, now).replicas
@@ -197,7 +197,7 @@
     def _yield_free(self, board: Blackboard, now: float) -> list[ReplicaId]:
         """Releases slots granted in advance that work elsewhere needs."""
         released = self._allotment.release_recalled()
-        for service in self._services(board):
+        for service in board.upstreams.services():
             if board.queues.organisations(service):
                 continue
             demands = self._peer_demands(board, service)
@@ -363,7 +363,7 @@
             # Peers may hold a later report of a dead origin than this router.
             actions.append(Send(None, board.ledger.build_snapshot(died)))
         windows = {}
-        for service in self._services(board):
+        for service in board.upstreams.services():
             pool = self._pool(board, service, now)
             for replica in pool.replicas:
                 owner = choose_arbiter(replica.replica_id, replica.zone, members)
@@ -381,7 +381,7 @@
     def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
         """Returns this router's counters for a report."""
         keys = board.ledger.accounts()
-        for service in self._services(board):
+        for service in board.upstreams.services():
             keys |= {(service, one) for one in board.queues.organisations(service)}
             keys |= {(service, one) for one in self._running_counts.get(service, ())}
         routers = len(board.members) + 1
--- a/sequoiamoor/policies/base.py
+++ b/sequoiamoor/policies/base.py
@@ -8,6 +8,7 @@
 
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
+from ..core.figures import ServiceFigures
 from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
 from ..errors import SettingsError
 from ..types import CallRequest, ReplicaId, RouterIdentity, ServiceName
@@ -29,6 +30,9 @@
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Does the periodic work of the policy."""
 
+    def measure(self, board: Blackboard, now: float) -> list[ServiceFigures]:
+        """Returns fairness gap and utilisation of each service."""
+
     def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
         """Returns this router's counters for a report."""
 
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -18,6 +18,7 @@
     ServiceView,
     choose_organisation,
 )
+from ..core.figures import ServiceFigures, build_figures
 from ..core.messages import Grants, Report, SlotRow, Snapshot
 from ..core.upstreams import Replica
 from ..core.windows import SlotRates, window_of
@@ -275,7 +276,7 @@
         elapsed = min(max(now - self._stepped_at, 0.0), 1.0)
         self._stepped_at = now
         weight = 1 - math.exp(-elapsed / board.options.slot_average_time)
-        for service in self._services(board):
+        for service in board.upstreams.services():
             view = self._build_view(board, service, now)
             for name, organisation in view.organisations.items():
                 if organisation.waiting:
@@ -291,8 +292,28 @@
                     del averages[name]
         return []
 
-    def _services(self, board: Blackboard) -> set[ServiceName]:
-        return {one.service for one in board.upstreams.replicas.values()}
+    def measure(self, board: Blackboard, now: float) -> list[ServiceFigures]:
+        """Returns fairness gap and utilisation of each service."""
+        figures = []
+        for service in sorted(board.upstreams.services()):
+            pool = self._pool(board, service, now)
+            view = self._build_view(board, service, now)
+            states = view.organisations
+            figures.append(
+                build_figures(
+                    service,
+                    backlogged_totals=[
+                        board.ledger.total(service, name)
+                        for name, state in states.items()
+                        if state.waiting > 0
+                    ],
+                    capacity=pool.capacity,
+                    running=sum(state.running for state in states.values()),
+                    waiting=sum(state.waiting for state in states.values()),
+                    slots=pool.slots,
+                )
+            )
+        return figures
 
     # Without an exchange between routers.
 
--- a/sequoiamoor/policies/round_robin.py
+++ b/sequoiamoor/policies/round_robin.py
@@ -7,6 +7,7 @@
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.charges import ElapsedCharges
+from ..core.figures import ServiceFigures, build_figures
 from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
 from ..core.upstreams import Replica
 from ..types import CallRequest, ReplicaId, RouterIdentity, ServiceName
@@ -54,6 +55,25 @@
         self._charges.charge_all(board, now)
         return []
 
+    def measure(self, board: Blackboard, now: float) -> list[ServiceFigures]:
+        """Returns fairness gap and utilisation as far as this router knows them."""
+        figures = []
+        for service in sorted(board.upstreams.services()):
+            names = board.queues.organisations(service)
+            loads = [one.load for one in board.upstreams.by_service(service)]
+            known = [load for load in loads if load is not None]
+            figures.append(
+                build_figures(
+                    service,
+                    backlogged_totals=[board.ledger.total(service, n) for n in names],
+                    capacity=sum(load.token_rate for load in known),
+                    running=sum(load.running for load in known),
+                    waiting=sum(board.queues.count(service, n) for n in names),
+                    slots=sum(load.slots for load in known),
+                )
+            )
+        return figures
+
     def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
         """Returns nothing: each router decides alone."""
         return ()
--- a/sequoiamoor/standin/demo.py
+++ b/sequoiamoor/standin/demo.py
@@ -156,7 +156,7 @@
             f"{_format(units, '.0f')} units ({_format(gap, '.3f')} s of capacity), "
             f"utilisation while requests wait {_format(mean, '.1%')}"
         )
-    for direction in ("sent", "received"):
+    for direction, verb in (("out", "sent"), ("in", "received")):
         parts = []
         for what in ("bytes", "messages"):
             name = f"sequoiamoor_control_{what}_total"
@@ -164,7 +164,7 @@
             growth = sum(after) - sum(collect(first, name, direction=direction))
             rate = [growth / len(last) / seconds] if after and seconds > 0 else []
             parts.append(f"{_format(rate, '.1f')} {what}/s")
-        lines.append(f"control traffic {direction} per router: {', '.join(parts)}")
+        lines.append(f"control traffic {verb} per router: {', '.join(parts)}")
     lines.append(f"most requests waiting: {_format(waiting, '.0f')}")
     return lines
 
--- a/tests/standin/test_load.py
+++ b/tests/standin/test_load.py
@@ -74,7 +74,7 @@
 sequoiamoor_fairness_gap_units{service="talk"} GAP
 sequoiamoor_utilisation_ratio{service="talk"} 0.5
 sequoiamoor_waiting_requests 3
-sequoiamoor_control_bytes_total{direction="sent"} 100
+sequoiamoor_control_bytes_total{direction="out"} 100
 """
 
 
