--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -195,11 +195,14 @@
     ) -> bool:
         """Takes what a peer says about a replica.
 
+        Incarnation 0 means that the peer has no load report and knows from the VM
+        list; it then holds for the present incarnation.
+
         Returns:
             Whether the replica is leaving and was not known to be.
         """
         replica = self.replicas.get(replica_id)
-        if replica is None or incarnation < replica.incarnation:
+        if replica is None or 0 < incarnation < replica.incarnation:
             return False
         was_leaving = replica.is_leaving
         self._take_incarnation(replica, incarnation)
--- a/tests/core/test_upstreams.py
+++ b/tests/core/test_upstreams.py
@@ -118,11 +118,13 @@
     assert names(upstreams, 1.2) == ["talk-1"]
 
 
-@pytest.mark.parametrize("incarnation", [0, 5, 6])
-def test_leaving_is_told_once(incarnation: int) -> None:
+@pytest.mark.parametrize(
+    ("incarnation", "has_load"), [(0, False), (0, True), (5, True), (6, True)]
+)
+def test_leaving_is_told_once(incarnation: int, has_load: bool) -> None:
     """Guards against a peer's word that is ignored, or passed on for ever."""
     upstreams = build_upstreams()
-    if incarnation:
+    if has_load:
         upstreams.record_load("talk-0", build_load(5), 0.5)
     assert upstreams.take_state("talk-0", incarnation, is_leaving=True)
     assert not upstreams.take_state("talk-0", incarnation, is_leaving=True)
