Tell the leaving flag at once, and measure resident memory

Cause: an idle router that gets SIGTERM ends before its next report, so peers kept it as a member until it was suspect.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -21,7 +21,12 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 ROUTERS = 8
 SETTLE_SECONDS = 6.0
-LIMITS = {"bytes_per_second": 9_000.0, "cpu_share": 0.016, "platform_per_second": 10.0}
+LIMITS = {
+    "bytes_per_second": 9_000.0,
+    "cpu_share": 0.016,
+    "resident_megabytes": 256.0,
+    "platform_per_second": 10.0,
+}
 
 SERIES = re.compile(
     r"^(sequoiamoor_(?:control|platform)_[a-z_]+)\{(.*?)\} (\S+)$", re.M
@@ -67,6 +72,12 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def read_resident_megabytes(pid: int) -> float:
+    """Returns the resident memory of a process."""
+    fields = Path(f"/proc/{pid}/statm").read_text().split()
+    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 def measure(fleet: Fleet, seconds: float) -> dict[str, float]:
     """Returns the figures of the busiest router, and of the fleet's platform."""
     before = {name: read_series(one) for name, one in fleet.routers.items()}
@@ -91,6 +102,9 @@
         "messages_per_second": max(sums["messages"]),
         "cpu_share": max(used.values()) / elapsed,
         "cpu_share_mean": sum(used.values()) / elapsed / len(used),
+        "resident_megabytes": max(
+            read_resident_megabytes(fleet.processes[name].pid) for name in cpu
+        ),
         "platform_per_second": sum(sums["platform"]),
     }
 
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -129,6 +129,12 @@
                     _LOG.error("action %s is not for the control side", action)
         self._flush_if_due()
 
+    def report_leaving(self) -> None:
+        """Tells all peers at once that this router is leaving."""
+        now = time.monotonic()
+        self._report_to_all(now)
+        self._flush(now)
+
     def note_waiting(self, service: ServiceName) -> None:
         """Reports at once if an organisation's work has started to wait."""
         names = self._board.queues.organisations(service)
@@ -244,18 +250,17 @@
             await self._dispatch(service)
 
     def _update_members(self, now: float) -> None:
-        changes = self.membership.step(now)
-        for change in changes:
-            identity = change.identity
-            _LOG.info(
-                "router is %s",
-                change.state,
-                extra={"peer": identity.router_id},
-            )
+        for change in self.membership.step(now):
+            router_id = change.identity.router_id
+            if change.state is not MemberState.ALIVE:
+                _LOG.info("router is %s", change.state, extra={"peer": router_id})
             if change.state is MemberState.DEAD:
-                self.versions.forget_peer(identity.router_id)
+                self.versions.forget_peer(router_id)
         live = self.membership.live()
         if live != self._board.members:
+            for router_id, identity in live.items():
+                if self._board.members.get(router_id) != identity:
+                    _LOG.info("router is alive", extra={"peer": router_id})
             self._board.members.clear()
             self._board.members.update(live)
         self._metrics.members.set(len(live) + 1)
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -93,6 +93,7 @@
             await tasks.spawn(self._control.run, self._calls.dispatch)
             await signals.wait()
             self.board.is_leaving = True
+            self._control.report_leaving()
             _LOG.info("draining")
             await self._drain(signals)
             await listener.cancel()
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import signal
 import socket
 import time
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -212,3 +214,25 @@
         for name, address in fleet.routers.items():
             assert call(address, f"after-{name}")[0] == 200
         assert process.poll() is None
+
+
+def test_orderly_shutdown_is_known_without_suspicion() -> None:
+    """Guards against grants to a router that ended, until it is suspect."""
+    with run_fleet(build_plan(("zone-a", "zone-b"), replicas=1)) as fleet:
+        wait_fleet(fleet)
+        process = fleet.processes["router-1"]
+        process.terminate()
+        assert process.wait(HEAL_SECONDS) == 0
+        wait_members(fleet, ["router-0"], 1, limit=HEAL_SECONDS)
+        log = Path(_read_settings_path(fleet, "router-0")).with_suffix(".log")
+        events = [json.loads(line)["event"] for line in log.read_text().splitlines()]
+        assert "router is dead" in events
+        assert "router is suspect" not in events
+
+
+def _read_settings_path(fleet: Fleet, name: str) -> str:
+    arguments = fleet.processes[name].args
+    assert isinstance(arguments, list)
+    path = arguments[-1]
+    assert isinstance(path, str)
+    return path
