--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -135,6 +135,7 @@
         )
         drain.take_signal(time.monotonic())
         self.board.is_leaving = drain.is_leaving
+        self._control.report_leaving()
         _LOG.info("draining")
         async with curio.TaskGroup() as tasks:
             await tasks.spawn(self._take_signals, drain, signals)
