--- a/tests/commands/test_orders.py
+++ b/tests/commands/test_orders.py
@@ -20,7 +20,7 @@
     ReplicaUnknownError,
 )
 from sequoiamoor.net.http import Request, ServerConnection
-from sequoiamoor.standin.launcher import find_free_port
+from sequoiamoor.standin.processes import find_free_port
 from sequoiamoor.standin.platform import PlatformStandIn
 from sequoiamoor.standin.server import send_json, serve_http
 from sequoiamoor.types import Address
