Raise the counter of served units in steps

Cause: prometheus_client took about 5 % of the samples of a relayed token. Change: the ledger still counts each token; the counter follows every 64 units and at the end of an attempt.

--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -32,6 +32,8 @@
 
 _LOG = logging.getLogger(__name__)
 
+_COUNTED_UNITS = 64.0
+
 
 class CallerGoneError(Exception):
     """The caller closed its connection."""
@@ -316,12 +318,18 @@
     async def _run_attempt(
         self, call: CallRequest, replica: Replica, check: StreamCheck, sink: CallerSink
     ) -> Answer | None:
-        # Looked up once: the labels cost more than the rest of a token's accounting.
+        # The ledger counts each token; the counter, which costs more than the rest of
+        # a token's accounting, is raised in steps and at the end of the attempt.
         served = self._metrics.served.labels(call.service, call.organisation)
+        uncounted = 0.0
 
         def charge(units: float) -> None:
+            nonlocal uncounted
             self._board.ledger.charge(call.service, call.organisation, units)
-            served.inc(units)
+            uncounted += units
+            if uncounted >= _COUNTED_UNITS:
+                served.inc(uncounted)
+                uncounted = 0.0
 
         attempt = Attempt(
             call,
@@ -344,6 +352,7 @@
             self._metrics.attempts_cancelled.inc()
             raise
         finally:
+            served.inc(uncounted)
             await self._release(call, self._pending[call.call_id])
 
     async def _release(self, call: CallRequest, pending: _PendingStart) -> None:
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -360,6 +360,24 @@
     run(session, options={"upstream_idle_timeout": 0.1})
 
 
+def test_served_units_are_charged_and_counted() -> None:
+    """Guards against a counter that differs from what the ledger was charged."""
+
+    async def session(border: Border) -> None:
+        def answer(received: bytes) -> list[Step]:
+            parts = events(read_call_id(received), 200)
+            return [stream_head("call-1") + b"".join(map(chunk, parts)) + b"0\r\n\r\n"]
+
+        await border.add_upstream(answer)
+        await _ask(border, request(), b"0\r\n\r\n")
+        await border.wait_idle()
+        assert border.board.ledger.served("talk", "a") == 203
+        labels = {"service": "talk", "organisation": "a"}
+        assert border.counter("served_units", **labels) == 203
+
+    run(session)
+
+
 def test_broken_stream_without_replica_is_incomplete() -> None:
     """Guards against a broken stream that ends like a whole one."""
 
