--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -248,8 +248,10 @@
 
     async def _write_rest(self, data: memoryview) -> None:
         try:
-            async with curio.timeout_after(self._send_timeout):
-                await self._sock.sendall(data)
+            while data:
+                async with curio.timeout_after(self._send_timeout):
+                    sent = await self._sock.send(data)
+                data = data[sent:]
         except curio.TaskTimeout as err:
             self.is_peer_slow = True
             raise TimeoutError(
@@ -443,6 +445,7 @@
         bytes_sent: Bytes handed to the kernel so far.
         bytes_received: Bytes received so far.
         waits_since: Monotonic time since which a receive waits, else None.
+        is_aborted: Whether this side ended the connection during an exchange.
     """
 
     def __init__(self, sock: Any, address: Address) -> None:
@@ -457,6 +460,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.waits_since: float | None = None
+        self.is_aborted = False
         _set_no_delay(self._raw)
 
     @classmethod
@@ -640,6 +644,7 @@
 
     def abort(self) -> None:
         """Ends the connection; a receive that waits sees it closed."""
+        self.is_aborted = True
         try:
             self._raw.shutdown(socket.SHUT_RDWR)
         except OSError:
