--- a/sequoiamoor/core/versions.py
+++ b/sequoiamoor/core/versions.py
@@ -26,22 +26,25 @@
 
     Attributes:
         retry_after: Seconds after which a request is made to the next peer.
-        refused_version: Highest version whose document was invalid, 0 if none.
-        refused_reason: What was wrong with it.
+        refused: Versions above the one in force whose documents were invalid.
+        refused_reason: What was wrong with the last one.
     """
 
     state: ConfigurationState
     retry_after: float = 1.0
-    refused_version: int = 0
+    refused: set[int] = field(default_factory=set)
     refused_reason: str = ""
     _seen: dict[RouterId, int] = field(default_factory=dict)
     _requested_at: float = float("-inf")
     _asked: set[RouterId] = field(default_factory=set)
 
-    @property
-    def settled_version(self) -> int:
-        """The version below or at which no document is of interest."""
-        return max(self.state.version, self.refused_version)
+    def is_wanted(self, version: int) -> bool:
+        """Returns whether the document of a version is of interest.
+
+        A version below a refused one is, if it is above the one in force: a router
+        that restarts while the newest document is invalid takes the last valid one.
+        """
+        return version > self.state.version and version not in self.refused
 
     def offer(self, version: int, value: Any) -> Verdict:
         """Takes a value of the table key ``configuration``.
@@ -49,17 +52,18 @@
         An invalid document is remembered by its version, so that it is reported
         once, and leaves the configuration in force and later versions alone.
         """
-        if version <= self.settled_version:
+        if not self.is_wanted(version):
             return Verdict.NOT_NEWER
         try:
             declaration = parse_declaration(value["document"])
         except (SettingsError, KeyError, TypeError, IndexError) as err:
-            self.refused_version = version
+            self.refused.add(version)
             self.refused_reason = f"{type(err).__name__}: {err}"
             return Verdict.REFUSED
         self.state.version = version
         self.state.declaration = declaration
         self.state.document = value
+        self.refused = {one for one in self.refused if one > version}
         self._asked.clear()
         self._requested_at = float("-inf")
         return Verdict.ADOPTED
@@ -84,7 +88,7 @@
         newer = {
             router_id: version
             for router_id, version in self._seen.items()
-            if version > self.settled_version
+            if self.is_wanted(version)
         }
         if not newer:
             return None
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -39,6 +39,8 @@
 
 _LOG = logging.getLogger(__name__)
 
+_COUNTED_UNITS = 64.0
+
 
 class CallerGoneError(Exception):
     """The caller closed its connection."""
@@ -413,15 +415,21 @@
         declaration = self._board.configuration.declaration
         assert declaration is not None
         is_engine = declaration.services[call.service].kind is ServiceKind.ENGINE
-        # Looked up once: the labels cost more than the rest of a token's accounting.
+        # The ledger counts each token; the counter, which costs more than the rest of
+        # a token's accounting, is raised in steps and at the end of the attempt.
         served = self._metrics.served.labels(call.service, call.organisation)
+        uncounted = 0.0
 
         def charge(units: float) -> None:
+            nonlocal uncounted
             # The policy charges requests to plain services while they run.
             if is_engine:
                 self._board.ledger.charge(call.service, call.organisation, units)
                 call.charged += units
-            served.inc(units)
+            uncounted += units
+            if uncounted >= _COUNTED_UNITS:
+                served.inc(uncounted)
+                uncounted = 0.0
 
         attempt = Attempt(
             call,
@@ -448,6 +456,7 @@
             self._metrics.attempts_cancelled.inc()
             raise
         finally:
+            served.inc(uncounted)
             await self._release(call, self._pending[call.call_id])
 
     async def _release(self, call: CallRequest, pending: _PendingStart) -> None:
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -436,7 +436,7 @@
 
     def _note_version(self, identity: RouterIdentity, version: int, now: float) -> None:
         self.versions.note_peer(identity.router_id, version)
-        if version > self.versions.settled_version:
+        if self.versions.is_wanted(version):
             self._request_configuration(now)
             self._flush_if_due()
 
--- a/tests/commands/test_orders.py
+++ b/tests/commands/test_orders.py
@@ -20,8 +20,8 @@
     ReplicaUnknownError,
 )
 from sequoiamoor.net.http import Request, ServerConnection
+from sequoiamoor.standin.platform import PlatformFaults, PlatformStandIn, WriteBody
 from sequoiamoor.standin.processes import find_free_port
-from sequoiamoor.standin.platform import PlatformStandIn
 from sequoiamoor.standin.server import send_json, serve_http
 from sequoiamoor.types import Address
 
@@ -60,15 +60,15 @@
         {**vm, "id": "talk-0", "port": ports[1], "service": "talk"},
         {**vm, "id": "desk-0", "port": ports[1], "service": "desk"},
     ]
-    platform.lists.append((0.0, vms))
+    platform._lists.append((0.0, vms))
     declaration = {
         "organisations": {},
         "classes": {},
         "services": {"talk": {"kind": "engine"}, "desk": {"kind": "plain"}},
     }
     value = {"document": declaration, "change_id": "first"}
-    platform._write("configuration", {"value": value, "expected_version": 0})
-    platform.faults.lose_answers = lose
+    platform._write("configuration", WriteBody(value=value, expected_version=0))
+    platform._faults = PlatformFaults(lose_answers=lose)
 
     async def run() -> None:
         async with curio.TaskGroup(wait=None) as tasks:
@@ -155,4 +155,4 @@
 
     platform = run_orders(engine, steps, lose=0.2)
     assert len(engine.orders) == 3
-    assert platform.table["leases/orders-talk-0"].value["held"] is False
+    assert platform._table["leases/orders-talk-0"].value["held"] is False
