Let one call at a time try a table that does not answer

Cause: after the pause that follows an outage, all queued bookings tried the table at once and each held a slot for up to the claim timeout. Ruled out: a read of the table in the background (load on the platform without need; the next booking tells the same). Change: TableGate in core/records.py, asked on arrival and before each claim. Result: a table test of the gate; a booking also goes to another replica when the first one is dead (8 of 8 whole, 1 execution each).

--- a/sequoiamoor/core/records.py
+++ b/sequoiamoor/core/records.py
@@ -58,6 +58,59 @@
     return state.hexdigest()
 
 
+class TableGate:
+    """Keeps calls that need a record away from a table that does not answer.
+
+    After a failure one call at a time tries the table, so that an outage does not
+    keep slots of upstreams busy.
+    """
+
+    def __init__(self, *, pause: float, claim_timeout: float) -> None:
+        """Prepares a gate that lets all calls through.
+
+        Args:
+            pause: Seconds without a try after a failure.
+            claim_timeout: Seconds that a try takes at most.
+        """
+        self._pause = pause
+        self._claim_timeout = claim_timeout
+        self._closed_until = float("-inf")
+        self._probe_call_id: str | None = None
+        self.is_open = True
+
+    def check(self, call: CallRequest, now: float) -> None:
+        """Lets a call through, or makes it the next one that tries the table.
+
+        Raises:
+            RecordUnavailableError: If the call cannot be claimed now.
+        """
+        if self.is_open or call.call_id == self._probe_call_id:
+            return
+        if now < self._closed_until:
+            raise self.build_refusal()
+        self._closed_until = now + self._claim_timeout
+        self._probe_call_id = call.call_id
+
+    def note_failure(self, now: float) -> None:
+        """Takes note that a claim was not settled in time."""
+        self.is_open = False
+        self._probe_call_id = None
+        self._closed_until = now + self._pause
+
+    def note_success(self) -> None:
+        """Takes note that a claim was settled."""
+        self.is_open = True
+        self._probe_call_id = None
+
+    def build_refusal(self) -> RecordUnavailableError:
+        """Returns the refusal of a call that cannot be claimed."""
+        return RecordUnavailableError(
+            "the platform's table does not answer, so this call could run twice; "
+            "nothing was sent, try again later",
+            retry_after=self._pause,
+        )
+
+
 class Claim:
     """The right to send one non-repeatable call, and the record it leaves.
 
--- a/sequoiamoor/daemon/records.py
+++ b/sequoiamoor/daemon/records.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from ..core.records import Claim, KeptAnswer, needs_record
+from ..core.records import Claim, KeptAnswer, TableGate, needs_record
 from ..core.writes import ConditionalWrite, Rejected
 from ..errors import RecordUnavailableError, RefusalError
 from ..metrics import Metrics
@@ -36,15 +36,15 @@
         self._options = options
         self._metrics = metrics
         self._rng = rng
-        self._is_down = False
-        self._refused_until = float("-inf")
-        self._probe_call_id: str | None = None
+        self._gate = TableGate(
+            pause=options.table_pause, claim_timeout=options.claim_timeout
+        )
         self._background: set[Any] = set()
 
     @property
     def is_available(self) -> bool:
         """Whether the last claim could be settled in time."""
-        return not self._is_down
+        return self._gate.is_open
 
     @property
     def unfinished(self) -> int:
@@ -54,25 +54,11 @@
     def check_available(self, call: CallRequest, now: float) -> None:
         """Refuses a call that needs a record while the table is out of reach.
 
-        One call per pause is let through to find out whether the table is back, so
-        that an outage does not keep slots of upstreams busy.
-
         Raises:
             RecordUnavailableError: If the call cannot be claimed now.
         """
-        if not self._is_down or not needs_record(call):
-            return
-        if now < self._refused_until:
-            raise self._unavailable()
-        self._refused_until = now + self._options.claim_timeout
-        self._probe_call_id = call.call_id
-
-    def _unavailable(self) -> RecordUnavailableError:
-        return RecordUnavailableError(
-            "the platform's table does not answer, so this call could run twice; "
-            "nothing was sent, try again later",
-            retry_after=self._options.table_pause,
-        )
+        if needs_record(call):
+            self._gate.check(call, now)
 
     def open(self, call: CallRequest) -> CallRecord | None:
         """Returns the record of a call, or None if the call needs none."""
@@ -92,18 +78,22 @@
             RefusalError: If the call must not be sent.
         """
         now = time.monotonic()
-        is_probe = call.call_id == self._probe_call_id
-        if self._is_down and now < self._refused_until and not is_probe:
-            raise self._unavailable()
         if claim.is_valid(now):
             return None
+        self._gate.check(call, now)
         try:
             async with curio.timeout_after(self._options.claim_timeout):
                 found = await self._claim(claim, now)
         except curio.TaskTimeout as err:
-            self._note_failure()
-            raise self._unavailable() from err
-        self._is_down = False
+            if self._gate.is_open:
+                reason = RecordUnavailableError.code
+                _LOG.warning("table out of reach", extra={"reason": reason})
+            self._gate.note_failure(time.monotonic())
+            raise self._gate.build_refusal() from err
+        except RefusalError:
+            self._gate.note_success()
+            raise
+        self._gate.note_success()
         return found
 
     async def _claim(self, claim: Claim, now: float) -> KeptAnswer | None:
@@ -115,13 +105,6 @@
                 return step
             write = step
 
-    def _note_failure(self) -> None:
-        if not self._is_down:
-            _LOG.warning("table out of reach", extra={"reason": "record-unavailable"})
-        self._is_down = True
-        self._probe_call_id = None
-        self._refused_until = time.monotonic() + self._options.table_pause
-
     async def write_later(self, claim: Claim, write: ConditionalWrite) -> None:
         """Writes the end of a record in the background, for a bounded time."""
         task = await curio.spawn(self._write_end, claim, write, daemon=True)
--- a/tests/core/test_records.py
+++ b/tests/core/test_records.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from sequoiamoor.core.records import Claim, KeptAnswer, digest_call
+from sequoiamoor.core.records import Claim, KeptAnswer, TableGate, digest_call
 from sequoiamoor.core.writes import ConditionalWrite
 from sequoiamoor.errors import (
     AnswerNotKeptError,
@@ -103,6 +103,25 @@
         assert claim.abandon() is not None
 
 
+def test_one_call_at_a_time_tries_a_table_that_is_out() -> None:
+    """Guards against an outage that keeps all slots of a service busy."""
+    gate = TableGate(pause=1.0, claim_timeout=0.5)
+    calls = [build_call(number) for number in range(5)]
+    gate.check(calls[0], 0.0)
+    gate.note_failure(10.0)
+    with pytest.raises(RecordUnavailableError):
+        gate.check(calls[0], 10.9)
+    for now, probe, other in ((11.0, 1, 2), (11.5, 3, 1)):
+        gate.check(calls[probe], now)
+        gate.check(calls[probe], now + 0.4)
+        with pytest.raises(RecordUnavailableError) as caught:
+            gate.check(calls[other], now + 0.4)
+        assert caught.value.execution is Execution.WAS_NOT_RUN
+    gate.note_success()
+    for call in calls:
+        gate.check(call, 11.6)
+
+
 def test_digest_keeps_fields_apart() -> None:
     """Guards against two different calls with one digest."""
     calls = [("ab", "c", b""), ("a", "bc", b""), ("a", "b", b"c"), ("a", "b", b"")]
--- a/tests/daemon/fleet.py
+++ b/tests/daemon/fleet.py
@@ -31,12 +31,15 @@
 
 @contextlib.contextmanager
 def run_small_fleet(
-    routers: int = 2, **settings: Any
+    routers: int = 2, desks: int = 1, **settings: Any
 ) -> Iterator[tuple[Fleet, list[Address]]]:
     plan = FleetPlan(
         zones=("zone-a",) * routers,
         upstreams=(
-            UpstreamPlan("desk-0", "desk", "zone-a", "service", 4),
+            *(
+                UpstreamPlan(f"desk-{number}", "desk", "zone-a", "service", 4)
+                for number in range(desks)
+            ),
             UpstreamPlan("talk-0", "talk", "zone-a", "engine", 4),
         ),
         declaration=DECLARATION,
@@ -46,7 +49,7 @@
         addresses = list(fleet.routers.values())
         for address in addresses:
             wait_ready(address, timeout=DEADLINE_SECONDS)
-            wait_until(lambda a=address: len(read_status(a)["upstreams"]) == 2)
+            wait_until(lambda a=address: len(read_status(a)["upstreams"]) == desks + 1)
         yield fleet, addresses
 
 
--- a/tests/daemon/test_records.py
+++ b/tests/daemon/test_records.py
@@ -120,6 +120,19 @@
     return curio.run(run)
 
 
+def test_booking_goes_to_another_replica_if_nothing_was_sent() -> None:
+    """Guards against a dead replica that uses up the claims of its calls."""
+    with run_small_fleet(1, desks=2, policy="round-robin") as (fleet, (router,)):
+        fleet.processes["desk-1"].kill()
+        fleet.processes["desk-1"].wait()
+        for number in range(8):
+            assert call(router, f"b-{number}", work_ms=1)[0] == 200
+        assert set(read_executions(fleet).values()) == {1}
+        assert len(read_executions(fleet)) == 8
+        series = 'sequoiamoor_retries_total{code="upstream-unreachable"}'
+        assert read_counter(router, series) >= 1
+
+
 def test_router_paused_after_its_claim_sends_nothing() -> None:
     """Guards against a router that was paused sending on an expired claim."""
     options = {"claim_lifetime": 0.5, "claim_timeout": 30.0, "table_timeout": 30.0}
