Check that a forced shutdown logs what it cuts and refuses what waits

Cause: only the callers' side of a forced end was tested. Change: tests read the router's log, and a booking that waits for a dead replica is refused as 'leaving', 'was not run'. Conclusion: queued, running and streamed calls all end with a true answer.

--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
+from pathlib import Path
 from typing import Any
 
 import curio
@@ -16,6 +18,7 @@
 
 from .fleet import (
     call,
+    call_async,
     read_counter,
     read_executions,
     run_small_fleet,
@@ -89,14 +92,19 @@
 
 
 @pytest.mark.parametrize(
-    ("settings", "signals"),
-    [({}, 2), ({"options": {"drain_limit": 0.5}}, 1)],
+    ("settings", "signals", "reason"),
+    [
+        ({}, 2, "second-signal"),
+        ({"options": {"drain_limit": 0.5}}, 1, "drain-limit"),
+    ],
 )
-def test_forced_end_tells_the_callers(settings: dict[str, Any], signals: int) -> None:
-    """Guards against a cut stream that looks complete or is not counted."""
+def test_forced_end_tells_the_callers(
+    settings: dict[str, Any], signals: int, reason: str
+) -> None:
+    """Guards against a cut stream that looks complete or is not logged."""
     with run_small_fleet(1, **settings) as (fleet, (router,)):
         process = fleet.processes["router-0"]
-        assert read_counter(router, "sequoiamoor_running_requests") == 0
+        log = Path(os.readlink(f"/proc/{process.pid}/fd/2"))
 
         def stop() -> None:
             process.send_signal(signal.SIGTERM)
@@ -110,3 +118,28 @@
         assert last.startswith(b"event: incomplete\n")
         assert b'"execution": "may have run"' in last
         assert process.wait(20) == 1
+        lines = log.read_text(encoding="utf-8").splitlines()
+        cut = [one for one in map(json.loads, lines) if one["event"] == "request cut"]
+        assert [(one["organisation"], one["reason"]) for one in cut] == [("a", reason)]
+
+
+def test_forced_end_refuses_waiting_calls_truthfully() -> None:
+    """Guards against a queued booking that is left without an answer."""
+    with run_small_fleet(1, options={"drain_limit": 0.5}) as (fleet, (router,)):
+        fleet.processes["desk-0"].kill()
+        process = fleet.processes["router-0"]
+
+        async def run() -> tuple[int, dict[str, str], bytes]:
+            task = await curio.spawn(call_async, router, "q-1")
+            await curio.run_in_thread(
+                wait_until, lambda: read_counter(router, "sequoiamoor_waiting_requests")
+            )
+            process.send_signal(signal.SIGTERM)
+            result: tuple[int, dict[str, str], bytes] = await task.join()
+            return result
+
+        status, _, data = curio.run(run)
+        refusal = json.loads(data)
+        assert (status, refusal["code"]) == (503, "leaving")
+        assert refusal["execution"] == "was not run"
+        assert process.wait(20) == 1
