--- a/tests/standin/test_load.py
+++ b/tests/standin/test_load.py
@@ -5,16 +5,24 @@
 import curio
 import pytest
 
+from sequoiamoor.net.http import Request, ServerConnection
+from sequoiamoor.standin import load
 from sequoiamoor.standin.client import parse_metrics
 from sequoiamoor.standin.demo import describe_metrics
 from sequoiamoor.standin.engine import make_token_text
 from sequoiamoor.standin.load import (
+    Caller,
+    CallerPlan,
     CallerResult,
     StreamError,
     check_stream,
     run_together,
     summarise,
 )
+from sequoiamoor.standin.server import send_json
+from sequoiamoor.types import Address
+
+from .harness import run_with
 
 BODY = b'{"tokens": 2}'
 START = b'event: start\ndata: {"id":"c","prefilled":1,"cached":0}\n\n'
@@ -120,3 +128,33 @@
 
     with pytest.raises(KeyError):
         curio.run(run_together, [fail, wait])
+
+
+@pytest.mark.parametrize(("rate", "expected"), [(None, 3), (500.0, 30)])
+def test_refused_callers_pause_unless_arrivals_are_given(
+    rate: float | None, expected: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against callers that keep the load generator busy with refusals."""
+    monkeypatch.setattr(load, "FAILURE_PAUSE_SECONDS", 600.0)
+
+    class Refusing:
+        async def handle(self, connection: ServerConnection, request: Request) -> None:
+            await send_json(connection, 503, {"code": "full"})
+
+    async def client(address: Address) -> tuple[int, CallerResult]:
+        plan = CallerPlan(
+            "a", "chat", (address,), ("t",), concurrency=3, requests=30, rate=rate
+        )
+        caller = Caller(plan, {"t": "engine"}, seed=1)
+        task = await curio.spawn(caller.run, daemon=True)
+        result = caller.result
+        while result.refused["full"] + result.skipped < expected:
+            await curio.sleep(0.005)
+        # Without a pause further requests would follow at once.
+        await curio.sleep(0.05)
+        await task.cancel()
+        return result.requests + result.skipped, result
+
+    count, result = run_with(Refusing(), client)
+    assert count == expected
+    assert (result.whole, result.wrong, result.broken) == (0, [], [])
