--- a/tests/daemon/test_records.py
+++ b/tests/daemon/test_records.py
@@ -67,7 +67,7 @@
         status, _, refusal = call(second, "lane-7", work_ms=2)
         assert (status, refusal["code"]) == (422, "request-id-reused")
         assert refusal["execution"] == "was not run"
-        assert read_executions(fleet) == {"lane-7": 1}
+        assert read_executions(fleet) == {"a/lane-7": 1}
 
 
 @pytest.mark.parametrize("faults", [{"outage": True}, {"delay_ms": 5_000}])
@@ -108,7 +108,7 @@
         set_faults(fleet)
         wait_until(lambda: read_record(fleet, "lane-3")["state"] == "done")
         assert call(router, "lane-3", work_ms=1_000)[1]["x-replayed"] == "true"
-        assert read_executions(fleet) == {"lane-3": 1}
+        assert read_executions(fleet) == {"a/lane-3": 1}
 
 
 def call_talk(router: Any) -> tuple[int, dict[str, str], bytes]:
@@ -162,4 +162,4 @@
         wait_until(lambda: read_record(fleet, "lane-9")["state"] == "abandoned")
         assert read_executions(fleet) == {}
         assert call(other, "lane-9")[0] == 200
-        assert read_executions(fleet) == {"lane-9": 1}
+        assert read_executions(fleet) == {"a/lane-9": 1}
