--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -253,7 +253,8 @@
                 # An upstream may close an idle connection while the request is on
                 # its way. That says nothing about the replica, so a repeatable
                 # request is sent once more on a connection of its own.
-                if not is_reused or connection.bytes_received != received:
+                is_closed = connection.bytes_received == received
+                if not is_reused or not is_closed or connection.is_aborted:
                     raise
                 self._metrics.pool_stale.inc()
                 await self._close()
@@ -300,8 +301,10 @@
                 f"replica {self._replica.replica_id!r} answered for call {call_id!r}; "
                 "the answer is dropped"
             )
-        if is_ours and response.status in (429, 503):
-            await self._check_not_run(response)
+        if is_ours and response.status == 503 and response.is_framed:
+            assert self._connection is not None
+            limit = FAILURE_BODY_BYTES
+            self._check_not_run(await self._connection.receive_body(limit=limit))
         if response.status >= 500 or not (
             200 <= response.status < 300 or response.status >= 400
         ):
@@ -316,16 +319,12 @@
                 "be told from a broken connection"
             )
 
-    async def _check_not_run(self, response: Response) -> None:
+    def _check_not_run(self, body: bytes) -> None:
         """Raises if the upstream states that it did not run the request."""
-        if not response.is_framed:
-            return
-        assert self._connection is not None
-        body = await self._connection.receive_body(limit=FAILURE_BODY_BYTES)
         try:
             document: Any = json.loads(body)
         except (ValueError, RecursionError):
-            document = None
+            return
         if isinstance(document, dict) and (
             document.get("execution") == Execution.WAS_NOT_RUN.value
         ):
@@ -335,9 +334,6 @@
                 "again",
                 retry_after=1.0,
             )
-        raise UpstreamFailedError(
-            f"replica {self._replica.replica_id!r} failed with status {response.status}"
-        )
 
     async def _copy_stream(self, check: StreamCheck, sink: Sink) -> None:
         connection = self._connection
@@ -386,6 +382,8 @@
         body = await connection.receive_body(limit=self._options.answer_limit_bytes)
         self._connection = None
         await self._pool.give_back(connection)
+        if response.status == 429:
+            self._check_not_run(body)
         content_type = response.headers.get("content-type", "application/json")
         return Answer(response.status, content_type, body)
 
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -23,6 +23,9 @@
 
 RECEIVE_BYTES = 65_536
 SEND_TIMEOUT_SECONDS = 30.0
+# Bounds what the kernel takes for a peer that does not read. With the default of some
+# megabytes, a peer that reads slowly shows no progress for long.
+SEND_BUFFER_BYTES = 262_144
 LINGER_SECONDS = 2.0
 LINGER_BYTES = 4_194_304
 CHUNK_LINE_BYTES = 256
@@ -138,6 +141,7 @@
         self.is_peer_slow = False
         self.bytes_sent = 0
         _set_no_delay(self._raw)
+        self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     async def _receive(self) -> None:
         data = await self._sock.recv(RECEIVE_BYTES)
@@ -248,8 +252,10 @@
 
     async def _write_rest(self, data: memoryview) -> None:
         try:
-            async with curio.timeout_after(self._send_timeout):
-                await self._sock.sendall(data)
+            while data:
+                async with curio.timeout_after(self._send_timeout):
+                    sent = await self._sock.send(data)
+                data = data[sent:]
         except curio.TaskTimeout as err:
             self.is_peer_slow = True
             raise TimeoutError(
@@ -443,6 +449,7 @@
         bytes_sent: Bytes handed to the kernel so far.
         bytes_received: Bytes received so far.
         waits_since: Monotonic time since which a receive waits, else None.
+        is_aborted: Whether this side ended the connection during an exchange.
     """
 
     def __init__(self, sock: Any, address: Address) -> None:
@@ -457,6 +464,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.waits_since: float | None = None
+        self.is_aborted = False
         _set_no_delay(self._raw)
 
     @classmethod
@@ -640,6 +648,7 @@
 
     def abort(self) -> None:
         """Ends the connection; a receive that waits sees it closed."""
+        self.is_aborted = True
         try:
             self._raw.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -335,6 +335,26 @@
     run(session, limits={"send_timeout": 0.1})
 
 
+def test_caller_that_reads_slowly_gets_the_whole_answer() -> None:
+    """Guards against a timeout that counts the whole answer and not its progress."""
+
+    async def session(border: Border) -> None:
+        body = b"x" * 12_000_000 + b"END"
+        await border.add_upstream(
+            lambda received: [whole(read_call_id(received), body)], service="look"
+        )
+        caller = await border.connect()
+        await caller.send(request("look", stream=False))
+        # Longer altogether than the timeout, shorter from one read to the next.
+        for _ in range(24):
+            await caller.receive()
+            await curio.sleep(0.05)
+        seen = parse(await caller.receive_until(b"END"))
+        assert seen.is_whole and seen.body == body
+
+    run(session, limits={"send_timeout": 1.0})
+
+
 def test_pipelined_requests_are_answered_in_order() -> None:
     """Guards against a pipelined request that is lost or taken for a hang-up."""
 
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -104,6 +104,12 @@
         "upstream-refused",
         "was not run",
     ),
+    (
+        "states with 429 that it did not run",
+        [whole("call-1", NOT_RUN, status=429)],
+        "upstream-refused",
+        "was not run",
+    ),
     (
         "states it for another call",
         [whole("call-9", NOT_RUN, status=503)],
@@ -252,9 +258,6 @@
             script(whole("call-1", b'{"code":"bad"}', status=status)), service=service
         )
         seen = parse(await _ask(border, request(service), b"}"))
-        if status == 429:
-            assert seen.refusal["code"] in ("upstream-failed", "wait-limit")
-            return
         assert (seen.status, seen.body) == (status, b'{"code":"bad"}')
         assert seen.headers["x-call-id"] == "call-1"
         assert len(upstream.requests) == 1
@@ -489,6 +492,21 @@
     run(session)
 
 
+def test_silence_on_a_reused_connection_is_not_taken_for_a_close() -> None:
+    """Guards against a silent replica that is asked twice within one attempt."""
+
+    async def session(border: Border) -> None:
+        upstream = await border.add_upstream(
+            answer_call, script(Hang()), script(Hang()), service="look"
+        )
+        data = request("look", stream=False)
+        received = await _ask(border, data * 2, b"}\n")
+        assert b"answer-incomplete" in received
+        assert len(upstream.requests) == 2
+
+    run(session, options={"max_attempts": 1, "upstream_idle_timeout": 0.1})
+
+
 def test_call_that_must_run_once_uses_a_connection_of_its_own() -> None:
     """Guards against an unclear outcome because an idle connection was closed."""
 
