--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -4,7 +4,10 @@
 
 import curio
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
+from sequoiamoor.core.upstreams import Upstreams
 from sequoiamoor.types import CallRequest
 from tests.border import (
     Border,
@@ -182,6 +185,96 @@
     run(session)
 
 
+VALID = request(
+    extra=b"X-Request-Id: q-1\r\nX-Cost-Hint: 5\r\nX-Prefix-Key: k\r\n", body=b"{}"
+)
+CHUNKED = VALID.replace(b"Content-Length: 2\r\n\r\n{}", b"") + (
+    b"Transfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1;x=y\r\n}\r\n0\r\n\r\n"
+)
+EDITS = st.lists(
+    st.tuples(
+        st.integers(0, len(CHUNKED)),
+        st.integers(0, 12),
+        st.one_of(
+            st.binary(max_size=4),
+            st.sampled_from([b"\r\n", b"\n", b" ", b":", b"\x00", b"\xff", b",", b"0"]),
+        ),
+    ),
+    min_size=1,
+    max_size=4,
+)
+
+
+@settings(
+    max_examples=150,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(
+    data=st.sampled_from([VALID, CHUNKED]),
+    edits=EDITS,
+    cuts=st.lists(st.integers(0, 300), max_size=3),
+)
+def test_damaged_request_gets_a_response_or_a_close(
+    data: bytes, edits: list[tuple[int, int, bytes]], cuts: list[int]
+) -> None:
+    """Guards against unhandled exceptions and half responses for any bytes."""
+    for place, removed, added in edits:
+        data = data[:place] + added + data[place + removed :]
+
+    async def session(border: Border) -> None:
+        def answer(received: bytes) -> list[bytes]:
+            call_id = read_call_id(received)
+            parts = events(call_id, 1)
+            return [stream_head(call_id) + b"".join(map(chunk, parts)) + b"0\r\n\r\n"]
+
+        await border.add_upstream(*[answer] * 9)
+        caller = await border.connect()
+        places = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
+        for begin, end in zip(places, places[1:], strict=False):
+            await caller.send(data[begin:end])
+            await curio.sleep(0)
+        # What is left incomplete is refused or closed after the timeouts.
+        received = await caller.receive_all()
+        while received:
+            if received.startswith(b"HTTP/1.1 100 "):
+                received = received.partition(b"\r\n\r\n")[2]
+                continue
+            if data[:4] == b"HEAD":
+                break
+            seen = parse(received)
+            assert seen.is_whole
+            if seen.status >= 400:
+                assert seen.refusal["execution"] == "was not run"
+            received = seen.rest
+        await border.wait_idle()
+
+    run(session, limits={"receive_timeout": 0.03, "idle_timeout": 0.03})
+
+
+def test_fault_of_the_router_is_a_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a bare close, or `was not run`, after an unexpected exception."""
+
+    async def session(border: Border) -> None:
+        await border.add_upstream(
+            lambda received: [whole(read_call_id(received), b"{}")], service="look"
+        )
+
+        def fail(replica_id: str) -> None:
+            raise RuntimeError("fault")
+
+        monkeypatch.setattr(Upstreams, "record_success", lambda self, name: fail(name))
+        caller = await border.connect()
+        await caller.send(request("look", stream=False))
+        seen = parse(await caller.receive_until(b"}\n"))
+        assert (seen.status, seen.refusal["code"]) == (500, "internal")
+        assert seen.refusal["execution"] == "may have run"
+        await border.wait_idle()
+
+    run(session)
+
+
 def test_refused_request_leaves_connection_usable() -> None:
     """Guards against a refusal of a well-formed request that breaks keep-alive."""
 
