Start periodic tasks again after a fault

Cause: a task group of curio does not raise the fault of a task; a router would go on without polls. Change: each periodic task is supervised, logged and counted.

--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -7,6 +7,8 @@
 import signal
 import sys
 import time
+from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 from typing import Any, cast
 
@@ -35,6 +37,7 @@
 _LOG = logging.getLogger(__name__)
 
 DRAIN_CHECK_SECONDS = 0.02
+RESTART_DELAY_SECONDS = 0.5
 
 
 class Router:
@@ -117,16 +120,34 @@
             listener = await tasks.spawn(
                 curio.network.run_server, sock, self._listener.accept
             )
-            await tasks.spawn(self._calls.watch)
-            await tasks.spawn(self._pollers.poll_platform)
-            await tasks.spawn(self._pollers.poll_loads)
-            await tasks.spawn(self._control.run, self._calls.dispatch)
+            for name, work in (
+                ("pool", self._calls.watch),
+                ("platform", self._pollers.poll_platform),
+                ("loads", self._pollers.poll_loads),
+                ("control", partial(self._control.run, self._calls.dispatch)),
+            ):
+                await tasks.spawn(self._supervise, name, work)
             await signals.wait()
             end = await self._drain(signals)
             await listener.cancel()
             await tasks.cancel_remaining()
         return end
 
+    async def _supervise(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs a task until cancelled, again after a fault.
+
+        A task group of curio does not raise the fault of a task, so that a router
+        would go on without polls or reports.
+        """
+        while True:
+            try:
+                await work()
+                return
+            except Exception:
+                _LOG.exception("task failed", extra={"reason": name})
+                self.metrics.task_failures.labels(name).inc()
+            await curio.sleep(RESTART_DELAY_SECONDS)
+
     async def _drain(self, signals: SignalWatch) -> DrainEnd:
         drain = Drain(
             limit=self._options.drain_limit,
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -128,6 +128,12 @@
             "Connections of routers that were closed because of a bad message.",
             registry=self.registry,
         )
+        self.task_failures = Counter(
+            "sequoiamoor_task_failures",
+            "Faults of periodic tasks, which start again.",
+            ["task"],
+            registry=self.registry,
+        )
         self.fairness_gap_units = Gauge(
             "sequoiamoor_fairness_gap_units",
             "Largest difference in service between two backlogged organisations.",
