--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -126,7 +126,7 @@
                 case Send(router_id, message):
                     self._send(message, router_id)
                 case _:
-                    _LOG.error("action %s is not for the control side", action)
+                    _LOG.error("action is unknown", extra={"reason": repr(action)})
         self._flush_if_due()
 
     def report_leaving(self) -> None:
@@ -254,14 +254,20 @@
         for change in self.membership.step(now):
             router_id = change.identity.router_id
             if change.state is not MemberState.ALIVE:
-                _LOG.info("router is %s", change.state, extra={"peer": router_id})
+                _LOG.info(
+                    "router changed state",
+                    extra={"peer": router_id, "reason": change.state.value},
+                )
             if change.state is MemberState.DEAD:
                 self.versions.forget_peer(router_id)
         live = self.membership.live()
         if live != self._board.members:
             for router_id, identity in live.items():
                 if self._board.members.get(router_id) != identity:
-                    _LOG.info("router is alive", extra={"peer": router_id})
+                    _LOG.info(
+                        "router changed state",
+                        extra={"peer": router_id, "reason": MemberState.ALIVE.value},
+                    )
             self._board.members.clear()
             self._board.members.update(live)
         self._metrics.members.set(len(live) + 1)
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -90,8 +90,5 @@
     pool_limit: int = Field(1_024, ge=0, description="idle connections to upstreams")
     pool_limit_per_replica: int = Field(64, ge=0)
     pool_idle_time: float = Field(30.0, gt=0)
-    resume_wait_limit: float = Field(
-        5.0, gt=0, description="wait of a broken stream for another replica"
-    )
     probe_base_delay: float = Field(0.25, gt=0)
     probe_max_delay: float = Field(5.0, gt=0)
