--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -226,9 +226,14 @@
         assert process.wait(HEAL_SECONDS) == 0
         wait_members(fleet, ["router-0"], 1, limit=HEAL_SECONDS)
         log = Path(_read_settings_path(fleet, "router-0")).with_suffix(".log")
-        events = [json.loads(line)["event"] for line in log.read_text().splitlines()]
-        assert "router is dead" in events
-        assert "router is suspect" not in events
+        records = [json.loads(line) for line in log.read_text().splitlines()]
+        states = [
+            record["reason"]
+            for record in records
+            if record["event"] == "router changed state"
+        ]
+        assert "dead" in states
+        assert "suspect" not in states
 
 
 def _read_settings_path(fleet: Fleet, name: str) -> str:
