Try: limit early reports with a token bucket

Cause: early reports follow the request rate up to one per 20 ms and peer. Conclusion: a released slot that nobody is told of stays idle; the release has to depend on the token.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -194,6 +194,7 @@
         self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.numbers = itertools.count()
         self.cut: str | None = None
+        self.cost_divisor = 1
         self.messages = self.bytes = 0
         self.waits: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.served: dict[str, int] = defaultdict(int)
@@ -250,6 +251,10 @@
     # Callers.
 
     def draw(self, name: str) -> tuple[int, str]:
+        cost, class_name = self.draw_full(name)
+        return max(cost // self.cost_divisor, 1), class_name
+
+    def draw_full(self, name: str) -> tuple[int, str]:
         if self.rng.random() < self.long_part[name]:
             cost = self.rng.lognormvariate(5.5, 0.9)
             return int(min(max(cost, 50), LARGEST)), "summary"
@@ -462,6 +467,7 @@
 ) -> dict[str, float]:
     """Ten organisations backlogged throughout, six with less than their share."""
     fleet = build(policy, seed, options, 10)
+    fleet.cost_divisor = 10 if fault == "short" else 1
     names = fleet.names[:10]
     for index, name in enumerate(fleet.names[10:]):
         fleet.add_load(name, 0.3 + 0.1 * index)
@@ -578,6 +584,7 @@
 
 SCENARIOS: dict[str, Callable[[str, int, Options], dict[str, float]]] = {
     "steady": lambda policy, seed, options: run_steady(policy, seed, options, "none"),
+    "short": lambda policy, seed, options: run_steady(policy, seed, options, "short"),
     "partition": lambda p, seed, options: run_steady(p, seed, options, "partition"),
     "killed": lambda policy, seed, options: run_steady(policy, seed, options, "killed"),
     "flood": lambda policy, seed, options: run_flood(policy, seed, options, 0.5, 10),
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -15,6 +15,10 @@
 
     report_interval: float = Field(0.2, gt=0, le=10)
     flush_interval: float = Field(0.02, gt=0, le=1)
+    early_message_rate: float = Field(
+        60.0, ge=0, description="messages per second that may precede the interval"
+    )
+    early_message_burst: float = Field(30.0, ge=0, description="messages")
     grant_refresh_interval: float = Field(1.0, gt=0)
     grant_expiry: float = Field(2.0, gt=0)
     router_reclaim_after: float = Field(4.0, gt=0)
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -85,6 +85,8 @@
             RouterId, deque[tuple[float, ServiceName, OrganisationName]]
         ] = {}
         self._sent_at: dict[int, float] = {}
+        self._early_tokens = 0.0
+        self._early_at = float("-inf")
         self._published: dict[tuple[ServiceName, OrganisationName], _PublishedRow] = {}
 
     def _own_arbiter(self, board: Blackboard) -> Arbiter:
@@ -92,6 +94,27 @@
             self._arbiter = Arbiter(board.identity, board.options)
         return self._arbiter
 
+    def _take_early(self, board: Blackboard, messages: int, now: float) -> bool:
+        """Returns whether reports may go out before the interval ends.
+
+        A token bucket keeps the number of messages independent of the request
+        rate; without a token the news waits for the next regular report.
+        """
+        options = board.options
+        earned = (now - self._early_at) * options.early_message_rate
+        self._early_tokens = min(
+            self._early_tokens + earned, options.early_message_burst
+        )
+        self._early_at = now
+        if self._early_tokens < messages:
+            return False
+        self._early_tokens -= messages
+        return True
+
+    def _request_report(self, board: Blackboard, now: float) -> None:
+        if not board.is_report_due and self._take_early(board, len(board.members), now):
+            board.is_report_due = True
+
     # Slots of this router.
 
     def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
@@ -105,13 +128,17 @@
         return self._demands.sum(service, board.members)
 
     def _note_started(
-        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        replica_id: ReplicaId,
+        now: float,
     ) -> None:
         self._allotment.start(replica_id)
         key = (request.service, request.organisation)
         known = self._published.get(key)
         if known is not None and known.row.waiting and board.queues.count(*key) == 1:
-            board.is_report_due = True
+            self._request_report(board, now)
 
     def _note_unserved(
         self, board: Blackboard, service: ServiceName, now: float
@@ -122,7 +149,7 @@
         for name in board.queues.organisations(service):
             known = self._published.get((service, name))
             if known is None or not known.row.waiting:
-                board.is_report_due = True
+                self._request_report(board, now)
         return False
 
     def _count_free(self, board: Blackboard, service: ServiceName, now: float) -> int:
@@ -182,7 +209,9 @@
         """Tells the arbiters of the released slots; other routers need not know."""
         arbiters = {self._arbiter_of(board, one) for one in released}
         actions: list[Action] = [
-            SendReport(one) for one in sorted(arbiters - {board.identity.router_id})
+            SendReport(one)
+            for one in sorted(arbiters - {board.identity.router_id})
+            if self._take_early(board, 1, now)
         ]
         if board.identity.router_id in arbiters:
             actions += self._arbitrate(board, now)
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -80,7 +80,11 @@
         return {}
 
     def _note_started(
-        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        replica_id: ReplicaId,
+        now: float,
     ) -> None:
         """Takes note that a slot is used."""
 
@@ -236,7 +240,7 @@
             self._prefixes.move_to_end(key)
             while len(self._prefixes) > _PREFIXES_KEPT:
                 self._prefixes.popitem(last=False)
-        self._note_started(board, request, replica.replica_id)
+        self._note_started(board, request, replica.replica_id, now)
         return Start(request.call_id, replica.replica_id)
 
     def _choose_replica(
