--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -94,7 +94,9 @@
             self._arbiter = Arbiter(board.identity, board.options)
         return self._arbiter
 
-    def _take_early(self, board: Blackboard, messages: int, now: float) -> bool:
+    def _take_early(
+        self, board: Blackboard, messages: int, now: float, reserve: float = 0.0
+    ) -> bool:
         """Returns whether reports may go out before the interval ends.
 
         A token bucket keeps the number of messages independent of the request
@@ -106,7 +108,7 @@
             self._early_tokens + earned, options.early_message_burst
         )
         self._early_at = now
-        if self._early_tokens < messages:
+        if self._early_tokens < messages + reserve:
             return False
         self._early_tokens -= messages
         return True
@@ -166,11 +168,26 @@
         if (
             not released
             and not self._may_use(board, service, now, is_granted=False)
+            and self._can_tell(board, service, replica_id, now)
             and self._allotment.release(replica_id, 1)
         ):
             released = [replica_id]
         return self._after_release(board, released, now)
 
+    def _can_tell(
+        self, board: Blackboard, service: ServiceName, replica_id: ReplicaId, now: float
+    ) -> bool:
+        """Returns whether releasing a slot is better than using it here.
+
+        A released slot that its arbiter is not told of stays idle, so without a
+        token the slot serves local work, if there is any.
+        """
+        if not board.queues.organisations(service):
+            return True
+        if self._arbiter_of(board, replica_id) == board.identity.router_id:
+            return True
+        return self._take_early(board, 1, now)
+
     def _may_use(
         self, board: Blackboard, service: ServiceName, now: float, *, is_granted: bool
     ) -> bool:
@@ -199,6 +216,8 @@
             ]
             if free and not self._may_use(board, service, now, is_granted=True):
                 for replica_id, count in free:
+                    if not self._can_tell(board, service, replica_id, now):
+                        continue
                     self._allotment.release(replica_id, count)
                     released.append(replica_id)
         return released
@@ -209,9 +228,7 @@
         """Tells the arbiters of the released slots; other routers need not know."""
         arbiters = {self._arbiter_of(board, one) for one in released}
         actions: list[Action] = [
-            SendReport(one)
-            for one in sorted(arbiters - {board.identity.router_id})
-            if self._take_early(board, 1, now)
+            SendReport(one) for one in sorted(arbiters - {board.identity.router_id})
         ]
         if board.identity.router_id in arbiters:
             actions += self._arbitrate(board, now)
