Leave changes of the slots in use out of reports

Cause: most reports carried three or more slot rows that differed only in the slots in use, which the arbiter needs only when it begins an epoch. Change: a slot row is replaced when epoch or released changes, or after 1 s.

--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -84,6 +84,7 @@
         self._pending: dict[
             RouterId, deque[tuple[float, ServiceName, OrganisationName]]
         ] = {}
+        self._published_slots: dict[ReplicaId, tuple[SlotRow, float]] = {}
         self._sent_at: dict[int, float] = {}
         self._early_tokens = 0.0
         self._early_at = float("-inf")
@@ -418,6 +419,7 @@
         for replica_id in self._allotment.replica_ids():
             if replica_id not in board.upstreams.replicas:
                 self._allotment.forget(replica_id)
+                self._published_slots.pop(replica_id, None)
         arbiter.set_replicas(windows, members, now)
         self._yield_free(board, now)
         actions += self._arbitrate(board, now)
@@ -463,7 +465,15 @@
         self._sent_at[board.report_sequence] = now
         while len(self._sent_at) > _SENT_REPORTS_KEPT:
             del self._sent_at[next(iter(self._sent_at))]
-        return self._allotment.build_rows()
+        for row in self._allotment.build_rows():
+            known = self._published_slots.get(row.replica_id)
+            if known is not None:
+                old, at = known
+                is_same = (old.epoch, old.released) == (row.epoch, row.released)
+                if row == old or (is_same and now - at < _ROW_REFRESH):
+                    continue
+            self._published_slots[row.replica_id] = (row, now)
+        return tuple(row for row, _ in self._published_slots.values())
 
     def build_snapshot(self, board: Blackboard) -> Snapshot:
         """Returns all counters that this router knows."""
