--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -16,7 +16,7 @@
     report_interval: float = Field(0.2, gt=0, le=10)
     flush_interval: float = Field(0.02, gt=0, le=1)
     early_message_rate: float = Field(
-        60.0, ge=0, description="messages per second that may precede the interval"
+        25.0, ge=0, description="messages per second that may precede the interval"
     )
     early_message_burst: float = Field(30.0, ge=0, description="messages")
     grant_refresh_interval: float = Field(1.0, gt=0)
