--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -21,6 +21,10 @@
     urgent_messages_per_second: float = Field(
         40.0, gt=0, description="reports before the interval ends, one per peer"
     )
+    early_message_rate: float = Field(
+        25.0, ge=0, description="messages per second that may precede the interval"
+    )
+    early_message_burst: float = Field(30.0, ge=0, description="messages")
     grant_refresh_interval: float = Field(1.0, gt=0)
     grant_expiry: float = Field(2.0, gt=0)
     router_reclaim_after: float = Field(4.0, gt=0)
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -84,7 +84,10 @@
         self._pending: dict[
             RouterId, deque[tuple[float, ServiceName, OrganisationName]]
         ] = {}
+        self._published_slots: dict[ReplicaId, tuple[SlotRow, float]] = {}
         self._sent_at: dict[int, float] = {}
+        self._early_tokens = 0.0
+        self._early_at = float("-inf")
         self._published: dict[tuple[ServiceName, OrganisationName], _PublishedRow] = {}
 
     def _own_arbiter(self, board: Blackboard) -> Arbiter:
@@ -92,6 +95,29 @@
             self._arbiter = Arbiter(board.identity, board.options)
         return self._arbiter
 
+    def _take_early(
+        self, board: Blackboard, messages: int, now: float, reserve: float = 0.0
+    ) -> bool:
+        """Returns whether reports may go out before the interval ends.
+
+        A token bucket keeps the number of messages independent of the request
+        rate; without a token the news waits for the next regular report.
+        """
+        options = board.options
+        earned = (now - self._early_at) * options.early_message_rate
+        self._early_tokens = min(
+            self._early_tokens + earned, options.early_message_burst
+        )
+        self._early_at = now
+        if self._early_tokens < messages + reserve:
+            return False
+        self._early_tokens -= messages
+        return True
+
+    def _request_report(self, board: Blackboard, now: float) -> None:
+        if not board.is_report_due and self._take_early(board, len(board.members), now):
+            board.is_report_due = True
+
     # Slots of this router.
 
     def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
@@ -105,13 +131,17 @@
         return self._demands.sum(service, board.members)
 
     def _note_started(
-        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        replica_id: ReplicaId,
+        now: float,
     ) -> None:
         self._allotment.start(replica_id)
         key = (request.service, request.organisation)
         known = self._published.get(key)
         if known is not None and known.row.waiting and board.queues.count(*key) == 1:
-            board.is_report_due = True
+            self._request_report(board, now)
 
     def _note_unserved(
         self, board: Blackboard, service: ServiceName, now: float
@@ -122,7 +152,7 @@
         for name in board.queues.organisations(service):
             known = self._published.get((service, name))
             if known is None or not known.row.waiting:
-                board.is_report_due = True
+                self._request_report(board, now)
         return False
 
     def _count_free(self, board: Blackboard, service: ServiceName, now: float) -> int:
@@ -139,11 +169,26 @@
         if (
             not released
             and not self._may_use(board, service, now, is_granted=False)
+            and self._can_tell(board, service, replica_id, now)
             and self._allotment.release(replica_id, 1)
         ):
             released = [replica_id]
         return self._after_release(board, released, now)
 
+    def _can_tell(
+        self, board: Blackboard, service: ServiceName, replica_id: ReplicaId, now: float
+    ) -> bool:
+        """Returns whether releasing a slot is better than using it here.
+
+        A released slot that its arbiter is not told of stays idle, so without a
+        token the slot serves local work, if there is any.
+        """
+        if not board.queues.organisations(service):
+            return True
+        if self._arbiter_of(board, replica_id) == board.identity.router_id:
+            return True
+        return self._take_early(board, 1, now)
+
     def _may_use(
         self, board: Blackboard, service: ServiceName, now: float, *, is_granted: bool
     ) -> bool:
@@ -172,6 +217,8 @@
             ]
             if free and not self._may_use(board, service, now, is_granted=True):
                 for replica_id, count in free:
+                    if not self._can_tell(board, service, replica_id, now):
+                        continue
                     self._allotment.release(replica_id, count)
                     released.append(replica_id)
         return released
@@ -372,6 +419,7 @@
         for replica_id in self._allotment.replica_ids():
             if replica_id not in board.upstreams.replicas:
                 self._allotment.forget(replica_id)
+                self._published_slots.pop(replica_id, None)
         arbiter.set_replicas(windows, members, now)
         self._yield_free(board, now)
         actions += self._arbitrate(board, now)
@@ -417,7 +465,15 @@
         self._sent_at[board.report_sequence] = now
         while len(self._sent_at) > _SENT_REPORTS_KEPT:
             del self._sent_at[next(iter(self._sent_at))]
-        return self._allotment.build_rows()
+        for row in self._allotment.build_rows():
+            known = self._published_slots.get(row.replica_id)
+            if known is not None:
+                old, at = known
+                is_same = (old.epoch, old.released) == (row.epoch, row.released)
+                if row == old or (is_same and now - at < _ROW_REFRESH):
+                    continue
+            self._published_slots[row.replica_id] = (row, now)
+        return tuple(row for row, _ in self._published_slots.values())
 
     def build_snapshot(self, board: Blackboard) -> Snapshot:
         """Returns all counters that this router knows."""
