Leave early reports to the policy and its budget

Cause: the control side and the policy each had a budget of early messages; a release for which the policy had a token could be held back by the other one, and a slot of which nobody knows stays idle. Ruled out: a larger budget on the control side (the policy alone knows whom a release concerns). Change: SendReport names the peer; the control side carries it out. EarlyBudget is in core/reports.py.

--- a/sequoiamoor/core/reports.py
+++ b/sequoiamoor/core/reports.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..options import Options
-from ..types import OrganisationName, ReplicaId, RouterId, ServiceName
-from .messages import CounterRow, SlotRow
+from ..types import OrganisationName, ServiceName
+from .messages import CounterRow
 
 # A deadline is sent relative to the time of the report; a smaller difference than
 # this comes from the delay between two reports and not from another request.
@@ -132,57 +131,23 @@
 
 
 @dataclass(slots=True)
-class UrgentReports:
-    """Decides which peers get a report before the interval ends.
+class EarlyBudget:
+    """A token bucket of messages that may go out before the interval ends.
 
-    A released slot matters only to the router that granted it, and an early report
-    to every peer costs as many messages as there are routers. The rate is bounded by
-    a token bucket, one token per message; what does not fit waits for the interval.
+    It keeps the number of messages independent of the request rate; without a token
+    the news waits for the next regular report.
     """
 
     options: Options
-    _grantors: dict[ReplicaId, RouterId] = field(default_factory=dict)
-    _released: dict[ReplicaId, tuple[int, int]] = field(default_factory=dict)
     _tokens: float = 0.0
     _filled_at: float = float("-inf")
 
-    def note_grants(self, router_id: RouterId, replicas: Iterable[ReplicaId]) -> None:
-        """Notes from which router slots of these replicas came last."""
-        for replica_id in replicas:
-            self._grantors[replica_id] = router_id
-
-    def note_sent(self, slots: Iterable[SlotRow]) -> None:
-        """Notes the slots of a report that goes to all peers."""
-        for row in slots:
-            self._released[row.replica_id] = (row.epoch, row.released)
-
-    def choose_peers(
-        self, slots: Iterable[SlotRow], *, peers: Iterable[RouterId], now: float
-    ) -> list[RouterId] | None:
-        """Returns the peers to report to now, or None if it has to wait.
-
-        Without a released slot the report is about waiting work, and goes to all.
-        """
-        chosen = set()
-        changed = []
-        for row in slots:
-            if self._released.get(row.replica_id) != (row.epoch, row.released):
-                changed.append(row)
-                grantor = self._grantors.get(row.replica_id)
-                if grantor is not None:
-                    chosen.add(grantor)
-        known = set(peers)
-        wanted = sorted((chosen & known) or known)
-        if not self._take_tokens(len(wanted), now):
-            return None
-        self.note_sent(changed)
-        return wanted
-
-    def _take_tokens(self, count: int, now: float) -> bool:
-        rate = self.options.urgent_messages_per_second
-        self._tokens = min(rate, self._tokens + rate * (now - self._filled_at))
+    def take(self, messages: int, now: float, *, reserve: float = 0.0) -> bool:
+        """Takes tokens for messages if more than ``reserve`` are left after that."""
+        earned = (now - self._filled_at) * self.options.early_message_rate
+        self._tokens = min(self._tokens + earned, self.options.early_message_burst)
         self._filled_at = now
-        if self._tokens < count:
+        if self._tokens < messages + reserve:
             return False
-        self._tokens -= count
+        self._tokens -= messages
         return True
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -28,7 +28,7 @@
     UpstreamRow,
     UpstreamState,
 )
-from ..core.reports import ByteBudget, UrgentReports
+from ..core.reports import ByteBudget
 from ..core.upstreams import ListedUpstream, LoadReport, Replica
 from ..core.versions import Verdict, Versions, apply_targets
 from ..metrics import Metrics
@@ -39,7 +39,6 @@
 from ..types import (
     Address,
     CallRequest,
-    OrganisationName,
     ReplicaId,
     RouterId,
     RouterIdentity,
@@ -82,13 +81,11 @@
         )
         self._sequence = 0
         self._budget = ByteBudget(board.options)
-        self._urgent = UrgentReports(board.options)
-        self._is_report_due = False
+        self._early_peers: set[RouterId] = set()
         self._is_report_for_all = False
         self._is_flush_due = False
         self._flushed_at = float("-inf")
         self._wakeup = Wakeup()
-        self._reported_waiting: set[tuple[ServiceName, OrganisationName]] = set()
 
     def bind(self) -> Address:
         """Listens for other routers and returns the address.
@@ -121,8 +118,10 @@
         """Carries out actions of the policy; urgent messages leave at once."""
         for action in actions:
             match action:
-                case SendReport():
-                    self._is_report_due = True
+                case SendReport(None):
+                    self._is_report_for_all = True
+                case SendReport(str(router_id)):
+                    self._early_peers.add(router_id)
                 case Send(router_id, message):
                     self._send(message, router_id)
                 case _:
@@ -135,13 +134,6 @@
         self._report_to_all(now)
         self._flush(now)
 
-    def note_waiting(self, service: ServiceName) -> None:
-        """Reports at once if an organisation's work has started to wait."""
-        names = self._board.queues.organisations(service)
-        if any((service, name) not in self._reported_waiting for name in names):
-            self._is_report_due = self._is_report_for_all = True
-            self._flush_if_due()
-
     def offer_configuration(self, version: int, value: object, source: str) -> None:
         """Takes a configuration that the platform or a peer gave."""
         verdict = self.versions.offer(version, value)
@@ -290,8 +282,8 @@
         self._is_flush_due = True
 
     def _flush_if_due(self) -> None:
-        self._is_report_due |= self._board.is_report_due
-        if not (self._is_report_due or self._is_flush_due):
+        self._is_report_for_all |= self._board.is_report_due
+        if not (self._is_report_for_all or self._early_peers or self._is_flush_due):
             return
         now = time.monotonic()
         if now - self._flushed_at >= self._options.flush_interval:
@@ -300,7 +292,9 @@
             self._wakeup.set()
 
     def _flush(self, now: float) -> None:
-        if self._is_report_due:
+        if self._is_report_for_all:
+            self._report_to_all(now)
+        elif self._early_peers:
             self._report_early(now)
         self._is_flush_due = False
         self._flushed_at = now
@@ -312,34 +306,17 @@
             self._wakeup.set()
 
     def _report_to_all(self, now: float) -> None:
-        report = self._build_report(now)
-        self._note_reported(report)
-        self._peers.send(report)
-
-    def _note_reported(self, report: Report) -> None:
-        queues = self._board.queues
-        self._reported_waiting = {
-            (service, name)
-            for service in queues.services()
-            for name in queues.organisations(service)
-        }
-        self._urgent.note_sent(report.slots)
-        self._is_report_due = self._is_report_for_all = False
+        self._peers.send(self._build_report(now))
+        self._is_report_for_all = False
+        self._early_peers.clear()
 
     def _report_early(self, now: float) -> None:
         report = self._build_report(now)
-        members = self._board.members
-        peers = self._urgent.choose_peers(
-            () if self._is_report_for_all else report.slots, peers=members, now=now
-        )
-        # What the budget does not allow goes out with the next interval.
-        self._is_report_due = self._is_report_for_all = False
-        for router_id in peers or ():
+        for router_id in self._early_peers & self._board.members.keys():
             address = self.membership.find_address(router_id)
             if address is not None:
                 self._peers.send(report, address, is_early=True)
-        if peers is not None and len(peers) == len(members):
-            self._note_reported(report)
+        self._early_peers.clear()
 
     def _build_report(self, now: float) -> Report:
         self._sequence += 1
@@ -378,9 +355,6 @@
             case Report():
                 await self._take_report(identity, message, now)
             case Grants():
-                self._urgent.note_grants(
-                    identity.router_id, [row.replica_id for row in message.rows]
-                )
                 actions = self._policy.take_grants(self._board, identity, message, now)
                 self.perform(actions)
                 await self._dispatch_replicas(row.replica_id for row in message.rows)
@@ -484,10 +458,10 @@
     def choose_start(
         self, board: Blackboard, service: ServiceName, now: float
     ) -> Start | None:
-        """Returns the policy's next start; reports work that has to wait."""
+        """Returns the policy's next start; sends what it has to tell otherwise."""
         start = self._policy.choose_start(board, service, now)
         if start is None:
-            self._control.note_waiting(service)
+            self._control.perform(())
         return start
 
     def finish(
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -18,9 +18,6 @@
     control_bytes_per_second: float = Field(
         4_300.0, gt=0, description="bytes that a router sends to all others"
     )
-    urgent_messages_per_second: float = Field(
-        40.0, gt=0, description="reports before the interval ends, one per peer"
-    )
     early_message_rate: float = Field(
         25.0, ge=0, description="messages per second that may precede the interval"
     )
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -14,6 +14,7 @@
 from ..core.fairness import ServiceView, choose_organisation, may_use_slot
 from ..core.messages import CounterRow, GrantRow, Grants, Report, SlotRow, Snapshot
 from ..core.placement import choose_arbiter, hash_pair
+from ..core.reports import EarlyBudget
 from ..core.upstreams import Replica
 from ..types import (
     CallRequest,
@@ -86,8 +87,7 @@
         ] = {}
         self._published_slots: dict[ReplicaId, tuple[SlotRow, float]] = {}
         self._sent_at: dict[int, float] = {}
-        self._early_tokens = 0.0
-        self._early_at = float("-inf")
+        self._early_budget: EarlyBudget | None = None
         self._published: dict[tuple[ServiceName, OrganisationName], _PublishedRow] = {}
 
     def _own_arbiter(self, board: Blackboard) -> Arbiter:
@@ -98,21 +98,10 @@
     def _take_early(
         self, board: Blackboard, messages: int, now: float, reserve: float = 0.0
     ) -> bool:
-        """Returns whether reports may go out before the interval ends.
-
-        A token bucket keeps the number of messages independent of the request
-        rate; without a token the news waits for the next regular report.
-        """
-        options = board.options
-        earned = (now - self._early_at) * options.early_message_rate
-        self._early_tokens = min(
-            self._early_tokens + earned, options.early_message_burst
-        )
-        self._early_at = now
-        if self._early_tokens < messages + reserve:
-            return False
-        self._early_tokens -= messages
-        return True
+        """Returns whether reports may go out before the interval ends."""
+        if self._early_budget is None:
+            self._early_budget = EarlyBudget(board.options)
+        return self._early_budget.take(messages, now, reserve=reserve)
 
     def _request_report(self, board: Blackboard, now: float) -> None:
         if not board.is_report_due and self._take_early(board, len(board.members), now):
