--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -289,8 +289,9 @@
     async def _wait_start(self, call: CallRequest) -> Replica:
         pending = self._pending[call.call_id]
         await self.dispatch(call.service)
-        remaining = call.wait_limit_at - time.monotonic()
-        await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
+        if not pending.event.is_set():
+            remaining = call.wait_limit_at - time.monotonic()
+            await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
         if pending.replica is None:
             raise WaitLimitError(
                 "the request waited as long as its class or deadline allows; try "
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -466,6 +466,29 @@
     run(session)
 
 
+def test_large_pipelined_request_does_not_end_the_present_call() -> None:
+    """Guards against pipelined bytes over the kept size being taken for a hang-up."""
+
+    async def session(border: Border) -> None:
+        def answer(received: bytes) -> list[bytes | Until]:
+            # Held until the other caller has seen its page.
+            return [Until(b"ok\n"), whole(read_call_id(received), b'{"n":1}')]
+
+        upstream = await border.add_upstream(answer, answer, service="look")
+        caller = await border.connect()
+        await caller.send(request("look", stream=False))
+        await border.wait_for(lambda: len(upstream.requests) == 1)
+        await caller.send(request("look", stream=False, body=b"x" * 200_000))
+        other = await border.connect()
+        await other.send(b"GET /healthz HTTP/1.1\r\nHost: r\r\n\r\n")
+        await other.receive_until(b"ok\n")
+        await caller.receive_until(b"x-call-id: call-2\r\n")
+        assert caller.received.count(b"HTTP/1.1 200 ") == 2
+        assert upstream.requests[1].endswith(b"x" * 200_000)
+
+    run(session)
+
+
 def test_token_is_passed_on_before_the_next_one_comes() -> None:
     """Guards against tokens that are held back until more arrive."""
 
