--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -379,8 +379,9 @@
     async def _wait_start(self, call: CallRequest) -> Replica:
         pending = self._pending[call.call_id]
         await self.dispatch(call.service)
-        remaining = call.wait_limit_at - time.monotonic()
-        await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
+        if not pending.event.is_set():
+            remaining = call.wait_limit_at - time.monotonic()
+            await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
         if pending.replica is None:
             raise self._overload.build_wait_limit_error(
                 call, self._count_waiting(call), time.monotonic()
