Do not take an origin without work for a folded one

Found by the state machine of the ledger. Ruled out: lost messages (the machine's last exchange loses none). Result: the new test fails without the change and passes with it.

--- a/sequoiamoor/core/ledger.py
+++ b/sequoiamoor/core/ledger.py
@@ -158,12 +158,13 @@
         origins = [
             OriginCounters(origin, self._to_rows(known.served))
             for origin, known in self._origins.items()
-            if only is None or origin in only
+            # An entry without counters names a folded origin.
+            if known.served and (only is None or origin in only)
         ]
         if only is not None:
             return Snapshot(tuple(origins))
-        if self._identity is not None:
-            own = {key: self._own.get(key, 0.0) for key in self.accounts()}
+        own = {key: self._own.get(key, 0.0) for key in self.accounts()}
+        if self._identity is not None and own:
             origins.append(OriginCounters(self._identity, self._to_rows(own)))
         if self._folded:
             retired = RouterIdentity(RETIRED_ROUTER_ID, 0, RETIRED_ROUTER_ID)
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -85,6 +85,20 @@
     assert ledger.total(S, "x") == 130
 
 
+def test_origin_without_work_is_not_taken_for_a_folded_one() -> None:
+    """Guards against a router whose first work is ignored by those it greeted."""
+    first, second = Ledger(build_identity(0)), Ledger(build_identity(1))
+    idle = Ledger(build_identity(2))
+    first.merge(build_identity(2), [build_row("x", 0)])
+    for sender in (first, idle):
+        second.take_snapshot(sender.build_snapshot())
+    second.merge(build_identity(2), [build_row("x", 7)])
+    newcomer = Ledger(build_identity(3))
+    newcomer.take_snapshot(first.build_snapshot())
+    newcomer.take_snapshot(second.build_snapshot())
+    assert second.total(S, "x") == newcomer.total(S, "x") == 7
+
+
 class LedgerMachine(RuleBasedStateMachine):
     """Three routers exchange rows that are lost, doubled and reordered."""
 
