Measure the mesh with the filter and the byte budget of the control side

Cause: the mesh sent reports that the daemon would have shortened. Change: each pair has the report filter, each router its byte budget.

--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -1,16 +1,22 @@
-"""Routers' decisions in one process, fully connected, to measure their CPU time."""
+"""Routers' decisions in one process, fully connected, to measure their CPU time.
+
+Reports pass the filter, the byte budget and the codec of the control side; only
+sockets are left out.
+"""
 
 from __future__ import annotations
 
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
 from typing import TypeVar
 
-from sequoiamoor.core.actions import Action, Send
+from sequoiamoor.core.actions import Action, Send, SendReport
 from sequoiamoor.core.blackboard import Blackboard, create_blackboard
 from sequoiamoor.core.messages import Grants, Message, Report, Snapshot
+from sequoiamoor.core.reports import ByteBudget, ReportFilter
 from sequoiamoor.core.upstreams import LoadReport, Replica
 from sequoiamoor.net.wire import Decoder, Encoder
 from sequoiamoor.options import Options
@@ -36,6 +42,8 @@
         self.board: Blackboard = create_blackboard(identity, options)
         self.policy = create_policy("arbitrated", rng=Random(number))
         self.running: deque[tuple[float, CallRequest, str]] = deque()
+        self.budget = ByteBudget(options)
+        self.filters: dict[str, ReportFilter] = {}
         self.cpu_seconds = 0.0
 
     def measure(self, work: Callable[[], _Result]) -> _Result:
@@ -134,13 +142,15 @@
                 lambda: router.policy.choose_start(board, SERVICE, self.now)
             )
             if start is None:
-                return
+                break
             call = board.queues.remove(start.call_id)
             assert call is not None
             ends_at = self.now + REQUEST_SECONDS
             router.running.append((ends_at, call, start.replica_id))
+        if board.is_report_due:
+            self._report(router)
 
-    def _report(self, router: MeshRouter) -> None:
+    def _report(self, router: MeshRouter, only: str | None = None) -> None:
         self._sequence += 1
         board = router.board
         board.report_sequence = self._sequence
@@ -154,12 +164,28 @@
             )
         )
         for peer in self.routers:
-            if peer is not router:
-                self._deliver(router, peer, report)
+            router_id = peer.board.identity.router_id
+            if peer is not router and only in (None, router_id):
+                part = router.measure(
+                    lambda to=router_id: self._filter(router, to, report, only)
+                )
+                self._deliver(router, peer, part)
+
+    def _filter(
+        self, router: MeshRouter, to: str, report: Report, only: str | None
+    ) -> Report:
+        router.budget.fill(self.now)
+        limit = router.budget.find_row_limit(len(self.routers) - 1)
+        counters = router.filters.setdefault(to, ReportFilter()).select(
+            report.counters, self.now, limit=limit, is_early=only is not None
+        )
+        return replace(report, counters=counters)
 
     def _perform(self, router: MeshRouter, actions: Iterable[Action]) -> None:
         for action in actions:
-            if isinstance(action, Send):
+            if isinstance(action, SendReport):
+                self._report(router, action.router_id)
+            elif isinstance(action, Send):
                 for peer in self.routers:
                     identity = peer.board.identity
                     if peer is not router and (
@@ -174,6 +200,7 @@
         self.messages_sent += 1
         for part in parts:
             self.bytes_sent += len(part)
+            sender.budget.spend(len(part))
             for received in peer.measure(lambda data=part: decoder.feed(data)):
                 self._take(peer, sender.board.identity, received)
 
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -10,7 +10,6 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from random import Random
 from typing import Annotated, Any
 
 import typer
@@ -23,18 +22,16 @@
 from sequoiamoor.core.upstreams import LoadReport, Replica
 from sequoiamoor.net.wire import Decoder, Encoder
 from sequoiamoor.options import Options
-from sequoiamoor.policies import Policy, create_policy
 from sequoiamoor.types import Address, CallRequest, RouterIdentity
 
 from .fleet import measure_fleet
 from .measure import Line, fit_line, measure_cpu, measure_memory, print_line
 from .measure import write_lines as write_result
+from .mesh import measure_mesh
 
 RESULT = Path(__file__).parent / "results" / "scale.json"
 ROWS = (8, 32, 128, 512)
 MEMBERS = (8, 32, 128, 350)
-REPLICAS = (4, 16, 64, 256)
-ORGANISATIONS = (16, 64, 210)
 FLEETS = (8, 16, 32)
 ZONES = 9
 SLOTS = 64
@@ -218,74 +215,25 @@
     return board
 
 
-def build_policy(board: Blackboard, organisations: int) -> Policy:
-    """Returns the chosen policy after a report of every peer."""
-    policy = create_policy("arbitrated", rng=Random(1))
-    policy.step(board, 10.0)
-    rows = tuple(
-        CounterRow(SERVICE, f"organisation-{number:03}", 1_000, 0, 2, 3, 400)
-        for number in range(organisations)
-    )
-    for identity in list(board.members.values()):
-        policy.take_report(board, identity, Report(1, 1, False, rows), 10.0)
-    return policy
-
-
 def measure_policy() -> list[Line]:
-    """Measures the policy's periodic step and its handling of a report."""
-    by_members, by_organisations, report = [], [], []
-    for members in (8, 16, 39):
-        board = build_board(members, 10)
-        policy = build_policy(board, 16)
-        by_members.append((float(members), _measure_step(policy, board)))
-    for organisations in ORGANISATIONS:
-        board = build_board(8, 10)
-        policy = build_policy(board, organisations)
-        by_organisations.append((float(organisations), _measure_step(policy, board)))
-        report.append(
-            (float(organisations), _measure_report(policy, board, organisations))
-        )
-    return [
-        fit_line("policy step by members", by_members, unit="us", per="member"),
-        fit_line(
-            "policy step by organisations",
-            by_organisations,
-            unit="us",
-            per="organisation",
-        ),
-        fit_line("policy report", report, unit="us", per="organisation"),
-    ]
-
-
-def _measure_step(policy: Policy, board: Blackboard) -> float:
-    clock = _Clock(10.0)
-    return measure_cpu(lambda: policy.step(board, clock.advance(0.2)), rounds=5)
-
-
-def _measure_report(policy: Policy, board: Blackboard, organisations: int) -> float:
-    identity = next(iter(board.members.values()))
-    clock = _Clock(30.0)
-    numbers = iter(range(2, 1_000_000))
-
-    def run() -> None:
-        number = next(numbers)
-        rows = tuple(
-            CounterRow(SERVICE, f"organisation-{one:03}", 1_000 + number, 0, 2, 3, 400)
-            for one in range(organisations)
-        )
-        report = Report(number, 1, False, rows)
-        policy.take_report(board, identity, report, clock.advance(0.001))
-
-    return measure_cpu(run, rounds=5)
-
-
-class _Clock:
-    def __init__(self, now: float) -> None:
-        self._now = now
-
-    def advance(self, seconds: float) -> float:
-        self._now += seconds
-        return self._now
+    """Measures one busy router's decisions, encoding and decoding together."""
+    sweeps: dict[str, list[tuple[int, int, int]]] = {
+        "router": [(count, 10, 16) for count in (8, 12, 16, 24)],
+        "replica": [(8, count, 16) for count in (10, 20, 40)],
+        "organisation": [(8, 10, count) for count in (16, 32, 64)],
+    }
+    lines = []
+    for position, (per, sizes) in enumerate(sweeps.items()):
+        rows = [(float(size[position]), measure_mesh(*size)) for size in sizes]
+        for name, unit in (
+            ("cpu_percent", "%"),
+            ("bytes_per_second", "B/s"),
+            ("messages_per_second", "1/s"),
+            ("used_slots", "of all"),
+        ):
+            points = [(size, row[name]) for size, row in rows]
+            lines.append(fit_line(f"mesh {name} by {per}", points, unit=unit, per=per))
+    return lines
 
 
 def measure_state() -> list[Line]:
