--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -23,6 +23,7 @@
 REPLICA = "m0"
 WINDOW = 3
 ROUTERS = 3
+ALL = range(ROUTERS)
 
 
 def build_identity(number: int, incarnation: int = 1) -> RouterIdentity:
@@ -160,8 +161,51 @@
             self.allotments[router].start(REPLICA)
 
 
+def build_network() -> Network:
+    """Returns a network in which all routers have adopted the first epoch."""
+    network = Network()
+    network.add_arbiter()
+    for _ in range(2):
+        network.exchange(0, ALL)
+    return network
+
+
+def test_reclaimed_slots_are_not_regained() -> None:
+    """Guards against a returning router that still counts reclaimed slots."""
+    network = build_network()
+    network.grant(0, 0)
+    network.exchange(0, [0])
+    assert network.allotments[0].free(REPLICA, network.now) == WINDOW
+    network.now += OPTIONS.router_reclaim_after
+    for _ in range(3):
+        network.exchange(0, [1])
+    network.grant(0, 1)
+    network.exchange(0, [1])
+    network.start_all(1)
+    assert network.allotments[1].in_use(REPLICA) == WINDOW
+    network.exchange(0, [0])
+    network.exchange(0, [0])
+    assert network.allotments[0].free(REPLICA, network.now) == 0
+
+
+def test_new_arbiter_counts_slots_of_routers_that_have_not_adopted() -> None:
+    """Guards against granting the slots that a slow router still uses."""
+    network = build_network()
+    network.grant(0, 0)
+    network.exchange(0, [0])
+    network.start_all(0)
+    second = network.add_arbiter()
+    for router in ALL:
+        network.report(router)
+        network.take_report(second, -1, False)
+    network.step(second)
+    network.now += OPTIONS.report_interval
+    network.exchange(second, [1])
+    network.exchange(second, [1])
+    assert network.arbiters[second].free(REPLICA, network.now) == 0
+
+
 ROUTER = st.integers(0, ROUTERS - 1)
-ALL = range(ROUTERS)
 
 
 class SlotMachine(RuleBasedStateMachine):
