--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -410,7 +410,9 @@
             # Peers may hold a later report of a dead origin than this router.
             actions.append(Send(None, board.ledger.build_snapshot(died)))
         windows = {}
-        for service in self._services(board):
+        # A router that starts knows no peers yet and would grant itself everything.
+        is_settled = now - self._created_at >= 2 * board.options.report_interval
+        for service in self._services(board) if is_settled else ():
             pool = self._pool(board, service, now)
             for replica in pool.replicas:
                 owner = choose_arbiter(replica.replica_id, replica.zone, members)
