--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -222,18 +221,6 @@
             return 0
         return max(state.window - state.held(), 0)
 
-    def beyond(self, replica_id: ReplicaId, now: float) -> int:
-        """Returns how many slots beyond the window may be granted now.
-
-        A replica runs a few more requests than its window at a slightly lower rate
-        each; the excess is recalled at the next step.
-        """
-        state = self._replicas.get(replica_id)
-        if state is None or not self._is_ready(state, now):
-            return 0
-        extra = math.ceil(state.window * self._options.beyond_window_fraction)
-        return max(state.window + extra - max(state.held(), state.window), 0)
-
     def can_grant(self, replica_id: ReplicaId, router: RouterIdentity) -> bool:
         """Returns whether the router has adopted the current epoch."""
         state = self._replicas[replica_id]
--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -79,10 +79,6 @@
         """Returns how many slots one organisation may use while others wait."""
         return max(math.ceil(self.cap_factor * self._share()), 1)
 
-    def is_below_share(self, name: OrganisationName) -> bool:
-        """Returns whether one more request keeps it within its equal share."""
-        return self.organisations[name].running + 1 <= self._share()
-
     def eligible(self, names: Iterable[OrganisationName]) -> list[OrganisationName]:
         """Returns those below their cap, or all if no backlogged one is."""
         cap = self.cap()
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -44,12 +44,6 @@
     )
     slot_cap_factor: float = Field(1.5, ge=1)
     slot_floor_factor: float = Field(0.5, ge=0, le=1)
-    beyond_window_fraction: float = Field(
-        0.1, ge=0, le=1, description="excess of a window for newly waiting work"
-    )
-    newly_waiting_time: float = Field(
-        0.4, ge=0, description="age up to which work counts as newly waiting"
-    )
     slot_average_time: float = Field(5.0, gt=0)
     hint_trust_factor: float = Field(4.0, ge=1)
     max_attempts: int = Field(3, ge=1, le=10)
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection
 from dataclasses import dataclass
 from random import Random
 
@@ -89,7 +88,6 @@
         self._published_slots: dict[ReplicaId, tuple[SlotRow, float]] = {}
         self._sent_at: dict[int, float] = {}
         self._early_budget: EarlyBudget | None = None
-        self._begun: dict[ServiceName, dict[OrganisationName, float]] = {}
         self._published: dict[tuple[ServiceName, OrganisationName], _PublishedRow] = {}
 
     def _own_arbiter(self, board: Blackboard) -> Arbiter:
@@ -276,37 +274,29 @@
         own = self._allotment.build_rows()
         arbiter.take_rows(board.identity, own, now)
         free: dict[ServiceName, list[ReplicaId]] = {}
-        beyond: dict[ServiceName, list[ReplicaId]] = {}
         for replica_id in arbiter.replica_ids():
             replica = board.upstreams.replicas.get(replica_id)
             if replica is not None:
                 count = arbiter.free(replica_id, now)
                 free.setdefault(replica.service, []).extend([replica_id] * count)
-                more = arbiter.beyond(replica_id, now)
-                beyond.setdefault(replica.service, []).extend([replica_id] * more)
         for service, slots in free.items():
-            if slots or beyond[service]:
-                self._assign_service(board, service, slots, beyond[service], now)
+            if slots:
+                self._assign_service(board, service, slots, now)
 
     def _assign_service(
         self,
         board: Blackboard,
         service: ServiceName,
         slots: list[ReplicaId],
-        beyond: list[ReplicaId],
         now: float,
     ) -> None:
         arbiter = self._own_arbiter(board)
         uncovered = self._find_uncovered(board, service, now)
-        self._note_begun(service, uncovered, now)
         if not uncovered:
             return
         view = self._build_view(board, service, now)
-        for number, replica_id in enumerate([*slots, *beyond]):
-            chosen = uncovered
-            if number >= len(slots):
-                chosen = self._find_new(board, service, uncovered, view, now)
-            name = self._choose_name(chosen, view, now)
+        for replica_id in slots:
+            name = self._choose_name(uncovered, view, now)
             if name is None:
                 return
             by_router = uncovered[name]
@@ -331,39 +321,6 @@
                 queue = self._pending.setdefault(router.router_id, deque())
                 queue.append((now, service, name))
 
-    def _note_begun(
-        self,
-        service: ServiceName,
-        uncovered: Collection[OrganisationName],
-        now: float,
-    ) -> None:
-        begun = self._begun.setdefault(service, {})
-        for name in [one for one in begun if one not in uncovered]:
-            del begun[name]
-        for name in uncovered:
-            begun.setdefault(name, now)
-
-    def _find_new(
-        self,
-        board: Blackboard,
-        service: ServiceName,
-        uncovered: dict[OrganisationName, dict[RouterIdentity, int]],
-        view: ServiceView,
-        now: float,
-    ) -> dict[OrganisationName, dict[RouterIdentity, int]]:
-        """Returns work that may start beyond the windows.
-
-        It belongs to organisations that run less than their share and have only
-        just begun to wait; those that are backlogged wait for a free slot.
-        """
-        limit = now - board.options.newly_waiting_time
-        begun = self._begun[service]
-        return {
-            name: routers
-            for name, routers in uncovered.items()
-            if begun[name] > limit and view.is_below_share(name)
-        }
-
     def _choose_name(
         self,
         uncovered: dict[OrganisationName, dict[RouterIdentity, int]],
