Take a report without news as a heartbeat

Ruled out: fewer heartbeats (suspicion takes 1.5 s and needs several of them). Change: a report whose slots are the tuple taken before, and without counters, only refreshes when the peer was heard.

--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -88,6 +88,7 @@
         self._published_slots: dict[ReplicaId, tuple[SlotRow, float]] = {}
         self._sent_at: dict[int, float] = {}
         self._early_budget: EarlyBudget | None = None
+        self._taken_slots: dict[RouterIdentity, tuple[SlotRow, ...]] = {}
         self._published: dict[tuple[ServiceName, OrganisationName], _PublishedRow] = {}
 
     def _own_arbiter(self, board: Blackboard) -> Arbiter:
@@ -395,6 +396,8 @@
         actions: list[Action] = []
         members = [board.identity, *board.members.values()]
         died = board.ledger.note_live(set(members))
+        for origin in died:
+            self._taken_slots.pop(origin, None)
         if died:
             # Peers may hold a later report of a dead origin than this router.
             actions.append(Send(None, board.ledger.build_snapshot(died)))
@@ -487,7 +490,15 @@
         for row in report.counters:
             if row.waiting:
                 self._waited_at[row.service, row.organisation] = now
-        self._own_arbiter(board).take_rows(origin, report.slots, now)
+        # Without a new row the connection's decoder hands out the same tuple again;
+        # such a report is a heartbeat and calls for no decision.
+        is_known = self._taken_slots.get(origin) is report.slots
+        self._taken_slots[origin] = report.slots
+        self._own_arbiter(board).take_rows(
+            origin, () if is_known else report.slots, now
+        )
+        if is_known and not report.counters:
+            return []
         released = self._yield_free(board, now)
         return self._arbitrate(board, now) + self._after_release(board, released, now)
 
