--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -15,12 +15,13 @@
 
 import pytest
 
-from sequoiamoor.standin.client import fetch, put_configuration, put_vms
+from sequoiamoor.standin.client import fetch, is_ready, put_configuration, put_vms
 from sequoiamoor.standin.launcher import Fleet, run_fleet
 from sequoiamoor.standin.processes import read_listening
 
 from .fleets import (
     DECLARATION,
+    READY_SECONDS,
     block,
     build_plan,
     call,
@@ -38,7 +39,7 @@
 
 pytestmark = pytest.mark.processes
 
-CONFIGURATION_SECONDS = 13.0
+CONFIGURATION_SECONDS = 5.0
 HEAL_SECONDS = 10.0
 LEAVING_SECONDS = 3.0
 DEAD_SECONDS = 5.0
@@ -158,6 +159,36 @@
         wait_members(fleet, fleet.routers, 4, limit=HEAL_SECONDS)
 
 
+def test_cut_zones_serve_while_the_platform_is_out_and_a_router_dies() -> None:
+    """Guards against failures that are survived one by one but not together."""
+    zones = ("zone-a", "zone-a", "zone-b", "zone-b")
+    with run_fleet(build_plan(zones, replicas=4)) as fleet:
+        wait_fleet(fleet)
+        set_outage(fleet, outage=True)
+        for name in ("router-0", "router-1"):
+            block(fleet.routers[name], "127.0.2.")
+        for name in ("router-2", "router-3"):
+            block(fleet.routers[name], "127.0.1.")
+        restart(fleet, "router-3")
+        wait_until(
+            lambda: is_ready(fleet.routers["router-3"]),
+            limit=READY_SECONDS,
+            what="the restarted router is ready through its peer",
+        )
+        block(fleet.routers["router-3"], "127.0.1.")
+        wait_members(fleet, fleet.routers, 2, limit=HEAL_SECONDS)
+        for name, address in fleet.routers.items():
+            assert call(address, f"cut-{name}")[0] == 200
+        for address in fleet.routers.values():
+            block(address)
+        set_outage(fleet, outage=False)
+        wait_members(fleet, fleet.routers, 4, limit=HEAL_SECONDS)
+        version = write_configuration(fleet, expected=1, title="after")
+        wait_version(fleet, fleet.routers, version, limit=CONFIGURATION_SECONDS)
+        for name, address in fleet.routers.items():
+            assert call(address, f"healed-{name}")[0] == 200
+
+
 def _send_bad_bytes(fleet: Fleet, name: str) -> None:
     series = "sequoiamoor_control_protocol_errors_total"
     vms = fetch(fleet.platform, "GET", "/vms")[1]["vms"]
