Split the fairness and decision benchmarks into modules with one job

Change: the fairness benchmark is divided into fleet, runs, figures and report, the decision benchmark into router, fleet and scenarios. fairness.py and decisions.py keep the command line. Tests import from the new modules; assertions are unchanged.

--- /dev/null
+++ b/benchmarks/fairness_runs.py
@@ -0,0 +1,253 @@
+"""Runs real fleets for the fairness benchmark, and polls them meanwhile."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import time
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import curio
+
+from sequoiamoor.policies import create_policy
+from sequoiamoor.standin.client import Series, fetch_async, read_metrics_async
+from sequoiamoor.standin.demo import list_kinds
+from sequoiamoor.standin.launcher import Fleet, LaunchError, run_fleet
+
+from .fairness_figures import Poll, Run, compute_control_rate, take_load, take_polls
+from .fairness_fleet import (
+    KILLED_ROUTER,
+    ROUTER_ZONES,
+    build_plan,
+    compute_capacity,
+    list_cut_zones,
+)
+from .measures import LoadSample
+from .workload import LoadError, LoadProcesses, build_load
+
+READY_TIMEOUT_SECONDS = 30.0
+SETTLE_SECONDS = 2.0
+IDLE_SECONDS = 5.0
+START_SECONDS = 2.0
+POLL_INTERVAL_SECONDS = 1.0
+# Parts of the measured time at which a fault starts and ends.
+FAULT_STARTS = 0.25
+FAULT_ENDS = 0.6
+REPORT_TIMEOUT_SECONDS = 30.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def read_cpu_seconds(pid: int) -> float | None:
+    """Returns the CPU time of a process, or None if it is gone."""
+    try:
+        text = Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return None
+    values = text.rpartition(")")[2].split()
+    if values[0] == "Z":
+        return None
+    return (int(values[11]) + int(values[12])) / CLOCK_TICKS
+
+
+def read_memory_bytes(pid: int) -> float | None:
+    """Returns the resident memory of a process, or None if it is gone."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return None
+    for line in text.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return None
+
+
+def _list_pids(fleet: Fleet) -> dict[str, int]:
+    return {name: fleet.processes[name].pid for name in fleet.routers}
+
+
+def _read_cpu(pids: dict[str, int]) -> dict[str, float]:
+    times = {name: read_cpu_seconds(pid) for name, pid in pids.items()}
+    return {name: value for name, value in times.items() if value is not None}
+
+
+def _largest_core_share(
+    before: dict[str, float], after: dict[str, float], seconds: float
+) -> float | None:
+    shares = [(after[name] - before[name]) / seconds for name in before.keys() & after]
+    return max(shares, default=None)
+
+
+async def poll_fleet(fleet: Fleet) -> Poll:
+    """Reads routers, engines and platform once; what is gone is left out."""
+    series: dict[str, Series] = {}
+    counts: list[Any] = []
+    platform: dict[str, float] = {}
+
+    async def read_router(name: str) -> None:
+        with contextlib.suppress(OSError):
+            series[name] = await read_metrics_async(fleet.routers[name])
+
+    async def read_engine(name: str) -> None:
+        with contextlib.suppress(OSError):
+            counts.append(
+                (await fetch_async(fleet.upstreams[name], "GET", "/admin/counts"))[1]
+            )
+
+    async def read_platform() -> None:
+        with contextlib.suppress(OSError):
+            answer = await fetch_async(fleet.platform, "GET", "/admin/counts")
+            platform.update(answer[1])
+
+    engines = [name for name in fleet.upstreams if name.startswith("talk-")]
+    async with curio.TaskGroup() as tasks:
+        for name in fleet.routers:
+            await tasks.spawn(read_router, name)
+        for name in engines:
+            await tasks.spawn(read_engine, name)
+        await tasks.spawn(read_platform)
+    load = None
+    if len(counts) == len(engines):
+        counts.sort(key=lambda one: str(one["replica"]))
+        waiting = sum(
+            sum(one.read("sequoiamoor_waiting_requests")) for one in series.values()
+        )
+        load = LoadSample(
+            waiting,
+            tuple(one["busy_slot_seconds"] for one in counts),
+            tuple(one["elapsed_seconds"] for one in counts),
+            tuple(one["slots"] for one in counts),
+        )
+    return Poll(time.monotonic(), load, series, platform)
+
+
+async def _poll_until(fleet: Fleet, polls: list[Poll], until: float) -> None:
+    while time.monotonic() < until:
+        polls.append(await poll_fleet(fleet))
+        await curio.sleep(POLL_INTERVAL_SECONDS)
+
+
+async def _sleep_until(at: float) -> None:
+    await curio.sleep(max(0.0, at - time.monotonic()))
+
+
+async def _partition(fleet: Fleet, run: Run, *, is_cut: bool) -> None:
+    statuses = set()
+    for address, zone in zip(fleet.routers.values(), ROUTER_ZONES, strict=True):
+        cut = list_cut_zones(zone) if is_cut else []
+        prefixes = [fleet.zone_prefix(one) for one in cut]
+        body = {"prefixes": prefixes}
+        statuses.add((await fetch_async(address, "POST", "/debug/partition", body))[0])
+    if any(status >= 300 for status in statuses):
+        run.invalid.append(f"POST /debug/partition gave status {sorted(statuses)}")
+
+
+async def _bring_faults(fleet: Fleet, run: Run, starts: float, ends: float) -> None:
+    if run.scenario == "partition":
+        await _sleep_until(starts)
+        await _partition(fleet, run, is_cut=True)
+        await _sleep_until(ends)
+        await _partition(fleet, run, is_cut=False)
+    elif run.scenario == "platform-out":
+        for at, is_out in ((starts, True), (ends, False)):
+            await _sleep_until(at)
+            body = {"outage": is_out}
+            await fetch_async(fleet.platform, "POST", "/admin/faults", body)
+    elif run.scenario == "router-killed":
+        await _sleep_until(starts)
+        fleet.kill(KILLED_ROUTER)
+
+
+async def _watch(fleet: Fleet, run: Run, from_time: float, until: float) -> list[Poll]:
+    polls: list[Poll] = []
+    length = until - from_time
+    await _sleep_until(from_time)
+    async with curio.TaskGroup() as tasks:
+        await tasks.spawn(_poll_until, fleet, polls, until)
+        await tasks.spawn(
+            _bring_faults,
+            fleet,
+            run,
+            from_time + FAULT_STARTS * length,
+            from_time + FAULT_ENDS * length,
+        )
+    for error in tasks.exceptions:
+        if error is not None:
+            raise error
+    return polls
+
+
+def _measure_idle(fleet: Fleet, run: Run) -> None:
+    pids = _list_pids(fleet)
+    time.sleep(SETTLE_SECONDS)
+    first = curio.run(poll_fleet, fleet)
+    before, began = _read_cpu(pids), time.monotonic()
+    time.sleep(IDLE_SECONDS)
+    seconds = time.monotonic() - began
+    after = _read_cpu(pids)
+    last = curio.run(poll_fleet, fleet)
+    run.figures["router_core_share_idle"] = _largest_core_share(before, after, seconds)
+    run.figures["control_bytes_per_second_idle"] = compute_control_rate(
+        [first, last], "sequoiamoor_control_bytes_total", "out"
+    )
+
+
+def run_once(
+    policy: str, scenario: str, *, seconds: float, warm_up: float, seed: int
+) -> Run:
+    """Runs one policy in one scenario; a run that fails is invalid."""
+    implementation = type(create_policy(policy, rng=Random(seed))).__name__
+    run = Run(policy, scenario, seed, seconds, implementation)
+    try:
+        _measure(run, warm_up=warm_up)
+    except (LaunchError, LoadError, OSError) as err:
+        run.invalid.append(repr(err))
+    return run
+
+
+def _measure(run: Run, *, warm_up: float) -> None:
+    policy, scenario, seed = run.policy, run.scenario, run.seed
+    plan = build_plan(policy, seed=seed)
+    with run_fleet(plan) as fleet:
+        fleet.wait_ready(timeout=READY_TIMEOUT_SECONDS)
+        _measure_idle(fleet, run)
+        pids = _list_pids(fleet)
+        from_time = time.monotonic() + START_SECONDS + warm_up
+        until = from_time + run.seconds
+        groups = build_load(
+            tuple(fleet.routers.values()),
+            capacity=compute_capacity(),
+            is_flooded=scenario == "flood",
+        )
+        load = LoadProcesses(
+            groups,
+            list_kinds(plan.declaration),
+            seed=seed,
+            from_time=from_time,
+            until=until,
+        )
+        try:
+            time.sleep(max(0.0, from_time - time.monotonic()))
+            before = _read_cpu(pids)
+            polls = curio.run(_watch, fleet, run, from_time, until)
+            after, ended = _read_cpu(pids), time.monotonic()
+            memory = [read_memory_bytes(pid) for pid in pids.values()]
+            report = load.collect(timeout=REPORT_TIMEOUT_SECONDS)
+        finally:
+            load.end()
+        run.figures["router_core_share"] = _largest_core_share(
+            before, after, ended - from_time
+        )
+        run.figures["router_memory_bytes"] = max(one for one in memory if one)
+        for name in fleet.routers:
+            status = fleet.processes[name].poll()
+            if status is not None and (scenario, name) != (
+                "router-killed",
+                KILLED_ROUTER,
+            ):
+                run.invalid.append(
+                    f"{name} ended with {status}: {fleet.read_log(name)}"
+                )
+    take_polls(run, polls)
+    take_load(run, report)
--- a/tests/benchmarks/test_measures.py
+++ b/tests/benchmarks/test_measures.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from benchmarks.fairness import Run, judge, list_cut_zones
+from benchmarks.fairness_figures import Run
+from benchmarks.fairness_fleet import list_cut_zones
+from benchmarks.fairness_report import judge
 from benchmarks.measures import (
     LoadSample,
     check_at_least,
--- a/tests/policies/test_arbitrated.py
+++ b/tests/policies/test_arbitrated.py
@@ -6,17 +6,16 @@
 
 import pytest
 
-from benchmarks.decisions import (
+from benchmarks.decisions_fleet import (
     CAPACITY,
     DELAY,
     LARGEST,
     REPLICAS,
-    SERVICE,
     SLOTS,
     Fleet,
-    run_flood,
-    run_steady,
 )
+from benchmarks.decisions_router import SERVICE
+from benchmarks.decisions_scenarios import run_flood, run_steady
 from sequoiamoor.core.blackboard import create_blackboard
 from sequoiamoor.core.messages import GrantRow, Grants
 from sequoiamoor.core.upstreams import Replica
