Give the stand-ins for upstreams one base class

Cause: engine.py and service.py each had their own handling of fault switches, leaving orders and load reports.

Change: standin/upstream.py has UpstreamStandIn, which serves /v1/load, /admin/counts, /admin/faults and /admin/leaving. The engine and the plain service give it their running and queued requests, their token rate and their counts.

--- a/sequoiamoor/standin/engine.py
+++ b/sequoiamoor/standin/engine.py
@@ -24,16 +24,14 @@
 from .server import (
     BadInputError,
     Body,
-    LaggedValue,
-    LeavingOrder,
     StandInConnection,
     UpstreamFaults,
     check_method,
     parse_body,
-    reject_path,
     send_json,
     serve_http,
 )
+from .upstream import UpstreamStandIn
 
 LARGEST_ANSWER_TOKENS = 1_000_000
 KEPT_CACHE_EVENTS = 10_000
@@ -219,7 +217,7 @@
     cached: Counter[str] = field(default_factory=Counter)
 
 
-class EngineStandIn:
+class EngineStandIn(UpstreamStandIn[EngineFaults]):
     """The engine.
 
     With ``n`` running requests a step takes ``token_interval * max((1 + n / slots)
@@ -242,23 +240,17 @@
         checks_fencing: bool = True,
         rng: Random | None = None,
     ) -> None:
-        self._replica = replica
-        self._slots = slots
+        super().__init__(replica, slots=slots, load_lag=load_lag, faults=EngineFaults)
         self._token_interval = token_interval
         self._prefill_rate = prefill_rate
         self._checks_fencing = checks_fencing
         self._cache = PrefixCache(
             cache_tokens, cache_lag, cache_loss, rng=rng or Random()
         )
-        self._incarnation = time.time_ns() // 1_000_000
         self._started_at = time.monotonic()
         # In the order of arrival, which is the order of prefill.
         self._running: dict[Generation, None] = {}
         self._work = curio.Event()
-        self._load = LaggedValue((0, False), lag=load_lag)
-        self._leaving_at: float | None = None
-        self._last_start: float | None = None
-        self._faults = EngineFaults.model_validate({})
         self._last_fencing_number = 0
         self._orders: list[dict[str, Any]] = []
         self.counts = EngineCounts()
@@ -269,8 +261,6 @@
             case "/v1/generate":
                 check_method(request, "POST")
                 await self._generate(connection, request)
-            case "/v1/load":
-                await send_json(connection, 200, self._report_load())
             case "/v1/cache-events":
                 events = self._cache.list_events(_read_after(request), time.monotonic())
                 await send_json(connection, 200, {"events": events})
@@ -278,20 +268,8 @@
                 check_method(request, "POST")
                 status, document = self._take_order(parse_body(Order, request))
                 await send_json(connection, status, document)
-            case "/admin/faults":
-                check_method(request, "POST")
-                self._faults = parse_body(EngineFaults, request)
-                await send_json(connection, 200, {})
-            case "/admin/leaving":
-                check_method(request, "POST")
-                is_leaving = parse_body(LeavingOrder, request).leaving
-                self._leaving_at = time.monotonic() if is_leaving else None
-                self._note_load()
-                await send_json(connection, 200, {})
-            case "/admin/counts":
-                await send_json(connection, 200, self._report_counts())
             case _:
-                raise reject_path(request)
+                await super().handle(connection, request)
 
     async def run_steps(self) -> None:
         """Advances all running requests until cancelled."""
@@ -365,8 +343,7 @@
         generation = self._accept(connection, request)
         self.counts.requests += 1
         faults = self._take_faults()
-        if self._leaving_at is not None:
-            self._last_start = time.monotonic() - self._leaving_at
+        self._note_start()
         head_id = generation.call_id
         if faults is not None:
             self.counts.faults += 1
@@ -437,29 +414,11 @@
             prefix_tokens=prefix,
         )
 
-    def _take_faults(self) -> EngineFaults | None:
-        faults = self._faults
-        if faults == EngineFaults.model_validate({}) or faults.remaining == 0:
-            return None
-        if faults.remaining is not None:
-            faults.remaining -= 1
-        return faults
+    def _count_load(self) -> tuple[int, int]:
+        return len(self._running), 0
 
-    def _note_load(self) -> None:
-        load = (len(self._running), self._leaving_at is not None)
-        self._load.set(load, time.monotonic())
-
-    def _report_load(self) -> dict[str, Any]:
-        running, is_leaving = self._load.read(time.monotonic())
-        return {
-            "replica": self._replica,
-            "incarnation": self._incarnation,
-            "slots": self._slots,
-            "running": running,
-            "queued": 0,
-            "token_rate": running / self._step_seconds(running),
-            "leaving": is_leaving,
-        }
+    def _compute_token_rate(self, running: int) -> float:
+        return running / self._step_seconds(running)
 
     def _take_order(self, order: Order) -> tuple[int, dict[str, Any]]:
         if self._checks_fencing and order.fencing_number < self._last_fencing_number:
--- a/sequoiamoor/standin/service.py
+++ b/sequoiamoor/standin/service.py
@@ -14,16 +14,14 @@
     LARGEST_DELAY_MS,
     BadInputError,
     Body,
-    LaggedValue,
-    LeavingOrder,
     StandInConnection,
     UpstreamFaults,
     check_method,
     parse_body,
-    reject_path,
     send_json,
     serve_http,
 )
+from .upstream import UpstreamStandIn
 
 
 class CallBody(Body):
@@ -46,21 +44,15 @@
     refuse: bool = False
 
 
-class ServiceStandIn:
+class ServiceStandIn(UpstreamStandIn[ServiceFaults]):
     """The service; calls beyond ``slots`` wait for their turn."""
 
     def __init__(self, replica: str, *, slots: int = 4, load_lag: float = 0.5) -> None:
-        self._replica = replica
-        self._slots = slots
+        super().__init__(replica, slots=slots, load_lag=load_lag, faults=ServiceFaults)
         self._turns = curio.Semaphore(slots)
-        self._incarnation = time.time_ns() // 1_000_000
         self._running = 0
         self._queued = 0
-        self._load = LaggedValue((0, 0, False), lag=load_lag)
-        self._leaving_at: float | None = None
-        self._last_start: float | None = None
         self._busy_seconds = 0.0
-        self._faults = ServiceFaults.model_validate({})
         self.executions: Counter[str] = Counter()
 
     async def handle(self, connection: StandInConnection, request: Request) -> None:
@@ -69,40 +61,16 @@
             case "/v1/call":
                 check_method(request, "POST")
                 await self._call(connection, request)
-            case "/v1/load":
-                await send_json(connection, 200, self._report_load())
             case "/v1/executions":
                 await send_json(connection, 200, self.executions)
-            case "/admin/counts":
-                await send_json(connection, 200, self._report_counts())
-            case "/admin/faults":
-                check_method(request, "POST")
-                self._faults = parse_body(ServiceFaults, request)
-                await send_json(connection, 200, {})
-            case "/admin/leaving":
-                check_method(request, "POST")
-                is_leaving = parse_body(LeavingOrder, request).leaving
-                self._leaving_at = time.monotonic() if is_leaving else None
-                self._note_load()
-                await send_json(connection, 200, {})
             case _:
-                raise reject_path(request)
+                await super().handle(connection, request)
 
-    def _note_load(self) -> None:
-        load = (self._running, self._queued, self._leaving_at is not None)
-        self._load.set(load, time.monotonic())
+    def _count_load(self) -> tuple[int, int]:
+        return self._running, self._queued
 
-    def _report_load(self) -> dict[str, object]:
-        running, queued, is_leaving = self._load.read(time.monotonic())
-        return {
-            "replica": self._replica,
-            "incarnation": self._incarnation,
-            "slots": self._slots,
-            "running": running,
-            "queued": queued,
-            "token_rate": 1000.0 * running,
-            "leaving": is_leaving,
-        }
+    def _compute_token_rate(self, running: int) -> float:
+        return 1000.0 * running
 
     def _report_counts(self) -> dict[str, object]:
         return {
@@ -114,21 +82,13 @@
             "last_start_after_leaving_seconds": self._last_start,
         }
 
-    def _take_faults(self) -> ServiceFaults:
-        faults = self._faults
-        if faults.remaining == 0:
-            return ServiceFaults.model_validate({})
-        if faults.remaining is not None:
-            faults.remaining -= 1
-        return faults
-
     async def _call(self, connection: StandInConnection, request: Request) -> None:
         request_id = request.headers.get("x-request-id")
         call_id = request.headers.get("x-call-id")
         if not request_id or not call_id:
             raise BadInputError("X-Request-Id or X-Call-Id is missing; send both")
         body = parse_body(CallBody, request)
-        faults = self._take_faults()
+        faults = self._take_faults() or self._no_faults
         await curio.sleep(faults.delay_ms / 1000)
         headers = {"x-call-id": call_id}
         if faults.refuse:
@@ -150,8 +110,7 @@
     async def _execute(
         self, request: Request, request_id: str, body: CallBody
     ) -> float:
-        if self._leaving_at is not None:
-            self._last_start = time.monotonic() - self._leaving_at
+        self._note_start()
         organisation = request.headers.get("x-organisation")
         self._queued += 1
         try:
