Read series, CPU time and memory of processes in one module

Cause: control.py, fleet.py, relay.py and the fairness benchmark each read /proc/PID/stat, and control.py, fleet.py and tests/fleets.py each parsed /metrics with their own expressions.

Change: benchmarks/usage.py reads all of these, with the Prometheus parser of the stand-in client. The fairness benchmark now takes the resident memory from statm, like the others, and not from VmRSS. The tests give labels as arguments instead of inside the name.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -9,18 +9,17 @@
 from __future__ import annotations
 
 import argparse
-import os
-import re
 import time
-from pathlib import Path
 
-from sequoiamoor.standin.client import fetch, wait_ready
+from sequoiamoor.standin.client import wait_ready
 from sequoiamoor.standin.launcher import Fleet, FleetPlan, UpstreamPlan, run_fleet
-from sequoiamoor.types import Address
+
+from .usage import read_cpu_seconds, read_labelled_totals, read_resident_bytes
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 ROUTERS = 8
 SETTLE_SECONDS = 6.0
+PREFIXES = ("sequoiamoor_control_", "sequoiamoor_platform_")
 LIMITS = {
     "bytes_per_second": 9_000.0,
     "cpu_share": 0.016,
@@ -28,10 +27,6 @@
     "platform_per_second": 10.0,
 }
 
-SERIES = re.compile(
-    r"^(sequoiamoor_(?:control|platform)_[a-z_]+)\{(.*?)\} (\S+)$", re.M
-)
-
 
 def build_plan() -> FleetPlan:
     """Returns a fleet of the size of the Pinfall Yard fleet."""
@@ -56,31 +51,12 @@
     )
 
 
-def read_series(address: Address) -> dict[str, float]:
-    """Returns the control and platform counters of a router."""
-    _, text = fetch(address, "GET", "/metrics")
-    return {
-        f"{name}{{{labels}}}": float(value)
-        for name, labels, value in SERIES.findall(text)
-        if name.endswith("_total")
-    }
-
-
-def read_cpu_seconds(pid: int) -> float:
-    """Returns the CPU time of a process."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def read_resident_megabytes(pid: int) -> float:
-    """Returns the resident memory of a process."""
-    fields = Path(f"/proc/{pid}/statm").read_text().split()
-    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 def measure(fleet: Fleet, seconds: float) -> dict[str, float]:
     """Returns the figures of the busiest router, and of the fleet's platform."""
-    before = {name: read_series(one) for name, one in fleet.routers.items()}
+    before = {
+        name: read_labelled_totals(one, *PREFIXES)
+        for name, one in fleet.routers.items()
+    }
     cpu = {name: read_cpu_seconds(fleet.processes[name].pid) for name in fleet.routers}
     started = time.monotonic()
     time.sleep(seconds)
@@ -93,7 +69,7 @@
     for name, address in fleet.routers.items():
         rates = {
             series: (value - before[name].get(series, 0.0)) / elapsed
-            for series, value in read_series(address).items()
+            for series, value in read_labelled_totals(address, *PREFIXES).items()
         }
         for kind, values in sums.items():
             values.append(sum(rate for key, rate in rates.items() if kind in key))
@@ -103,8 +79,9 @@
         "cpu_share": max(used.values()) / elapsed,
         "cpu_share_mean": sum(used.values()) / elapsed / len(used),
         "resident_megabytes": max(
-            read_resident_megabytes(fleet.processes[name].pid) for name in cpu
-        ),
+            read_resident_bytes(fleet.processes[name].pid) for name in cpu
+        )
+        / 1e6,
         "platform_per_second": sum(sums["platform"]),
     }
 
--- a/benchmarks/fairness_runs.py
+++ b/benchmarks/fairness_runs.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import time
-from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -25,6 +23,7 @@
     list_cut_zones,
 )
 from .measures import LoadSample
+from .usage import find_cpu_seconds, find_resident_bytes
 from .workload import LoadError, LoadProcesses, build_load
 
 READY_TIMEOUT_SECONDS = 30.0
@@ -36,31 +35,6 @@
 FAULT_STARTS = 0.25
 FAULT_ENDS = 0.6
 REPORT_TIMEOUT_SECONDS = 30.0
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
-
-
-def read_cpu_seconds(pid: int) -> float | None:
-    """Returns the CPU time of a process, or None if it is gone."""
-    try:
-        text = Path(f"/proc/{pid}/stat").read_text()
-    except OSError:
-        return None
-    values = text.rpartition(")")[2].split()
-    if values[0] == "Z":
-        return None
-    return (int(values[11]) + int(values[12])) / CLOCK_TICKS
-
-
-def read_memory_bytes(pid: int) -> float | None:
-    """Returns the resident memory of a process, or None if it is gone."""
-    try:
-        text = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return None
-    for line in text.splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024
-    return None
 
 
 def _list_pids(fleet: Fleet) -> dict[str, int]:
@@ -68,7 +42,7 @@
 
 
 def _read_cpu(pids: dict[str, int]) -> dict[str, float]:
-    times = {name: read_cpu_seconds(pid) for name, pid in pids.items()}
+    times = {name: find_cpu_seconds(pid) for name, pid in pids.items()}
     return {name: value for name, value in times.items() if value is not None}
 
 
@@ -232,7 +206,7 @@
             before = _read_cpu(pids)
             polls = curio.run(_watch, fleet, run, from_time, until)
             after, ended = _read_cpu(pids), time.monotonic()
-            memory = [read_memory_bytes(pid) for pid in pids.values()]
+            memory = [find_resident_bytes(pid) for pid in pids.values()]
             report = load.collect(timeout=REPORT_TIMEOUT_SECONDS)
         finally:
             load.end()
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -2,42 +2,19 @@
 
 from __future__ import annotations
 
-import os
 import time
-from pathlib import Path
 from typing import Any
 
-from sequoiamoor.standin.client import fetch, wait_ready
+from sequoiamoor.standin.client import wait_ready
 from sequoiamoor.standin.demo import DECLARATION
 from sequoiamoor.standin.launcher import Fleet, FleetPlan, UpstreamPlan, run_fleet
-from sequoiamoor.types import Address
+
+from .usage import read_cpu_seconds, read_resident_bytes, read_series
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 SETTLE_SECONDS = 4.0
 
 
-def read_series(router: Address, name: str) -> float:
-    """Returns the sum over all labels of a series of a router."""
-    _, text = fetch(router, "GET", "/metrics")
-    return sum(
-        float(line.rsplit(" ", 1)[1])
-        for line in text.splitlines()
-        if line.startswith((name + "{", name + " "))
-    )
-
-
-def read_cpu_seconds(process_id: int) -> float:
-    """Returns the CPU time that a process has used."""
-    fields = Path(f"/proc/{process_id}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def read_resident_bytes(process_id: int) -> int:
-    """Returns the resident memory of a process."""
-    pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE")
-
-
 def build_plan(routers: int) -> FleetPlan:
     """Returns a fleet with few upstreams and many routers."""
     upstreams = tuple(
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -37,8 +37,9 @@
 )
 from sequoiamoor.types import Address
 
+from .usage import read_cpu_seconds
+
 HOST = "127.0.0.1"
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 RESULTS = Path(__file__).resolve().parent.parent / "results" / "relay.json"
 AIM_CHUNK_US = 25.0
 AIM_RATIO = 4.0
@@ -223,12 +224,6 @@
     curio.run(main)
 
 
-def read_cpu(pid: int) -> float:
-    """Returns the CPU time that a process used, in seconds."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
 @dataclass
 class Target:
     """A process under measurement and how it is asked."""
@@ -253,7 +248,7 @@
         tails = dict.fromkeys(socks, b"")
         for sock in socks:
             selector.register(sock, selectors.EVENT_READ)
-        before = read_cpu(target.pid)
+        before = read_cpu_seconds(target.pid)
         for sock in socks:
             sock.sendall(asked)
         while ended < load.streams:
@@ -270,7 +265,7 @@
                 phase.chunks += joined.count(CHUNK_END) - tails[sock].count(CHUNK_END)
                 tails[sock] = joined[-32:]
                 ended += joined.endswith(b"0\r\n\r\n")
-        phase.cpu_seconds = read_cpu(target.pid) - before
+        phase.cpu_seconds = read_cpu_seconds(target.pid) - before
     if phase.tokens != load.streams * load.tokens:
         raise RuntimeError(f"{target.name}: {phase.tokens} tokens came")
     return phase
@@ -285,7 +280,7 @@
         tails = dict.fromkeys(socks, b"")
         for sock in socks:
             selector.register(sock, selectors.EVENT_READ)
-        before = read_cpu(target.pid)
+        before = read_cpu_seconds(target.pid)
         for sock in socks:
             sock.sendall(asked)
         while phase.requests < load.requests:
@@ -302,7 +297,7 @@
                     # None is left under way at the end of the phase.
                     if phase.requests + len(socks) <= load.requests:
                         sock.sendall(asked)
-        phase.cpu_seconds = read_cpu(target.pid) - before
+        phase.cpu_seconds = read_cpu_seconds(target.pid) - before
     return phase
 
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import re
 import subprocess
 import time
 from collections.abc import Callable, Iterable
@@ -11,6 +10,7 @@
 
 import curio
 
+from benchmarks.usage import read_series
 from sequoiamoor.net.http import exchange
 from sequoiamoor.standin.client import fetch, wait_ready
 from sequoiamoor.standin.launcher import Fleet, FleetPlan, UpstreamPlan
@@ -90,13 +90,6 @@
     return fetch(address, "GET", "/status")[1]
 
 
-def read_series(address: Address, name: str) -> float:
-    """Returns a series of a router; 0 if there is none of that name."""
-    text = fetch(address, "GET", "/metrics")[1]
-    found = re.search(rf"^{re.escape(name)} (\S+)$", text, re.MULTILINE)
-    return float(found.group(1)) if found else 0.0
-
-
 def block(address: Address, *prefixes: str) -> None:
     """Makes a router refuse these prefixes only."""
     status, _ = fetch(address, "POST", "/debug/partition", {"prefixes": list(prefixes)})
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from benchmarks.usage import read_series
 from sequoiamoor.standin.client import fetch, put_configuration, put_vms
 from sequoiamoor.standin.launcher import Fleet, run_fleet
 from sequoiamoor.standin.processes import read_listening
@@ -24,7 +25,6 @@
     block,
     build_plan,
     call,
-    read_series,
     read_status,
     restart,
     set_outage,
@@ -107,12 +107,13 @@
 
 
 def _count_failed_reads(fleet: Fleet) -> float:
-    name = (
-        'sequoiamoor_platform_operations_total{operation="table-read",'
-        'result="unavailable"}'
-    )
     try:
-        return read_series(fleet.routers["router-0"], name)
+        return read_series(
+            fleet.routers["router-0"],
+            "sequoiamoor_platform_operations_total",
+            operation="table-read",
+            result="unavailable",
+        )
     except OSError:
         return 0.0
 
