Let a retry avoid a failed replica for a while only

A request that excluded the replicas with free slots stayed at the head of its organisation's queue: the slots stayed idle, and nothing behind it started. Ruled out: lost grants (the router held the free slots). Change: a failed replica is avoided for 0.5 s after the retry's delay, and requests behind such a request may pass it.

--- a/sequoiamoor/core/queues.py
+++ b/sequoiamoor/core/queues.py
@@ -91,6 +91,14 @@
             heapq.heappop(heap)
         return None
 
+    def list_first(
+        self, service: ServiceName, organisation: OrganisationName, count: int
+    ) -> list[CallRequest]:
+        """Returns the organisation's first requests by deadline, at most ``count``."""
+        heap = self._heaps.get((service, organisation), [])
+        waiting = (entry for entry in heap if not entry.is_removed)
+        return [entry.request for entry in heapq.nsmallest(count, waiting)]
+
     def count(self, service: ServiceName, organisation: OrganisationName) -> int:
         """Returns how many requests of the organisation wait for the service."""
         return self._counts.get((service, organisation), 0)
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -97,15 +97,9 @@
         found = [one for one in self.replicas.values() if one.service == service]
         return sorted(found, key=lambda one: one.replica_id)
 
-    def available(
-        self, service: ServiceName, now: float, excluded: Iterable[ReplicaId] = ()
-    ) -> list[Replica]:
+    def available(self, service: ServiceName, now: float) -> list[Replica]:
         """Returns the service's replicas that may get new work."""
-        return [
-            one
-            for one in self.by_service(service)
-            if one.is_available(now) and one.replica_id not in excluded
-        ]
+        return [one for one in self.by_service(service) if one.is_available(now)]
 
     def take_list(
         self, upstreams: Iterable[ListedUpstream], *, made_at_ms: int, now: float
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -366,6 +366,7 @@
             raise error
         self._metrics.retries.labels(error.code).inc()
         call.excluded |= {replica.replica_id}
+        call.excluded_until = now + decision.delay + self._options.exclusion_time
         replicas = self._board.upstreams.by_service(call.service)
         if all(one.replica_id in call.excluded for one in replicas):
             # Each replica failed once; the last one alone has just done so.
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -49,6 +49,9 @@
     max_attempts: int = Field(3, ge=1, le=10)
     retry_budget_fraction: float = Field(0.1, ge=0, le=1)
     retry_budget_limit: float = Field(20.0, ge=0)
+    exclusion_time: float = Field(
+        0.5, ge=0, description="time for which a retry avoids a replica that failed"
+    )
     retry_base_delay: float = Field(0.05, gt=0)
     retry_max_delay: float = Field(1.0, gt=0)
     claim_lifetime: float = Field(2.0, gt=0)
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -29,6 +29,7 @@
 )
 
 _PREFIXES_KEPT = 4_096
+_PASSED_REQUESTS = 16
 
 
 @dataclass(slots=True)
@@ -189,14 +190,34 @@
             name = choose_organisation(names, view, now) or min(
                 names, key=lambda one: view.organisations[one].key
             )
-            request = board.queues.peek(service, name)
-            assert request is not None
-            usable = [one for one in free if one[0].replica_id not in request.excluded]
-            if usable:
-                return self._start(board, request, usable, now)
+            for request in self._list_next(board, service, name, free, now):
+                usable = [
+                    one for one in free if request.may_use(one[0].replica_id, now)
+                ]
+                if usable:
+                    return self._start(board, request, usable, now)
             names.remove(name)
         return None
 
+    def _list_next(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        name: OrganisationName,
+        free: list[tuple[Replica, int]],
+        now: float,
+    ) -> list[CallRequest]:
+        """Returns the requests to try in turn.
+
+        It is the first one, unless an attempt failed at all free replicas; the
+        requests behind it must not wait for that.
+        """
+        first = board.queues.peek(service, name)
+        assert first is not None
+        if any(first.may_use(one.replica_id, now) for one, _ in free):
+            return [first]
+        return board.queues.list_first(service, name, _PASSED_REQUESTS)
+
     def _find_free(
         self, board: Blackboard, service: ServiceName, now: float
     ) -> list[tuple[Replica, int]]:
--- a/sequoiamoor/policies/round_robin.py
+++ b/sequoiamoor/policies/round_robin.py
@@ -31,7 +31,11 @@
             if (request := board.queues.peek(service, name)) is not None
         ]
         for request in sorted(waiting, key=lambda one: one.deadline):
-            replicas = board.upstreams.available(service, now, request.excluded)
+            replicas = [
+                one
+                for one in board.upstreams.available(service, now)
+                if request.may_use(one.replica_id, now)
+            ]
             if replicas:
                 replica = self._choose_replica(service, replicas)
                 self._charges.start(board, request, now)
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -94,6 +94,7 @@
         caller_deadline_at: Monotonic time of the caller's own limit, if it gave one.
         attempts: Number of attempts started so far.
         excluded: Replicas where an attempt failed.
+        excluded_until: Monotonic time up to which they are not tried again.
         charged: Work charged for the request so far, in service units.
         is_sent: Whether a byte of any attempt may have reached an upstream.
     """
@@ -116,5 +117,14 @@
     caller_deadline_at: float | None = None
     attempts: int = 0
     excluded: frozenset[ReplicaId] = frozenset()
+    excluded_until: float = float("-inf")
     charged: float = 0.0
     is_sent: bool = False
+
+    def may_use(self, replica_id: ReplicaId, now: float) -> bool:
+        """Returns whether the next attempt may go to the replica.
+
+        A replica that failed is avoided for a while only: a request that waits for
+        another one must not keep a slot idle.
+        """
+        return replica_id not in self.excluded or now >= self.excluded_until
