Choose arbiters and pollers with one rendezvous hash

Cause: two modules had the same logic with two hash functions, so the router that reads the load of a replica was often not its arbiter. Change: core/rendezvous.py serves both; the tests compare identities instead of names.

--- a/sequoiamoor/core/placement.py
+++ b/sequoiamoor/core/placement.py
@@ -1,19 +1,11 @@
-"""Rendezvous hashing: arbiter of a replica, parts of a window, report tree."""
+"""Who does what: arbiter of a replica, parts of a window, report tree."""
 
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
-from functools import lru_cache
-
-import xxhash
 
 from ..types import ReplicaId, RouterId, RouterIdentity, ZoneName
-
-
-@lru_cache(maxsize=65_536)
-def hash_pair(name: str, member: str) -> int:
-    """Returns the weight of a member for a name, the same on every router."""
-    return int(xxhash.xxh64_intdigest(f"{name}\0{member}".encode()))
+from .rendezvous import choose_router, hash_pair
 
 
 def rank(name: str, members: Iterable[RouterId]) -> list[RouterId]:
@@ -31,10 +23,9 @@
         zone: Its availability zone; its routers come first.
         routers: Live routers, at least one.
     """
-    near = [one for one in routers if one.zone == zone] or routers
-    return max(
-        near, key=lambda one: (hash_pair(replica_id, one.router_id), one.router_id)
-    )
+    arbiter = choose_router(replica_id, zone, routers)
+    assert arbiter is not None
+    return arbiter
 
 
 def window_part(
@@ -53,11 +44,8 @@
     zone: ZoneName, routers: Iterable[RouterIdentity]
 ) -> RouterIdentity | None:
     """Returns the router that sums the reports of a zone, None without routers."""
-    return max(
-        (one for one in routers if one.zone == zone),
-        key=lambda one: (hash_pair(f"zone:{zone}", one.router_id), one.router_id),
-        default=None,
-    )
+    near = [one for one in routers if one.zone == zone]
+    return choose_router(f"zone:{zone}", zone, near)
 
 
 def report_targets(
--- a/sequoiamoor/core/rendezvous.py
+++ b/sequoiamoor/core/rendezvous.py
@@ -3,31 +3,31 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 import xxhash
 
-from ..types import RouterId, RouterIdentity, ZoneName
+from ..types import RouterIdentity, ZoneName
 
 
-def choose_candidate(key: str, candidates: Iterable[str]) -> str | None:
-    """Returns the candidate with the highest hash for the key.
-
-    A candidate that joins or leaves moves only the keys that it wins or held.
-    """
-    return max(candidates, key=lambda one: (_hash(key, one), one), default=None)
+@lru_cache(maxsize=65_536)
+def hash_pair(key: str, candidate: str) -> int:
+    """Returns the weight of a candidate for a key, the same on every router."""
+    return int(xxhash.xxh64_intdigest(f"{key}\0{candidate}".encode()))
 
 
 def choose_router(
     key: str, zone: ZoneName, routers: Iterable[RouterIdentity]
-) -> RouterId | None:
+) -> RouterIdentity | None:
     """Returns the router of the zone that is responsible for the key.
 
-    If the zone has no router among ``routers``, one of another zone is chosen.
+    If the zone has no router among ``routers``, one of another zone is chosen. A
+    router that joins or leaves moves only the keys that it wins or held.
     """
     known = list(routers)
-    local = [one.router_id for one in known if one.zone == zone]
-    return choose_candidate(key, local or [one.router_id for one in known])
-
-
-def _hash(key: str, candidate: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\0{candidate}".encode())
+    near = [one for one in known if one.zone == zone] or known
+    return max(
+        near,
+        key=lambda one: (hash_pair(key, one.router_id), one.router_id),
+        default=None,
+    )
--- a/sequoiamoor/daemon/pollers.py
+++ b/sequoiamoor/daemon/pollers.py
@@ -46,7 +46,7 @@
     def _is_responsible(self, key: str, zone: ZoneName) -> bool:
         board = self._board
         routers = [board.identity, *board.members.values()]
-        return choose_router(key, zone, routers) == board.identity.router_id
+        return choose_router(key, zone, routers) == board.identity
 
     async def poll_platform(self) -> None:
         """Reads configuration and VM list until cancelled."""
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -13,7 +13,8 @@
 from ..core.demand import Demand, DemandTable
 from ..core.fairness import ServiceView, choose_organisation, may_use_slot
 from ..core.messages import CounterRow, GrantRow, Grants, Report, SlotRow, Snapshot
-from ..core.placement import choose_arbiter, hash_pair
+from ..core.placement import choose_arbiter
+from ..core.rendezvous import hash_pair
 from ..core.reports import EarlyBudget
 from ..core.upstreams import Replica
 from ..types import (
--- a/tests/core/test_rendezvous.py
+++ b/tests/core/test_rendezvous.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sequoiamoor.core.rendezvous import choose_candidate, choose_router
+from sequoiamoor.core.rendezvous import choose_router
 from sequoiamoor.types import RouterIdentity
 
 ROUTERS = [RouterIdentity(f"router-{one}", 1, f"zone-{one % 3}") for one in range(8)]
@@ -10,19 +10,18 @@
 
 def test_removed_candidate_moves_only_its_keys() -> None:
     """Guards against a router failure that moves the arbiters of all replicas."""
-    names = [one.router_id for one in ROUTERS]
     keys = [f"replica-{one}" for one in range(200)]
-    before = {key: choose_candidate(key, names) for key in keys}
-    assert set(before.values()) == set(names)
-    after = {key: choose_candidate(key, names[1:]) for key in keys}
-    assert all(after[key] == before[key] for key in keys if before[key] != names[0])
-    assert choose_candidate("x", []) is None
+    before = {key: choose_router(key, "zone-9", ROUTERS) for key in keys}
+    assert set(before.values()) == set(ROUTERS)
+    after = {key: choose_router(key, "zone-9", ROUTERS[1:]) for key in keys}
+    assert all(after[key] == before[key] for key in keys if before[key] != ROUTERS[0])
+    assert choose_router("x", "zone-9", []) is None
 
 
 def test_router_of_the_zone_is_preferred() -> None:
     """Guards against a zone that depends on a router of another one."""
     for key in ("a", "b", "c", "d"):
-        assert choose_router(key, "zone-2", ROUTERS) in ("router-2", "router-5")
+        assert choose_router(key, "zone-2", ROUTERS) in (ROUTERS[2], ROUTERS[5])
         assert choose_router(key, "zone-9", ROUTERS) is not None
         order = choose_router(key, "zone-2", ROUTERS[::-1])
         assert order == choose_router(key, "zone-2", ROUTERS)
