--- a/sequoiamoor/__init__.py
+++ b/sequoiamoor/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .core.blackboard import Blackboard, create_blackboard
 from .declaration import (
     ClassDeclaration,
     Declaration,
@@ -12,22 +13,29 @@
 )
 from .errors import RefusalError, SequoiamoorError, SettingsError
 from .options import Options
+from .policies import Policy, create_policy
 from .settings import RouterSettings, read_settings
-from .types import Address, Execution, ServiceKind
+from .types import Address, CallRequest, Execution, RouterIdentity, ServiceKind
 
 __all__ = [
     "Address",
+    "Blackboard",
+    "CallRequest",
     "ClassDeclaration",
     "Declaration",
     "Execution",
     "Options",
     "OrganisationDeclaration",
+    "Policy",
     "RefusalError",
+    "RouterIdentity",
     "RouterSettings",
     "SequoiamoorError",
     "ServiceDeclaration",
     "ServiceKind",
     "SettingsError",
+    "create_blackboard",
+    "create_policy",
     "parse_declaration",
     "read_declaration",
     "read_settings",
--- a/sequoiamoor/core/reports.py
+++ b/sequoiamoor/core/reports.py
@@ -1,4 +1,4 @@
-"""What a report on one connection has to carry, and which peers need it early."""
+"""What a report on one connection has to carry, and the budgets of reports."""
 
 from __future__ import annotations
 
