Carry out the policy's actions where calls are served

Cause: a wrapper with __getattr__ and a cast passed the policy's actions on; a control task that failed ended the control side without a trace. Change: CallServer gets the function that carries out actions; Control.run raises what failed, and the supervisor starts it again.

--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -4,12 +4,14 @@
 
 import logging
 import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 import curio
 
+from ..core.actions import Action
 from ..core.blackboard import Blackboard
 from ..core.overload import Overload, bound_retry_after
 from ..core.records import KeptAnswer
@@ -59,11 +61,13 @@
         policy: Policy,
         metrics: Metrics,
         *,
+        perform: Callable[[Iterable[Action]], None] = lambda _: None,
         records: Records | None = None,
         retries: Retries | None = None,
     ) -> None:
         self._board = board
         self._policy = policy
+        self._perform = perform
         self._metrics = metrics
         self._records = records
         self._retries = retries or Retries(board.options, rng=Random())
@@ -291,6 +295,8 @@
             pending = self._pending[start.call_id]
             pending.replica = replica
             await pending.event.set()
+        # The policy may have marked a report as due for the work that still waits.
+        self._perform(())
 
     async def _run_attempt(
         self,
@@ -353,7 +359,8 @@
         assert replica is not None
         replica.in_use -= 1
         self._board.running.pop(call.call_id, None)
-        self._policy.finish(self._board, call, replica.replica_id, time.monotonic())
+        now = time.monotonic()
+        self._perform(self._policy.finish(self._board, call, replica.replica_id, now))
         await self.dispatch(call.service)
 
 
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -7,11 +7,10 @@
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from random import Random
-from typing import Any
 
 import curio
 
-from ..core.actions import Action, Send, SendReport, Start
+from ..core.actions import Action, Send, SendReport
 from ..core.blackboard import Blackboard
 from ..core.membership import Membership, MemberState
 from ..core.messages import (
@@ -38,7 +37,6 @@
 from ..settings import RouterSettings
 from ..types import (
     Address,
-    CallRequest,
     ReplicaId,
     RouterId,
     RouterIdentity,
@@ -100,12 +98,14 @@
         return address
 
     async def run(self, dispatch: Dispatch) -> None:
-        """Exchanges messages until cancelled."""
-        async with curio.TaskGroup() as tasks:
+        """Exchanges messages until cancelled, or until one of its tasks fails."""
+        async with curio.TaskGroup(wait=any) as tasks:
             self._dispatch = dispatch
             await tasks.spawn(self._peers.run)
             await tasks.spawn(self._tick)
             await tasks.spawn(self._flush_on_demand)
+        if tasks.completed is not None and tasks.completed.exception is not None:
+            raise tasks.completed.exception
 
     # What the rest of the router asks for.
 
@@ -115,7 +115,11 @@
         return self._peers.unsent_bytes
 
     def perform(self, actions: Iterable[Action]) -> None:
-        """Carries out actions of the policy; urgent messages leave at once."""
+        """Carries out actions of the policy; urgent messages leave at once.
+
+        Without actions it sends a report if the policy marked one as due on the
+        blackboard.
+        """
         for action in actions:
             match action:
                 case SendReport(None):
@@ -442,34 +446,3 @@
     async def note_closed(self, identity: RouterIdentity) -> None:
         """Takes note that a peer closed its connection."""
         self.membership.note_closed(identity)
-
-
-class ObservedPolicy:
-    """A policy whose actions between two steps reach the other routers.
-
-    ``choose_start`` and ``finish`` are called while calls are served, where nothing
-    carries out actions; this passes them on to the control side.
-    """
-
-    def __init__(self, policy: Policy, control: Control) -> None:
-        self._policy = policy
-        self._control = control
-
-    def choose_start(
-        self, board: Blackboard, service: ServiceName, now: float
-    ) -> Start | None:
-        """Returns the policy's next start; sends what it has to tell otherwise."""
-        start = self._policy.choose_start(board, service, now)
-        if start is None:
-            self._control.perform(())
-        return start
-
-    def finish(
-        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
-    ) -> list[Action]:
-        """Passes the policy's actions on and returns none."""
-        self._control.perform(self._policy.finish(board, request, replica_id, now))
-        return []
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._policy, name)
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 from random import Random
-from typing import Any, cast
+from typing import Any
 
 import curio
 
@@ -21,13 +21,13 @@
 from ..metrics import Metrics
 from ..net.platform import PlatformClient
 from ..net.signals import SignalWatch
-from ..policies import Policy, create_policy
+from ..policies import create_policy
 from ..settings import RouterSettings
 from ..types import (
     RouterIdentity,
 )
 from .calls import CallServer
-from .control import Control, ObservedPolicy
+from .control import Control
 from .debug import DebugPages
 from .listener import Listener
 from .pages import Pages
@@ -74,8 +74,9 @@
         )
         self._calls = CallServer(
             self.board,
-            cast(Policy, ObservedPolicy(policy, self._control)),
+            policy,
             self.metrics,
+            perform=self._control.perform,
             records=self._records,
             retries=Retries(self._options, rng=self._rng),
         )
@@ -142,10 +143,10 @@
         while True:
             try:
                 await work()
-                return
+                _LOG.error("task failed", extra={"reason": f"{name} ended"})
             except Exception:
                 _LOG.exception("task failed", extra={"reason": name})
-                self.metrics.task_failures.labels(name).inc()
+            self.metrics.task_failures.labels(name).inc()
             await curio.sleep(RESTART_DELAY_SECONDS)
 
     async def _drain(self, signals: SignalWatch) -> DrainEnd:
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -325,6 +325,7 @@
         finally:
             for link in self._links.values():
                 link.stop()
+            self._links.clear()
 
     async def connect(self, addresses: set[Address]) -> None:
         """Opens links to new addresses and closes those to all others."""
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -24,7 +24,7 @@
     Snapshot,
 )
 from sequoiamoor.core.upstreams import ListedUpstream, LoadReport
-from sequoiamoor.daemon.control import Control, ObservedPolicy
+from sequoiamoor.daemon.control import Control
 from sequoiamoor.metrics import Metrics
 from sequoiamoor.net.peers import Outbox
 from sequoiamoor.net.wire import Encoder
@@ -60,6 +60,7 @@
         return self._answer("step")
 
     def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
+        board.is_report_due = False
         return self.counters
 
     def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
@@ -106,7 +107,6 @@
         self.control = Control(
             self.board, self.policy, self.metrics, settings=settings, rng=Random(1)
         )
-        self.observed = ObservedPolicy(self.policy, self.control)
         self.dispatched: list[str] = []
 
     async def dispatch(self, service: str) -> None:
@@ -163,7 +163,8 @@
         grants = Grants((GrantRow("talk-0", 3, 2, 0),))
         count = len(second.policy.reports)
         first.policy.answers["finish"] = [Send("router-2", grants), SendReport()]
-        first.observed.finish(first.board, build_call(), "talk-0", 0.0)
+        finish = first.policy.finish(first.board, build_call(), "talk-0", 0.0)
+        first.control.perform(finish)
         await wait_until(lambda: second.policy.grants == [("router-1", grants)])
         await wait_until(lambda: len(second.policy.reports) > count)
         answer = Grants((GrantRow("talk-1", 1, 1, 0),))
@@ -202,12 +203,12 @@
     async def test() -> None:
         first, second = await start_pair(report_interval=5.0)
         count = len(second.policy.reports)
-        first.board.queues.add(build_call())
-        assert first.observed.choose_start(first.board, "talk", 0.0) is None
+        first.board.is_report_due = True
+        first.control.perform(())
         await wait_until(lambda: len(second.policy.reports) > count)
         sent = first.read("sequoiamoor_control_messages_total", direction="out")
         for _ in range(20):
-            first.observed.choose_start(first.board, "talk", 0.0)
+            first.control.perform(())
             await curio.sleep(0.005)
         now = first.read("sequoiamoor_control_messages_total", direction="out")
         assert now == sent
