--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -45,7 +45,6 @@
     slot_cap_factor: float = Field(1.5, ge=1)
     slot_floor_factor: float = Field(0.5, ge=0, le=1)
     slot_average_time: float = Field(5.0, gt=0)
-    hint_trust_factor: float = Field(4.0, ge=1)
     max_attempts: int = Field(3, ge=1, le=10)
     retry_budget_fraction: float = Field(0.1, ge=0, le=1)
     retry_budget_limit: float = Field(20.0, ge=0)
