--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -23,9 +23,7 @@
 from ..net.signals import SignalWatch
 from ..policies import create_policy
 from ..settings import RouterSettings
-from ..types import (
-    RouterIdentity,
-)
+from ..types import RouterIdentity
 from .calls import CallServer
 from .control import Control
 from .debug import DebugPages
@@ -97,7 +95,6 @@
             make_call_id=self._make_call_id,
             debug=self._debug,
         )
-        self._stop = curio.Event()
 
     def _make_call_id(self) -> str:
         identity = self.board.identity
