Wait for the killed service before a test calls it

Cause: test_forced_end_refuses_waiting_calls_truthfully killed the service and called the router at once. The signal takes effect later than kill() returns, so the call could still be sent and was answered with 502 'may have run' instead of waiting; the test then waited in vain for a waiting request. Ruled out: a call lost by the router; its task had ended with an answer. Change: the test waits for the end of the process before it calls. Conclusion: a race of the test, not of the router.

--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -127,6 +127,7 @@
     """Guards against a queued booking that is left without an answer."""
     with run_small_fleet(1, options={"drain_limit": 0.5}) as (fleet, (router,)):
         fleet.processes["desk-0"].kill()
+        fleet.processes["desk-0"].wait()
         process = fleet.processes["router-0"]
 
         async def run() -> tuple[int, dict[str, str], bytes]:
