Keep a call's attempts for replicas that can be connected to

Cause: an attempt that could not connect counted towards the three attempts and the retry budget. In a partition most replicas of a service are unreachable at once, so a call was refused with 502 although a replica of its side could have run it. Change: such attempts are free while the service has a replica that the call has not tried. A replica that is down is probed by one attempt at a time, and attempts that fail at the same moment count as one failure; before, four of them raised the probe delay from 0.25 to 2 s. The head of a response ends the down state, so long answers do not delay it. Conclusion: refusals in a partition now mean that no replica was reachable.

--- a/sequoiamoor/core/retries.py
+++ b/sequoiamoor/core/retries.py
@@ -64,10 +64,13 @@
     Attributes:
         delay: Seconds to wait before.
         wait_limit_at: Monotonic time by which the next attempt must start.
+        is_counted: Whether the failed attempt counts towards the largest number of
+            attempts and the budget.
     """
 
     delay: float
     wait_limit_at: float
+    is_counted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,10 +95,20 @@
         )
 
     def decide(
-        self, call: CallRequest, error: RefusalError, now: float, *, has_begun: bool
+        self,
+        call: CallRequest,
+        error: RefusalError,
+        now: float,
+        *,
+        has_begun: bool,
+        has_untried: bool = False,
     ) -> Retry | GiveUp:
         """Returns whether a failed attempt is followed by another one.
 
+        An attempt that could not connect put no work on any upstream. While a
+        replica is left that the call has not tried, it does not count: in a
+        partition most replicas of a service can be unreachable at the same time.
+
         Args:
             call: The call whose attempt failed.
             error: Why it failed.
@@ -103,6 +116,7 @@
             has_begun: Whether the caller has got a part of the answer. Such a
                 stream may wait for its continuation as long as its class lets a
                 new request wait, because its own limit was met when it began.
+            has_untried: Whether a replica is left where no attempt failed.
         """
         if not is_attempt_failure(error):
             return GiveUp("not-an-attempt-failure")
@@ -112,7 +126,8 @@
         )
         if not call.is_repeatable and not is_unsent:
             return GiveUp("not-repeatable")
-        if call.attempts >= self._options.max_attempts:
+        is_free = has_untried and isinstance(error, UpstreamUnreachableError)
+        if not is_free and call.attempts >= self._options.max_attempts:
             return GiveUp("max-attempts")
         limit_at = call.wait_limit_at
         if has_begun and call.caller_deadline_at is None:
@@ -125,9 +140,9 @@
         )
         if now + delay >= limit_at:
             return GiveUp("deadline")
-        if not self.budget.take():
+        if not is_free and not self.budget.take():
             return GiveUp("budget")
-        return Retry(delay, limit_at)
+        return Retry(delay, limit_at, is_counted=not is_free)
 
 
 def is_attempt_failure(error: RefusalError) -> bool:
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -40,7 +40,9 @@
         incarnation: Highest incarnation known; 0 before the first load report.
         heard_at: Monotonic time of the last sign of life, or of its discovery.
         in_use: Attempts of this router that run at the replica now.
-        failures: Failed connections in a row.
+        failures: Failed connections in a row; those of attempts that were made at
+            the same time count once.
+        is_probed: Whether an attempt was started at the replica while it was down.
         probe_at: Monotonic time from which a replica that is down may be tried.
     """
 
@@ -56,6 +58,7 @@
     is_listed_leaving: bool = False
     in_use: int = 0
     failures: int = 0
+    is_probed: bool = False
     probe_at: float = float("-inf")
 
     def is_available(self, now: float) -> bool:
@@ -216,6 +219,17 @@
                 replica.failures = 0
             replica.incarnation = incarnation
 
+    def record_start(self, replica: Replica, now: float) -> None:
+        """Notes that an attempt starts at the replica.
+
+        A replica that is down is tried by one attempt at a time, so that others do
+        not wait for the same connection in vain.
+        """
+        replica.in_use += 1
+        if replica.failures:
+            replica.is_probed = True
+            replica.probe_at = now + self.options.connect_timeout
+
     def record_success(self, replica_id: ReplicaId, now: float | None = None) -> None:
         """Notes that the replica answered."""
         replica = self.replicas.get(replica_id)
@@ -227,8 +241,11 @@
     def record_failure(self, replica_id: ReplicaId, now: float) -> None:
         """Notes a failed connection and sets the time of the next probe."""
         replica = self.replicas.get(replica_id)
-        if replica is None:
+        if replica is None or (
+            replica.failures and not replica.is_probed and now < replica.probe_at
+        ):
             return
+        replica.is_probed = False
         replica.failures += 1
         delay = self.options.probe_base_delay * 2 ** min(replica.failures - 1, 16)
         replica.probe_at = now + min(delay, self.options.probe_max_delay)
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -248,17 +249,24 @@
             self._board.upstreams.record_failure(replica.replica_id, now)
         if call.is_sent and error.execution is Execution.WAS_NOT_RUN:
             error.execution = Execution.MAY_HAVE_RUN
+        call.excluded |= {replica.replica_id}
+        replicas = self._board.upstreams.by_service(call.service)
+        has_untried = any(one.replica_id not in call.excluded for one in replicas)
         decision = self._retries.decide(
-            call, error, now, has_begun=sink.first_at is not None
+            call,
+            error,
+            now,
+            has_begun=sink.first_at is not None,
+            has_untried=has_untried,
         )
         if isinstance(decision, GiveUp):
             self._metrics.retries_refused.labels(decision.reason).inc()
             raise error
         self._metrics.retries.labels(error.code).inc()
-        call.excluded |= {replica.replica_id}
+        if not decision.is_counted:
+            call.attempts -= 1
         call.excluded_until = now + decision.delay + self._options.exclusion_time
-        replicas = self._board.upstreams.by_service(call.service)
-        if all(one.replica_id in call.excluded for one in replicas):
+        if not has_untried:
             # Each replica failed once; the last one alone has just done so.
             call.excluded = frozenset()
         call.wait_limit_at = decision.wait_limit_at
@@ -291,7 +299,7 @@
             call.attempts += 1
             self._board.running[call.call_id] = call
             replica = self._board.upstreams.replicas[start.replica_id]
-            replica.in_use += 1
+            self._board.upstreams.record_start(replica, now)
             pending = self._pending[start.call_id]
             pending.replica = replica
             await pending.event.set()
@@ -333,6 +341,9 @@
             metrics=self._metrics,
             charge=charge,
             check_before_send=record.check_before_send if record else None,
+            note_response=partial(
+                self._board.upstreams.record_success, replica.replica_id
+            ),
         )
         try:
             if record is not None and (replayed := await record.take()) is not None:
@@ -343,7 +354,6 @@
                 answer = await attempt.call()
             if record is not None:
                 await _finish_record(record, answer)
-            self._board.upstreams.record_success(replica.replica_id)
             self._retries.budget.record_success()
             return answer
         except (CallerGoneError, curio.CancelledError):
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -167,8 +167,10 @@
         metrics: Metrics,
         charge: Callable[[float], None],
         check_before_send: Callable[[], None] | None = None,
+        note_response: Callable[[], None] = lambda: None,
     ) -> None:
         self._check_before_send = check_before_send
+        self._note_response = note_response
         self._call = call
         self._replica = replica
         self._pool = pool
@@ -264,6 +266,7 @@
                 await self._close()
                 is_fresh = True
         await self._check_head(response)
+        self._note_response()
         return response
 
     async def _take(self, *, is_fresh: bool) -> tuple[ClientConnection, bool]:
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -92,7 +92,8 @@
         has_caller_id: Whether the caller gave the request identifier.
         is_repeatable: Whether the service allows a second execution.
         caller_deadline_at: Monotonic time of the caller's own limit, if it gave one.
-        attempts: Number of attempts started so far.
+        attempts: Number of attempts started so far, without those that could not
+            connect while other replicas had not been tried.
         excluded: Replicas where an attempt failed.
         excluded_until: Monotonic time up to which they are not tried again.
         charged: Work charged for the request so far, in service units.
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -35,6 +35,7 @@
         ({"is_repeatable": False}, UNSENT, 1.0, False, None),
         ({"is_repeatable": False}, SENT, 1.0, False, "not-repeatable"),
         ({"attempts": 3}, UNSENT, 1.0, False, "max-attempts"),
+        ({"attempts": 3, "is_repeatable": True}, SENT, 1.0, False, "max-attempts"),
         ({"is_repeatable": True}, SENT, 30.0, False, "deadline"),
         ({"is_repeatable": True}, SENT, 31.0, True, None),
         (
@@ -65,6 +66,25 @@
         assert decision == GiveUp(expected)
 
 
+@pytest.mark.parametrize(
+    ("error", "expected"),
+    [(UNSENT, None), (SENT, GiveUp("max-attempts"))],
+)
+def test_unreachable_replicas_do_not_use_up_the_attempts(
+    error: RefusalError, expected: GiveUp | None
+) -> None:
+    """Guards against a refusal in a partition while a replica can be reached."""
+    retries = build_retries()
+    retries.budget.tokens = 0.0
+    call = build_call(attempts=3, is_repeatable=True)
+    decision = retries.decide(call, error, 1.0, has_begun=False, has_untried=True)
+    if expected is None:
+        assert isinstance(decision, Retry)
+        assert not decision.is_counted
+    else:
+        assert decision == expected
+
+
 @pytest.mark.parametrize(
     ("failures", "largest"), [(1, 0.05), (2, 0.1), (3, 0.2), (6, 1.0), (5000, 1.0)]
 )
--- a/tests/core/test_upstreams.py
+++ b/tests/core/test_upstreams.py
@@ -93,6 +93,27 @@
     assert replica.load == build_load(3)
 
 
+def test_replica_that_is_down_is_probed_by_one_attempt() -> None:
+    """Guards against callers that all wait for the same dead replica."""
+    upstreams = build_upstreams()
+    replica = upstreams.replicas["talk-0"]
+    for _ in range(3):
+        upstreams.record_start(replica, 1.0)
+    for _ in range(3):
+        upstreams.record_failure("talk-0", 1.1)
+    assert replica.failures == 1, "attempts at the same time count once"
+    probe_at = 1.1 + OPTIONS.probe_base_delay
+    assert names(upstreams, probe_at - 0.01) == ["talk-1"]
+    assert names(upstreams, probe_at) == ["talk-0", "talk-1"]
+    upstreams.record_start(replica, probe_at)
+    assert names(upstreams, probe_at) == ["talk-1"]
+    upstreams.record_failure("talk-0", probe_at)
+    assert replica.failures == 2
+    upstreams.record_start(replica, 9.0)
+    upstreams.record_success("talk-0")
+    assert names(upstreams, 9.0) == ["talk-0", "talk-1"]
+
+
 def test_restarted_replica_is_taken_back() -> None:
     """Guards against a restarted replica that stays out of use, or a late report."""
     upstreams = build_upstreams()
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -179,6 +179,21 @@
     run(session)
 
 
+@pytest.mark.parametrize("service", ["desk", "look"])
+def test_unreachable_replicas_leave_attempts_for_the_others(service: str) -> None:
+    """Guards against a refusal because a partition hides most replicas."""
+
+    async def session(border: Border) -> None:
+        for _ in range(4):
+            border.add_dead_upstream(service)
+        await border.add_upstream(answer_call, service=service)
+        seen = parse(await _ask(border, request(service, stream=False), b"{}"))
+        assert seen.status == 200
+        await border.wait_idle()
+
+    run(session)
+
+
 async def _ask(border: Border, data: bytes, marker: bytes) -> bytes:
     caller = await border.connect()
     await caller.send(data)
