Compute slot rows, held slots and demand sums only after a change

In a profile of one router the arbiter took this router's own rows 3.6 times per report received, added up the shares of every replica at each look, and added the demand of all peers for each view, mostly without a change in between. Ruled out: the codec (encode and decode were 13 % of control time). Change: the allotment keeps its rows and whether any slot is unused until one changes; the arbiter skips a tuple of rows that it took last and keeps the sum of held slots; the demand table keeps its sums.

--- a/sequoiamoor/core/allotment.py
+++ b/sequoiamoor/core/allotment.py
@@ -36,6 +36,18 @@
 
     def __init__(self) -> None:
         self._holdings: dict[ReplicaId, _Holding] = {}
+        # Computed on demand after a change; most decisions come between changes.
+        self._rows: tuple[SlotRow, ...] | None = None
+        self._has_unused: bool | None = None
+
+    def _note_change(self) -> None:
+        self._rows = self._has_unused = None
+
+    def has_unused(self) -> bool:
+        """Returns whether a slot of any replica is unused, valid or not."""
+        if self._has_unused is None:
+            self._has_unused = any(one.unused > 0 for one in self._holdings.values())
+        return self._has_unused
 
     def take(self, row: GrantRow, *, valid_until: float) -> bool:
         """Takes a grant; one of an earlier epoch is ignored.
@@ -49,6 +61,7 @@
         holding = self._holdings.setdefault(row.replica_id, _Holding())
         if row.epoch < holding.epoch:
             return False
+        self._note_change()
         is_new = row.epoch > holding.epoch
         if is_new:
             holding.epoch = row.epoch
@@ -75,17 +88,20 @@
     def start(self, replica_id: ReplicaId) -> None:
         """Uses a free slot."""
         self._holdings[replica_id].in_use += 1
+        self._note_change()
 
     def finish(self, replica_id: ReplicaId) -> None:
         """Frees a slot."""
         self._holdings[replica_id].in_use -= 1
+        self._note_change()
 
     def release(self, replica_id: ReplicaId, count: int) -> int:
         """Gives up to ``count`` free slots back; returns how many."""
         holding = self._holdings.get(replica_id)
         count = 0 if holding is None else max(min(count, holding.unused), 0)
-        if holding is not None:
+        if holding is not None and count:
             holding.released += count
+            self._note_change()
         return count
 
     def release_recalled(self) -> list[ReplicaId]:
@@ -106,14 +122,20 @@
         """Drops a replica that is gone, unless requests still run there."""
         if not self.in_use(replica_id):
             self._holdings.pop(replica_id, None)
+            self._note_change()
 
     def replica_ids(self) -> list[ReplicaId]:
         """Returns the replicas of which this router holds or held slots."""
         return list(self._holdings)
 
     def build_rows(self) -> tuple[SlotRow, ...]:
-        """Returns what this router holds, for a report."""
-        return tuple(
-            SlotRow(replica_id, one.epoch, one.base, one.released, one.in_use)
-            for replica_id, one in self._holdings.items()
-        )
+        """Returns what this router holds, for a report.
+
+        Without a change since the last call it is the same tuple.
+        """
+        if self._rows is None:
+            self._rows = tuple(
+                SlotRow(replica_id, one.epoch, one.base, one.released, one.in_use)
+                for replica_id, one in self._holdings.items()
+            )
+        return self._rows
--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
@@ -54,8 +54,17 @@
     window: int = 0
     shares: dict[RouterIdentity, _Share] = field(default_factory=dict)
 
+    _held: int | None = None
+
     def held(self) -> int:
-        return sum(share.held(self.epoch) for share in self.shares.values())
+        """Returns the slots that all routers hold."""
+        if self._held is None:
+            self._held = sum(share.held(self.epoch) for share in self.shares.values())
+        return self._held
+
+    def note_change(self) -> None:
+        """Takes note that a share was added, removed or changed."""
+        self._held = None
 
 
 class Arbiter:
@@ -72,6 +81,7 @@
         self._rows: dict[RouterId, tuple[RouterIdentity, dict[ReplicaId, SlotRow]]] = {}
         self._epochs: dict[ReplicaId, int] = {}
         self._heard_at: dict[RouterIdentity, float] = {}
+        self._last_rows: dict[RouterId, tuple[SlotRow, ...]] = {}
         self._refreshed_at = float("-inf")
 
     def replica_ids(self) -> Collection[ReplicaId]:
@@ -103,6 +113,7 @@
                 if member not in state.shares:
                     row = self._row_of(member, replica_id)
                     state.shares[member] = _Share(row=row)
+                    state.note_change()
             self._recall_excess(state)
 
     def _begin_epoch(self, replica_id: ReplicaId, now: float) -> _Arbitrated:
@@ -137,6 +148,8 @@
             if identity not in members and self._heard_at.get(identity, limit) <= limit
         ]
         must_reclaim = False
+        if silent:
+            state.note_change()
         for identity in silent:
             must_reclaim |= state.shares.pop(identity).held(state.epoch) > 0
         return must_reclaim
@@ -167,16 +180,23 @@
     def take_rows(
         self,
         origin: RouterIdentity,
-        rows: Iterable[SlotRow],
+        rows: tuple[SlotRow, ...],
         now: float,
     ) -> None:
-        """Takes what a router holds; rows may come late, twice or in any order."""
+        """Takes what a router holds; rows may come late, twice or in any order.
+
+        The same tuple as the last time says that nothing changed.
+        """
         known = self._rows.get(origin.router_id)
         if known is not None and known[0].incarnation > origin.incarnation:
             return
         if known is None or known[0] != origin:
             self._drop_replaced(origin)
             known = self._rows[origin.router_id] = (origin, {})
+        elif rows is self._last_rows.get(origin.router_id):
+            self._heard_at[origin] = now
+            return
+        self._last_rows[origin.router_id] = rows
         self._heard_at[origin] = now
         for row in rows:
             before = known[1].get(row.replica_id)
@@ -190,6 +210,7 @@
             state = self._replicas.get(row.replica_id)
             if state is not None:
                 state.shares.setdefault(origin, _Share()).row = row
+                state.note_change()
 
     def _drop_replaced(self, origin: RouterIdentity) -> None:
         """Frees the slots of earlier incarnations: their requests ended with them."""
@@ -197,6 +218,7 @@
             for identity in list(state.shares):
                 if identity.router_id == origin.router_id and identity != origin:
                     del state.shares[identity]
+                    state.note_change()
         for identity in list(self._heard_at):
             if identity.router_id == origin.router_id and identity != origin:
                 del self._heard_at[identity]
@@ -239,7 +261,9 @@
 
     def grant(self, replica_id: ReplicaId, router: RouterIdentity) -> None:
         """Gives the router one slot of the replica."""
-        share = self._replicas[replica_id].shares[router]
+        state = self._replicas[replica_id]
+        state.note_change()
+        share = state.shares[router]
         share.granted += 1
         share.is_changed = True
 
--- a/sequoiamoor/core/demand.py
+++ b/sequoiamoor/core/demand.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..types import OrganisationName, RouterId, RouterIdentity, ServiceName
@@ -37,6 +37,9 @@
 
     def __init__(self) -> None:
         self._peers: dict[RouterId, _Peer] = {}
+        self._sums: dict[
+            ServiceName, tuple[set[RouterId], dict[OrganisationName, Demand]]
+        ] = {}
 
     def take(
         self,
@@ -48,11 +51,13 @@
         """Takes the rows of a report; returns False if a later one was taken."""
         peer = self._peers.get(origin.router_id)
         if peer is None or peer.identity.incarnation < origin.incarnation:
+            self._sums.clear()
             peer = self._peers[origin.router_id] = _Peer(origin, sequence - 1)
         if peer.identity.incarnation > origin.incarnation or sequence <= peer.sequence:
             return False
         peer.sequence = sequence
         for row in rows:
+            self._sums.pop(row.service, None)
             peer.demands.setdefault(row.service, {})[row.organisation] = Demand(
                 row.waiting,
                 row.running,
@@ -75,10 +80,17 @@
         return {} if peer is None else peer.demands.get(service, {})
 
     def sum(
-        self, service: ServiceName, routers: Iterable[RouterId]
-    ) -> dict[OrganisationName, Demand]:
-        """Returns the work at the given peers together, by organisation."""
+        self, service: ServiceName, routers: Collection[RouterId]
+    ) -> Mapping[OrganisationName, Demand]:
+        """Returns the work at the given peers together, by organisation.
+
+        The sum is kept until a peer reports a change; callers must not change it.
+        """
+        known = self._sums.get(service)
+        if known is not None and known[0] == routers:
+            return known[1]
         found: dict[OrganisationName, Demand] = {}
+        self._sums[service] = (set(routers), found)
         for router_id in routers:
             for name, part in self.of(router_id, service).items():
                 if not part.waiting and not part.running:
@@ -97,3 +109,4 @@
         kept = set(routers)
         for router_id in [one for one in self._peers if one not in kept]:
             del self._peers[router_id]
+            self._sums.clear()
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -118,8 +119,15 @@
 
     def _peer_demands(
         self, board: Blackboard, service: ServiceName
-    ) -> dict[OrganisationName, Demand]:
-        return self._demands.sum(service, board.members)
+    ) -> Mapping[OrganisationName, Demand]:
+        return self._demands.sum(service, board.members.keys())
+
+    def _find_free(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> list[tuple[Replica, int]]:
+        if not self._allotment.has_unused():
+            return []
+        return super()._find_free(board, service, now)
 
     def _note_started(
         self,
@@ -147,6 +155,8 @@
         return False
 
     def _count_free(self, board: Blackboard, service: ServiceName, now: float) -> int:
+        if not self._allotment.has_unused():
+            return 0
         return sum(
             self._free_slots(board, one, now)
             for one in self._pool(board, service, now).replicas
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -68,7 +68,7 @@
 
     def _peer_demands(
         self, board: Blackboard, service: ServiceName
-    ) -> dict[OrganisationName, Demand]:
+    ) -> Mapping[OrganisationName, Demand]:
         """Returns the work at the live peers."""
         return {}
 
