--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from ..types import CallRequest, ClassName, OrganisationName, ServiceName
+from ..types import CallRequest, OrganisationName, ServiceName
 
 _K = TypeVar("_K")
 
@@ -152,43 +152,23 @@
 
 
 class CostEstimates:
-    """Moving average of the cost of a request per organisation and class."""
+    """Moving average of the cost of a request per organisation."""
 
     def __init__(self) -> None:
-        self._by_class: dict[
-            tuple[ServiceName, OrganisationName, ClassName], float
-        ] = {}
         self._by_organisation: dict[tuple[ServiceName, OrganisationName], float] = {}
         self._by_service: dict[ServiceName, float] = {}
 
     def learn(self, request: CallRequest, units: float) -> None:
         """Takes the cost of a request that ended."""
         service, name = request.service, request.organisation
-        _smooth(self._by_class, (service, name, request.class_name), units)
         _smooth(self._by_organisation, (service, name), units)
         _smooth(self._by_service, service, units)
 
-    def expect_any(self, service: ServiceName, organisation: OrganisationName) -> float:
+    def expect(self, service: ServiceName, organisation: OrganisationName) -> float:
         """Returns the expected cost of any request of the organisation."""
         known = self._by_organisation.get((service, organisation))
         return known or self._by_service.get(service) or UNKNOWN_COST
 
-    def expect(self, request: CallRequest, *, trust_factor: float) -> float:
-        """Returns the expected cost of a request.
-
-        The hint counts within a factor of the average; beyond it the nearest
-        trusted value holds, so a wrong hint moves the key by a bounded amount.
-        """
-        service, name = request.service, request.organisation
-        average = self._by_class.get((service, name, request.class_name))
-        if average is None:
-            average = self.expect_any(service, name)
-        if request.cost_hint is None:
-            return average
-        return min(
-            max(request.cost_hint, average / trust_factor), average * trust_factor
-        )
-
 
 def _smooth(averages: dict[_K, float], key: _K, value: float) -> None:
     before = averages.get(key)
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -153,7 +153,7 @@
                 waiting += part.waiting
                 running += part.running
                 deadline = min(deadline, part.deadline)
-            cost = self._costs.expect_any(service, name)
+            cost = self._costs.expect(service, name)
             organisations[name] = OrganisationView(
                 key=board.ledger.total(service, name) + running * cost,
                 running_cost=cost,
--- a/sequoiamoor/standin/engine.py
+++ b/sequoiamoor/standin/engine.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-import json
 import re
 import time
-from collections import Counter, OrderedDict, deque
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Literal
@@ -21,6 +20,7 @@
 
 from ..net.http import Request
 from ..types import Address
+from .generation import Generation, PrefixCache
 from .server import (
     BadInputError,
     Body,
@@ -34,7 +34,6 @@
 from .upstream import UpstreamStandIn
 
 LARGEST_ANSWER_TOKENS = 1_000_000
-KEPT_CACHE_EVENTS = 10_000
 # Steps that a delayed process may catch up on, so that the capacity stays exact
 # when the machine is busy for a moment.
 LARGEST_LAG_SECONDS = 0.25
@@ -75,133 +74,6 @@
     foreign_call_id: Literal["nowhere", "head", "events"] = "nowhere"
 
 
-def make_token_text(call_id: str, body: bytes, index: int) -> str:
-    """Returns the text of a token, which depends on call, body and index."""
-    seed = xxhash.xxh32_intdigest(body)
-    return xxhash.xxh32_hexdigest(f"{call_id}:{index}".encode(), seed=seed)
-
-
-@dataclass(slots=True)
-class PrefixCache:
-    """Prompt prefixes in limited memory; publishes events late and with gaps.
-
-    Attributes:
-        capacity: Tokens that fit.
-        lag: Seconds until an event shows.
-        loss: Fraction of the events that never show.
-    """
-
-    capacity: int
-    lag: float
-    loss: float
-    rng: Random
-    used: int = 0
-    entries: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    events: deque[tuple[float, dict[str, Any]]] = field(
-        default_factory=lambda: deque(maxlen=KEPT_CACHE_EVENTS)
-    )
-    sequence: int = 0
-
-    def match(self, key: str, tokens: int) -> int:
-        """Returns how many of ``tokens`` prefix tokens are cached."""
-        if key not in self.entries:
-            return 0
-        self.entries.move_to_end(key)
-        return min(self.entries[key], tokens)
-
-    def store(self, key: str, tokens: int, now: float) -> None:
-        """Stores a prefix and evicts those used longest ago to make room."""
-        present = self.entries.get(key, 0)
-        if tokens <= present or tokens > self.capacity:
-            return
-        self.entries[key] = tokens
-        self.entries.move_to_end(key)
-        self.used += tokens - present
-        self._publish(key, "stored", now)
-        while self.used > self.capacity:
-            evicted, size = self.entries.popitem(last=False)
-            self.used -= size
-            self._publish(evicted, "evicted", now)
-
-    def _publish(self, key: str, kind: str, now: float) -> None:
-        self.sequence += 1
-        if self.rng.random() >= self.loss:
-            event = {"seq": self.sequence, "prefix_key": key, "kind": kind}
-            self.events.append((now + self.lag, event))
-
-    def list_events(self, after: int, now: float) -> list[dict[str, Any]]:
-        """Returns the events that show by now, from sequence ``after`` on."""
-        return [
-            event
-            for shown_at, event in self.events
-            if event["seq"] > after and shown_at <= now
-        ]
-
-
-@dataclass(slots=True, eq=False)
-class Generation:
-    """One request while the engine runs it.
-
-    Attributes:
-        event_id: Identifier in the events; differs from ``call_id`` by a fault.
-        seed: Hash of the request body.
-        break_at: Index before which the connection is closed, if any.
-        end_at: Index before which the answer is truncated, if any.
-        unsent: Bytes that the connection has not taken yet.
-        is_done: Whether nothing more is added to the answer.
-        is_broken: Whether the connection is closed without the terminating chunk.
-        is_lost: Whether the peer closed the connection.
-    """
-
-    connection: StandInConnection
-    organisation: str
-    event_id: str
-    seed: int
-    call_id: str
-    prefill_left: int
-    prefilled: int
-    cached: int
-    index: int
-    tokens: int
-    break_at: int | None
-    end_at: int | None
-    prefix_key: str | None
-    prefix_tokens: int
-    unsent: bytes = b""
-    is_started: bool = False
-    is_done: bool = False
-    is_broken: bool = False
-    is_lost: bool = False
-    finished: Any = field(default_factory=curio.Event)
-
-    def add_event(self, name: str, document: dict[str, Any]) -> None:
-        """Appends a control event to the answer."""
-        data = json.dumps(document, separators=(",", ":"))
-        self._add_chunk(f"event: {name}\ndata: {data}\n\n")
-
-    def add_token(self) -> None:
-        """Appends the next token to the answer."""
-        text = xxhash.xxh32_hexdigest(
-            f"{self.call_id}:{self.index}".encode(), seed=self.seed
-        )
-        self._add_chunk(
-            f'data: {{"id":"{self.event_id}","i":{self.index},"t":"{text}"}}\n\n'
-        )
-        self.index += 1
-
-    def _add_chunk(self, text: str) -> None:
-        self.unsent += f"{len(text):x}\r\n{text}\r\n".encode()
-
-    def flush(self) -> None:
-        """Sends what the connection takes without waiting."""
-        try:
-            count = self.connection.send_now(self.unsent)
-        except OSError:
-            self.is_done = self.is_broken = self.is_lost = True
-            return
-        self.unsent = self.unsent[count:]
-
-
 @dataclass(slots=True)
 class EngineCounts:
     """What the engine did so far."""
--- a/sequoiamoor/standin/load.py
+++ b/sequoiamoor/standin/load.py
@@ -17,7 +17,7 @@
 
 from ..net.http_client import ClientConnection, exchange
 from ..types import Address
-from .engine import make_token_text
+from .generation import make_token_text
 
 REQUEST_TIMEOUT_SECONDS = 60.0
 CONNECT_TIMEOUT_SECONDS = 5.0
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -5,6 +5,8 @@
 import pytest
 
 from sequoiamoor.core.fairness import (
+    COST_SMOOTHING,
+    UNKNOWN_COST,
     CostEstimates,
     OrganisationView,
     ServiceView,
@@ -59,11 +61,20 @@
 
 
 @pytest.mark.parametrize(
-    ("hint", "expected"), [(None, 100), (150, 150), (1000, 400), (1, 25)]
+    ("service", "organisation", "expected"),
+    [
+        ("talk", "x", 110.0),
+        ("talk", "stranger", 110.0),
+        ("other", "x", UNKNOWN_COST),
+    ],
 )
-def test_hint_is_trusted_within_a_factor(hint: float | None, expected: float) -> None:
-    """Guards against a wrong hint that buys or costs more than a factor of 4."""
+@pytest.mark.parametrize("hint", [None, 1.0, 150.0, 1000.0])
+def test_expected_cost_is_what_requests_cost(
+    hint: float | None, service: str, organisation: str, expected: float
+) -> None:
+    """Guards against a hint, which can be wrong, that buys or costs a share."""
     costs = CostEstimates()
     call = CallRequest("c", "c", "x", "chat", "talk", 0, 1, 30, b"", cost_hint=hint)
     costs.learn(call, 100.0)
-    assert costs.expect(call, trust_factor=4.0) == expected
+    costs.learn(call, 100.0 + 10.0 / COST_SMOOTHING)
+    assert costs.expect(service, organisation) == pytest.approx(expected)
--- a/tests/standin/test_engine.py
+++ b/tests/standin/test_engine.py
@@ -10,7 +10,8 @@
 import h11
 import pytest
 
-from sequoiamoor.standin.engine import EngineStandIn, PrefixCache, make_token_text
+from sequoiamoor.standin.engine import EngineStandIn
+from sequoiamoor.standin.generation import PrefixCache, make_token_text
 from sequoiamoor.types import Address
 
 from .harness import generate, open_stream, run_with, send
--- a/tests/standin/test_load.py
+++ b/tests/standin/test_load.py
@@ -10,7 +10,7 @@
 from sequoiamoor.standin import load
 from sequoiamoor.standin.client import parse_metrics
 from sequoiamoor.standin.demo import describe_metrics
-from sequoiamoor.standin.engine import make_token_text
+from sequoiamoor.standin.generation import make_token_text
 from sequoiamoor.standin.load import (
     Caller,
     CallerPlan,
