--- a/benchmarks/fairness_figures.py
+++ b/benchmarks/fairness_figures.py
@@ -9,7 +9,7 @@
 from sequoiamoor.standin.load import create_histogram
 
 from . import measures
-from .fairness_fleet import CLASSES
+from .fairness_fleet import CLASSES, list_sides
 from .measures import LoadSample
 from .workload import (
     FLOODING,
@@ -68,6 +68,10 @@
     loads = [poll.load for poll in polls if poll.load is not None]
     for name, only in (("utilisation_waiting", True), ("utilisation", False)):
         run.figures[name] = measures.compute_utilisation(loads, only_while_waiting=only)
+    sides = list_sides()
+    for name, engines in {**sides, "reachable": sum(sides.values(), [])}.items():
+        value = measures.compute_reachable_utilisation(loads, engines)
+        run.figures[f"utilisation_{name}"] = value
     run.figures["most_waiting"] = max((one.waiting for one in loads), default=None)
     for what in ("bytes", "messages"):
         for direction, verb in (("out", "sent"), ("in", "received")):
--- a/benchmarks/fairness_fleet.py
+++ b/benchmarks/fairness_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from sequoiamoor.standin.launcher import FleetPlan, UpstreamPlan
 
 from .workload import list_organisations
@@ -72,3 +74,30 @@
     if zone != CUT_ZONE:
         return [CUT_ZONE]
     return sorted(set(ROUTER_ZONES) - {CUT_ZONE})
+
+
+def list_sides() -> dict[str, list[int]]:
+    """Returns the indexes of the engines on each side of the partition."""
+    numbers = range(len(ENGINE_ZONES))
+    return {
+        "inside": [one for one in numbers if ENGINE_ZONES[one] == CUT_ZONE],
+        "outside": [one for one in numbers if ENGINE_ZONES[one] != CUT_ZONE],
+    }
+
+
+def count_reachable(waiting: Mapping[str, float], *, is_cut: bool) -> list[float]:
+    """Returns for each engine the waiting requests at routers that reach it.
+
+    Args:
+        waiting: Requests waiting at each router.
+        is_cut: Whether the partition holds.
+    """
+    zones = {f"router-{one}": zone for one, zone in enumerate(ROUTER_ZONES)}
+    return [
+        sum(
+            count
+            for name, count in waiting.items()
+            if not is_cut or engine_zone not in list_cut_zones(zones[name])
+        )
+        for engine_zone in ENGINE_ZONES
+    ]
--- a/benchmarks/fairness_report.py
+++ b/benchmarks/fairness_report.py
@@ -60,7 +60,13 @@
     reads = read("platform_reads_per_second")
     writes = read("platform_writes_per_second")
     total = None if reads is None or writes is None else reads + writes
-    rows: list[Check] = []
+    rows: list[Check] = [
+        measures.check_at_least(
+            f"utilisation while work waits in reach, {scenario}",
+            read("utilisation_reachable"),
+            measures.UTILISATION_GOAL,
+        )
+    ]
     if scenario == "steady":
         rows += [
             measures.check_at_least(
@@ -110,6 +116,9 @@
     ("units/s received", "units_per_second", 1, ".0f"),
     ("capacity, units/s", "capacity_units_per_second", 1, ".0f"),
     ("utilisation while work waits, %", "utilisation_waiting", 100, ".1f"),
+    ("the same, work that reaches them, %", "utilisation_reachable", 100, ".1f"),
+    ("the same, zone that is cut, %", "utilisation_inside", 100, ".1f"),
+    ("the same, other zones, %", "utilisation_outside", 100, ".1f"),
     ("utilisation, %", "utilisation", 100, ".1f"),
     ("most waiting requests", "most_waiting", 1, ".0f"),
     ("chat p50, ms (target 800)", "chat_first_token_p50_ms", 1, ".0f"),
@@ -142,10 +151,10 @@
     """Prints a table per scenario with the policies side by side."""
     for scenario in dict.fromkeys(run.scenario for run in runs):
         columns = [run for run in runs if run.scenario == scenario]
-        print(f"\n{scenario:<34}" + "".join(f"{run.policy:>14}" for run in columns))
+        print(f"\n{scenario:<38}" + "".join(f"{run.policy:>14}" for run in columns))
         for label, name, factor, form in _ROWS:
             cells = [_format(run.figures.get(name), factor, form) for run in columns]
-            print(f"{label:<34}" + "".join(f"{cell:>14}" for cell in cells))
+            print(f"{label:<38}" + "".join(f"{cell:>14}" for cell in cells))
         for run in columns:
             if run.refused:
                 print(f"refused, {run.policy}: {run.refused}")
--- a/benchmarks/fairness_runs.py
+++ b/benchmarks/fairness_runs.py
@@ -20,6 +20,7 @@
     ROUTER_ZONES,
     build_plan,
     compute_capacity,
+    count_reachable,
     list_cut_zones,
 )
 from .measures import LoadSample
@@ -53,8 +54,13 @@
     return max(shares, default=None)
 
 
-async def poll_fleet(fleet: Fleet) -> Poll:
-    """Reads routers, engines and platform once; what is gone is left out."""
+async def poll_fleet(fleet: Fleet, *, is_cut: bool = False) -> Poll:
+    """Reads routers, engines and platform once; what is gone is left out.
+
+    Args:
+        fleet: The fleet.
+        is_cut: Whether the partition holds.
+    """
     series: dict[str, Series] = {}
     counts: list[Any] = []
     platform: dict[str, float] = {}
@@ -84,21 +90,27 @@
     load = None
     if len(counts) == len(engines):
         counts.sort(key=lambda one: str(one["replica"]))
-        waiting = sum(
-            sum(one.read("sequoiamoor_waiting_requests")) for one in series.values()
-        )
+        # Requests for the plain service are included; few of them ever wait.
+        waiting = {
+            name: sum(one.read("sequoiamoor_waiting_requests"))
+            for name, one in series.items()
+        }
         load = LoadSample(
-            waiting,
+            sum(waiting.values()),
             tuple(one["busy_slot_seconds"] for one in counts),
             tuple(one["elapsed_seconds"] for one in counts),
             tuple(one["slots"] for one in counts),
+            tuple(count_reachable(waiting, is_cut=is_cut)),
         )
     return Poll(time.monotonic(), load, series, platform)
 
 
-async def _poll_until(fleet: Fleet, polls: list[Poll], until: float) -> None:
-    while time.monotonic() < until:
-        polls.append(await poll_fleet(fleet))
+async def _poll_until(
+    fleet: Fleet, polls: list[Poll], until: float, cut: tuple[float, float] | None
+) -> None:
+    while (now := time.monotonic()) < until:
+        is_cut = cut is not None and cut[0] <= now < cut[1]
+        polls.append(await poll_fleet(fleet, is_cut=is_cut))
         await curio.sleep(POLL_INTERVAL_SECONDS)
 
 
@@ -136,16 +148,12 @@
 async def _watch(fleet: Fleet, run: Run, from_time: float, until: float) -> list[Poll]:
     polls: list[Poll] = []
     length = until - from_time
+    fault = (from_time + FAULT_STARTS * length, from_time + FAULT_ENDS * length)
+    cut = fault if run.scenario == "partition" else None
     await _sleep_until(from_time)
     async with curio.TaskGroup() as tasks:
-        await tasks.spawn(_poll_until, fleet, polls, until)
-        await tasks.spawn(
-            _bring_faults,
-            fleet,
-            run,
-            from_time + FAULT_STARTS * length,
-            from_time + FAULT_ENDS * length,
-        )
+        await tasks.spawn(_poll_until, fleet, polls, until, cut)
+        await tasks.spawn(_bring_faults, fleet, run, *fault)
     for error in tasks.exceptions:
         if error is not None:
             raise error
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -66,6 +66,7 @@
 
     Attributes:
         waiting: Requests waiting at the routers.
+        reachable: For each engine, requests waiting at routers that reach it.
         busy: Busy slot-seconds of each engine so far.
         elapsed: Seconds that each engine has run.
         slots: Slots of each engine.
@@ -75,6 +76,29 @@
     busy: tuple[float, ...]
     elapsed: tuple[float, ...]
     slots: tuple[int, ...]
+    reachable: tuple[float, ...] = ()
+
+
+def compute_reachable_utilisation(
+    samples: Sequence[LoadSample], engines: Sequence[int]
+) -> float | None:
+    """Returns the busy share of the slots that waiting work could have used.
+
+    An engine counts between two polls that both saw work waiting at a router which
+    reaches it, so in a partition each side is measured by its own work.
+
+    Args:
+        samples: Polls, oldest first.
+        engines: Indexes of the engines to count.
+    """
+    busy = available = 0.0
+    for before, after in zip(samples, samples[1:], strict=False):
+        for one in engines:
+            if before.reachable[one] and after.reachable[one]:
+                busy += after.busy[one] - before.busy[one]
+                elapsed = after.elapsed[one] - before.elapsed[one]
+                available += after.slots[one] * elapsed
+    return busy / available if available > 0 else None
 
 
 def compute_utilisation(
--- a/tests/benchmarks/test_measures.py
+++ b/tests/benchmarks/test_measures.py
@@ -5,7 +5,7 @@
 import pytest
 
 from benchmarks.fairness_figures import Run
-from benchmarks.fairness_fleet import list_cut_zones
+from benchmarks.fairness_fleet import count_reachable, list_cut_zones
 from benchmarks.fairness_report import judge
 from benchmarks.measures import (
     LoadSample,
@@ -13,6 +13,7 @@
     check_at_most,
     compute_gaps,
     compute_percentile,
+    compute_reachable_utilisation,
     compute_utilisation,
 )
 from benchmarks.workload import build_load, list_organisations
@@ -67,6 +68,20 @@
     assert compute_utilisation(samples, only_while_waiting=only) == expected
 
 
+def test_utilisation_of_a_partition_counts_engines_in_reach() -> None:
+    """Guards against engines that pass for idle although no work can reach them."""
+    waiting = {"router-0": 0.0, "router-3": 2.0}
+    whole, cut = (count_reachable(waiting, is_cut=one) for one in (False, True))
+    assert whole == [2.0] * 10
+    assert cut == [0.0] * 3 + [2.0] * 3 + [0.0] * 4
+    samples = [
+        LoadSample(2, (0.0,) * 9 + (2.0 * at,), (at,) * 10, (2,) * 10, tuple(counts))
+        for at, counts in ((0.0, whole), (1.0, whole), (2.0, cut))
+    ]
+    assert compute_reachable_utilisation(samples, [0, 9]) == 0.5
+    assert compute_reachable_utilisation(samples, [3, 9]) == pytest.approx(1 / 3)
+
+
 @pytest.mark.parametrize(
     ("value", "most", "least"),
     [(1.0, True, False), (2.0, True, True), (3.0, False, True), (None, None, None)],
