Count only usable free slots as covering waiting work

Cause: a router cut from a replica holds free slots of it. An arbiter took them as covering its own waiting requests and granted nothing, although it had free slots of replicas in reach.

Ruled out: slots held by the other side (reclaimed at 24 s), the new arbiter's wait, the cap (8 slots against 1 in use) and failing attempts (down replicas are not tried before their probe time).

Change: only free slots of available replicas count, and an arbiter hands out the slots of available replicas first. The golden files are unchanged.

--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -147,9 +147,15 @@
         return False
 
     def _count_free(self, board: Blackboard, service: ServiceName, now: float) -> int:
+        """Returns the free slots that waiting work can start on now.
+
+        Slots of replicas that are down do not count: waiting work would seem to be
+        covered by them, and the slots of other replicas would stay idle.
+        """
         return sum(
             self._free_slots(board, one, now)
             for one in self._pool(board, service, now).replicas
+            if one.is_available(now)
         )
 
     def _free_slot(
@@ -276,11 +282,16 @@
         own = self._allotment.build_rows()
         arbiter.take_rows(board.identity, own, now)
         free: dict[ServiceName, list[ReplicaId]] = {}
-        for replica_id in arbiter.replica_ids():
-            replica = board.upstreams.replicas.get(replica_id)
-            if replica is not None:
-                count = arbiter.free(replica_id, now)
-                free.setdefault(replica.service, []).extend([replica_id] * count)
+        replicas = [
+            replica
+            for replica_id in arbiter.replica_ids()
+            if (replica := board.upstreams.replicas.get(replica_id)) is not None
+        ]
+        # A slot of a replica that is down must not be the one that covers a request.
+        replicas.sort(key=lambda one: not one.is_available(now))
+        for replica in replicas:
+            count = arbiter.free(replica.replica_id, now)
+            free.setdefault(replica.service, []).extend([replica.replica_id] * count)
         for service, slots in free.items():
             if slots:
                 self._assign_service(board, service, slots, now)
--- a/tests/policies/test_arbitrated.py
+++ b/tests/policies/test_arbitrated.py
@@ -102,3 +102,25 @@
     fresh = Grants(grants.rows, acknowledged=2)
     policy.take_grants(board, peer, fresh, 3.1)
     assert policy.choose_start(board, SERVICE, 3.1) is not None
+
+
+def test_free_slots_of_a_replica_that_is_down_cover_no_work() -> None:
+    """Guards against slots that stay idle because unusable ones seem to suffice."""
+    peer = RouterIdentity("r1", 1, "b")
+    board = create_blackboard(RouterIdentity("r0", 1, "a"), OPTIONS)
+    policy = create_policy("arbitrated", rng=Random(0))
+    board.members["r1"] = peer
+    for name, zone in (("m0", "a"), ("m1", "b")):
+        board.upstreams.replicas[name] = Replica(
+            name, SERVICE, zone, Address("127.0.0.1", 1)
+        )
+    policy.step(board, 0.0)
+    policy.take_grants(board, peer, Grants((GrantRow("m1", 1 << 16, 1, 0),), 0), 0.1)
+    for _ in range(4):
+        board.upstreams.record_failure("m1", 0.1)
+    board.queues.add(CallRequest("c", "c", "o0", "chat", SERVICE, 0, 1, 30, b""))
+    for now in (0.2, 0.4, 0.6, 0.8):
+        policy.step(board, now)
+    start = policy.choose_start(board, SERVICE, 0.8)
+    assert start is not None
+    assert start.replica_id == "m0"
