Reclaim slots by proof of a router's end or loss of contact

Cause: a trace of `benchmarks.decisions` shows that slots held by a router that was killed or cut off idle from the fault at 20.0 s until the arbiter reclaims them after 4 s of silence and begins a new epoch (24.0 to 24.4 s).

Change: a router whose connection closed and whose control address refuses a new one has ended; it is dead at once and its slots are reclaimed. A router that cannot be reached (no acknowledgement for `suspect_after`, or no connection can be opened) loses its slots when its grants have expired, after 2 s instead of 4 s. One that is connected but silent keeps them for 4 s as before. All three begin a new epoch, so a router that was wrongly taken for lost regains nothing.

A slot is granted twice only in a partition: the kernel accepts connections and acknowledges data for a process that is paused or lacks CPU time, so neither state looks refused or unreachable, and the time to suspicion is unchanged. At 2 s of silence the last grants of the router have expired, since they count from when it built the report that they acknowledge, which is before the arbiter heard it.

Tests: the test of an orderly end now also covers SIGKILL; the state machine of the slots also loses and regains connections to routers.

--- a/benchmarks/decisions_router.py
+++ b/benchmarks/decisions_router.py
@@ -122,7 +122,10 @@
             name: identity
             for name, (identity, at) in self.heard.items()
             if now - at < options.suspect_after
+            and identity not in self.fleet.find_ended()
         }
+        self.board.ended = self.fleet.find_ended()
+        self.board.unreachable = self.fleet.find_unreachable(self.board.identity)
         self.carry_out(self.timed(self.policy.step, self.board, now))
         self.send_report([one for one in self.fleet.routers if one != self.name])
         self.dispatch()
--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -73,6 +73,8 @@
         self._epochs: dict[ReplicaId, int] = {}
         self._heard_at: dict[RouterIdentity, float] = {}
         self._refreshed_at = float("-inf")
+        self._unreachable: Collection[RouterIdentity] = ()
+        self._ended: Collection[RouterIdentity] = ()
 
     def replica_ids(self) -> Collection[ReplicaId]:
         """Returns the replicas that this router arbitrates."""
@@ -83,6 +85,9 @@
         windows: Mapping[ReplicaId, int],
         members: Collection[RouterIdentity],
         now: float,
+        *,
+        unreachable: Collection[RouterIdentity] = (),
+        ended: Collection[RouterIdentity] = (),
     ) -> None:
         """Takes over and gives up replicas, and reclaims slots of silent routers.
 
@@ -90,7 +95,10 @@
             windows: Window of each replica that this router arbitrates now.
             members: Live routers, including this one.
             now: Monotonic time in seconds.
+            unreachable: Routers to which no connection can be kept or opened.
+            ended: Routers whose process is known to have ended.
         """
+        self._unreachable, self._ended = unreachable, ended
         for replica_id in [one for one in self._replicas if one not in windows]:
             del self._replicas[replica_id]
         for replica_id, window in windows.items():
@@ -111,11 +119,24 @@
         self._epochs[replica_id] = epoch
         for router_id in self._rows:
             identity, rows = self._rows[router_id]
-            silence = now - self._heard_at.get(identity, float("-inf"))
-            if silence < self._options.router_reclaim_after and replica_id in rows:
+            if replica_id in rows and not self._may_reclaim(identity, now):
                 state.shares[identity] = _Share(row=rows[replica_id])
         return state
 
+    def _may_reclaim(self, identity: RouterIdentity, now: float) -> bool:
+        """Returns whether the slots of a router that is no member may be reclaimed.
+
+        A router that is connected but silent may be paused while its requests run. One
+        that cannot be reached is cut off or gone, and starts nothing once its grants
+        have expired. The requests of one that ended have ended with it.
+        """
+        if identity in self._ended:
+            return True
+        limit = self._options.router_reclaim_after
+        if identity in self._unreachable:
+            limit = min(limit, self._options.grant_expiry)
+        return now - self._heard_at.get(identity, float("-inf")) >= limit
+
     def _must_renew(
         self,
         replica_id: ReplicaId,
@@ -130,11 +151,10 @@
         """
         if self._epochs.get(replica_id, 0) > state.epoch:
             return now - state.since >= self._options.report_interval
-        limit = now - self._options.router_reclaim_after
         silent = [
             identity
             for identity in state.shares
-            if identity not in members and self._heard_at.get(identity, limit) <= limit
+            if identity not in members and self._may_reclaim(identity, now)
         ]
         must_reclaim = False
         for identity in silent:
--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -28,6 +28,8 @@
     Attributes:
         running: Requests with an attempt under way, by call identifier.
         members: Live peers, without this router.
+        unreachable: Routers to which no connection can be kept or opened.
+        ended: Routers whose process is known to have ended.
         report_sequence: Sequence of the report that is being built; 0 as long as
             reports are not numbered.
         is_report_due: Whether a report should go out before the interval ends.
@@ -42,6 +44,8 @@
     ledger: Ledger = field(default_factory=Ledger)
     running: dict[str, CallRequest] = field(default_factory=dict)
     members: dict[RouterId, RouterIdentity] = field(default_factory=dict)
+    unreachable: frozenset[RouterIdentity] = frozenset()
+    ended: frozenset[RouterIdentity] = frozenset()
     report_sequence: int = 0
     is_report_due: bool = False
     is_leaving: bool = False
--- a/sequoiamoor/core/membership.py
+++ b/sequoiamoor/core/membership.py
@@ -18,6 +18,18 @@
     DEAD = "dead"
 
 
+class LinkState(enum.StrEnum):
+    """What the connection to a control address tells of the router there.
+
+    The kernel acknowledges data and accepts connections for a process that is paused
+    or short of CPU time, so neither of the last two is due to one.
+    """
+
+    CONNECTED = "connected"
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+
+
 @dataclass(slots=True)
 class Member:
     """Another router.
@@ -27,6 +39,8 @@
         heard_at: Monotonic time of its last message in seconds.
         address: Control address that it gave, if any.
         is_leaving: Whether it announced that it is leaving.
+        is_closed: Whether a connection from it ended and none carried a message since.
+        has_ended: Whether its process is known to have ended.
     """
 
     identity: RouterIdentity
@@ -34,6 +48,8 @@
     address: Address | None = None
     state: MemberState = MemberState.ALIVE
     is_leaving: bool = False
+    is_closed: bool = False
+    has_ended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +76,7 @@
     fixed: tuple[Address, ...] = ()
     members: dict[RouterId, Member] = field(default_factory=dict)
     _listed: dict[RouterId, Address] = field(default_factory=dict)
+    _links: dict[Address, LinkState] = field(default_factory=dict)
     _stepped_at: float | None = None
 
     def hear(
@@ -85,6 +102,7 @@
         if identity.incarnation < member.identity.incarnation:
             return False
         member.heard_at = max(member.heard_at, now)
+        member.is_closed = member.has_ended = False
         if address is not None:
             member.address = address
         return True
@@ -102,9 +120,20 @@
         instead of after ``suspect_after``.
         """
         member = self.members.get(identity.router_id)
-        if member is not None and member.identity == identity and member.is_leaving:
+        if member is None or member.identity != identity:
+            return
+        member.is_closed = True
+        if member.is_leaving:
             member.heard_at = float("-inf")
 
+    def note_link(self, address: Address, state: LinkState) -> None:
+        """Notes what became of the connection to a control address."""
+        self._links[address] = state
+
+    def _find_link(self, router_id: RouterId) -> LinkState | None:
+        address = self.find_address(router_id)
+        return None if address is None else self._links.get(address)
+
     def step(self, now: float) -> list[MemberChange]:
         """Brings the states of all members up to date.
 
@@ -122,7 +151,11 @@
         self._stepped_at = now
         changes = []
         for router_id, member in list(self.members.items()):
-            state = self._judge(now - member.heard_at)
+            if member.is_closed and self._find_link(router_id) is LinkState.REFUSED:
+                # A router listens until its process ends, and a connection that it
+                # opened has ended too.
+                member.has_ended = True
+            state = self._judge(member, now)
             if state is not member.state:
                 member.state = state
                 changes.append(MemberChange(member.identity, state))
@@ -130,8 +163,9 @@
                 del self.members[router_id]
         return changes
 
-    def _judge(self, silence: float) -> MemberState:
-        if silence > self.options.dead_after:
+    def _judge(self, member: Member, now: float) -> MemberState:
+        silence = now - member.heard_at
+        if member.has_ended or silence > self.options.dead_after:
             return MemberState.DEAD
         if silence > self.options.suspect_after:
             return MemberState.SUSPECT
@@ -145,6 +179,19 @@
             if member.state is MemberState.ALIVE
         }
 
+    def ended(self) -> frozenset[RouterIdentity]:
+        """Returns the routers whose process is known to have ended."""
+        return frozenset(one.identity for one in self.members.values() if one.has_ended)
+
+    def unreachable(self) -> frozenset[RouterIdentity]:
+        """Returns the routers to which no connection can be kept or opened."""
+        lost = (LinkState.UNREACHABLE, LinkState.REFUSED)
+        return frozenset(
+            member.identity
+            for router_id, member in self.members.items()
+            if self._find_link(router_id) in lost
+        )
+
     def take_list(self, routers: Iterable[tuple[RouterId, Address]]) -> None:
         """Takes the control addresses of a VM list that is not empty."""
         self._listed = dict(routers)
@@ -164,4 +211,7 @@
             if address is not None and router_id != self.identity.router_id:
                 found.add(address)
         found.discard(self.own_address)
+        self._links = {
+            address: state for address, state in self._links.items() if address in found
+        }
         return found
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -12,7 +12,7 @@
 
 from ..core.actions import Action, Send, SendReport
 from ..core.blackboard import Blackboard
-from ..core.membership import Membership, MemberState
+from ..core.membership import LinkState, Membership, MemberState
 from ..core.messages import (
     Configuration,
     ConfigurationRequest,
@@ -266,6 +266,8 @@
                     )
             self._board.members.clear()
             self._board.members.update(live)
+        self._board.unreachable = self.membership.unreachable()
+        self._board.ended = self.membership.ended()
         self._metrics.members.set(len(live) + 1)
 
     def _request_configuration(self, now: float) -> None:
@@ -446,3 +448,7 @@
     async def note_closed(self, identity: RouterIdentity) -> None:
         """Takes note that a peer closed its connection."""
         self.membership.note_closed(identity)
+
+    def note_link(self, address: Address, state: LinkState) -> None:
+        """Takes note of what became of the connection to an address."""
+        self.membership.note_link(address, state)
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import logging
 import socket
 import time
@@ -17,6 +18,7 @@
 
 import curio
 
+from ..core.membership import LinkState
 from ..core.messages import (
     Configuration,
     ConfigurationRequest,
@@ -47,6 +49,24 @@
 # Reports that wait in a socket buffer cannot be replaced by newer ones, so a slow
 # peer would get old reports for longer with a larger buffer.
 SEND_BUFFER_BYTES = 65_536
+_NETWORK_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+
+
+def judge_failure(err: Exception | None) -> LinkState | None:
+    """Returns what the error of a connection tells of the router at its other end.
+
+    None means that it tells nothing: the router or this one may have closed the
+    connection, or this one may lack sockets.
+    """
+    if isinstance(err, curio.TaskTimeout):
+        return LinkState.UNREACHABLE
+    if isinstance(err, ConnectionRefusedError):
+        # Fault injection gives no error number and stands for a cut network.
+        is_answer = err.errno == errno.ECONNREFUSED
+        return LinkState.REFUSED if is_answer else LinkState.UNREACHABLE
+    if isinstance(err, OSError) and err.errno in _NETWORK_ERRORS:
+        return LinkState.UNREACHABLE
+    return None
 
 
 class Outbox:
@@ -136,6 +156,9 @@
     async def note_closed(self, identity: RouterIdentity) -> None:
         """Takes note that a peer closed its connection."""
 
+    def note_link(self, address: Address, state: LinkState) -> None:
+        """Takes note of what became of the connection to an address."""
+
 
 class Link:
     """The outgoing connection to one address."""
@@ -155,6 +178,7 @@
         self._unsent = b""
         self._stalled_at: float | None = None
         self._is_stopped = False
+        self._error: Exception | None = None
 
     @property
     def unsent_bytes(self) -> int:
@@ -188,6 +212,10 @@
             sent: int = self._sock._socket.send(self._unsent)
         except BlockingIOError:
             sent = 0
+        except OSError as err:
+            # The task that waits for the socket does not get the error again.
+            self._error = err
+            raise
         if sent == len(self._unsent):
             self._unsent = b""
             self._stalled_at = None
@@ -234,10 +262,15 @@
         delay = self._options.reconnect_base_delay
         while not self._is_stopped:
             opened_at = time.monotonic()
+            self._error = None
             try:
                 await self._run_connection(handler)
             except (OSError, ProtocolError, curio.TaskTimeout) as err:
                 _LOG.debug("connection to %s failed: %s", self.address, err)
+                self._error = err
+            state = judge_failure(self._error)
+            if state is not None:
+                handler.note_link(self.address, state)
             if time.monotonic() - opened_at > self._options.dead_after:
                 delay = self._options.reconnect_base_delay
             await curio.sleep(delay * rng.uniform(0.5, 1.0))
@@ -255,9 +288,12 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             # Without a limit the retransmissions of a connection that lost contact
             # back off to minutes, and it stays silent for as long after a partition.
-            limit_ms = int(self._options.dead_after * 1000)
+            # The peer's kernel acknowledges data also while its process is paused, so
+            # this error tells a cut network from a slow router.
+            limit_ms = int(self._options.suspect_after * 1000)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
             self._sock = sock
+            handler.note_link(self.address, LinkState.CONNECTED)
             for message in handler.greet():
                 self._outbox.put(message)
             self.flush(time.monotonic(), row_limit=FIRST_REPORT_ROWS)
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -426,7 +426,9 @@
             if replica_id not in board.upstreams.replicas:
                 self._allotment.forget(replica_id)
                 self._published_slots.pop(replica_id, None)
-        arbiter.set_replicas(windows, members, now)
+        arbiter.set_replicas(
+            windows, members, now, unreachable=board.unreachable, ended=board.ended
+        )
         self._yield_free(board, now)
         actions += self._arbitrate(board, now)
         self._grant_in_advance(board, now)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -12,7 +13,7 @@
     rule,
 )
 
-from sequoiamoor.core.membership import Membership, MemberState
+from sequoiamoor.core.membership import LinkState, Membership, MemberState
 from sequoiamoor.options import Options
 from sequoiamoor.types import Address, RouterIdentity
 
@@ -195,6 +196,26 @@
     assert not membership.live()
 
 
+@pytest.mark.parametrize("is_closed", [False, True])
+@pytest.mark.parametrize("state", LinkState)
+def test_only_a_closed_and_refused_router_has_ended(
+    is_closed: bool, state: LinkState
+) -> None:
+    """Guards against a paused or cut-off router that passes for one that ended."""
+    membership, identity = build_heard()
+    if is_closed:
+        membership.note_closed(identity)
+    membership.note_link(build_address(1), state)
+    membership.step(10.2)
+    assert bool(membership.unreachable()) == (state is not LinkState.CONNECTED)
+    has_ended = is_closed and state is LinkState.REFUSED
+    assert membership.ended() == ({identity} if has_ended else set())
+    assert bool(membership.live()) != has_ended
+    membership.hear(identity, 10.3)
+    membership.step(10.4)
+    assert membership.live()
+
+
 def test_candidates_come_from_list_settings_and_messages() -> None:
     """Guards against a router that only knows the VM list, which lags or is empty."""
     membership, _ = build_heard()
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -79,6 +80,7 @@
         self.allotments = [Allotment() for _ in range(ROUTERS)]
         self.heard: dict[tuple[int, RouterIdentity], float] = {}
         self.lost: set[tuple[int, RouterIdentity]] = set()
+        self.unreachable: set[int] = set()
         self.acknowledged: dict[tuple[int, RouterIdentity], float] = {}
         self.reports: list[tuple[RouterIdentity, float, tuple[SlotRow, ...]]] = []
         self.grants: list[tuple[RouterIdentity, float, GrantRow]] = []
@@ -98,13 +100,16 @@
             if self.now - self.heard.get((arbiter, one), 0.0) >= OPTIONS.suspect_after
         ]
         live = [one for one in self.identities() if one not in silent]
-        self.arbiters[arbiter].set_replicas({REPLICA: WINDOW}, live, self.now)
+        cut = {self.identities()[one] for one in self.unreachable}
+        self.arbiters[arbiter].set_replicas(
+            {REPLICA: WINDOW}, live, self.now, unreachable=cut
+        )
         self.collect(arbiter)
-        limit = self.now - OPTIONS.router_reclaim_after
         lost = {
             (arbiter, one)
             for one in silent
-            if self.heard.get((arbiter, one), self.now) <= limit
+            if self.now - self.heard.get((arbiter, one), self.now)
+            >= (OPTIONS.grant_expiry if one in cut else OPTIONS.router_reclaim_after)
         } - self.lost
         self.lost |= lost
         return len(lost)
@@ -188,6 +193,40 @@
     assert network.allotments[0].free(REPLICA, network.now) == 0
 
 
+@pytest.mark.parametrize(
+    ("silence", "unreachable", "ended", "expected"),
+    [
+        (3.9, [], [], 0),
+        (1.9, [0], [], 0),
+        (2.0, [0], [], WINDOW),
+        (0.2, [], [0], WINDOW),
+    ],
+)
+def test_slots_are_reclaimed_when_nothing_can_run_on_them(
+    silence: float, unreachable: list[int], ended: list[int], expected: int
+) -> None:
+    """Guards against reclaiming from a paused router early, or from others late."""
+    network = build_network()
+    network.grant(0, 0)
+    network.exchange(0, [0])
+    network.now += silence
+    arbiter, identities = network.arbiters[0], network.identities()
+    for _ in range(2):
+        network.report(1)
+        network.take_report(0, -1, False)
+        arbiter.set_replicas(
+            {REPLICA: WINDOW},
+            identities[1:],
+            network.now,
+            unreachable={identities[one] for one in unreachable},
+            ended={identities[one] for one in ended},
+        )
+    later = network.now + OPTIONS.report_interval
+    assert arbiter.free(REPLICA, later) == expected
+    if expected and not ended:
+        assert network.allotments[0].free(REPLICA, network.now) == 0
+
+
 def test_new_arbiter_counts_slots_of_routers_that_have_not_adopted() -> None:
     """Guards against granting the slots that a slow router still uses."""
     network = build_network()
@@ -280,6 +319,14 @@
             if is_released:
                 allotment.release(REPLICA, 1)
 
+    @rule(router=ROUTER, is_cut=st.booleans())
+    def change_link(self, router: int, is_cut: bool) -> None:
+        """The arbiters lose or regain their connections to a router."""
+        if is_cut:
+            self.network.unreachable.add(router)
+        else:
+            self.network.unreachable.discard(router)
+
     @rule(router=ROUTER)
     def restart(self, router: int) -> None:
         """Ends the requests of the router with it."""
@@ -302,6 +349,7 @@
     def teardown(self) -> None:
         """Without faults all slots come into use again: none is lost for good."""
         network = self.network
+        network.unreachable.clear()
         network.reports.clear()
         network.grants.clear()
         for _ in range(60):
--- /dev/null
+++ b/tests/net/test_peers.py
@@ -0,0 +1,61 @@
+"""Tests of what connections tell of the routers at their other ends."""
+
+from __future__ import annotations
+
+import socket
+import time
+from random import Random
+from typing import cast
+
+import curio
+
+from sequoiamoor.core.membership import LinkState
+from sequoiamoor.metrics import Metrics
+from sequoiamoor.net.peers import Handler, Link, judge_failure
+from sequoiamoor.options import Options
+from sequoiamoor.types import Address
+
+
+class Recorder:
+    """A handler that keeps the states of the link."""
+
+    def __init__(self) -> None:
+        self.states: list[LinkState] = []
+
+    def greet(self) -> list[object]:
+        return []
+
+    def note_link(self, address: Address, state: LinkState) -> None:
+        self.states.append(state)
+
+
+def test_paused_router_is_neither_unreachable_nor_refused() -> None:
+    """Guards against taking the slots of a router that only lacks CPU time."""
+    options = Options.model_validate({"suspect_after": 0.1, "connect_timeout": 10})
+    recorder = Recorder()
+
+    async def main() -> None:
+        # Nobody accepts or reads: the kernel alone answers, as for a paused process.
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = Address(*listener.getsockname())
+        link = Link(address, source="127.0.0.1", options=options, metrics=Metrics())
+        handler = cast(Handler, recorder)
+        task = await curio.spawn(link.run, handler, Random(1), daemon=True)
+        for _ in range(10):
+            link._unsent = b"x"
+            link.flush(time.monotonic(), row_limit=1)
+            await curio.sleep(0.05)
+        assert recorder.states == [LinkState.CONNECTED]
+        listener.close()
+        async with curio.timeout_after(10.0):
+            while recorder.states[-1] is not LinkState.REFUSED:
+                await curio.sleep(0.01)
+        await task.cancel()
+
+    curio.run(main)
+
+
+def test_injected_partition_is_no_proof_of_an_end() -> None:
+    """Guards against a cut network that passes for routers that ended."""
+    assert judge_failure(ConnectionRefusedError("blocked")) is LinkState.UNREACHABLE
+    assert judge_failure(OSError(24, "too many open files")) is None
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -249,13 +249,18 @@
         assert process.poll() is None
 
 
-def test_orderly_shutdown_is_known_without_suspicion() -> None:
+@pytest.mark.parametrize(
+    ("number", "status"), [(signal.SIGTERM, 0), (signal.SIGKILL, -signal.SIGKILL)]
+)
+def test_end_of_a_router_is_known_without_suspicion(
+    number: signal.Signals, status: int
+) -> None:
     """Guards against grants to a router that ended, until it is suspect."""
     with run_fleet(build_plan(("zone-a", "zone-b"), replicas=1)) as fleet:
         wait_fleet(fleet)
         process = fleet.processes["router-1"]
-        process.terminate()
-        assert process.wait(HEAL_SECONDS) == 0
+        process.send_signal(number)
+        assert process.wait(HEAL_SECONDS) == status
         wait_members(fleet, ["router-0"], 1, limit=HEAL_SECONDS)
         log = Path(_read_settings_path(fleet, "router-0")).with_suffix(".log")
         records = [json.loads(line) for line in log.read_text().splitlines()]
