Share the event queue of the fleet in memory

Cause: a state machine over a fleet with faults needs the same queue of events as the decision benchmark, whose fleet has constants of the benchmark built in. Ruled out: a subclass of that fleet, which would first build 8 routers and 10 replicas. Change: the queue is a class of its own. Conclusion: behaviour of the benchmark is unchanged.

--- a/benchmarks/decisions_fleet.py
+++ b/benchmarks/decisions_fleet.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import statistics
 from collections import defaultdict
-from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -19,6 +17,7 @@
 from sequoiamoor.types import CallRequest, RouterIdentity
 
 from .decisions_router import SERVICE, FakeReplica, FakeRouter, Job
+from .timeline import Timeline
 
 ZONES = ("a", "b", "c")
 ROUTERS, REPLICAS, SLOTS, ORGANISATIONS = 8, 10, 8, 16
@@ -30,14 +29,12 @@
 WARM_UP = 10.0
 
 
-class Fleet:
+class Fleet(Timeline):
     """Routers, replicas, callers and the network between them."""
 
     def __init__(self, policy: str, seed: int, options: Options) -> None:
+        super().__init__()
         self.policy, self.options, self.rng = policy, options, Random(seed)
-        self.now = 0.0
-        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.numbers = itertools.count()
         self.cut: str | None = None
         self.cost_divisor = 1
         self.messages = self.bytes = 0
@@ -63,15 +60,6 @@
             self.at(index * TICK / REPLICAS, self.run_replica, one)
             self.at(0.1 * index, self.report_load, one)
 
-    def at(self, when: float, function: Callable[..., None], *args: Any) -> None:
-        heapq.heappush(self.events, (when, next(self.numbers), function, args))
-
-    def run(self, until: float) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, function, args = heapq.heappop(self.events)
-            function(*args)
-        self.now = until
-
     def add_router(self, name: str, zone: str, incarnation: int, when: float) -> None:
         identity = RouterIdentity(name, incarnation, zone)
         self.routers[name] = FakeRouter(self, identity, self.policy)
