Address grants to one incarnation of a router

Cause: found by a state machine over a fleet with overlapping faults (grants in flight, the receiver killed and restarted). An arbiter that has not heard of the restart sends the grants of the earlier incarnation on the new connection. The new incarnation adopted the epoch with the earlier count; its own grants in that epoch then renewed the validity and, being smaller, lowered nothing. The router started on a slot that its arbiter counted as free, and kept it for as long as the epoch lasted. Ruled out: ignoring grants that acknowledge an unknown report, since sequences of both incarnations begin at 1; sequences that begin at a random number, which would lengthen every report instead of the rarer grants. Change: Grants carry the receiver's incarnation, others are ignored, and an outbox drops rows for the incarnation before. The protocol number rises, since the message is longer. Figures: at most 9 bytes more per Grants message; a router gets one per arbiter each second and one per change. Tests: the new test of the policy fails without the check; the wire property test now draws both fields of Grants.

--- a/benchmarks/decisions_fleet.py
+++ b/benchmarks/decisions_fleet.py
@@ -275,7 +275,7 @@
             [int(one.replica_id[1:]), one.epoch, one.granted, one.recalled]
             for one in message.rows
         ]
-        return [4, rows, message.acknowledged]
+        return [4, rows, message.acknowledged, message.incarnation]
     assert isinstance(message, Snapshot)
     origins = [
         [one.origin.router_id, one.origin.incarnation, one.origin.zone,
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -105,10 +105,14 @@
         acknowledged: Sequence of the receiver's last report that the arbiter took.
             The grants expire counted from when that report was built, so a message
             that waited in a buffer while the receiver was paused renews nothing.
+        incarnation: Incarnation of the receiver that the slots are granted to; 0 if
+            the sender does not say. Until a router that restarts is heard of, its
+            arbiters still send it the grants of the incarnation before.
     """
 
     rows: tuple[GrantRow, ...]
     acknowledged: int = 0
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -64,6 +64,7 @@
         self._states: dict[ReplicaId, UpstreamState] = {}
         self._grants: dict[ReplicaId, GrantRow] = {}
         self._acknowledged = 0
+        self._incarnation = 0
         self._loads: dict[ReplicaId, LoadRow] = {}
         self._request: ConfigurationRequest | None = None
         self._configuration: Configuration | None = None
@@ -84,9 +85,13 @@
             case Report():
                 self._report = message
                 self.is_report_early = self.is_report_early and is_early
-            case Grants(rows, acknowledged):
+            case Grants(rows, acknowledged, incarnation):
+                if incarnation != self._incarnation:
+                    # Those of the incarnation that the receiver replaced.
+                    self._grants.clear()
                 self._grants.update((row.replica_id, row) for row in rows)
                 self._acknowledged = acknowledged
+                self._incarnation = incarnation
             case Loads(rows):
                 self._loads.update((row.replica_id, row) for row in rows)
             case UpstreamState():
@@ -111,7 +116,8 @@
             messages.append(self._upstreams)
         messages.extend(self._states.values())
         if self._grants:
-            messages.append(Grants(tuple(self._grants.values()), self._acknowledged))
+            rows = tuple(self._grants.values())
+            messages.append(Grants(rows, self._acknowledged, self._incarnation))
         if self._request is not None:
             messages.append(self._request)
         if self._configuration is not None:
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -16,7 +16,8 @@
                      deadline + 1 or nil, lift
 - slots              rows: replica, in use, released, epoch, base; a row with
                      the replica alone removes it
-Grants               rows: replica, epoch, granted, recalled; acknowledged report
+Grants               rows: replica, epoch, granted, recalled; acknowledged report,
+                     incarnation of the receiver
 Snapshot             in parts: whether it is the last one, router id, incarnation,
                      zone, rows of service, organisation, served, lift, waiting,
                      running, deadline
@@ -57,7 +58,7 @@
 from ..errors import ProtocolError
 from ..types import Address, RouterIdentity
 
-PROTOCOL = 1
+PROTOCOL = 2
 MESSAGE_LIMIT_BYTES = 1_048_576
 RECEIVE_BYTES = 65_536
 # The longest identifier of the platform is far below this; it bounds the memory
@@ -135,8 +136,9 @@
         match message:
             case Report():
                 yield self._report(message)
-            case Grants(rows, acknowledged):
-                yield [_GRANTS, [self._grant(row) for row in rows], acknowledged]
+            case Grants(rows, acknowledged, incarnation):
+                grants = [self._grant(row) for row in rows]
+                yield [_GRANTS, grants, acknowledged, incarnation]
             case Loads(rows):
                 yield [_LOADS, [self._load(row) for row in rows]]
             case UpstreamState(replica_id, incarnation, is_leaving):
@@ -444,9 +446,11 @@
         self._slot_rows = tuple(self._slots.values())
 
     def _grants(self, fields: list[Any]) -> Grants:
-        rows, acknowledged = fields
+        rows, acknowledged, incarnation = fields
         return Grants(
-            tuple([self._grant(row) for row in _rows(rows)]), _count(acknowledged)
+            tuple([self._grant(row) for row in _rows(rows)]),
+            _count(acknowledged),
+            _count(incarnation),
         )
 
     def _grant(self, fields: Any) -> GrantRow:
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -259,7 +259,11 @@
             if identity == board.identity:
                 self._take_own(board, rows, now)
             elif board.members.get(identity.router_id) == identity:
-                grants = Grants(rows, self._demands.sequence(identity.router_id))
+                grants = Grants(
+                    rows,
+                    self._demands.sequence(identity.router_id),
+                    identity.incarnation,
+                )
                 actions.append(Send(identity.router_id, grants))
         return actions
 
@@ -507,6 +511,8 @@
         self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
     ) -> list[Action]:
         """Takes slots that an arbiter gave to this router."""
+        if grants.incarnation not in (0, board.identity.incarnation):
+            return []
         sent_at = self._sent_at.get(grants.acknowledged)
         if sent_at is None:
             # Without numbered reports the time of receipt is the best known one.
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -74,6 +74,8 @@
         st.lists(st.builds(GrantRow, NAMES, COUNTS, COUNTS, SMALL), max_size=4).map(
             tuple
         ),
+        COUNTS,
+        COUNTS,
     ),
     st.builds(
         Loads,
--- a/tests/policies/test_arbitrated.py
+++ b/tests/policies/test_arbitrated.py
@@ -102,3 +102,30 @@
     fresh = Grants(grants.rows, acknowledged=2)
     policy.take_grants(board, peer, fresh, 3.1)
     assert policy.choose_start(board, SERVICE, 3.1) is not None
+
+
+def test_restarted_router_ignores_the_grants_of_its_earlier_incarnation() -> None:
+    """Guards against slots that a router counts and its arbiter does not.
+
+    An arbiter that has not heard of the restart sends the earlier grants once more.
+    Later grants in the same epoch would renew them, since counters only rise.
+    """
+    peer = RouterIdentity("r1", 1, "a")
+    board = create_blackboard(RouterIdentity("r0", 2, "b"), OPTIONS)
+    policy = create_policy("arbitrated", rng=Random(0))
+    board.members["r1"] = peer
+    board.upstreams.replicas["m0"] = Replica(
+        "m0", SERVICE, "a", Address("127.0.0.1", 1)
+    )
+    board.queues.add(CallRequest("c", "c", "o0", "chat", SERVICE, 0, 1, 30, b""))
+    board.report_sequence = 1
+    policy.step(board, 0.0)
+    policy.build_slots(board, 0.0)
+    earlier = Grants((GrantRow("m0", 1 << 16, 1, 0),), acknowledged=9, incarnation=1)
+    policy.take_grants(board, peer, earlier, 0.0)
+    own = Grants((GrantRow("m0", 1 << 16, 0, 0),), acknowledged=1, incarnation=2)
+    policy.take_grants(board, peer, own, 0.1)
+    assert policy.choose_start(board, SERVICE, 0.1) is None
+    more = Grants((GrantRow("m0", 1 << 16, 1, 0),), acknowledged=1, incarnation=2)
+    policy.take_grants(board, peer, more, 0.2)
+    assert policy.choose_start(board, SERVICE, 0.2) is not None
