Grant nothing between a pause and the next step

Cause: found by a state machine over a fleet with overlapping faults. After a pause, the reports that wait in the sockets can be read before the periodic step. The policy then arbitrated with its state from before the pause and renewed the slots that it had granted to itself for two seconds. The step gave up the arbiter's state, but not these slots; where another router had taken the replica over, the router started on slots that the other one had granted meanwhile. Ruled out: giving up in every message, which would begin a new epoch without knowing what the peers hold. Change: as long as the last step is older than suspect_after, the policy neither assigns nor sends grants; the next step gives up as before. Tests: the new test fails without the change.

--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -251,8 +251,18 @@
 
     # Slots of the replicas that this router arbitrates.
 
+    def _was_paused(self, board: Blackboard, now: float) -> bool:
+        """Returns whether others may arbitrate what this router arbitrated.
+
+        After a pause, messages can be read before the next step; until that step
+        gives up the earlier grants, nothing may be granted or renewed.
+        """
+        return now - self._stepped_at > board.options.suspect_after
+
     def _arbitrate(self, board: Blackboard, now: float) -> list[Action]:
         """Grants free slots; returns the messages for the other routers."""
+        if self._was_paused(board, now):
+            return []
         self._assign(board, now)
         actions: list[Action] = []
         for identity, rows in self._own_arbiter(board).collect_rows(now).items():
@@ -276,6 +286,8 @@
 
     def _assign(self, board: Blackboard, now: float) -> None:
         """Grants the free slots to the routers whose work comes first."""
+        if self._was_paused(board, now):
+            return
         arbiter = self._own_arbiter(board)
         own = self._allotment.build_rows()
         arbiter.take_rows(board.identity, own, now)
@@ -395,7 +407,7 @@
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Does the periodic work of the ledger, the allotment and the arbiter."""
         arbiter = self._own_arbiter(board)
-        if now - self._stepped_at > board.options.suspect_after:
+        if self._was_paused(board, now):
             arbiter.give_up()
         super().step(board, now)
         actions: list[Action] = []
--- a/tests/policies/test_arbitrated.py
+++ b/tests/policies/test_arbitrated.py
@@ -17,7 +17,8 @@
 from benchmarks.decisions_router import SERVICE
 from benchmarks.decisions_scenarios import run_flood, run_steady
 from sequoiamoor.core.blackboard import create_blackboard
-from sequoiamoor.core.messages import GrantRow, Grants
+from sequoiamoor.core.messages import GrantRow, Grants, Report, SlotRow
+from sequoiamoor.core.placement import choose_arbiter
 from sequoiamoor.core.upstreams import Replica
 from sequoiamoor.options import Options
 from sequoiamoor.policies import create_policy
@@ -129,3 +130,30 @@
     more = Grants((GrantRow("m0", 1 << 16, 1, 0),), acknowledged=1, incarnation=2)
     policy.take_grants(board, peer, more, 0.2)
     assert policy.choose_start(board, SERVICE, 0.2) is not None
+
+
+def test_arbiter_grants_itself_nothing_between_a_pause_and_its_next_step() -> None:
+    """Guards against old grants renewed by a report that is read before the step.
+
+    Another router arbitrates the replica by then and may have granted its slots.
+    """
+    own, peer = RouterIdentity("r0", 1, "a"), RouterIdentity("r1", 1, "b")
+    successor = next(
+        one
+        for one in (RouterIdentity(f"s{number}", 1, "a") for number in range(99))
+        if choose_arbiter("m0", "a", [own, one]) == one
+    )
+    board = create_blackboard(own, OPTIONS)
+    policy = create_policy("arbitrated", rng=Random(0))
+    board.members["r1"] = peer
+    board.upstreams.replicas["m0"] = Replica(
+        "m0", SERVICE, "a", Address("127.0.0.1", 1)
+    )
+    for number in range(10):
+        policy.step(board, number * OPTIONS.report_interval)
+    board.queues.add(CallRequest("c", "c", "o0", "chat", SERVICE, 6, 7, 36, b""))
+    row = SlotRow("m0", 0, 0, 0, 0)
+    assert policy.take_report(board, peer, Report(1, 1, False, (), (row,)), 6.0) == []
+    board.members[successor.router_id] = successor
+    policy.step(board, 6.0)
+    assert policy.choose_start(board, SERVICE, 6.0) is None
