--- /dev/null
+++ b/tests/long_run.py
@@ -0,0 +1,56 @@
+"""Runs a state machine much longer than the tests do, with a chosen seed.
+
+``python -m tests.long_run --help``
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+from collections.abc import Callable
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+from .policies.test_fleet_machine import FleetMachine
+
+MACHINES: dict[str, type[RuleBasedStateMachine]] = {"fleet": FleetMachine}
+
+
+def build_settings(chosen: argparse.Namespace) -> settings:
+    """Returns the settings of the run."""
+    phases = [Phase.generate] if chosen.no_shrink else [Phase.generate, Phase.shrink]
+    return settings(
+        max_examples=chosen.examples,
+        stateful_step_count=chosen.steps,
+        phases=phases,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+def main() -> None:
+    """Runs the machine; a failure ends with the steps that lead to it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("machine", choices=sorted(MACHINES))
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--examples", type=int, default=1_000)
+    parser.add_argument("--steps", type=int, default=50)
+    parser.add_argument("--no-shrink", action="store_true")
+    chosen = parser.parse_args()
+    add_seed: Callable[..., type[RuleBasedStateMachine]] = seed(chosen.seed)
+    began = time.monotonic()
+    run_state_machine_as_test(
+        add_seed(MACHINES[chosen.machine]), settings=build_settings(chosen)
+    )
+    seconds = time.monotonic() - began
+    print(
+        f"{chosen.machine}: {chosen.examples} examples of at most {chosen.steps} "
+        f"steps, seed {chosen.seed}, no failure in {seconds:.0f} s"
+    )
+
+
+if __name__ == "__main__":
+    main()
