Let routers die in any phase of a record, and upstreams refuse the call

Cause: the state machine of at-most-once records ended a router only between claim and send, and its upstream never stated that it did not run the call. Change: a router dies in any phase, and a sent call can be refused by the upstream, whose record is then abandoned; both combine with the faults of the platform and with pauses.

--- a/tests/core/test_records.py
+++ b/tests/core/test_records.py
@@ -223,6 +223,19 @@
             return
         actor.phase, actor.has_run = "sent", True
 
+    @is_any("claimed")
+    @rule(index=st.integers(0, 4))
+    def send_refused(self, index: int) -> None:
+        """The upstream states that it did not run the call."""
+        actor = self.find(index, "claimed")
+        try:
+            actor.claim.check_before_send(self.now)
+        except ClaimExpiredError as error:
+            self.refuse(actor, error)
+            return
+        actor.told = Execution.WAS_NOT_RUN
+        self.start_end(actor, actor.claim.abandon(was_refused=True))
+
     @is_any("sent")
     @rule(index=st.integers(0, 4), is_answered=st.booleans())
     def answer(self, index: int, is_answered: bool) -> None:
@@ -258,10 +271,12 @@
     def pause(self, seconds: float) -> None:
         self.now += seconds
 
-    @is_any("claimed")
+    @precondition(lambda self: any(one.phase != "ended" for one in self.actors))
     @rule(index=st.integers(0, 4))
     def restart(self, index: int) -> None:
-        self.find(index, "claimed").phase = "ended"
+        """A router dies in any phase; its caller is told nothing."""
+        found = [one for one in self.actors if one.phase != "ended"]
+        found[index % len(found)].phase = "ended"
 
     @invariant()
     def runs_at_most_once(self) -> None:
