Test an order whose process is stopped between lease and order

Cause: docs/proofs.md named a real pause of the operator's process as not proved. Change: the order command runs in a process that stops itself with SIGSTOP after it took the lease, after it connected, or after its last check; another order is carried out after the lease has expired, then the first process continues. Engines that check the number and engines that ignore it are stand-ins in processes of their own; the lease is shortened to 1 s, and an order to 0.5 s. Result: the late order is not sent, or refused with 409 where it left after the check.

--- /dev/null
+++ b/tests/commands/stopping_order.py
@@ -0,0 +1,54 @@
+"""The ``order`` command with a short lease, in a process that stops itself.
+
+``python -m tests.commands.stopping_order STOP_AT order ...``; ``STOP_AT`` is ``never``,
+``leased`` (the lease is taken), ``connected`` (the engine is connected too) or
+``checked`` (the lease was found valid; the first byte comes next).
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from sequoiamoor.cli import main
+from sequoiamoor.commands import orders
+from sequoiamoor.core.leases import Lease, LeaseTerms, Order
+from sequoiamoor.types import Address
+
+TERMS = LeaseTerms(duration=1.0, longest_order=0.5)
+STOP_AT = sys.argv.pop(1) if __name__ == "__main__" else "never"
+
+
+def stop_if_at(point: str) -> None:
+    """Stops this process until it gets SIGCONT."""
+    if point == STOP_AT:
+        os.kill(os.getpid(), signal.SIGSTOP)
+
+
+class StoppingSender(orders.OrderSender):
+    """An order sender that stops at the chosen point."""
+
+    def __init__(self, platform: Address) -> None:
+        super().__init__(platform, terms=TERMS)
+
+    async def _acquire(self, lease: Lease, *args: Any) -> None:
+        await super()._acquire(lease, *args)
+        stop_if_at("leased")
+
+    async def _deliver(
+        self, address: Address, order: Order, check: Callable[[], None]
+    ) -> None:
+        def check_between_stops() -> None:
+            stop_if_at("connected")
+            check()
+            stop_if_at("checked")
+
+        await super()._deliver(address, order, check_between_stops)
+
+
+if __name__ == "__main__":
+    orders.OrderSender = StoppingSender  # type: ignore[misc]
+    main()
--- /dev/null
+++ b/tests/commands/test_order_processes.py
@@ -0,0 +1,93 @@
+"""An operator's order whose process is stopped between its lease and its order."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sequoiamoor.standin.client import fetch
+from sequoiamoor.standin.launcher import Fleet, FleetPlan, UpstreamPlan, run_fleet
+from sequoiamoor.standin.processes import end_processes
+
+pytestmark = pytest.mark.processes
+
+ROOT = Path(__file__).resolve().parents[2]
+END_SECONDS = 30.0
+
+
+def build_plan(*, checks_fencing: bool) -> FleetPlan:
+    option = "--fencing" if checks_fencing else "--no-fencing"
+    return FleetPlan(
+        zones=(),
+        upstreams=(UpstreamPlan("talk-0", "talk", "zone-a", "engine", 4, (option,)),),
+        declaration={
+            "organisations": {},
+            "classes": {},
+            "services": {"talk": {"kind": "engine", "checks_fencing": checks_fencing}},
+        },
+    )
+
+
+def start_order(fleet: Fleet, wanted: str, *, stop_at: str) -> subprocess.Popen[str]:
+    module = "tests.commands.stopping_order"
+    order = ["order", "talk-0", "load-model", f'"{wanted}"']
+    options = ["--platform", str(fleet.platform), "--wait", "30"]
+    return subprocess.Popen(
+        [sys.executable, "-m", module, stop_at, *order, *options],
+        cwd=ROOT,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        start_new_session=True,
+    )
+
+
+def read_orders(fleet: Fleet) -> list[Any]:
+    counts = fetch(fleet.upstreams["talk-0"], "GET", "/admin/counts")[1]
+    return [one["wanted"] for one in counts["orders"]]
+
+
+@pytest.mark.parametrize(
+    ("checks_fencing", "stop_at", "code"),
+    [
+        (True, "leased", "lease-lost"),
+        (True, "connected", "lease-lost"),
+        # Only the number tells this one apart: the order leaves after the check.
+        (True, "checked", "order-refused"),
+        (False, "leased", "lease-lost"),
+        (False, "connected", "lease-lost"),
+    ],
+)
+def test_order_of_a_stopped_process_comes_too_late(
+    checks_fencing: bool, stop_at: str, code: str
+) -> None:
+    """Guards against an earlier order that undoes a later one."""
+    processes = []
+    with run_fleet(build_plan(checks_fencing=checks_fencing)) as fleet:
+        try:
+            late = start_order(fleet, "model-early", stop_at=stop_at)
+            processes.append(late)
+            _, status = os.waitpid(late.pid, os.WUNTRACED)
+            assert os.WIFSTOPPED(status)
+            lease = fetch(fleet.platform, "GET", "/table/leases/orders-talk-0")[1]
+            assert lease["value"]["held"] is True
+            # Waits for the length of the lease and of an order before it is sent.
+            second = start_order(fleet, "model-late", stop_at="never")
+            processes.append(second)
+            _, errors = second.communicate(timeout=END_SECONDS)
+            assert second.returncode == 0, errors
+            assert read_orders(fleet) == ["model-late"]
+            late.send_signal(signal.SIGCONT)
+            _, errors = late.communicate(timeout=END_SECONDS)
+            assert late.returncode == 1
+            assert errors.startswith(f"{code}: "), errors
+            assert read_orders(fleet) == ["model-late"]
+        finally:
+            end_processes([one for one in processes if one.poll() is None])
