Keep the counters of a silent router that holds no slot

An arbiter dropped the share of a router that was silent for router_reclaim_after and held nothing, without a new epoch. The router returned in the same epoch with its releases, while its grants began again at 0; the releases counted as free slots. The window was exceeded by as many requests as the router had released in the epoch before its pause, for as long as the epoch lasted. Ruled out: a new epoch in this case too, which would stop the replica's grants for a report interval without need; a lower bound of 0 for slots held, since the grants that follow would still have no effect on the router. Change: such a share is kept; one that holds slots still leads to a new epoch, which drops it. Tests: the new test of the arbiter counts 6 free slots of 3 without the change.

--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -127,6 +127,8 @@
 
         It does if another arbiter used a higher one, or if the slots of a silent
         router are reclaimed: in the old epoch that router would still count them.
+        The share of a silent router that holds nothing is kept, since the router
+        goes on with its counters of this epoch if it returns.
         """
         if self._epochs.get(replica_id, 0) > state.epoch:
             return now - state.since >= self._options.report_interval
@@ -136,10 +138,7 @@
             for identity in state.shares
             if identity not in members and self._heard_at.get(identity, limit) <= limit
         ]
-        must_reclaim = False
-        for identity in silent:
-            must_reclaim |= state.shares.pop(identity).held(state.epoch) > 0
-        return must_reclaim
+        return any(state.shares[one].held(state.epoch) > 0 for one in silent)
 
     def _row_of(self, member: RouterIdentity, replica_id: ReplicaId) -> SlotRow | None:
         known = self._rows.get(member.router_id)
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -188,6 +188,28 @@
     assert network.allotments[0].free(REPLICA, network.now) == 0
 
 
+def test_router_that_returns_with_nothing_held_keeps_its_counters() -> None:
+    """Guards against releases that are counted without the grants they belong to.
+
+    A router that released all its slots and was silent for long came back with its
+    releases; the arbiter, which had dropped its grants, took them for free slots.
+    """
+    network = build_network()
+    network.grant(0, 0)
+    network.exchange(0, [0])
+    network.allotments[0].release(REPLICA, WINDOW)
+    network.exchange(0, [0])
+    network.now += OPTIONS.router_reclaim_after
+    for _ in range(3):
+        network.exchange(0, [1])
+    for _ in range(2):
+        network.exchange(0, [0])
+    assert network.arbiters[0].free(REPLICA, network.now) == WINDOW
+    network.grant(0, 0)
+    network.exchange(0, [0])
+    assert network.allotments[0].free(REPLICA, network.now) == WINDOW
+
+
 def test_new_arbiter_counts_slots_of_routers_that_have_not_adopted() -> None:
     """Guards against granting the slots that a slow router still uses."""
     network = build_network()
