End an order command that is stopped while it sends

Cause: towards engines that ignore the fencing number, an order command that was stopped between its check of the lease and the first byte sent its order whenever it continued. With SIGSTOP at that point the engine carried out the late order after the next one. Ruled out: a later check, which leaves the same gap; a handler for a signal, which Python runs only between instructions, so after the write. Change: for these engines a timer of the kernel runs from before the last check until the order is written, up to half of the lease. The timer runs on while the process is stopped, and the default action of SIGALRM ends it before its next instruction. Engines that check the number refuse the late order themselves, with a readable message, so they need no timer. A process that uses the sender in another way passes no guard. Conclusion: the exit by SIGALRM means an unknown effect; the lease is kept and the next holder waits.

--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -185,6 +185,7 @@
     refused or its effect is unknown (code order-unknown), and 2 for wrong arguments.
     An order of unknown effect can be sent again, because its state is absolute.
     """
+    from .commands.deadline import end_process_after
     from .commands.orders import OrderSender
 
     try:
@@ -200,7 +201,7 @@
         typer.echo(text, err=True)
 
     async def run() -> Order:
-        sender = OrderSender(parse_address(platform))
+        sender = OrderSender(parse_address(platform), guard=end_process_after)
         return await sender.send(
             replica, kind, state, wait_limit=wait, report_wait=report_wait
         )
--- a/sequoiamoor/commands/orders.py
+++ b/sequoiamoor/commands/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import secrets
 import time
@@ -32,13 +33,36 @@
 READ_TIMEOUT_SECONDS = 6.0
 CONNECT_TIMEOUT_SECONDS = 2.0
 POLL_SECONDS = 0.5
+_LEAST_GUARD_SECONDS = 0.001
 TERMS = LeaseTerms(duration=10.0, longest_order=30.0)
 
 
+Guard = Callable[[float], contextlib.AbstractContextManager[None]]
+
+
+def _set_no_guard(_: float) -> contextlib.AbstractContextManager[None]:
+    return contextlib.nullcontext()
+
+
 class OrderSender:
     """Sends orders for one operator's command."""
 
-    def __init__(self, platform: Address, *, terms: LeaseTerms = TERMS) -> None:
+    def __init__(
+        self,
+        platform: Address,
+        *,
+        terms: LeaseTerms = TERMS,
+        guard: Guard = _set_no_guard,
+    ) -> None:
+        """Prepares a sender.
+
+        Args:
+            platform: Address of the platform.
+            terms: Durations of the lease.
+            guard: Bounds the time in which an order is sent to an engine that does
+                not check its number, in seconds.
+        """
+        self._guard = guard
         self._platform = PlatformClient(platform, timeout=OPERATION_TIMEOUT_SECONDS)
         self._terms = terms
         self._rng = Random()
@@ -82,9 +106,15 @@
                     "was sent, try again"
                 )
 
+        def start_guard() -> contextlib.AbstractContextManager[None]:
+            if checks_fencing:
+                return contextlib.nullcontext()
+            rest = lease.find_send_time(time.monotonic())
+            return self._guard(max(rest, _LEAST_GUARD_SECONDS))
+
         # After an unknown effect the lease is not released: the next holder waits
         # until the order can no longer arrive.
-        await self._deliver(vm.to_address(), order, check)
+        await self._deliver(vm.to_address(), order, check, start_guard)
         write = lease.release(time.monotonic())
         if write is not None:
             await curio.ignore_after(
@@ -151,7 +181,11 @@
             await curio.sleep(POLL_SECONDS)
 
     async def _deliver(
-        self, address: Address, order: Order, check: Callable[[], None]
+        self,
+        address: Address,
+        order: Order,
+        check: Callable[[], None],
+        start_guard: Callable[[], contextlib.AbstractContextManager[None]],
     ) -> None:
         try:
             connection = await ClientConnection.connect(
@@ -165,9 +199,12 @@
         body = json.dumps(order.to_document()).encode()
         headers = {"content-type": "application/json"}
         try:
-            check()
             async with curio.timeout_after(self._terms.longest_order):
-                await connection.send_request("POST", "/v1/orders", headers, body)
+                with start_guard():
+                    # A pause before the guard began is found here, a later one ends
+                    # the process.
+                    check()
+                    await connection.send_request("POST", "/v1/orders", headers, body)
                 response = await connection.receive_response()
                 answer = await connection.receive_body()
         except (OSError, h11.RemoteProtocolError, curio.TaskTimeout) as err:
--- a/sequoiamoor/core/leases.py
+++ b/sequoiamoor/core/leases.py
@@ -119,6 +119,13 @@
         limit = self._terms.duration / (1 if checks_fencing else 2)
         return self.is_valid(now) and now - self._valid_from < limit
 
+    def find_send_time(self, now: float) -> float:
+        """Returns the seconds left to send an order to an upstream without a check.
+
+        It is 0 or less when ``may_send`` forbids the order.
+        """
+        return self._valid_from + self._terms.duration / 2 - now
+
     def find_wait(self, version: int, value: Any, now: float) -> float:
         """Returns the seconds to wait before the lease may be taken over.
 
