--- a/tests/policies/test_fleet_machine.py
+++ b/tests/policies/test_fleet_machine.py
@@ -29,6 +29,8 @@
 
 LONGEST_SECONDS = 2.0
 WAITING_LIMIT = 60
+SATURATING_CALLS = 2 * SLOTS
+SATURATING_SECONDS = 0.3
 # Time between two failures: most of them overlap, some meet a fleet that has adapted.
 GAP = st.sampled_from([0.0, 0.0, 0.01, 0.1, 0.3, 1.0, 2.0])
 ROUTER = st.sampled_from([f"r{n}" for n in range(ROUTERS)])
@@ -166,6 +168,7 @@
         if self.fleet.has_failed:
             return
         self.repair()
+        self.saturate()
         self.finish_work()
         # Unchanged rows are repeated once per second, and so are grants.
         self.wait(TAKE_OVER_SECONDS)
@@ -181,6 +184,17 @@
             fleet.restart(name)
             fleet.resume(router, True)
 
+    def saturate(self) -> None:
+        """Keeps all slots in use once no failure excuses more than a window.
+
+        Counters that a failure has left wrong show where work is contested.
+        """
+        self.fleet.run(max(self.fleet.now, self.fleet.allowed_until))
+        for number, router in enumerate(self.live()):
+            for _ in range(SATURATING_CALLS):
+                name = f"o{number % ORGANISATIONS}"
+                self.fleet.arrive(router, name, SATURATING_SECONDS)
+
     def finish_work(self) -> None:
         """Guards against a request that is never started, and a lost job."""
         fleet = self.fleet
