--- a/benchmarks/decisions_fleet.py
+++ b/benchmarks/decisions_fleet.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import statistics
 from collections import defaultdict
-from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -19,6 +17,7 @@
 from sequoiamoor.types import CallRequest, RouterIdentity
 
 from .decisions_router import SERVICE, FakeReplica, FakeRouter, Job
+from .timeline import Timeline
 
 ZONES = ("a", "b", "c")
 ROUTERS, REPLICAS, SLOTS, ORGANISATIONS = 8, 10, 8, 16
@@ -31,14 +30,12 @@
 SAMPLE_INTERVAL = 0.013
 
 
-class Fleet:
+class Fleet(Timeline):
     """Routers, replicas, callers and the network between them."""
 
     def __init__(self, policy: str, seed: int, options: Options) -> None:
+        super().__init__()
         self.policy, self.options, self.rng = policy, options, Random(seed)
-        self.now = 0.0
-        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.numbers = itertools.count()
         self.cut: str | None = None
         self.cut_at = float("inf")
         self.killed: dict[RouterIdentity, float] = {}
@@ -61,20 +58,14 @@
             name: self.rng.sample(sorted(self.routers), 3) for name in self.names
         }
         self.long_part = {name: self.rng.random() * 0.6 for name in self.names}
+        # Each organisation has its own stream, so that it sends the same requests in
+        # runs that differ in the load of others.
+        self.streams = {name: Random(f"{seed}/{name}") for name in self.names}
         self.keep: list[tuple[str, str]] = []
         for index, one in enumerate(self.replicas.values()):
             self.at(index * TICK / REPLICAS, self.run_replica, one)
             self.at(0.1 * index, self.report_load, one)
 
-    def at(self, when: float, function: Callable[..., None], *args: Any) -> None:
-        heapq.heappush(self.events, (when, next(self.numbers), function, args))
-
-    def run(self, until: float) -> None:
-        while self.events and self.events[0][0] <= until:
-            self.now, _, function, args = heapq.heappop(self.events)
-            function(*args)
-        self.now = until
-
     def add_router(self, name: str, zone: str, incarnation: int, when: float) -> None:
         identity = RouterIdentity(name, incarnation, zone)
         self.routers[name] = FakeRouter(self, identity, self.policy)
@@ -118,20 +109,22 @@
         return max(cost // self.cost_divisor, 1), class_name
 
     def draw_full(self, name: str) -> tuple[int, str]:
-        if self.rng.random() < self.long_part[name]:
-            cost = self.rng.lognormvariate(5.5, 0.9)
+        rng = self.streams[name]
+        if rng.random() < self.long_part[name]:
+            cost = rng.lognormvariate(5.5, 0.9)
             return int(min(max(cost, 50), LARGEST)), "summary"
-        return int(min(max(self.rng.lognormvariate(3.7, 0.8), 5), 400)), "chat"
+        return int(min(max(rng.lognormvariate(3.7, 0.8), 5), 400)), "chat"
 
     def mean_cost(self, name: str) -> float:
-        rng, self.rng = self.rng, Random(1)
+        stream, self.streams[name] = self.streams[name], Random(1)
         costs = [self.draw(name)[0] for _ in range(2_000)]
-        self.rng = rng
+        self.streams[name] = stream
         return statistics.fmean(costs)
 
     def arrive(self, name: str, home: str | None = None) -> None:
+        rng = self.streams[name]
         if home is None:
-            home = self.rng.choices(self.homes[name], (0.7, 0.2, 0.1))[0]
+            home = rng.choices(self.homes[name], (0.7, 0.2, 0.1))[0]
         router = self.routers[home]
         if not router.is_alive:
             return
@@ -140,7 +133,7 @@
         target = 1.0 if class_name == "chat" else 20.0
         request = CallRequest(
             call_id, call_id, name, class_name, SERVICE, self.now, self.now + target,
-            self.now + 30.0, b"", cost_hint=cost * 4 ** self.rng.uniform(-1, 1),
+            self.now + 30.0, b"", cost_hint=cost * 4 ** rng.uniform(-1, 1),
         )  # fmt: skip
         try:
             router.board.queues.add(request)
@@ -152,12 +145,14 @@
 
     def open_loop(self, name: str, rate: float) -> None:
         self.arrive(name)
-        self.at(self.now + self.rng.expovariate(rate), self.open_loop, name, rate)
+        interval = self.streams[name].expovariate(rate)
+        self.at(self.now + interval, self.open_loop, name, rate)
 
     def add_load(self, name: str, share: float, when: float = 0.0) -> None:
         """Sends requests of ``share`` times the organisation's equal share."""
         rate = share * CAPACITY / ORGANISATIONS / self.mean_cost(name)
-        self.at(when + self.rng.expovariate(rate), self.open_loop, name, rate)
+        interval = self.streams[name].expovariate(rate)
+        self.at(when + interval, self.open_loop, name, rate)
 
     def keep_backlogged(self) -> None:
         for name, home in self.keep:
@@ -312,7 +307,7 @@
             [int(one.replica_id[1:]), one.epoch, one.granted, one.recalled]
             for one in message.rows
         ]
-        return [4, rows, message.acknowledged]
+        return [4, rows, message.acknowledged, message.incarnation]
     assert isinstance(message, Snapshot)
     origins = [
         [one.origin.router_id, one.origin.incarnation, one.origin.zone,
