Drop the state of routers that the membership has forgotten

Cause: the demand table, the pending grants, and the arbiter's rows and times kept an entry for every router that ever joined; DemandTable.forget_except was never called. Ruled out: dropping a router once it is dead. Rows are differences on a connection, and a router that was only silent goes on with the same connection. Epochs in use stay, and another incarnation of the same router replaces its rows as before.

--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -201,6 +201,19 @@
             if identity.router_id == origin.router_id and identity != origin:
                 del self._heard_at[identity]
 
+    def forget_except(self, routers: Collection[RouterId]) -> None:
+        """Drops rows and times of routers that are not among the given ones.
+
+        A router sends differences of its rows, so only those may be left out that
+        would have to open a new connection. The epochs in use stay.
+        """
+        kept = {*routers, self._identity.router_id}
+        for router_id in self._rows.keys() - kept:
+            del self._rows[router_id]
+        for identity in list(self._heard_at):
+            if identity.router_id not in kept:
+                del self._heard_at[identity]
+
     def _is_ready(self, state: _Arbitrated, now: float) -> bool:
         """Returns whether slots may be granted.
 
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -247,7 +247,11 @@
             await self._dispatch(service)
 
     def _update_members(self, now: float) -> None:
-        for change in self.membership.step(now):
+        known = len(self.membership.members)
+        changes = self.membership.step(now)
+        if len(self.membership.members) < known:
+            self._policy.forget_except(self._board, self.membership.members.keys())
+        for change in changes:
             router_id = change.identity.router_id
             if change.state is not MemberState.ALIVE:
                 _LOG.info(
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass
 from random import Random
 
@@ -478,6 +479,16 @@
         """Merges the counters that a peer knows."""
         board.ledger.take_snapshot(snapshot)
 
+    def forget_except(self, board: Blackboard, routers: Collection[RouterId]) -> None:
+        """Drops what is kept of routers that the membership has forgotten."""
+        self._demands.forget_except(routers)
+        self._own_arbiter(board).forget_except(routers)
+        for router_id in self._pending.keys() - set(routers):
+            del self._pending[router_id]
+        for identity in list(self._taken_slots):
+            if identity.router_id not in routers:
+                del self._taken_slots[identity]
+
     def take_report(
         self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
     ) -> list[Action]:
--- a/sequoiamoor/policies/base.py
+++ b/sequoiamoor/policies/base.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 from typing import Protocol
 
@@ -11,7 +11,7 @@
 from ..core.figures import ServiceFigures
 from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
 from ..errors import SettingsError
-from ..types import CallRequest, ReplicaId, RouterIdentity, ServiceName
+from ..types import CallRequest, ReplicaId, RouterId, RouterIdentity, ServiceName
 
 
 class Policy(Protocol):
@@ -52,6 +52,9 @@
     ) -> list[Action]:
         """Takes slots that an arbiter gave to this router."""
 
+    def forget_except(self, board: Blackboard, routers: Collection[RouterId]) -> None:
+        """Drops what is kept of routers that the membership has forgotten."""
+
     def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
         """Merges the counters that a peer knows."""
 
--- a/sequoiamoor/policies/local.py
+++ b/sequoiamoor/policies/local.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from ..core.actions import Action
 from ..core.blackboard import Blackboard
 from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
-from ..types import RouterIdentity
+from ..types import RouterId, RouterIdentity
 
 
 class LocalPolicy:
@@ -35,5 +37,8 @@
         """Does nothing: no slots are granted."""
         return []
 
+    def forget_except(self, board: Blackboard, routers: Collection[RouterId]) -> None:
+        """Does nothing: no state of peers is kept."""
+
     def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
         """Does nothing: each router decides alone."""
--- a/tests/policies/test_arbitrated.py
+++ b/tests/policies/test_arbitrated.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import time
 from random import Random
 
+import curio
 import pytest
 
 from benchmarks.decisions_fleet import (
@@ -17,10 +19,14 @@
 from benchmarks.decisions_router import SERVICE
 from benchmarks.decisions_scenarios import run_flood, run_steady
 from sequoiamoor.core.blackboard import create_blackboard
-from sequoiamoor.core.messages import GrantRow, Grants
+from sequoiamoor.core.messages import CounterRow, GrantRow, Grants, Report, SlotRow
 from sequoiamoor.core.upstreams import Replica
+from sequoiamoor.daemon.control import Control
+from sequoiamoor.metrics import Metrics
 from sequoiamoor.options import Options
 from sequoiamoor.policies import create_policy
+from sequoiamoor.policies.arbitrated import ArbitratedPolicy
+from sequoiamoor.settings import RouterSettings
 from sequoiamoor.types import Address, CallRequest, RouterIdentity
 
 OPTIONS = Options.model_validate({})
@@ -102,3 +108,43 @@
     fresh = Grants(grants.rows, acknowledged=2)
     policy.take_grants(board, peer, fresh, 3.1)
     assert policy.choose_start(board, SERVICE, 3.1) is not None
+
+
+def test_state_of_forgotten_routers_is_dropped_and_of_silent_ones_kept() -> None:
+    """Guards against memory that grows with every router that ever joined.
+
+    Rows are differences, so those of a router that may go on must stay.
+    """
+    settings = RouterSettings.model_validate(
+        {
+            "router_id": "r0",
+            "zone": "zone-a",
+            "http": {"host": "127.0.0.1", "port": 0},
+            "control": {"host": "127.0.0.1", "port": 0},
+            "platform": {"host": "127.0.0.1", "port": 1},
+        }
+    )
+    board = create_blackboard(RouterIdentity("r0", 1, "zone-a"), OPTIONS)
+    policy = ArbitratedPolicy(rng=Random(1))
+    control = Control(board, policy, Metrics(), settings=settings, rng=Random(1))
+    row = CounterRow(SERVICE, "a", 5, 0, 1, 0, None)
+    report = Report(3, 0, False, (row,), (SlotRow("m0", 1 << 16, 0, 0, 1),))
+
+    async def receive(number: int) -> None:
+        identity = RouterIdentity(f"r{number}", 1, "zone-a")
+        await control.receive(identity, report)
+
+    for number in range(1, 40):
+        curio.run(receive, number)
+    for member in list(control.membership.members.values())[1:]:
+        member.heard_at -= OPTIONS.forget_router_after + 1
+    silent = control.membership.members["r1"]
+    silent.heard_at -= OPTIONS.dead_after + 1
+    control._update_members(time.monotonic())
+    arbiter = policy._own_arbiter(board)
+    assert policy._demands._peers.keys() == {"r1"}
+    assert policy._taken_slots.keys() == {silent.identity}
+    assert arbiter._rows.keys() == {"r0", "r1"}
+    assert arbiter._heard_at.keys() == {board.identity, silent.identity}
+    assert policy._demands.sequence("r1") == 3
+    assert arbiter._epochs == {"m0": 1 << 16}
