Send served counters along the tree above the flat limit

Cause: above 16 routers every router sent its counters to every other one. Change: with more than options.flat_limit live routers a report carries served work only to the tree's neighbours (and, from a router without children, to one more that keeps it); sums go with the report of the interval. Demand, lifts, slots and heartbeats still go to everyone. A row that is held back stands for less work, so a sum that loses an origin is sent whole.

There is no margin at the limit: totals hold in both forms. Found on the way: the sum of a subtree has no zone, and the decoder took the empty name for a protocol error; the wire test now covers it, and the process test checks that no router counts a protocol error. At 8 routers the tree is not used.

--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -8,6 +8,7 @@
 from ..options import Options
 from ..types import CallRequest, RouterId, RouterIdentity
 from .ledger import Ledger
+from .placement import TreePlace
 from .queues import RequestQueues
 from .upstreams import Upstreams
 
@@ -28,6 +29,8 @@
     Attributes:
         running: Requests with an attempt under way, by call identifier.
         members: Live peers, without this router.
+        place: Place in the tree of reports; None in a fleet of at most ``flat_limit``,
+            where everyone reports to everyone.
         report_sequence: Sequence of the report that is being built; 0 as long as
             reports are not numbered.
         is_report_due: Whether a report should go out before the interval ends.
@@ -42,6 +45,7 @@
     ledger: Ledger = field(default_factory=Ledger)
     running: dict[str, CallRequest] = field(default_factory=dict)
     members: dict[RouterId, RouterIdentity] = field(default_factory=dict)
+    place: TreePlace | None = None
     report_sequence: int = 0
     is_report_due: bool = False
     is_leaving: bool = False
--- a/sequoiamoor/core/reports.py
+++ b/sequoiamoor/core/reports.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import heapq
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..options import Options
-from ..types import OrganisationName, ServiceName
-from .messages import CounterRow
+from ..types import OrganisationName, RouterIdentity, ServiceName, ZoneName
+from .messages import CounterRow, Sum, SumRow
 
 # A deadline is sent relative to the time of the report; a smaller difference than
 # this comes from the delay between two reports and not from another request.
@@ -78,6 +78,7 @@
         *,
         limit: int,
         is_early: bool = False,
+        is_served_left_out: bool = False,
     ) -> tuple[CounterRow, ...]:
         """Returns the rows to send, at most ``limit``, and takes them as sent.
 
@@ -86,13 +87,16 @@
 
         Work that begins or ceases to wait goes first, then rows held back for long,
         then the largest change of service; a row that is left out is compared again
-        for the next report, with all of its change.
+        for the next report, with all of its change. Where served work is left out, it
+        stays as it was sent last.
         """
         now_ms = int(now * 1000)
         changed = []
         for row in counters:
             old = self._sent.get((row.service, row.organisation), _NOTHING_SENT)
             at = None if row.deadline_ms is None else now_ms + row.deadline_ms
+            if is_served_left_out and row.served != old.row.served:
+                row = replace(row, served=old.row.served)
             if is_early and not _is_turning(row, old.row):
                 continue
             if old is _NOTHING_SENT or not _is_same(old, row, at):
@@ -106,6 +110,51 @@
         return tuple([row for row, _, _ in changed])
 
 
+@dataclass(slots=True)
+class _SentSum:
+    origins: frozenset[RouterIdentity]
+    served: dict[tuple[ServiceName, OrganisationName], int]
+
+
+@dataclass(slots=True)
+class SumFilter:
+    """Selects the rows of sums that changed since they were sent on a connection."""
+
+    _sent: dict[tuple[ZoneName, int], _SentSum] = field(default_factory=dict)
+
+    def select(self, message: Sum, *, limit: int) -> Sum | None:
+        """Returns the sum with at most ``limit`` rows, None if nothing changed.
+
+        A row that is left out stands for less work than was done, which is safe as
+        long as no origin leaves the sum; then all of them are sent.
+        """
+        key = (message.scope, message.part)
+        old = self._sent.get(key)
+        if old is None or not old.origins <= message.origins:
+            self._sent[key] = _SentSum(
+                message.origins,
+                {(row.service, row.organisation): row.served for row in message.rows},
+            )
+            return message
+        changed = [
+            (row.served - old.served.get((row.service, row.organisation), 0), row)
+            for row in message.rows
+        ]
+        changed = [one for one in changed if one[0]]
+        if not changed and old.origins == message.origins:
+            return None
+        if len(changed) > limit:
+            # A fall comes first: it corrects a sum that held too much.
+            changed = heapq.nlargest(
+                limit, changed, key=lambda one: (one[0] < 0, one[0])
+            )
+        old.origins = message.origins
+        rows: list[SumRow] = [row for _, row in changed]
+        for row in rows:
+            old.served[row.service, row.organisation] = row.served
+        return replace(message, is_whole=False, rows=tuple(rows))
+
+
 def _rank(row: CounterRow, old: _SentRow, now: float) -> tuple[bool, float, int]:
     is_turning = _is_turning(row, old.row)
     held_back = now - old.sent_at
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -23,11 +23,14 @@
     Message,
     Report,
     Snapshot,
+    Sum,
     UpstreamList,
     UpstreamRow,
     UpstreamState,
 )
+from ..core.placement import find_place
 from ..core.reports import ByteBudget
+from ..core.sums import ReportSums
 from ..core.upstreams import ListedUpstream, LoadReport, Replica
 from ..core.versions import Verdict, Versions, apply_targets
 from ..metrics import Metrics
@@ -77,6 +80,8 @@
             metrics=metrics,
             rng=rng,
         )
+        self._sums = ReportSums(board.identity, board.ledger)
+        self._counter_messages = 0
         self._sequence = 0
         self._budget = ByteBudget(board.options)
         self._early_peers: set[RouterId] = set()
@@ -242,6 +247,7 @@
         self._request_configuration(now)
         self.perform(actions)
         self._report_to_all(now)
+        self._send_sums()
         self._flush(now)
         for service in self._board.queues.services():
             await self._dispatch(service)
@@ -251,6 +257,7 @@
         changes = self.membership.step(now)
         if len(self.membership.members) < known:
             self._policy.forget_except(self._board, self.membership.members.keys())
+            self._sums.forget_except(self.membership.members.keys())
         for change in changes:
             router_id = change.identity.router_id
             if change.state is not MemberState.ALIVE:
@@ -270,8 +277,52 @@
                     )
             self._board.members.clear()
             self._board.members.update(live)
+            self._update_place()
         self._metrics.members.set(len(live) + 1)
 
+    def _update_place(self) -> None:
+        """Follows a change of the live routers.
+
+        The fleet may pass the limit in both directions at any time without a margin:
+        the totals hold in either form, so a change costs only the rows left out.
+        """
+        board = self._board
+        live = board.members.values()
+        if len(live) < self._options.flat_limit:
+            if board.place is not None:
+                _LOG.info("counters go to all routers")
+            board.place = None
+            return
+        place = find_place(board.identity, live, fan_out=self._options.fan_out)
+        if board.place is None:
+            _LOG.info("counters follow the tree of reports")
+        board.place = place
+
+    def _find_counter_addresses(self) -> set[Address] | None:
+        place = self._board.place
+        if place is None:
+            return None
+        found = (
+            self.membership.find_address(one.router_id)
+            for one in place.counter_targets()
+        )
+        return {one for one in found if one is not None}
+
+    def _send_sums(self) -> None:
+        """Makes the sums anew and keeps them for the neighbours in the tree."""
+        board = self._board
+        self._peers.limit_counters(self._find_counter_addresses())
+        self._sums.update(board.place, {board.identity, *board.members.values()})
+        if board.place is None:
+            return
+        self._counter_messages = len(board.place.counter_targets())
+        for neighbour in board.place.neighbours():
+            address = self.membership.find_address(neighbour.router_id)
+            if address is not None:
+                for one in self._sums.build(board.place, neighbour, self._sequence):
+                    self._peers.send(one, address)
+                    self._counter_messages += 1
+
     def _request_configuration(self, now: float) -> None:
         source = self.versions.choose_source(now)
         if source is not None:
@@ -308,7 +359,11 @@
         self._flushed_at = now
         self._budget.fill(now)
         limit = self._budget.find_row_limit(len(self._board.members))
-        self._budget.spend(self._peers.flush(now, row_limit=limit))
+        counter_limit = limit
+        if self._board.place is not None:
+            counter_limit = self._budget.find_row_limit(self._counter_messages)
+        sent = self._peers.flush(now, row_limit=limit, counter_limit=counter_limit)
+        self._budget.spend(sent)
         if self._peers.unsent_bytes:
             self._is_flush_due = True
             self._wakeup.set()
@@ -337,13 +392,16 @@
             self._policy.build_slots(self._board, now),
         )
 
-    def greet(self) -> Iterable[Message]:
-        """Returns the first messages of a new outgoing connection."""
+    def greet(self, address: Address) -> Iterable[Message]:
+        """Returns the first messages of a new outgoing connection to the address."""
         board = self._board
+        targets = self._find_counter_addresses()
         yield Hello(
             board.identity, board.configuration.version, self.membership.own_address
         )
-        yield self._policy.build_snapshot(board)
+        if targets is None or address in targets:
+            yield from self._sums.build_zones(self._sequence)
+            yield self._policy.build_snapshot(board)
         if board.upstreams.listed:
             yield self._build_list()
         for replica in board.upstreams.replicas.values():
@@ -389,6 +447,8 @@
                     made_at_ms=made_at_ms,
                     source=identity.router_id,
                 )
+            case Sum():
+                self._sums.take(identity, message)
             case Snapshot():
                 self._policy.take_snapshot(self._board, message)
             case Hello():
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -102,6 +102,7 @@
             "unwritten_records": unwritten_records,
         },
         "members": _list_members(board),
+        "tree": _list_neighbours(board),
         "upstreams": _list_upstreams(board, now),
         "organisations": _list_organisations(board),
     }
@@ -121,6 +122,20 @@
     return sorted(rows, key=lambda row: str(row["router_id"]))
 
 
+def _list_neighbours(board: Blackboard) -> list[dict[str, Any]]:
+    place = board.place
+    if place is None:
+        return []
+    return [
+        {
+            "router_id": one.router_id,
+            "zone": one.zone,
+            "role": "parent" if one == place.parent else "child",
+        }
+        for one in place.neighbours()
+    ]
+
+
 def _list_upstreams(board: Blackboard, now: float) -> list[dict[str, Any]]:
     return [
         {
@@ -155,6 +170,7 @@
             "waiting": board.queues.count(service, organisation),
             "running": running[service, organisation],
             "served": round(board.ledger.served(service, organisation), 1),
+            "total": round(board.ledger.total(service, organisation), 1),
         }
         for organisation in sorted(declaration.organisations)
         for service in sorted(declaration.services)
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -28,14 +28,15 @@
     Message,
     Report,
     Snapshot,
+    Sum,
     UpstreamList,
     UpstreamState,
 )
-from ..core.reports import ReportFilter
+from ..core.reports import ReportFilter, SumFilter
 from ..errors import ProtocolError
 from ..metrics import Metrics
 from ..options import Options
-from ..types import Address, ReplicaId, RouterIdentity
+from ..types import Address, ReplicaId, RouterIdentity, ZoneName
 from .reachability import REACHABILITY
 from .wire import RECEIVE_BYTES, Decoder, Encoder
 
@@ -69,6 +70,7 @@
         self._configuration: Configuration | None = None
         self._upstreams: UpstreamList | None = None
         self._report: Report | None = None
+        self._sums: dict[tuple[ZoneName, int], Sum] = {}
         self.is_report_early = True
         self.is_empty = True
 
@@ -89,6 +91,8 @@
                 self._acknowledged = acknowledged
             case Loads(rows):
                 self._loads.update((row.replica_id, row) for row in rows)
+            case Sum():
+                self._sums[message.scope, message.part] = message
             case UpstreamState():
                 self._states[message.replica_id] = message
             case ConfigurationRequest():
@@ -106,7 +110,10 @@
 
     def take(self) -> list[Message]:
         """Removes and returns all messages in the order to send them."""
-        messages: list[Message] = list(self._first)
+        messages: list[Message] = [m for m in self._first if isinstance(m, Hello)]
+        # The sum of a zone comes before the counters of single origins that it holds.
+        messages.extend(self._sums.values())
+        messages.extend(m for m in self._first if not isinstance(m, Hello))
         if self._upstreams is not None:
             messages.append(self._upstreams)
         messages.extend(self._states.values())
@@ -127,8 +134,8 @@
 class Handler(Protocol):
     """Takes what happens on the connections."""
 
-    def greet(self) -> Iterable[Message]:
-        """Returns the first messages of a new outgoing connection."""
+    def greet(self, address: Address) -> Iterable[Message]:
+        """Returns the first messages of a new outgoing connection to the address."""
 
     async def receive(self, identity: RouterIdentity, message: Message) -> None:
         """Takes a message of a peer."""
@@ -152,6 +159,8 @@
         self._sock: Any = None
         self._encoder = Encoder()
         self._filter = ReportFilter()
+        self._sum_filter = SumFilter()
+        self.takes_counters = True
         self._unsent = b""
         self._stalled_at: float | None = None
         self._is_stopped = False
@@ -210,10 +219,19 @@
                     message.configuration_version,
                     message.is_leaving,
                     self._filter.select(
-                        message.counters, now, limit=row_limit, is_early=is_early
+                        message.counters,
+                        now,
+                        limit=row_limit,
+                        is_early=is_early,
+                        is_served_left_out=not self.takes_counters,
                     ),
                     message.slots,
                 )
+            elif isinstance(message, Sum):
+                changed = self._sum_filter.select(message, limit=row_limit)
+                if changed is None:
+                    continue
+                message = changed
             parts.extend(self._encoder.encode(message))
         self._messages.inc(len(parts))
         return parts
@@ -258,7 +276,7 @@
             limit_ms = int(self._options.dead_after * 1000)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
             self._sock = sock
-            for message in handler.greet():
+            for message in handler.greet(self.address):
                 self._outbox.put(message)
             self.flush(time.monotonic(), row_limit=FIRST_REPORT_ROWS)
             # A peer sends nothing here, so whatever can be read ends the connection.
@@ -268,6 +286,7 @@
             self._outbox = Outbox()
             self._encoder = Encoder()
             self._filter = ReportFilter()
+            self._sum_filter = SumFilter()
             self._unsent = b""
             self._stalled_at = None
             await sock.close()
@@ -345,6 +364,11 @@
             if found is not None:
                 found.stop()
 
+    def limit_counters(self, addresses: set[Address] | None) -> None:
+        """Lets only these peers have the counters of reports; None lets all."""
+        for address, link in self._links.items():
+            link.takes_counters = addresses is None or address in addresses
+
     def send(
         self,
         message: Message,
@@ -361,12 +385,13 @@
         for link in self._links.values():
             link.put(message, is_early=is_early)
 
-    def flush(self, now: float, *, row_limit: int) -> int:
+    def flush(self, now: float, *, row_limit: int, counter_limit: int) -> int:
         """Writes what the sockets take now, without waiting.
 
         Args:
             now: Monotonic time in seconds.
-            row_limit: Most counters that a report may carry.
+            row_limit: Most rows that a report without served work may carry.
+            counter_limit: Most counters that a report or a sum may carry.
 
         Returns:
             The number of bytes written.
@@ -374,7 +399,8 @@
         sent = 0
         for link in self._links.values():
             try:
-                sent += link.flush(now, row_limit=row_limit)
+                limit = counter_limit if link.takes_counters else row_limit
+                sent += link.flush(now, row_limit=limit)
             except (OSError, ProtocolError) as err:
                 _LOG.info(
                     "connection to router ended",
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -20,6 +20,9 @@
 Snapshot             in parts: whether it is the last one, router id, incarnation,
                      zone, rows of service, organisation, served, lift, waiting,
                      running, deadline
+Sum                  zone or nil, part, sequence, whether it is whole, origins as
+                     rows of router id, incarnation, zone, or nil if unchanged, rows
+                     of service, organisation, served
 ConfigurationRequest version
 Configuration        version, document
 UpstreamState        replica, incarnation, leaving
@@ -32,6 +35,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from typing import Any
 
 import msgpack
@@ -50,6 +54,8 @@
     Report,
     SlotRow,
     Snapshot,
+    Sum,
+    SumRow,
     UpstreamList,
     UpstreamRow,
     UpstreamState,
@@ -75,10 +81,19 @@
 _CONFIGURATION_REQUEST, _CONFIGURATION, _UPSTREAM_STATE, _LOADS, _UPSTREAM_LIST = range(
     5, 10
 )
+_SUM = 10
 
 _CounterKey = tuple[str, str]
 
 
+@dataclass(slots=True)
+class _SumState:
+    """The last sum of one scope and part on a connection."""
+
+    origins: frozenset[RouterIdentity]
+    served: dict[_CounterKey, int]
+
+
 def _trim(row: list[Any], keep: int) -> list[Any]:
     while len(row) > keep and not row[-1]:
         row.pop()
@@ -95,6 +110,7 @@
         self._counters: dict[_CounterKey, tuple[int, int]] = {}
         self._slots: dict[str, SlotRow] = {}
         self._loads: dict[str, LoadRow] = {}
+        self._sums: dict[tuple[str, int], _SumState] = {}
 
     def encode(self, message: Message) -> list[bytes]:
         """Returns the encoded message, after any messages that it depends on.
@@ -146,6 +162,8 @@
                 yield [_CONFIGURATION_REQUEST, version]
             case Configuration(version, document):
                 yield [_CONFIGURATION, version, document]
+            case Sum():
+                yield self._sum(message)
             case Snapshot(origins):
                 yield from self._snapshot(origins)
             case UpstreamList(made_at_ms, upstreams):
@@ -196,6 +214,35 @@
         ]
         return _trim(fields, 2)
 
+    def _sum(self, message: Sum) -> list[Any]:
+        state = self._sums.get((message.scope, message.part))
+        origins = None
+        if state is None or message.is_whole or state.origins != message.origins:
+            origins = [
+                [self._index(one.router_id), one.incarnation, self._index(one.zone)]
+                for one in sorted(message.origins, key=lambda one: one.router_id)
+            ]
+        if state is None or message.is_whole:
+            state = _SumState(message.origins, {})
+            self._sums[message.scope, message.part] = state
+        state.origins = message.origins
+        rows = []
+        for row in message.rows:
+            key = (row.service, row.organisation)
+            change = row.served - state.served.get(key, 0)
+            state.served[key] = row.served
+            rows.append([self._index(row.service), self._index(row.organisation)])
+            rows[-1].append(change)
+        return [
+            _SUM,
+            self._index(message.scope) if message.scope else None,
+            message.part,
+            message.sequence,
+            int(message.is_whole),
+            origins,
+            rows,
+        ]
+
     def _slot_rows(self, slots: tuple[SlotRow, ...]) -> list[Any]:
         present = {row.replica_id: row for row in slots}
         rows = []
@@ -295,6 +342,8 @@
         self._slots: dict[str, SlotRow] = {}
         self._slot_rows: tuple[SlotRow, ...] = ()
         self._loads: dict[str, LoadRow] = {}
+        self._sums: dict[tuple[str, int], _SumState] = {}
+        self._sum_row_count = 0
         self._snapshot_parts: list[OriginCounters] = []
         self._snapshot_row_count = 0
         self._readers: dict[int, Callable[[list[Any]], Message | None]] = {
@@ -307,6 +356,7 @@
             _SNAPSHOT: self._snapshot,
             _UPSTREAM_LIST: self._upstream_list,
             _HELLO: self._hello,
+            _SUM: self._sum,
         }
         self.messages = 0
 
@@ -482,6 +532,40 @@
         self._loads[replica_id] = row
         return row
 
+    def _sum(self, fields: list[Any]) -> Sum:
+        scope_index, part, sequence, whole, origins, rows = fields
+        scope = "" if scope_index is None else self._name(scope_index)
+        is_whole = _flag(whole)
+        key = (scope, _count(part))
+        state = self._sums.get(key)
+        if origins is not None:
+            named = frozenset([self._origin(one) for one in _rows(origins)])
+        elif state is not None:
+            named = state.origins
+        else:
+            raise ProtocolError(f"the origins of the sum {scope!r} were not sent")
+        if state is None or is_whole:
+            self._sum_row_count -= 0 if state is None else len(state.served) + 1
+            self._sum_row_count += 1
+            state = self._sums[key] = _SumState(named, {})
+        state.origins = named
+        changed = tuple([self._sum_row(row, state) for row in _rows(rows)])
+        if self._sum_row_count > ROWS_LIMIT:
+            raise ProtocolError(f"more than {ROWS_LIMIT} rows of sums")
+        return Sum(scope, key[1], _count(sequence), is_whole, named, changed)
+
+    def _origin(self, fields: Any) -> RouterIdentity:
+        router, incarnation, zone = _rows(fields)
+        return RouterIdentity(self._name(router), _count(incarnation), self._name(zone))
+
+    def _sum_row(self, fields: Any, state: _SumState) -> SumRow:
+        service, organisation, change = _rows(fields)
+        key = (self._name(service), self._name(organisation))
+        self._sum_row_count += key not in state.served
+        served = _count(state.served.get(key, 0) + _integer(change))
+        state.served[key] = served
+        return SumRow(*key, served)
+
     def _snapshot(self, fields: list[Any]) -> Snapshot | None:
         is_last, router, incarnation, zone, rows = fields
         identity = RouterIdentity(
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -85,6 +85,7 @@
         1.0, ge=0, description="time for telling callers that their request was cut"
     )
     flat_limit: int = Field(16, ge=2, description="largest fleet without a report tree")
+    fan_out: int = Field(6, ge=3, description="most children in the report tree")
     connect_timeout: float = Field(1.0, gt=0)
     upstream_idle_timeout: float = Field(15.0, gt=0)
     answer_limit_bytes: int = Field(
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -400,7 +400,15 @@
         died = board.ledger.note_live(set(members))
         for origin in died:
             self._taken_slots.pop(origin, None)
-        if died:
+        risen = board.ledger.take_risen_dead()
+        if board.place is not None and (died or risen):
+            # Those who had its reports tell their neighbours, who tell theirs.
+            told = board.ledger.build_snapshot({*died, *risen})
+            actions += [
+                Send(one.router_id, told)
+                for one in sorted(board.place.counter_targets(), key=str)
+            ]
+        elif died:
             # Peers may hold a later report of a dead origin than this router.
             actions.append(Send(None, board.ledger.build_snapshot(died)))
         windows = {}
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -139,7 +139,7 @@
     )
 
 
-def call(address: Address, request_id: str) -> tuple[int, str]:
+def call(address: Address, request_id: str, *, work_ms: int = 1) -> tuple[int, str]:
     """Makes one call of the plain service; returns status and replica."""
 
     async def run() -> tuple[int, bytes]:
@@ -147,7 +147,7 @@
             address,
             "POST",
             "/v1/services/desk/calls",
-            body=json.dumps({"work_ms": 1}).encode(),
+            body=json.dumps({"work_ms": work_ms}).encode(),
             headers={
                 "x-organisation": "league",
                 "x-class": "chat",
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -24,6 +24,8 @@
     Report,
     SlotRow,
     Snapshot,
+    Sum,
+    SumRow,
     UpstreamList,
     UpstreamRow,
     UpstreamState,
@@ -69,6 +71,19 @@
         st.none() | st.builds(Address, st.just("127.0.1.1"), st.integers(1, 65_535)),
     ),
     st.builds(Report, COUNTS, COUNTS, st.booleans(), COUNTER_ROWS, SLOT_ROWS),
+    st.builds(
+        Sum,
+        st.just("") | NAMES,
+        SMALL,
+        COUNTS,
+        st.booleans(),
+        st.frozensets(IDENTITIES, max_size=4),
+        st.lists(
+            st.builds(SumRow, NAMES, NAMES, COUNTS),
+            max_size=4,
+            unique_by=lambda row: (row.service, row.organisation),
+        ).map(tuple),
+    ),
     st.builds(
         Grants,
         st.lists(st.builds(GrantRow, NAMES, COUNTS, COUNTS, SMALL), max_size=4).map(
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -274,3 +274,55 @@
     path = arguments[-1]
     assert isinstance(path, str)
     return path
+
+
+def _read_totals(fleet: Fleet) -> list[float]:
+    return [
+        sum(row["total"] for row in read_status(address)["organisations"])
+        for address in fleet.routers.values()
+    ]
+
+
+def test_shares_are_counted_over_a_tree_that_loses_an_aggregator() -> None:
+    """Guards against a fleet above the flat limit whose routers count differently.
+
+    Also guards against served work that is lost with the router that sums a zone.
+    """
+    zones = tuple(f"zone-{'abc'[number % 3]}" for number in range(9))
+    plan = build_plan(zones, replicas=3)
+    plan.router_settings["options"] = {"flat_limit": 4, "fan_out": 3}
+    with run_fleet(plan) as fleet:
+        wait_fleet(fleet)
+        for name, address in fleet.routers.items():
+            for number in range(3):
+                assert call(address, f"{name}-{number}", work_ms=20)[0] == 200
+        _wait_same_totals(fleet, at_least=9 * 3 * 20)
+        before = max(_read_totals(fleet))
+        name = next(one for one in fleet.routers if _sums_a_zone(fleet, one))
+        process = fleet.processes[name]
+        process.kill()
+        process.wait()
+        del fleet.routers[name]
+        wait_members(fleet, fleet.routers, 8, limit=HEAL_SECONDS)
+        for name, address in fleet.routers.items():
+            assert call(address, f"after-{name}", work_ms=20)[0] == 200
+        _wait_same_totals(fleet, at_least=before + 8 * 20)
+
+
+def _sums_a_zone(fleet: Fleet, name: str) -> bool:
+    status = read_status(fleet.routers[name])
+    rows = status["tree"]
+    assert 0 < len(rows) <= 4
+    near = {row["role"] for row in rows if row["zone"] == status["zone"]}
+    return near == {"child"}
+
+
+def _wait_same_totals(fleet: Fleet, *, at_least: int) -> None:
+    def is_same() -> bool:
+        totals = _read_totals(fleet)
+        # Sums travel as whole units.
+        return min(totals) >= at_least and max(totals) - min(totals) <= len(totals)
+
+    wait_until(is_same, limit=HEAL_SECONDS, what=f"totals of at least {at_least}")
+    for address in fleet.routers.values():
+        assert not read_series(address, "sequoiamoor_control_protocol_errors_total")
