Merge the tree of reports above the flat limit

The state of forgotten routers is dropped at the arbiter together with the epoch in which they have a share: since a router that returns goes on with its counters of an epoch, its share alone must not go.

--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -240,6 +240,25 @@
             if identity.router_id == origin.router_id and identity != origin:
                 del self._heard_at[identity]
 
+    def forget_except(self, routers: Collection[RouterId]) -> None:
+        """Drops rows and times of routers that are not among the given ones.
+
+        A router sends differences of its rows, so only those may be left out that
+        would have to open a new connection. The epochs in use stay.
+        """
+        kept = {*routers, self._identity.router_id}
+        for router_id in self._rows.keys() - kept:
+            del self._rows[router_id]
+            self._last_rows.pop(router_id, None)
+        for replica_id, state in list(self._replicas.items()):
+            if any(one.router_id not in kept for one in state.shares):
+                # The next step begins an epoch without the share. In this epoch the
+                # router would go on with its counters if it returned.
+                del self._replicas[replica_id]
+        for identity in list(self._heard_at):
+            if identity.router_id not in kept:
+                del self._heard_at[identity]
+
     def _is_ready(self, state: _Arbitrated, now: float) -> bool:
         """Returns whether slots may be granted.
 
--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -8,6 +8,7 @@
 from ..options import Options
 from ..types import CallRequest, RouterId, RouterIdentity
 from .ledger import Ledger
+from .placement import TreePlace
 from .queues import RequestQueues
 from .upstreams import Upstreams
 
@@ -30,6 +31,8 @@
         members: Live peers, without this router.
         unreachable: Routers to which no connection can be kept or opened.
         ended: Routers whose process is known to have ended.
+        place: Place in the tree of reports; None in a fleet of at most ``flat_limit``,
+            where everyone reports to everyone.
         report_sequence: Sequence of the report that is being built; 0 as long as
             reports are not numbered.
         is_report_due: Whether a report should go out before the interval ends.
@@ -46,6 +49,7 @@
     members: dict[RouterId, RouterIdentity] = field(default_factory=dict)
     unreachable: frozenset[RouterIdentity] = frozenset()
     ended: frozenset[RouterIdentity] = frozenset()
+    place: TreePlace | None = None
     report_sequence: int = 0
     is_report_due: bool = False
     is_leaving: bool = False
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -436,7 +436,15 @@
         died = board.ledger.note_live(set(members))
         for origin in died:
             self._taken_slots.pop(origin, None)
-        if died:
+        risen = board.ledger.take_risen_dead()
+        if board.place is not None and (died or risen):
+            # Those who had its reports tell their neighbours, who tell theirs.
+            told = board.ledger.build_snapshot({*died, *risen})
+            actions += [
+                Send(one.router_id, told)
+                for one in sorted(board.place.counter_targets(), key=str)
+            ]
+        elif died:
             # Peers may hold a later report of a dead origin than this router.
             actions.append(Send(None, board.ledger.build_snapshot(died)))
         windows = {}
@@ -517,6 +525,16 @@
         """Merges the counters that a peer knows."""
         board.ledger.take_snapshot(snapshot)
 
+    def forget_except(self, board: Blackboard, routers: Collection[RouterId]) -> None:
+        """Drops what is kept of routers that the membership has forgotten."""
+        self._demands.forget_except(routers)
+        self._own_arbiter(board).forget_except(routers)
+        for router_id in self._pending.keys() - set(routers):
+            del self._pending[router_id]
+        for identity in list(self._taken_slots):
+            if identity.router_id not in routers:
+                del self._taken_slots[identity]
+
     def take_report(
         self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
     ) -> list[Action]:
