--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -54,7 +53,6 @@
     since: float
     window: int = 0
     shares: dict[RouterIdentity, _Share] = field(default_factory=dict)
-    free_since: deque[float] = field(default_factory=deque)
 
     def held(self) -> int:
         return sum(share.held(self.epoch) for share in self.shares.values())
@@ -223,15 +221,6 @@
             return 0
         return max(state.window - state.held(), 0)
 
-    def free_since(self, replica_id: ReplicaId, now: float) -> tuple[float, ...]:
-        """Returns since when each slot that may be granted now is free."""
-        state = self._replicas[replica_id]
-        count, times = self.free(replica_id, now), state.free_since
-        while len(times) > count:
-            times.popleft()
-        times.extend([now] * (count - len(times)))
-        return tuple(times)
-
     def can_grant(self, replica_id: ReplicaId, router: RouterIdentity) -> bool:
         """Returns whether the router has adopted the current epoch."""
         state = self._replicas[replica_id]
--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -54,8 +54,6 @@
         organisations: Those with waiting or running requests.
         slots: Sum of the windows of the service's replicas.
         allowed_gap: Difference of keys that may be ignored, in service units.
-        reserve_per_unit: Seconds, per service unit of the expected cost, for which a
-            free slot is kept from an organisation at its cap.
     """
 
     organisations: dict[OrganisationName, OrganisationView]
@@ -63,7 +61,6 @@
     allowed_gap: float
     cap_factor: float
     floor_factor: float
-    reserve_per_unit: float = 0.0
 
     def urgency(self, name: OrganisationName, now: float) -> float:
         """Returns the earliest deadline, or infinity if it has passed.
@@ -82,39 +79,6 @@
         """Returns how many slots one organisation may use while others wait."""
         return max(math.ceil(self.cap_factor * self._share()), 1)
 
-    def is_capped(self, name: OrganisationName) -> bool:
-        """Returns whether the organisation has reached its cap."""
-        state = self.organisations.get(name)
-        return state is not None and state.running >= self.cap()
-
-    def is_reserved_for(self, name: OrganisationName) -> bool:
-        """Returns whether free slots are kept for work like the organisation's.
-
-        They are while every other organisation that waits has reached its cap.
-        """
-        others = [one for one in self._waiting() if one != name]
-        return (
-            bool(others)
-            and not self.is_capped(name)
-            and all(self.is_capped(one) for one in others)
-        )
-
-    def reserve_time(self, name: OrganisationName) -> float:
-        """Returns for how many seconds a free slot is kept from the organisation.
-
-        While only organisations at their cap wait, work of the others that arrives
-        should not have to wait until a request ends. The time is a part of what a
-        request takes, which bounds the capacity left unused.
-        """
-        if not self.is_capped(name):
-            return 0.0
-        if not all(self.is_capped(one) for one in self._waiting()):
-            return 0.0
-        return self.reserve_per_unit * self.organisations[name].running_cost
-
-    def _waiting(self) -> list[OrganisationName]:
-        return [name for name, one in self.organisations.items() if one.waiting > 0]
-
     def eligible(self, names: Iterable[OrganisationName]) -> list[OrganisationName]:
         """Returns those below their cap, or all if no backlogged one is."""
         cap = self.cap()
@@ -172,8 +136,6 @@
             sent back at once could be granted again for the same reason.
     """
     known = view.organisations
-    if not is_granted and view.reserve_time(name) > 0:
-        return False
     waiting = [one for one, state in known.items() if state.waiting > 0]
     names = view.eligible(waiting)
     gap = view.allowed_gap
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -44,13 +44,6 @@
     )
     slot_cap_factor: float = Field(1.5, ge=1)
     slot_floor_factor: float = Field(0.5, ge=0, le=1)
-    reserve_time_fraction: float = Field(
-        0.02,
-        ge=0,
-        le=1,
-        description="part of a request's expected duration for which a slot stays "
-        "free before an organisation at its cap gets it",
-    )
     slot_average_time: float = Field(5.0, gt=0)
     max_attempts: int = Field(3, ge=1, le=10)
     retry_budget_fraction: float = Field(0.1, ge=0, le=1)
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -89,7 +89,6 @@
         self._published_slots: dict[ReplicaId, tuple[SlotRow, float]] = {}
         self._sent_at: dict[int, float] = {}
         self._early_budget: EarlyBudget | None = None
-        self._reserved_budget: EarlyBudget | None = None
         self._taken_slots: dict[RouterIdentity, tuple[SlotRow, ...]] = {}
         self._published: dict[tuple[ServiceName, OrganisationName], _PublishedRow] = {}
 
@@ -106,38 +105,9 @@
             self._early_budget = EarlyBudget(board.options)
         return self._early_budget.take(messages, now, reserve=reserve)
 
-    def _request_report(
-        self,
-        board: Blackboard,
-        service: ServiceName,
-        name: OrganisationName,
-        now: float,
-    ) -> None:
-        """Asks for an early report that work begins or ceases to wait."""
-        if not board.is_report_due:
-            peers = len(board.members)
-            board.is_report_due = self._take_early(
-                board, peers, now
-            ) or self._take_reserved(board, service, name, now)
-
-    def _take_reserved(
-        self,
-        board: Blackboard,
-        service: ServiceName,
-        name: OrganisationName,
-        now: float,
-    ) -> bool:
-        """Returns whether the second budget allows a report to all peers.
-
-        Arbiters keep slots free for the organisation then, and the slots are of no
-        use to work that they do not know of.
-        """
-        if self._reserved_budget is None:
-            self._reserved_budget = EarlyBudget(board.options)
-        view = self._build_view(board, service, now)
-        return view.is_reserved_for(name) and self._reserved_budget.take(
-            len(board.members), now
-        )
+    def _request_report(self, board: Blackboard, now: float) -> None:
+        if not board.is_report_due and self._take_early(board, len(board.members), now):
+            board.is_report_due = True
 
     # Slots of this router.
 
@@ -162,7 +132,7 @@
         key = (request.service, request.organisation)
         known = self._published.get(key)
         if known is not None and known.row.waiting and board.queues.count(*key) == 1:
-            self._request_report(board, *key, now)
+            self._request_report(board, now)
 
     def _note_unserved(
         self, board: Blackboard, service: ServiceName, now: float
@@ -173,7 +143,7 @@
         for name in board.queues.organisations(service):
             known = self._published.get((service, name))
             if known is None or not known.row.waiting:
-                self._request_report(board, service, name, now)
+                self._request_report(board, now)
         return False
 
     def _count_free(self, board: Blackboard, service: ServiceName, now: float) -> int:
@@ -215,8 +185,11 @@
     ) -> bool:
         """Returns whether a free slot stays here."""
         own = board.queues.organisations(service)
+        demands = self._peer_demands(board, service)
+        if not any(one.waiting for one in demands.values()):
+            return True
         if not own:
-            return not self._is_contested(board, service)
+            return False
         view = self._build_view(board, service, now)
         return any(may_use_slot(name, view, is_granted=is_granted) for name in own)
 
@@ -302,14 +275,12 @@
         arbiter = self._own_arbiter(board)
         own = self._allotment.build_rows()
         arbiter.take_rows(board.identity, own, now)
-        free: dict[ServiceName, list[tuple[ReplicaId, float]]] = {}
+        free: dict[ServiceName, list[ReplicaId]] = {}
         for replica_id in arbiter.replica_ids():
             replica = board.upstreams.replicas.get(replica_id)
             if replica is not None:
-                times = arbiter.free_since(replica_id, now)
-                free.setdefault(replica.service, []).extend(
-                    (replica_id, since) for since in times
-                )
+                count = arbiter.free(replica_id, now)
+                free.setdefault(replica.service, []).extend([replica_id] * count)
         for service, slots in free.items():
             if slots:
                 self._assign_service(board, service, slots, now)
@@ -318,7 +289,7 @@
         self,
         board: Blackboard,
         service: ServiceName,
-        slots: list[tuple[ReplicaId, float]],
+        slots: list[ReplicaId],
         now: float,
     ) -> None:
         arbiter = self._own_arbiter(board)
@@ -326,12 +297,10 @@
         if not uncovered:
             return
         view = self._build_view(board, service, now)
-        for replica_id, since in slots:
+        for replica_id in slots:
             name = self._choose_name(uncovered, view, now)
             if name is None:
                 return
-            if now - since < view.reserve_time(name):
-                continue
             by_router = uncovered[name]
             able = [one for one in by_router if arbiter.can_grant(replica_id, one)]
             if not able:
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -170,9 +170,6 @@
             allowed_gap=self._allowed_gap(board, service, now),
             cap_factor=options.slot_cap_factor,
             floor_factor=options.slot_floor_factor,
-            reserve_per_unit=(
-                options.reserve_time_fraction * pool.slots / max(pool.capacity, 1.0)
-            ),
         )
 
     def choose_start(
