Split the encoding of messages between routers into its two sides

Ruled out: a change of the format or of the order of checks; functions were moved, and those used across modules lost their underscore. Change: wire.py keeps the format and its limits, encoder.py and decoder.py the two sides, fields.py the checks. Conclusion: no behaviour changed.

--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -18,7 +18,8 @@
 from sequoiamoor.core.messages import Grants, Message, Report, Snapshot
 from sequoiamoor.core.reports import ByteBudget, ReportFilter
 from sequoiamoor.core.upstreams import LoadReport, Replica
-from sequoiamoor.net.wire import Decoder, Encoder
+from sequoiamoor.net.decoder import Decoder
+from sequoiamoor.net.encoder import Encoder
 from sequoiamoor.options import Options
 from sequoiamoor.policies import create_policy
 from sequoiamoor.types import Address, CallRequest, RouterIdentity
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -20,7 +20,8 @@
 from sequoiamoor.core.membership import Membership
 from sequoiamoor.core.messages import CounterRow, Report, SlotRow
 from sequoiamoor.core.upstreams import LoadReport, Replica
-from sequoiamoor.net.wire import Decoder, Encoder
+from sequoiamoor.net.decoder import Decoder
+from sequoiamoor.net.encoder import Encoder
 from sequoiamoor.options import Options
 from sequoiamoor.types import Address, CallRequest, RouterIdentity
 
--- a/benchmarks/tree.py
+++ b/benchmarks/tree.py
@@ -20,7 +20,8 @@
 from sequoiamoor.core.placement import find_place
 from sequoiamoor.core.reports import ByteBudget, ReportFilter, SumFilter
 from sequoiamoor.core.sums import ReportSums
-from sequoiamoor.net.wire import Decoder, Encoder
+from sequoiamoor.net.decoder import Decoder
+from sequoiamoor.net.encoder import Encoder
 from sequoiamoor.options import Options
 from sequoiamoor.types import RouterIdentity
 
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -39,8 +39,10 @@
 from ..metrics import Metrics
 from ..options import Options
 from ..types import Address, ReplicaId, RouterIdentity, ZoneName
+from .decoder import Decoder
+from .encoder import Encoder
 from .reachability import REACHABILITY
-from .wire import RECEIVE_BYTES, Decoder, Encoder
+from .wire import RECEIVE_BYTES
 
 _LOG = logging.getLogger(__name__)
 
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -31,13 +31,13 @@
     UpstreamState,
 )
 from sequoiamoor.errors import ProtocolError
+from sequoiamoor.net.decoder import Decoder
+from sequoiamoor.net.encoder import Encoder
 from sequoiamoor.net.wire import (
     LENGTH_LIMIT,
     MESSAGE_LIMIT_BYTES,
     PROTOCOL,
     SNAPSHOT_PART_ROWS,
-    Decoder,
-    Encoder,
 )
 from sequoiamoor.types import Address, RouterIdentity
 
