--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -430,8 +430,7 @@
             case Grants():
                 actions = self._policy.take_grants(self._board, identity, message, now)
                 self.perform(actions)
-                replica_ids = (row.replica_id for row in message.rows)
-                await self._dispatch_waiting(self._find_services(replica_ids))
+                await self._dispatch_replicas(row.replica_id for row in message.rows)
             case Loads(rows):
                 for row in rows:
                     self._take_load(row, now)
@@ -484,9 +483,11 @@
         self.perform(self._policy.take_report(self._board, identity, report, now))
         if not report.counters and not report.slots:
             return
-        services = {row.service for row in report.counters}
-        services |= self._find_services(row.replica_id for row in report.slots)
-        await self._dispatch_waiting(services)
+        waiting = self._board.queues.services()
+        if waiting:
+            for service in waiting & {row.service for row in report.counters}:
+                await self._dispatch(service)
+            await self._dispatch_replicas(row.replica_id for row in report.slots)
 
     def _note_version(self, identity: RouterIdentity, version: int, now: float) -> None:
         self.versions.note_peer(identity.router_id, version)
@@ -507,11 +508,9 @@
         if upstreams.record_load(row.replica_id, load, now):
             self.announce_leaving([upstreams.replicas[row.replica_id]])
 
-    def _find_services(self, replica_ids: Iterable[ReplicaId]) -> set[ServiceName]:
+    async def _dispatch_replicas(self, replica_ids: Iterable[ReplicaId]) -> None:
         replicas = self._board.upstreams.replicas
-        return {replicas[one].service for one in replica_ids if one in replicas}
-
-    async def _dispatch_waiting(self, services: set[ServiceName]) -> None:
+        services = {replicas[one].service for one in replica_ids if one in replicas}
         for service in services & self._board.queues.services():
             await self._dispatch(service)
 
