--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -39,7 +39,7 @@
     assert sum(window_part("m0", window, one, names) for one in names) == window
 
 
-@pytest.mark.parametrize("count", [1, 2, 9, 17, 64, 350])
+@pytest.mark.parametrize("count", [1, 2, 9, 16, 17, 64, 350])
 def test_reports_reach_everyone_with_bounded_fan_out(count: int) -> None:
     """Guards against a router that never hears of a zone, and against a mesh."""
     routers = build_routers(count, "abcdefghi" if count > 16 else "abc")
