Build the test's waiting router in one place and drop an unused return value

Cause: two tests of the arbitrated policy set up the same router line by line; Part.add returned whether it added, which nobody reads; the cached sum of held slots could be passed to the constructor. Ruled out: passing all slot rows of a report to the arbiter and leaving the comparison to it: after an origin is taken for dead, the rows must be taken again. Change: one builder for both tests, with their assertions as they were; no return value; the cache is not an argument. Conclusion: no behaviour changed.

--- a/sequoiamoor/core/arbiter.py
+++ b/sequoiamoor/core/arbiter.py
@@ -53,8 +53,7 @@
     since: float
     window: int = 0
     shares: dict[RouterIdentity, _Share] = field(default_factory=dict)
-
-    _held: int | None = None
+    _held: int | None = field(default=None, init=False)
 
     def held(self) -> int:
         """Returns the slots that all routers hold."""
--- a/sequoiamoor/core/sums.py
+++ b/sequoiamoor/core/sums.py
@@ -27,14 +27,13 @@
 
     def add(
         self, origins: Collection[RouterIdentity], served: Mapping[AccountKey, float]
-    ) -> bool:
+    ) -> None:
         """Adds the work of other origins; does nothing if one is in the part."""
         if not self.origins.isdisjoint(origins):
-            return False
+            return
         self.origins = self.origins.union(origins)
         for key, units in served.items():
             self.served[key] = self.served.get(key, 0.0) + units
-        return True
 
 
 @dataclass(slots=True)
--- a/tests/policies/test_arbitrated.py
+++ b/tests/policies/test_arbitrated.py
@@ -18,14 +18,14 @@
 )
 from benchmarks.decisions_router import SERVICE
 from benchmarks.decisions_scenarios import run_flood, run_steady
-from sequoiamoor.core.blackboard import create_blackboard
+from sequoiamoor.core.blackboard import Blackboard, create_blackboard
 from sequoiamoor.core.messages import CounterRow, GrantRow, Grants, Report, SlotRow
 from sequoiamoor.core.placement import choose_arbiter
 from sequoiamoor.core.upstreams import Replica
 from sequoiamoor.daemon.control import Control
 from sequoiamoor.metrics import Metrics
 from sequoiamoor.options import Options
-from sequoiamoor.policies import create_policy
+from sequoiamoor.policies import Policy, create_policy
 from sequoiamoor.policies.arbitrated import ArbitratedPolicy
 from sequoiamoor.settings import RouterSettings
 from sequoiamoor.types import Address, CallRequest, RouterIdentity
@@ -87,10 +87,10 @@
     assert running >= min(count, REPLICAS * SLOTS)
 
 
-def test_router_starts_nothing_on_grants_read_after_a_pause() -> None:
-    """Guards against grants that waited in a buffer and are no longer valid."""
+def build_receiver(*, incarnation: int) -> tuple[Blackboard, Policy, RouterIdentity]:
+    """Returns a router with waiting work that reported once, and its arbiter."""
     peer = RouterIdentity("r1", 1, "a")
-    board = create_blackboard(RouterIdentity("r0", 1, "b"), OPTIONS)
+    board = create_blackboard(RouterIdentity("r0", incarnation, "b"), OPTIONS)
     policy = create_policy("arbitrated", rng=Random(0))
     board.members["r1"] = peer
     board.upstreams.replicas["m0"] = Replica(
@@ -100,6 +100,12 @@
     board.report_sequence = 1
     policy.step(board, 0.0)
     policy.build_slots(board, 0.0)
+    return board, policy, peer
+
+
+def test_router_starts_nothing_on_grants_read_after_a_pause() -> None:
+    """Guards against grants that waited in a buffer and are no longer valid."""
+    board, policy, peer = build_receiver(incarnation=1)
     grants = Grants((GrantRow("m0", 1 << 16, 1, 0),), acknowledged=1)
     policy.step(board, 3.0)
     policy.take_grants(board, peer, grants, 3.0)
@@ -140,17 +146,7 @@
     An arbiter that has not heard of the restart sends the earlier grants once more.
     Later grants in the same epoch would renew them, since counters only rise.
     """
-    peer = RouterIdentity("r1", 1, "a")
-    board = create_blackboard(RouterIdentity("r0", 2, "b"), OPTIONS)
-    policy = create_policy("arbitrated", rng=Random(0))
-    board.members["r1"] = peer
-    board.upstreams.replicas["m0"] = Replica(
-        "m0", SERVICE, "a", Address("127.0.0.1", 1)
-    )
-    board.queues.add(CallRequest("c", "c", "o0", "chat", SERVICE, 0, 1, 30, b""))
-    board.report_sequence = 1
-    policy.step(board, 0.0)
-    policy.build_slots(board, 0.0)
+    board, policy, peer = build_receiver(incarnation=2)
     earlier = Grants((GrantRow("m0", 1 << 16, 1, 0),), acknowledged=9, incarnation=1)
     policy.take_grants(board, peer, earlier, 0.0)
     own = Grants((GrantRow("m0", 1 << 16, 0, 0),), acknowledged=1, incarnation=2)
