--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -40,7 +40,11 @@
 def router(
     settings: Annotated[Path, typer.Option(help="JSON settings file.")],
 ) -> None:
-    """Runs one router."""
+    """Runs one router.
+
+    With a section ``gateway`` in its settings it serves routes on the operators'
+    platform, without one the interface of this project.
+    """
     from .daemon import run_router
 
     run_router(read_settings(settings))
--- /dev/null
+++ b/sequoiamoor/core/routed.py
@@ -0,0 +1,64 @@
+"""Requests on routes while a router holds them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..types import CallRequest
+from .routes import Route
+
+Fields = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt; requests with equal first parts share their cache."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(slots=True)
+class RoutedCall(CallRequest):
+    """A request on a route; its organisation is empty on a public route.
+
+    Attributes:
+        method: HTTP method, passed on unchanged.
+        target: Path and query, passed on unchanged.
+        fields: End-to-end header fields, passed on unchanged.
+        client_deadline: Monotonic time at which the client stops waiting.
+        ends_at: Monotonic time by which the answer must have ended.
+        parts: Parts of the prompt in their order; the last one is the request's own.
+        output_tokens: Expected number of generated tokens.
+        sent_attempts: Attempts of which a byte was sent.
+        unsent_attempts: Attempts that sent nothing.
+        may_have_run: Whether an attempt was sent whose replica did not state that it
+            did not run the request.
+    """
+
+    route: Route | None = None
+    method: str = "POST"
+    target: bytes = b"/"
+    fields: Fields = field(default_factory=list)
+    client_deadline: float = 0.0
+    ends_at: float = 0.0
+    parts: tuple[PromptPart, ...] = ()
+    output_tokens: int = 0
+    sent_attempts: int = 0
+    unsent_attempts: int = 0
+    may_have_run: bool = False
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Tokens of the whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
+    @property
+    def own_tokens(self) -> int:
+        """Tokens of the prompt that no other request shares."""
+        return self.parts[-1].tokens if self.parts else 0
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the prompt that other requests may share."""
+        return self.prompt_tokens - self.own_tokens
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -30,6 +30,21 @@
     is_leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SeenLoad:
+    """Load that a replica stated with an answer.
+
+    Attributes:
+        in_use: Attempts of this router that ran there at that time.
+        at: Monotonic time of the answer.
+    """
+
+    running: int
+    queued: int
+    in_use: int
+    at: float
+
+
 @dataclass(slots=True)
 class Replica:
     """One upstream replica.
@@ -44,6 +59,7 @@
             the same time count once.
         is_probed: Whether an attempt was started at the replica while it was down.
         probe_at: Monotonic time from which a replica that is down may be tried.
+        seen: Load that it stated with the last answer to this router.
     """
 
     replica_id: ReplicaId
@@ -60,6 +76,7 @@
     failures: int = 0
     is_probed: bool = False
     probe_at: float = float("-inf")
+    seen: SeenLoad | None = None
 
     def is_available(self, now: float) -> bool:
         """Returns whether new work may be started at the replica."""
@@ -250,6 +267,31 @@
         delay = self.options.probe_base_delay * 2 ** min(replica.failures - 1, 16)
         replica.probe_at = now + min(delay, self.options.probe_max_delay)
 
+    def put(self, listed: ListedUpstream, load: LoadReport, now: float) -> bool:
+        """Takes what a replica says about itself in the platform's store.
+
+        Returns:
+            Whether the replica is leaving and was not known to be.
+        """
+        replica = self.replicas.get(listed.replica_id)
+        was_leaving = replica is not None and replica.is_leaving
+        if replica is not None and load.incarnation != replica.incarnation:
+            # Another process has the identifier; it knows nothing of the earlier one.
+            replica.is_leaving = was_leaving = False
+            replica.failures = 0
+        replica = self._take_entry(listed, now)
+        replica.incarnation = load.incarnation
+        replica.is_listed_leaving = load.is_leaving
+        replica.is_leaving = replica.is_leaving or load.is_leaving
+        known = replica.load
+        if known is None or known.incarnation != load.incarnation:
+            replica.load = load
+        return replica.is_leaving and not was_leaving
+
+    def remove(self, replica_id: ReplicaId) -> bool:
+        """Removes a replica that is gone; returns whether it was known."""
+        return self.replicas.pop(replica_id, None) is not None
+
     def record_load(self, replica_id: ReplicaId, load: LoadReport, now: float) -> bool:
         """Takes a load report; one of an earlier incarnation is ignored.
 
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -5,7 +5,6 @@
 import logging
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 from typing import Any
@@ -14,7 +13,6 @@
 
 from ..core.actions import Action
 from ..core.blackboard import Blackboard
-from ..core.overload import Overload, bound_retry_after
 from ..core.records import KeptAnswer
 from ..core.retries import GiveUp, Retries, is_attempt_failure
 from ..core.upstreams import Replica
@@ -23,7 +21,6 @@
     DrainLimitError,
     InternalError,
     LeavingError,
-    QueueFullError,
     RefusalError,
     UpstreamUnreachableError,
 )
@@ -33,6 +30,7 @@
 from ..net.relay import StreamCheck
 from ..policies import Policy
 from ..types import CallRequest, Execution, ServiceKind
+from .dispatcher import Dispatcher
 from .records import CallRecord, Records
 from .sink import CallerGoneError, CallerSink
 
@@ -41,18 +39,6 @@
 _COUNTED_UNITS = 64.0
 
 
-@dataclass(slots=True)
-class _PendingStart:
-    """Wakes the task of a waiting call when it may start.
-
-    Attributes:
-        replica: Replica where the call holds a slot, from its start to its release.
-    """
-
-    event: Any = field(default_factory=curio.Event)
-    replica: Replica | None = None
-
-
 class CallServer:
     """Serves the calls that a router accepted."""
 
@@ -67,16 +53,13 @@
         retries: Retries | None = None,
     ) -> None:
         self._board = board
-        self._policy = policy
-        self._perform = perform
+        self._dispatcher = Dispatcher(board, policy, perform=perform)
         self._metrics = metrics
         self._records = records
         self._retries = retries or Retries(board.options, rng=Random())
         self._options = board.options
         self._pool = ConnectionPool(options=board.options, metrics=metrics)
-        self._overload = Overload(board.options)
         self._tasks: dict[str, Any] = {}
-        self._pending: dict[str, _PendingStart] = {}
 
     def accept(self, call: CallRequest) -> None:
         """Queues a call.
@@ -84,27 +67,14 @@
         Raises:
             RefusalError: If the call cannot be queued.
         """
-        now = time.monotonic()
         if self._records is not None:
-            self._records.check_available(call, now)
-        waiting = self._count_waiting(call)
-        self._overload.check_arrival(call, waiting, now)
-        try:
-            self._board.queues.add(call)
-        except QueueFullError as error:
-            expected = self._overload.estimate_wait(call, waiting, now)
-            error.retry_after = bound_retry_after(expected / 2)
-            raise
-        self._overload.note_waiting(call, waiting + 1, now)
-        self._pending[call.call_id] = _PendingStart()
-
-    def _count_waiting(self, call: CallRequest) -> int:
-        return self._board.queues.count(call.service, call.organisation)
+            self._records.check_available(call, time.monotonic())
+        self._dispatcher.accept(call)
 
     @property
     def in_service(self) -> int:
         """How many accepted calls have not been answered completely."""
-        return len(self._pending)
+        return self._dispatcher.in_service
 
     async def cut(self, reason: str) -> None:
         """Ends all calls: waiting ones as not run, the others as incomplete."""
@@ -141,17 +111,12 @@
                 await tasks.spawn(self._serve, connection, call)
                 await tasks.spawn(connection.wait_closed)
         finally:
-            await self._forget(call)
+            self._tasks.pop(call.call_id, None)
+            await self._dispatcher.forget(call)
 
-    async def _forget(self, call: CallRequest) -> None:
-        if self._board.queues.remove(call.call_id) is not None:
-            waiting = self._count_waiting(call)
-            self._overload.note_waiting(call, waiting, time.monotonic())
-        self._tasks.pop(call.call_id, None)
-        pending = self._pending.pop(call.call_id, None)
-        # A call can be given a slot in the same turn in which its caller goes.
-        if pending is not None and pending.replica is not None:
-            await self._release(call, pending)
+    async def dispatch(self, service: str) -> None:
+        """Starts waiting calls until the policy has no further start."""
+        await self._dispatcher.dispatch(service)
 
     async def _serve(self, connection: ServerConnection, call: CallRequest) -> None:
         sink = CallerSink(
@@ -212,7 +177,7 @@
         error: RefusalError | None = None
         try:
             while True:
-                replica = await self._wait_start(call)
+                replica = await self._dispatcher.wait_start(call)
                 try:
                     answer = await self._run_attempt(call, replica, check, sink, record)
                     break
@@ -271,40 +236,7 @@
             call.excluded = frozenset()
         call.wait_limit_at = decision.wait_limit_at
         await curio.sleep(decision.delay)
-        self._pending[call.call_id] = _PendingStart()
-        self._board.queues.add_again(call)
-        self._overload.note_waiting(call, self._count_waiting(call), time.monotonic())
-
-    async def _wait_start(self, call: CallRequest) -> Replica:
-        pending = self._pending[call.call_id]
-        await self.dispatch(call.service)
-        if not pending.event.is_set():
-            remaining = call.wait_limit_at - time.monotonic()
-            await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
-        if pending.replica is None:
-            raise self._overload.build_wait_limit_error(
-                call, self._count_waiting(call), time.monotonic()
-            )
-        return pending.replica
-
-    async def dispatch(self, service: str) -> None:
-        """Starts waiting calls until the policy has no further start."""
-        now = time.monotonic()
-        while (
-            start := self._policy.choose_start(self._board, service, now)
-        ) is not None:
-            call = self._board.queues.remove(start.call_id)
-            assert call is not None
-            self._overload.note_start(call, self._count_waiting(call), now)
-            call.attempts += 1
-            self._board.running[call.call_id] = call
-            replica = self._board.upstreams.replicas[start.replica_id]
-            self._board.upstreams.record_start(replica, now)
-            pending = self._pending[start.call_id]
-            pending.replica = replica
-            await pending.event.set()
-        # The policy may have marked a report as due for the work that still waits.
-        self._perform(())
+        self._dispatcher.accept_again(call)
 
     async def _run_attempt(
         self,
@@ -361,17 +293,7 @@
             raise
         finally:
             served.inc(uncounted)
-            await self._release(call, self._pending[call.call_id])
-
-    async def _release(self, call: CallRequest, pending: _PendingStart) -> None:
-        """Frees the slot of a call that was started."""
-        replica, pending.replica = pending.replica, None
-        assert replica is not None
-        replica.in_use -= 1
-        self._board.running.pop(call.call_id, None)
-        now = time.monotonic()
-        self._perform(self._policy.finish(self._board, call, replica.replica_id, now))
-        await self.dispatch(call.service)
+            await self._dispatcher.release(call)
 
 
 async def _finish_record(record: CallRecord, answer: Answer | None) -> None:
--- /dev/null
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -0,0 +1,137 @@
+"""Calls that wait for a slot and calls that hold one."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+from ..core.actions import Action
+from ..core.blackboard import Blackboard
+from ..core.overload import Overload, bound_retry_after
+from ..core.upstreams import Replica
+from ..errors import QueueFullError
+from ..policies import Policy
+from ..types import CallRequest
+
+
+@dataclass(slots=True)
+class _PendingStart:
+    """Wakes the task of a waiting call when it may start.
+
+    Attributes:
+        replica: Replica where the call holds a slot, from its start to its release.
+    """
+
+    event: Any = field(default_factory=curio.Event)
+    replica: Replica | None = None
+
+
+class Dispatcher:
+    """Queues calls, starts them as the policy decides, and frees their slots."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        policy: Policy,
+        *,
+        perform: Callable[[Iterable[Action]], None] = lambda _: None,
+    ) -> None:
+        self._board = board
+        self._policy = policy
+        self._perform = perform
+        self._overload = Overload(board.options)
+        self._pending: dict[str, _PendingStart] = {}
+
+    @property
+    def in_service(self) -> int:
+        """How many accepted calls have not been answered completely."""
+        return len(self._pending)
+
+    def accept(self, call: CallRequest) -> None:
+        """Queues a call.
+
+        Raises:
+            RefusalError: If the call cannot be queued.
+        """
+        now = time.monotonic()
+        waiting = self._count_waiting(call)
+        self._overload.check_arrival(call, waiting, now)
+        try:
+            self._board.queues.add(call)
+        except QueueFullError as error:
+            expected = self._overload.estimate_wait(call, waiting, now)
+            error.retry_after = bound_retry_after(expected / 2)
+            raise
+        self._overload.note_waiting(call, waiting + 1, now)
+        self._pending[call.call_id] = _PendingStart()
+
+    def accept_again(self, call: CallRequest) -> None:
+        """Queues a call again after a failed attempt."""
+        self._pending[call.call_id] = _PendingStart()
+        self._board.queues.add_again(call)
+        self._overload.note_waiting(call, self._count_waiting(call), time.monotonic())
+
+    def _count_waiting(self, call: CallRequest) -> int:
+        return self._board.queues.count(call.service, call.organisation)
+
+    async def wait_start(self, call: CallRequest) -> Replica:
+        """Waits until the call may start and returns its replica.
+
+        Raises:
+            WaitLimitError: If the call waited as long as it may.
+        """
+        pending = self._pending[call.call_id]
+        await self.dispatch(call.service)
+        if not pending.event.is_set():
+            remaining = call.wait_limit_at - time.monotonic()
+            await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
+        if pending.replica is None:
+            raise self._overload.build_wait_limit_error(
+                call, self._count_waiting(call), time.monotonic()
+            )
+        return pending.replica
+
+    async def dispatch(self, service: str) -> None:
+        """Starts waiting calls until the policy has no further start."""
+        now = time.monotonic()
+        while (
+            start := self._policy.choose_start(self._board, service, now)
+        ) is not None:
+            call = self._board.queues.remove(start.call_id)
+            assert call is not None
+            self._overload.note_start(call, self._count_waiting(call), now)
+            call.attempts += 1
+            self._board.running[call.call_id] = call
+            replica = self._board.upstreams.replicas[start.replica_id]
+            self._board.upstreams.record_start(replica, now)
+            pending = self._pending[start.call_id]
+            pending.replica = replica
+            await pending.event.set()
+        # The policy may have marked a report as due for the work that still waits.
+        self._perform(())
+
+    async def release(self, call: CallRequest) -> None:
+        """Frees the slot of a call that was started."""
+        pending = self._pending[call.call_id]
+        replica, pending.replica = pending.replica, None
+        assert replica is not None
+        replica.in_use -= 1
+        self._board.running.pop(call.call_id, None)
+        now = time.monotonic()
+        self._perform(self._policy.finish(self._board, call, replica.replica_id, now))
+        await self.dispatch(call.service)
+
+    async def forget(self, call: CallRequest) -> None:
+        """Drops a call that ended, wherever it is."""
+        if self._board.queues.remove(call.call_id) is not None:
+            waiting = self._count_waiting(call)
+            self._overload.note_waiting(call, waiting, time.monotonic())
+        pending = self._pending.get(call.call_id)
+        # A call can be given a slot in the same turn in which its caller goes.
+        if pending is not None and pending.replica is not None:
+            await self.release(call)
+        self._pending.pop(call.call_id, None)
--- /dev/null
+++ b/sequoiamoor/daemon/forwarder.py
@@ -0,0 +1,487 @@
+"""Serving one request on a route: waiting, attempts, the answer or a refusal."""
+
+from __future__ import annotations
+
+import logging
+import time
+from random import Random
+
+import curio
+import h11
+
+from ..core.blackboard import Blackboard
+from ..core.freshness import KeyFreshness
+from ..core.repeats import RepeatBudget, decide_repeat
+from ..core.routed import RoutedCall
+from ..core.routes import Route, RouteTable, build_routes
+from ..core.upstreams import Replica, SeenLoad
+from ..errors import (
+    AnswerIncompleteError,
+    DeadlineError,
+    InternalError,
+    KeysUncertainError,
+    LeavingError,
+    MalformedRequestError,
+    NotFoundError,
+    NotReadyError,
+    RefusalError,
+    UnknownKeyError,
+    UpstreamFailedError,
+    UpstreamRefusedError,
+    UpstreamUnreachableError,
+    WaitLimitError,
+)
+from ..metrics import Metrics
+from ..net.caller import to_refusal_body
+from ..net.events import EventOrder, Events
+from ..net.exchange import ConnectionPool
+from ..net.formats import CallerFormat, ReplicaLoad, UpstreamFormat
+from ..net.forward import ForwardAttempt, StreamHead, WholeAnswer
+from ..net.http import Request
+from ..net.http_server import ServerConnection
+from ..types import Execution, RouteKind
+from .dispatcher import Dispatcher
+from .sink import CallerGoneError
+
+_LOG = logging.getLogger(__name__)
+
+DEFAULT_TIMEOUT_SECONDS = 30.0
+"""Time of a request whose caller does not say how long it waits."""
+
+STREAM_WAIT_PART = 0.8
+"""Part of the target for which a request may wait; the rest is for the first event."""
+
+PLAIN_WAIT_PART = 0.5
+"""Part of its time for which a request to a plain service may wait for a slot."""
+
+ANSWER_MARGIN_SECONDS = 0.02
+"""Time before the end of a request's time at which it is ended."""
+
+GENERATED_TOKEN_UNITS = 2.0
+"""Service units of a generated token; a prompt token that is read counts as one."""
+
+NO_HEADER = StreamHead(0, [])
+
+
+class _Caller:
+    """The caller's side of one request."""
+
+    def __init__(
+        self, connection: ServerConnection, call: RoutedCall, board: Blackboard
+    ) -> None:
+        self._connection = connection
+        self._call = call
+        self._board = board
+        self.is_started = False
+        self.first_at: float | None = None
+
+    def _closing(self) -> list[tuple[bytes, bytes]]:
+        return [(b"connection", b"close")] if self._board.is_leaving else []
+
+    async def send_events(self, head: StreamHead, data: bytes) -> None:
+        """Passes on events, after the head of the stream if it is the first time."""
+        try:
+            if not self.is_started:
+                self.is_started = True
+                self.first_at = time.monotonic()
+                await self._connection.start_stream(
+                    head.status, [*head.fields, *self._closing()]
+                )
+            await self._connection.send_data(data)
+        except (OSError, h11.LocalProtocolError) as err:
+            raise CallerGoneError(str(err)) from err
+
+    async def finish_stream(self) -> None:
+        """Ends the stream as complete."""
+        try:
+            await self._connection.end_stream()
+        except (OSError, h11.LocalProtocolError) as err:
+            raise CallerGoneError(str(err)) from err
+
+    async def send_answer(self, answer: WholeAnswer) -> None:
+        """Sends a whole answer."""
+        if self.first_at is None:
+            self.first_at = time.monotonic()
+        try:
+            await self._connection.send_response(
+                answer.status, [*answer.fields, *self._closing()], answer.body
+            )
+        except (OSError, h11.LocalProtocolError) as err:
+            raise CallerGoneError(str(err)) from err
+
+
+class Forwarder:
+    """Serves requests on the routes of the configuration in force."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+        *,
+        callers: CallerFormat,
+        upstreams: UpstreamFormat,
+        budget: RepeatBudget,
+        freshness: KeyFreshness,
+        rng: Random,
+    ) -> None:
+        self._board = board
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._callers = callers
+        self._wire = upstreams
+        self._budget = budget
+        self._freshness = freshness
+        self._rng = rng
+        self._pool = ConnectionPool(
+            options=board.options, metrics=metrics, detects_dead_peers=True
+        )
+        self._table: tuple[int, RouteTable] | None = None
+        self._numbers = 0
+        self.stops_taking = False
+
+    async def watch(self) -> None:
+        """Watches the connections to replicas until cancelled."""
+        await self._pool.watch()
+
+    async def close(self) -> None:
+        """Closes the idle connections to replicas."""
+        await self._pool.close()
+
+    def _routes(self) -> RouteTable:
+        state = self._board.configuration
+        if state.declaration is None:
+            raise NotReadyError(
+                "this router has no configuration yet; try another one",
+                retry_after=0.2,
+            )
+        if self._table is None or self._table[0] != state.version:
+            self._table = (state.version, build_routes(state.declaration))
+        return self._table[1]
+
+    def _parse(self, request: Request, request_id: str, now: float) -> RoutedCall:
+        if request.http_version != "1.1":
+            raise MalformedRequestError(
+                f"HTTP/{request.http_version} cannot carry a stream; send HTTP/1.1"
+            )
+        table = self._routes()
+        host = self._callers.read_host(request)
+        route = table.find(host, request.path)
+        if route is None:
+            raise NotFoundError(
+                f"no route of host {host[:80]!r} begins path {request.path[:80]!r}"
+            )
+        organisation = "" if route.is_public else self._identify(request, table)
+        remaining = self._callers.read_remaining(request) or DEFAULT_TIMEOUT_SECONDS
+        ends_at = now + min(remaining, route.timeout)
+        if route.kind is RouteKind.STREAM:
+            wait = min(route.target * STREAM_WAIT_PART, ends_at - now)
+        else:
+            wait = (ends_at - now) * PLAIN_WAIT_PART
+        hint, limit = self._callers.read_output_tokens(request)
+        self._numbers += 1
+        return RoutedCall(
+            call_id=str(self._numbers),
+            request_id=request_id,
+            organisation=organisation,
+            class_name=route.name,
+            service=route.choose_service(self._rng),
+            arrival=now,
+            deadline=now + route.target,
+            wait_limit_at=now + wait,
+            body=request.body,
+            route=route,
+            method=request.method,
+            target=request.target,
+            fields=self._callers.select_fields(request.fields),
+            is_repeatable=route.is_repeatable,
+            client_deadline=now + remaining,
+            ends_at=ends_at - ANSWER_MARGIN_SECONDS,
+            parts=self._callers.read_prompt(request),
+            output_tokens=min(hint or limit or 0, limit or hint or 0),
+        )
+
+    def _identify(self, request: Request, table: RouteTable) -> str:
+        if not self._freshness.is_fresh():
+            raise KeysUncertainError(
+                "this router cannot tell whether the key still holds; try another one",
+                retry_after=0.3,
+            )
+        key = self._callers.read_key(request)
+        organisation = None if key is None else table.find_organisation(key)
+        if organisation is None:
+            raise UnknownKeyError(
+                "the key belongs to no organisation; send a valid one"
+            )
+        return organisation
+
+    async def serve(self, connection: ServerConnection, request: Request) -> None:
+        """Serves one request until it is answered or its caller is gone."""
+        now = time.monotonic()
+        request_id = None
+        try:
+            request_id = self._callers.read_request_id(request)
+            if self.stops_taking:
+                raise LeavingError(
+                    "this router ends; send the request to another one",
+                    retry_after=0.0,
+                )
+            call = self._parse(request, request_id, now)
+            self._dispatcher.accept(call)
+        except RefusalError as error:
+            await self.refuse(connection, error, request_id)
+            return
+        self._budget.record_request(call.service, now)
+        try:
+            async with curio.TaskGroup(wait=any) as tasks:
+                await tasks.spawn(self._serve, connection, call)
+                await tasks.spawn(connection.wait_closed)
+        finally:
+            await self._dispatcher.forget(call)
+
+    async def refuse(
+        self, connection: ServerConnection, error: RefusalError, request_id: str | None
+    ) -> None:
+        """Sends a refusal as a whole response, if one can still be sent."""
+        self._metrics.refusals.labels(error.code).inc()
+        _LOG.info(
+            "refused",
+            extra={
+                "request_id": request_id,
+                "reason": error.code,
+                "detail": str(error),
+                "status": error.status,
+                "version": self._board.configuration.version,
+            },
+        )
+        if not connection.can_refuse:
+            return
+        fields = self._callers.build_refusal(error, request_id)
+        if self._board.is_leaving:
+            fields.append((b"connection", b"close"))
+        await connection.send_response(
+            error.status, fields, to_refusal_body(error, request_id)
+        )
+
+    async def _serve(self, connection: ServerConnection, call: RoutedCall) -> None:
+        caller = _Caller(connection, call, self._board)
+        try:
+            await self._answer(connection, call, caller)
+        except CallerGoneError as err:
+            self._note_caller_gone(call, str(err))
+        except curio.CancelledError:
+            if connection.is_peer_closed:
+                self._note_caller_gone(call, "the caller closed its connection")
+            raise
+        except OSError as err:
+            self._note_caller_gone(call, str(err))
+
+    def _note_caller_gone(self, call: RoutedCall, reason: str) -> None:
+        self._metrics.callers_gone.inc()
+        _LOG.info("caller gone", extra=_describe(call, reason=reason))
+
+    async def _answer(
+        self, connection: ServerConnection, call: RoutedCall, caller: _Caller
+    ) -> None:
+        try:
+            async with curio.timeout_at(await _to_curio_time(call.ends_at)):
+                await self._run(call, caller)
+            outcome = "answered"
+        except curio.TaskTimeout:
+            error: RefusalError = DeadlineError("the request's time is over")
+            if not call.may_have_run:
+                error = WaitLimitError("the request's time is over; it was not run")
+            await self._end_failed(connection, call, caller, error)
+            return
+        except RefusalError as error:
+            await self._end_failed(connection, call, caller, error)
+            return
+        except (CallerGoneError, OSError):
+            raise
+        except Exception as err:
+            _LOG.exception("request failed", extra=_describe(call, reason=repr(err)))
+            fault = InternalError("a fault of the router ended the request")
+            await self._end_failed(connection, call, caller, fault)
+            return
+        now = time.monotonic()
+        assert caller.first_at is not None
+        self._metrics.calls.labels(call.service, call.organisation).inc()
+        self._metrics.first_token_seconds.labels(call.class_name).observe(
+            caller.first_at - call.arrival
+        )
+        extra = _describe(call, reason=outcome)
+        extra["first_ms"] = round((caller.first_at - call.arrival) * 1000)
+        extra["total_ms"] = round((now - call.arrival) * 1000)
+        _LOG.info("served", extra=extra)
+
+    async def _end_failed(
+        self,
+        connection: ServerConnection,
+        call: RoutedCall,
+        caller: _Caller,
+        error: RefusalError,
+    ) -> None:
+        if caller.is_started:
+            # Without its last chunk the answer cannot be taken for a complete one.
+            self._metrics.refusals.labels(error.code).inc()
+            _LOG.warning("stream broken off", extra=_describe(call, reason=str(error)))
+            await connection.close()
+            return
+        if call.may_have_run and error.execution is Execution.WAS_NOT_RUN:
+            error = UpstreamFailedError(str(error))
+        if error.execution is Execution.WAS_NOT_RUN and error.status in (502, 504):
+            error = WaitLimitError(str(error), retry_after=error.retry_after)
+        if error.execution is Execution.WAS_NOT_RUN and error.retry_after is None:
+            error.retry_after = 0.1
+        _LOG.info("failed", extra=_describe(call, reason=str(error)))
+        await self.refuse(connection, error, call.request_id)
+
+    async def _run(self, call: RoutedCall, caller: _Caller) -> None:
+        order = EventOrder()
+        failed: WholeAnswer | None = None
+        while True:
+            replica = await self._dispatcher.wait_start(call)
+            started = time.monotonic()
+            error: RefusalError | None = None
+            answer: WholeAnswer | None = None
+            try:
+                answer = await self._attempt(call, replica, order, caller)
+            except RefusalError as err:
+                error = err
+            self._note_result(call, replica, answer, error, time.monotonic() - started)
+            if error is None and (answer is None or not answer.is_failure):
+                break
+            failed = answer or failed
+            give_up = decide_repeat(
+                call,
+                error,
+                budget=self._budget,
+                now=time.monotonic(),
+                routers=len(self._board.members) + 1,
+            )
+            if give_up is None:
+                self._prepare_again(call, replica)
+                self._metrics.retries.labels(
+                    "answer-failed" if error is None else error.code
+                ).inc()
+                continue
+            self._metrics.retries_refused.labels(give_up.reason).inc()
+            if error is None or (failed is not None and not caller.is_started):
+                answer = failed
+                break
+            raise error
+        if answer is None:
+            await caller.finish_stream()
+            return
+        if caller.is_started:
+            raise AnswerIncompleteError(
+                f"the rest of the stream was answered with status {answer.status}"
+            )
+        if answer.status in (408, 421, 429, 503):
+            # These would tell the caller that the request was not run.
+            raise UpstreamFailedError(
+                f"replica {replica.replica_id!r} failed with status {answer.status}"
+            )
+        await caller.send_answer(answer)
+
+    def _prepare_again(self, call: RoutedCall, replica: Replica) -> None:
+        now = time.monotonic()
+        call.excluded |= {replica.replica_id}
+        call.excluded_until = now + self._board.options.exclusion_time
+        call.wait_limit_at = max(
+            call.wait_limit_at, min(call.ends_at, now + _wait_time(call.route))
+        )
+        self._dispatcher.accept_again(call)
+
+    async def _attempt(
+        self, call: RoutedCall, replica: Replica, order: EventOrder, caller: _Caller
+    ) -> WholeAnswer | None:
+        declaration = self._board.configuration.declaration
+        assert declaration is not None
+        service = declaration.services.get(call.service)
+        event_units = (service.event_tokens if service else 1) * GENERATED_TOKEN_UNITS
+        is_charged = call.charged > 0
+
+        async def send_events(head: StreamHead, events: Events) -> None:
+            nonlocal is_charged
+            units = event_units * events.count
+            if not is_charged:
+                is_charged = True
+                units += call.prompt_tokens
+            self._board.ledger.charge(call.service, call.organisation, units)
+            call.charged += units
+            await caller.send_events(head, events.data)
+
+        def note_load(load: ReplicaLoad) -> None:
+            replica.seen = SeenLoad(
+                load.running, load.queued, replica.in_use, time.monotonic()
+            )
+
+        attempt = ForwardAttempt(
+            call,
+            replica,
+            wire=self._wire,
+            pool=self._pool,
+            metrics=self._metrics,
+            note_load=note_load,
+        )
+        try:
+            return await attempt.run(order, send_events)
+        except UpstreamRefusedError:
+            call.sent_attempts += 1
+            raise
+        except BaseException:
+            call.sent_attempts += attempt.is_sent
+            call.unsent_attempts += not attempt.is_sent
+            call.may_have_run |= attempt.is_sent
+            raise
+        finally:
+            await self._dispatcher.release(call)
+
+    def _note_result(
+        self,
+        call: RoutedCall,
+        replica: Replica,
+        answer: WholeAnswer | None,
+        error: RefusalError | None,
+        elapsed: float,
+    ) -> None:
+        """Takes note of what an attempt tells about its replica."""
+        if answer is not None:
+            call.sent_attempts += 1
+            call.may_have_run = True
+        upstreams = self._board.upstreams
+        now = time.monotonic()
+        if error is None:
+            upstreams.record_success(replica.replica_id, now)
+            if answer is None or not answer.is_failure:
+                return
+        elif isinstance(error, UpstreamUnreachableError):
+            upstreams.record_failure(replica.replica_id, now)
+        extra = _describe(call, reason="answer-failed" if error is None else error.code)
+        extra["upstream"] = replica.replica_id
+        extra["detail"] = str(error) if error is not None else None
+        extra["elapsed_ms"] = round(elapsed * 1000)
+        _LOG.info("attempt failed", extra=extra)
+
+
+def _wait_time(route: Route | None) -> float:
+    assert route is not None
+    return route.target
+
+
+async def _to_curio_time(at: float) -> float:
+    """Returns the time of curio's clock for a monotonic time."""
+    return float(await curio.clock()) + at - time.monotonic()
+
+
+def _describe(call: RoutedCall, *, reason: str) -> dict[str, object]:
+    """Returns the log fields of a request."""
+    return {
+        "request_id": call.request_id,
+        "organisation": call.organisation,
+        "service": call.service,
+        "route": call.class_name,
+        "attempts": call.attempts,
+        "reason": reason,
+    }
--- /dev/null
+++ b/sequoiamoor/daemon/gateway.py
@@ -0,0 +1,215 @@
+"""The router process on the operators' platform."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import time
+from functools import partial
+from typing import Any
+
+import curio
+
+from ..core.directory import Directory
+from ..core.drain import DrainEnd
+from ..core.freshness import KeyFreshness
+from ..core.repeats import RepeatBudget, RepeatLimits
+from ..net.http_server import ServerConnection
+from ..net.signals import SignalWatch
+from ..platform import callers, names, replicas
+from ..settings import AddressSettings, GatewaySettings, RouterSettings
+from .dispatcher import Dispatcher
+from .forwarder import Forwarder
+from .pages import Pages
+from .process import RouterProcess
+from .route_listener import RouteListener
+from .sources import Sources
+
+_LOG = logging.getLogger(__name__)
+
+KEY_AGE_PART = 0.8
+"""Part of the time in which a key must fail for which the configuration may go
+unconfirmed; the rest covers the delay of the answer that confirms it."""
+
+STEP_SECONDS = 0.1
+BACKLOG_CONNECTIONS = 1_024
+PAGE_IDLE_SECONDS = 5.0
+PAGE_HEADER_BYTES = 4_096
+
+TAKING_SECONDS = 2.6
+"""Time after SIGTERM for which requests are still taken: the load balancer needs up
+to two seconds to send no new connections."""
+
+
+TAKING_MARGIN_SECONDS = 0.3
+"""Time for refusing what still arrives before the process ends."""
+
+DRAIN_PART = 0.92
+"""Part of the grace period after which requests in service are given up."""
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""Time for a connection to a replica; a lost opening packet is sent again later."""
+
+
+class Gateway(RouterProcess):
+    """A router that serves routes."""
+
+    def __init__(self, settings: RouterSettings, gateway: GatewaySettings) -> None:
+        super().__init__(_adapt_options(settings, gateway))
+        self._gateway = gateway
+        limit = gateway.revocation_limit
+        self._freshness = KeyFreshness(None if limit is None else limit * KEY_AGE_PART)
+        self._directory = Directory(self.board.upstreams)
+        self._dispatcher = Dispatcher(
+            self.board, self._policy, perform=self._control.perform
+        )
+        self._forwarder = Forwarder(
+            self.board,
+            self._dispatcher,
+            self.metrics,
+            callers=callers,
+            upstreams=replicas,
+            budget=RepeatBudget(
+                RepeatLimits(
+                    ratio=gateway.repeats.ratio,
+                    window=gateway.repeats.window,
+                    extra=gateway.repeats.extra,
+                )
+            ),
+            freshness=self._freshness,
+            rng=self._rng,
+        )
+        self._listener = RouteListener(
+            self.board,
+            self._forwarder,
+            self.metrics,
+            limits=settings.limits.model_copy(
+                update={"connections": gateway.connections}
+            ),
+        )
+        self._pages = Pages(self.board, self.metrics, policy=self._policy)
+        self._sources = Sources(
+            self.board,
+            self._control,
+            self._directory,
+            self._freshness,
+            self.metrics,
+            address=settings.platform.to_address(),
+            rng=self._rng,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served here."""
+        return (
+            not self.board.is_leaving
+            and self.board.configuration.declaration is not None
+            and self._directory.is_known
+        )
+
+    async def serve(self) -> DrainEnd:
+        """Serves until the router is told to stop and its work is done."""
+        signals = SignalWatch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        # Callers may wait in the queue of the kernel until the first one is served.
+        sockets = [
+            (_listen(self._settings.http), self._listener.accept),
+            (_listen(self._gateway.ready), self._answer_readiness),
+            (_listen(self._gateway.metrics), self._serve_pages),
+        ]
+        self._control.bind()
+        _LOG.info("started", extra={"router_id": self.board.identity.router_id})
+        with signals:
+            end = await self._serve_until(signals, sockets)
+        await self._forwarder.close()
+        _LOG.info("stopped", extra={"router_id": self.board.identity.router_id})
+        return end
+
+    async def _serve_until(
+        self, signals: SignalWatch, sockets: list[tuple[Any, Any]]
+    ) -> DrainEnd:
+        async with curio.TaskGroup() as tasks:
+            for sock, accept in sockets:
+                await tasks.spawn(curio.network.run_server, sock, accept)
+            await self._spawn_all(
+                tasks,
+                {
+                    "pool": self._forwarder.watch,
+                    "configuration": self._sources.follow_configuration,
+                    "upstreams": self._sources.follow_upstreams,
+                    "routers": self._sources.follow_routers,
+                    "directory": self._step_directory,
+                    "control": partial(self._control.run, self._dispatcher.dispatch),
+                },
+            )
+            while await signals.wait() == signal.SIGHUP:
+                _LOG.info("settings file changed", extra={"reason": "SIGHUP"})
+            await tasks.spawn(self._stop_taking)
+            end = await self._drain(signals)
+            await self._sources.remove_own_row()
+            await tasks.cancel_remaining()
+        return end
+
+    async def _stop_taking(self) -> None:
+        await curio.sleep(TAKING_SECONDS)
+        self._forwarder.stops_taking = True
+
+    async def _step_directory(self) -> None:
+        while True:
+            for replica_id in self._directory.step(time.monotonic()):
+                _LOG.info("upstream is gone", extra={"upstream": replica_id})
+            await curio.sleep(STEP_SECONDS)
+
+    def _count_in_service(self) -> int:
+        return self._dispatcher.in_service
+
+    async def _answer_readiness(self, sock: Any, peer: Any) -> None:
+        await self._serve_small(sock, is_readiness=True)
+
+    async def _serve_pages(self, sock: Any, peer: Any) -> None:
+        await self._serve_small(sock, is_readiness=False)
+
+    async def _serve_small(self, sock: Any, *, is_readiness: bool) -> None:
+        connection = ServerConnection(
+            sock, header_limit=PAGE_HEADER_BYTES, body_limit=0, detects_dead_peer=True
+        )
+        try:
+            while True:
+                request = await connection.receive_request(
+                    idle_timeout=PAGE_IDLE_SECONDS, receive_timeout=PAGE_IDLE_SECONDS
+                )
+                if request is None:
+                    return
+                if is_readiness and request.path == names.READINESS_PATH:
+                    status = 200 if self.is_ready else 503
+                    await connection.send_response(status, {}, b"")
+                elif not is_readiness and request.path in self._pages:
+                    await self._pages.send(connection, request.path)
+                else:
+                    await connection.send_response(404, {}, b"")
+                if not connection.start_next_cycle():
+                    return
+        except Exception as err:
+            _LOG.debug("page not served: %r", err)
+        finally:
+            await connection.close()
+
+
+def _adapt_options(
+    settings: RouterSettings, gateway: GatewaySettings
+) -> RouterSettings:
+    """Returns the settings with the timings that the platform calls for."""
+    options = settings.options.model_copy(
+        update={
+            "drain_limit": gateway.grace * DRAIN_PART,
+            "drain_announce_time": TAKING_SECONDS + TAKING_MARGIN_SECONDS,
+            "drain_cut_time": TAKING_MARGIN_SECONDS,
+            "connect_timeout": CONNECT_TIMEOUT_SECONDS,
+        }
+    )
+    return settings.model_copy(update={"options": options})
+
+
+def _listen(address: AddressSettings) -> Any:
+    return curio.network.tcp_server_socket(
+        address.host, address.port, backlog=BACKLOG_CONNECTIONS
+    )
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -28,27 +28,19 @@
 
 
 class Listener:
-    """Serves the connections of callers."""
+    """Accepts connections of callers and receives their requests in turn.
+
+    A subclass serves the requests.
+    """
 
     def __init__(
-        self,
-        board: Blackboard,
-        calls: CallServer,
-        pages: Pages,
-        metrics: Metrics,
-        *,
-        limits: LimitSettings,
-        make_call_id: Callable[[], str],
-        debug: DebugPages | None = None,
+        self, board: Blackboard, metrics: Metrics, *, limits: LimitSettings
     ) -> None:
         self._board = board
-        self._calls = calls
-        self._pages = pages
-        self._debug = debug
         self._metrics = metrics
         self._limits = limits
-        self._make_call_id = make_call_id
         self._connections = 0
+        self._detects_dead_peers = False
 
     async def accept(self, sock: Any, peer: Any) -> None:
         """Serves one connection until it ends."""
@@ -57,6 +49,7 @@
             header_limit=self._limits.header_bytes,
             body_limit=self._limits.body_bytes,
             send_timeout=self._limits.send_timeout,
+            detects_dead_peer=self._detects_dead_peers,
         )
         self._connections += 1
         try:
@@ -102,6 +95,42 @@
             if not connection.start_next_cycle():
                 return
 
+    async def _serve_request(
+        self, connection: ServerConnection, request: Request
+    ) -> None:
+        raise NotImplementedError
+
+    async def _refuse(
+        self,
+        connection: ServerConnection,
+        error: RefusalError,
+        request_id: str | None = None,
+    ) -> None:
+        self._metrics.refusals.labels(error.code).inc()
+        if connection.can_refuse:
+            await send_refusal(connection, error, request_id)
+
+
+class CallListener(Listener):
+    """Serves the requests of the project's own interface."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        calls: CallServer,
+        pages: Pages,
+        metrics: Metrics,
+        *,
+        limits: LimitSettings,
+        make_call_id: Callable[[], str],
+        debug: DebugPages | None = None,
+    ) -> None:
+        super().__init__(board, metrics, limits=limits)
+        self._calls = calls
+        self._pages = pages
+        self._debug = debug
+        self._make_call_id = make_call_id
+
     async def _serve_request(
         self, connection: ServerConnection, request: Request
     ) -> None:
@@ -128,13 +157,3 @@
             await self._refuse(connection, error, read_request_id(request))
             return
         await self._calls.serve(connection, call)
-
-    async def _refuse(
-        self,
-        connection: ServerConnection,
-        error: RefusalError,
-        request_id: str | None = None,
-    ) -> None:
-        self._metrics.refusals.labels(error.code).inc()
-        if connection.can_refuse:
-            await send_refusal(connection, error, request_id)
--- /dev/null
+++ b/sequoiamoor/daemon/route_listener.py
@@ -0,0 +1,62 @@
+"""Connections of callers on routes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..core.blackboard import Blackboard
+from ..errors import RefusalError
+from ..metrics import Metrics
+from ..net.http import Request
+from ..net.http_server import ServerConnection
+from ..settings import LimitSettings
+from .forwarder import Forwarder
+from .listener import Listener
+
+
+class RouteListener(Listener):
+    """Serves connections of callers, with the limits of the configuration."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        forwarder: Forwarder,
+        metrics: Metrics,
+        *,
+        limits: LimitSettings,
+    ) -> None:
+        super().__init__(board, metrics, limits=limits)
+        self._forwarder = forwarder
+        self._detects_dead_peers = True
+
+    async def accept(self, sock: Any, peer: Any) -> None:
+        """Serves one connection until it ends."""
+        self._apply_limits()
+        await super().accept(sock, peer)
+
+    def _apply_limits(self) -> None:
+        declaration = self._board.configuration.declaration
+        if declaration is None:
+            return
+        limits = declaration.limits
+        self._limits = self._limits.model_copy(
+            update={
+                "header_bytes": limits.header_bytes,
+                "body_bytes": limits.body_bytes,
+                "receive_timeout": limits.header_ms / 1000,
+                "idle_timeout": limits.idle_ms / 1000,
+            }
+        )
+
+    async def _serve_request(
+        self, connection: ServerConnection, request: Request
+    ) -> None:
+        await self._forwarder.serve(connection, request)
+
+    async def _refuse(
+        self,
+        connection: ServerConnection,
+        error: RefusalError,
+        request_id: str | None = None,
+    ) -> None:
+        await self._forwarder.refuse(connection, error, request_id)
--- a/sequoiamoor/declaration.py
+++ b/sequoiamoor/declaration.py
@@ -18,7 +18,7 @@
 
 from .errors import SettingsError
 from .settings import describe_errors
-from .types import ServiceKind
+from .types import RouteKind, ServiceKind
 
 _NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 
@@ -88,9 +88,16 @@
 
 
 class OrganisationDeclaration(_Model):
-    """An organisation."""
+    """An organisation.
+
+    Attributes:
+        keys: Bearer keys that its requests on routes carry.
+        rank: Order among organisations; 0 comes first. None leaves it to the route.
+    """
 
     title: str = ""
+    keys: tuple[str, ...] = ()
+    rank: int | None = None
 
 
 class ServiceDeclaration(_Model):
@@ -99,6 +106,44 @@
     kind: ServiceKind
     repeatable: bool = True
     checks_fencing: bool = False
+    kv_tokens: int | None = Field(None, ge=1, description="tokens in an engine's cache")
+    event_tokens: int = Field(1, ge=1, description="tokens in one event of a stream")
+    connections: int | None = Field(
+        None, ge=1, description="connections that a replica takes from all callers"
+    )
+
+
+class RouteDeclaration(_Model):
+    """Where the requests of one host and path prefix go, and what may be done.
+
+    Attributes:
+        kind: Whether a request may be repeated, or is answered by a stream.
+        is_resumable: Whether a stream may go on at another replica.
+        attempts: Replicas that one request may be sent to.
+        services: Services with the part of the requests that each gets.
+    """
+
+    host: str
+    prefix: str = Field(pattern=r"^/(.*/)?$")
+    kind: RouteKind
+    is_resumable: bool = False
+    is_public: bool = False
+    timeout_ms: float = Field(gt=0)
+    target_ms: float = Field(gt=0)
+    pause_ms: float | None = Field(None, gt=0)
+    attempts: int = Field(1, ge=1)
+    rank: int = 0
+    services: tuple[tuple[str, float], ...] = Field(min_length=1)
+
+
+class LimitDeclaration(_Model):
+    """What callers of routes may send, and how long they may take."""
+
+    header_bytes: int = Field(16_384, ge=256)
+    body_bytes: int = Field(4_194_304, ge=0)
+    header_ms: float = Field(3_000, gt=0)
+    idle_ms: float = Field(15_000, gt=0)
+    tokens_per_second: float | None = Field(None, gt=0)
 
 
 class Declaration(_Model):
@@ -109,6 +154,8 @@
     ]
     classes: Annotated[dict[str, ClassDeclaration], AfterValidator(_check_names)]
     services: Annotated[dict[str, ServiceDeclaration], AfterValidator(_check_names)]
+    routes: dict[str, RouteDeclaration] = {}
+    limits: LimitDeclaration = LimitDeclaration.model_validate({})
 
 
 def parse_declaration(document: object, *, source: str = "declaration") -> Declaration:
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -35,6 +35,12 @@
     code = "platform-unavailable"
 
 
+class HistoryLostError(SequoiamoorError):
+    """The store has discarded the changes that a feed asked for."""
+
+    code = "history-lost"
+
+
 class VersionConflictError(SequoiamoorError):
     """A conditional write found another version.
 
@@ -186,6 +192,27 @@
     status = 403
 
 
+class UnknownKeyError(RefusalError):
+    """The request carries no key, or one that no organisation holds."""
+
+    code = "key-unknown"
+    status = 401
+
+
+class KeysUncertainError(RefusalError):
+    """Keys may have been taken away since this router last heard of them."""
+
+    code = "keys-uncertain"
+
+
+class DeadlineError(RefusalError):
+    """The answer did not end within the route's or the caller's time."""
+
+    code = "deadline"
+    status = 504
+    execution = Execution.MAY_HAVE_RUN
+
+
 class UnknownServiceError(RefusalError):
     """The service is not declared."""
 
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -33,6 +33,9 @@
 # response takes longer to end is closed instead of being kept.
 END_WAIT_SECONDS = 0.25
 FAILURE_BODY_BYTES = 65_536
+# Part of the idle time of a replica for which a connection is used again; what is
+# sent later may cross the replica's close.
+IDLE_PART = 0.7
 
 
 class Sink(Protocol):
@@ -61,8 +64,11 @@
     connections. A timeout object per receive would cost more than the receive.
     """
 
-    def __init__(self, *, options: Options, metrics: Metrics) -> None:
+    def __init__(
+        self, *, options: Options, metrics: Metrics, detects_dead_peers: bool = False
+    ) -> None:
         self._options = options
+        self._detects_dead_peers = detects_dead_peers
         self._metrics = metrics
         self._idle: dict[Address, deque[tuple[float, ClientConnection]]] = {}
         self._used: set[ClientConnection] = set()
@@ -86,15 +92,18 @@
         """
         idle = self._idle.get(address)
         while idle and not is_fresh:
-            connection = idle.pop()[1]
+            since, connection = idle.pop()
             self._idle_count -= 1
-            if connection.is_quiet:
+            idle_time = time.monotonic() - since
+            if connection.is_quiet and idle_time < connection.idle_limit * IDLE_PART:
                 self._used.add(connection)
                 return connection, True
             self._metrics.pool_stale.inc()
             await connection.close()
         connection = await ClientConnection.connect(
-            address, timeout=self._options.connect_timeout
+            address,
+            timeout=self._options.connect_timeout,
+            detects_dead_peer=self._detects_dead_peers,
         )
         self._used.add(connection)
         return connection, False
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -10,6 +10,11 @@
 from ..errors import MalformedRequestError
 
 RECEIVE_BYTES = 65_536
+# A zone that is cut off answers nothing; these find out within about two seconds,
+# before callers give up on a stream that has become silent.
+UNACKNOWLEDGED_LIMIT_MS = 1_500
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_PROBES = 2
 HEAD_END = re.compile(rb"\n\r?\n")
 
 _BODY_FRAMING = (b"content-length", b"transfer-encoding")
@@ -19,7 +24,13 @@
 
 @dataclass(slots=True)
 class Request:
-    """A request whose head and body were received completely."""
+    """A request whose head and body were received completely.
+
+    Attributes:
+        headers: Fields by lower-case name; repeated ones are joined.
+        target: Request target as received, with its query.
+        fields: All fields as received, in their order.
+    """
 
     method: str
     path: str
@@ -27,14 +38,22 @@
     headers: dict[str, str]
     body: bytes = b""
     http_version: str = "1.1"
+    target: bytes = b""
+    fields: Headers = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class Response:
-    """A response whose head was received; the body is read separately."""
+    """A response whose head was received; the body is read separately.
+
+    Attributes:
+        headers: Fields by lower-case name; repeated ones are joined.
+        fields: All fields as received, in their order.
+    """
 
     status: int
     headers: dict[str, str] = field(default_factory=dict)
+    fields: Headers = field(default_factory=list)
 
     @property
     def is_framed(self) -> bool:
@@ -46,8 +65,10 @@
         )
 
 
-def to_headers(values: dict[str, str]) -> Headers:
+def to_headers(values: dict[str, str] | Headers) -> Headers:
     """Returns header fields in the form that h11 takes."""
+    if isinstance(values, list):
+        return list(values)
     return [(name.encode(), value.encode()) for name, value in values.items()]
 
 
@@ -87,6 +108,20 @@
         )
 
 
+def set_timeouts(sock: Any) -> None:
+    """Lets the kernel end a TCP connection whose peer is gone without a reset."""
+    if sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
 def set_no_delay(sock: Any) -> None:
     """Turns off the delay of small segments on a TCP socket."""
     # Without it the kernel may hold a small chunk until the one before it is
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -15,9 +15,11 @@
 from .http import (
     HEAD_END,
     RECEIVE_BYTES,
+    Headers,
     Response,
     from_headers,
     set_no_delay,
+    set_timeouts,
     to_headers,
 )
 from .reachability import REACHABILITY
@@ -33,9 +35,12 @@
         bytes_received: Bytes received so far.
         waits_since: Monotonic time since which a receive waits, else None.
         is_aborted: Whether this side ended the connection during an exchange.
+        idle_limit: Seconds after which the peer may close the idle connection.
     """
 
-    def __init__(self, sock: Any, address: Address) -> None:
+    def __init__(
+        self, sock: Any, address: Address, *, detects_dead_peer: bool = False
+    ) -> None:
         self._sock = sock
         self._raw = sock._socket
         self._h11 = h11.Connection(
@@ -43,17 +48,29 @@
         )
         self._unread = b""
         self._decoder: ChunkDecoder | None = None
+        self._sending: Any = None
+        self.idle_limit = float("inf")
         self.address = address
         self.bytes_sent = 0
         self.bytes_received = 0
         self.waits_since: float | None = None
         self.is_aborted = False
         set_no_delay(self._raw)
+        if detects_dead_peer:
+            set_timeouts(self._raw)
 
     @classmethod
-    async def connect(cls, address: Address, *, timeout: float) -> ClientConnection:
+    async def connect(
+        cls, address: Address, *, timeout: float, detects_dead_peer: bool = False
+    ) -> ClientConnection:
         """Opens a connection.
 
+        Args:
+            address: Address of the peer.
+            timeout: Seconds after which the attempt is given up.
+            detects_dead_peer: Whether the kernel ends the connection when the peer
+                acknowledges nothing for a while.
+
         Raises:
             OSError: If the connection fails or takes longer than ``timeout``
                 seconds.
@@ -73,28 +90,50 @@
             await sock.close()
             raise
         REACHABILITY.track(sock, address.host)
-        return cls(sock, address)
+        return cls(sock, address, detects_dead_peer=detects_dead_peer)
 
     async def send_request(
-        self, method: str, path: str, headers: dict[str, str], body: bytes
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | Headers,
+        body: bytes,
     ) -> None:
-        """Sends a whole request.
+        """Sends a request; what the peer does not take at once, in the background.
+
+        A peer may answer before it has read a long body, so the answer can be
+        received while the rest is still being sent.
 
         Raises:
             OSError: If the connection fails; ``bytes_sent`` tells whether any byte
                 was handed to the kernel before.
         """
-        fields = to_headers(
-            {"host": str(self.address), **headers, "content-length": str(len(body))}
-        )
+        fields = to_headers(headers)
+        if not any(name == b"host" for name, _ in fields):
+            fields.insert(0, (b"host", str(self.address).encode()))
+        fields.append((b"content-length", b"%d" % len(body)))
         head = self._h11.send(h11.Request(method=method, target=path, headers=fields))
         data = self._h11.send(h11.Data(data=body)) if body else b""
         self._h11.send(h11.EndOfMessage())
         left = memoryview((head or b"") + (data or b""))
-        while left:
-            sent = await self._sock.send(left)
-            self.bytes_sent += sent
-            left = left[sent:]
+        try:
+            sent = self._raw.send(left)
+        except BlockingIOError:
+            sent = 0
+        self.bytes_sent += sent
+        if sent < len(left):
+            self._sending = await curio.spawn(self._send_rest, left[sent:], daemon=True)
+
+    async def _send_rest(self, left: memoryview) -> None:
+        try:
+            while left:
+                sent = await self._sock.send(left)
+                self.bytes_sent += sent
+                left = left[sent:]
+            self._sending = None
+        except OSError:
+            # The receiving side meets the same fault and reports it.
+            return
 
     async def _receive(self) -> bytes:
         self.waits_since = time.monotonic()
@@ -121,7 +160,11 @@
             if event is h11.NEED_DATA:
                 await self._receive_head()
             elif isinstance(event, h11.Response):
-                response = Response(event.status_code, from_headers(event.headers))
+                response = Response(
+                    event.status_code,
+                    from_headers(event.headers),
+                    [(bytes(name), bytes(value)) for name, value in event.headers],
+                )
                 if (
                     "transfer-encoding" in response.headers
                     and self._h11.their_state is h11.SEND_BODY
@@ -210,6 +253,7 @@
         """Whether the last response was read to its end and nothing is unread."""
         return (
             self._h11.our_state is h11.DONE
+            and self._sending is None
             and self._h11.their_state is h11.DONE
             and not self._unread
             and self._h11.trailing_data == (b"", False)
@@ -226,6 +270,24 @@
             return False
         return False
 
+    async def skip_response(self) -> None:
+        """Reads a response that belongs to no request and expects the next one.
+
+        Raises:
+            OSError: If the connection fails.
+            h11.RemoteProtocolError: If the response is broken.
+        """
+        await self.receive_body(limit=RESPONSE_HEAD_BYTES)
+        rest = self._h11.trailing_data[0] + self._unread
+        self._decoder = None
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_BYTES
+        )
+        # The parser accepts a response only after a request; that one was sent before.
+        self._h11.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+        self._h11.send(h11.EndOfMessage())
+        self._unread = bytes(rest)
+
     def start_next_cycle(self) -> None:
         """Prepares for the next request."""
         self._h11.start_next_cycle()
@@ -241,6 +303,9 @@
 
     async def close(self) -> None:
         """Closes the connection."""
+        sending, self._sending = self._sending, None
+        if sending is not None:
+            await sending.cancel(blocking=False)
         await self._sock.close()
 
 
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -17,10 +17,12 @@
 from .http import (
     HEAD_END,
     RECEIVE_BYTES,
+    Headers,
     Request,
     check_request_head,
     from_headers,
     set_no_delay,
+    set_timeouts,
     to_headers,
 )
 
@@ -42,6 +44,7 @@
         header_limit: int,
         body_limit: int,
         send_timeout: float = SEND_TIMEOUT_SECONDS,
+        detects_dead_peer: bool = False,
     ) -> None:
         self._sock = sock
         # The plain socket below curio's: one call sends without a coroutine, and
@@ -58,6 +61,8 @@
         self.is_peer_slow = False
         self.bytes_sent = 0
         set_no_delay(self._raw)
+        if detects_dead_peer:
+            set_timeouts(self._raw)
         self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     async def _receive(self) -> None:
@@ -131,6 +136,7 @@
             return None
         self._is_head = event.method == b"HEAD"
         headers = from_headers(event.headers)
+        fields = [(bytes(name), bytes(value)) for name, value in event.headers]
         path, _, query = event.target.decode("latin-1").partition("?")
         request = Request(
             event.method.decode("ascii"),
@@ -138,6 +144,8 @@
             query,
             headers,
             http_version=event.http_version.decode("ascii"),
+            target=bytes(event.target),
+            fields=fields,
         )
         # Before 100-continue is sent, so that a body over the limit is not sent.
         self._check_size(int(headers.get("content-length", "0")))
@@ -185,14 +193,15 @@
             await self._write(data)
 
     async def send_response(
-        self, status: int, headers: dict[str, str], body: bytes
+        self, status: int, headers: dict[str, str] | Headers, body: bytes
     ) -> None:
         """Sends a whole response; to a HEAD request without its body.
 
         Raises:
             OSError: If the connection fails or the peer does not read.
         """
-        fields = to_headers({**headers, "content-length": str(len(body))})
+        fields = to_headers(headers)
+        fields.append((b"content-length", b"%d" % len(body)))
         if self._h11.their_state is not h11.DONE:
             fields.append((b"connection", b"close"))
         head = self._h11.send(h11.Response(status_code=status, headers=fields))
@@ -202,13 +211,16 @@
         end = self._h11.send(h11.EndOfMessage())
         await self._write(b"".join((head, data, end)))
 
-    async def start_stream(self, status: int, headers: dict[str, str]) -> None:
+    async def start_stream(
+        self, status: int, headers: dict[str, str] | Headers
+    ) -> None:
         """Sends the head of a chunked response.
 
         Raises:
             OSError: If the connection fails or the peer does not read.
         """
-        fields = to_headers({**headers, "transfer-encoding": "chunked"})
+        fields = to_headers(headers)
+        fields.append((b"transfer-encoding", b"chunked"))
         await self._send(h11.Response(status_code=status, headers=fields))
         self._is_streaming = True
 
--- /dev/null
+++ b/sequoiamoor/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/sequoiamoor/platform/documents.py
@@ -0,0 +1,164 @@
+"""Documents of the platform, decoded into the project's own types."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from ..errors import SettingsError
+from ..types import Address, ReplicaId, ServiceName, ZoneName
+
+_KINDS = {"idempotent": "repeatable", "non_idempotent": "once", "streaming": "stream"}
+_STATES = {"ready": False, "draining": True}
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaEntry:
+    """What a replica wrote about itself.
+
+    Attributes:
+        born_ms: Time at which its process started, in milliseconds; a restart under
+            the same identifier has another one.
+        warm_up: Seconds for which the replica is still slow after its start.
+    """
+
+    replica_id: ReplicaId
+    service: ServiceName
+    zone: ZoneName
+    address: Address
+    slots: int
+    is_leaving: bool
+    born_ms: int
+    warm_up: float
+
+
+def _require(document: dict[str, Any], name: str, kind: type) -> Any:
+    value = document.get(name)
+    if type(value) is not kind:
+        raise SettingsError(
+            f"field {name!r} is {value!r}; it must be a {kind.__name__}"
+        )
+    return value
+
+
+def decode_replica(replica_id: ReplicaId, value: bytes) -> ReplicaEntry:
+    """Decodes the row that a replica keeps in the store.
+
+    Raises:
+        SettingsError: If a field is missing or has another type, so that the row
+            names no replica to use.
+    """
+    try:
+        document = json.loads(value)
+    except (ValueError, RecursionError) as err:
+        raise SettingsError(f"row of replica {replica_id!r} is not JSON") from err
+    if not isinstance(document, dict):
+        raise SettingsError(f"row of replica {replica_id!r} is not an object")
+    state = _require(document, "state", str)
+    if state not in _STATES:
+        raise SettingsError(f"state {state!r} is unknown; use one of {list(_STATES)}")
+    host, _, port = _require(document, "address", str).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65_535:
+        raise SettingsError(f"address {document['address']!r} is not IP:PORT")
+    slots = _require(document, "slots", int)
+    if slots < 1:
+        raise SettingsError(f"field 'slots' is {slots}; it must be at least 1")
+    cold_ms = document.get("coldRemainingMs", 0)
+    return ReplicaEntry(
+        replica_id=replica_id,
+        service=_require(document, "service", str),
+        zone=_require(document, "zone", str),
+        address=Address(host, int(port)),
+        slots=slots,
+        is_leaving=_STATES[state],
+        born_ms=born if type(born := document.get("born")) is int else 0,
+        warm_up=cold_ms / 1000 if isinstance(cold_ms, (int, float)) else 0.0,
+    )
+
+
+def decode_configuration(value: bytes) -> tuple[int, dict[str, Any]]:
+    """Decodes the operators' configuration.
+
+    Returns:
+        Its version, and the document in the project's own declaration format.
+
+    Raises:
+        SettingsError: If it cannot be read.
+    """
+    try:
+        document = json.loads(value)
+        return document["version"], {
+            "organisations": {
+                one["name"]: {
+                    "keys": one.get("apiKeys", []),
+                    "rank": one.get("priority"),
+                }
+                for one in document.get("tenants", [])
+            },
+            "classes": {
+                one["name"]: _to_class(one) for one in document.get("routes", [])
+            },
+            "services": {
+                one["name"]: _to_service(one) for one in document.get("services", [])
+            },
+            "routes": {
+                one["name"]: _to_route(one) for one in document.get("routes", [])
+            },
+            "limits": _to_limits(document.get("limits", {})),
+        }
+    except (ValueError, RecursionError, KeyError, TypeError, AttributeError) as err:
+        raise SettingsError(
+            f"the configuration cannot be read: {type(err).__name__}: {err}"
+        ) from err
+
+
+def _to_class(route: dict[str, Any]) -> dict[str, Any]:
+    target = max(1, round(route["targetLatencyMs"]))
+    is_stream = route["kind"] == "streaming"
+    return {"first_token_ms" if is_stream else "complete_ms": target}
+
+
+def _to_route(route: dict[str, Any]) -> dict[str, Any]:
+    # A route has either one service or a list of services with their parts.
+    services = [
+        (one["service"], one["weight"]) for one in route.get("trafficSplit") or ()
+    ]
+    return {
+        "host": route["host"].lower(),
+        "prefix": route["pathPrefix"],
+        "kind": _KINDS[route["kind"]],
+        "is_resumable": bool(route.get("streamResumption", False)),
+        "is_public": bool(route.get("public", False)),
+        "timeout_ms": route["timeoutMs"],
+        "target_ms": route["targetLatencyMs"],
+        "pause_ms": route.get("gapTargetMs"),
+        "attempts": route.get("maxAttempts", 1),
+        "rank": route.get("priority", 0),
+        "services": services or [(route["service"], 1.0)],
+    }
+
+
+def _to_service(service: dict[str, Any]) -> dict[str, Any]:
+    found: dict[str, Any] = {
+        "kind": "plain",
+        "connections": service.get("connectionLimit"),
+    }
+    engine = service.get("inferenceEngine")
+    if engine:
+        found["kind"] = "engine"
+        found["kv_tokens"] = engine.get("kvCapacityTokens")
+        # Tokens that the engine generates between two events of a stream.
+        found["event_tokens"] = engine.get("stride", 1)
+    return found
+
+
+def _to_limits(limits: dict[str, Any]) -> dict[str, Any]:
+    names = {
+        "maxHeaderBytes": "header_bytes",
+        "maxBodyBytes": "body_bytes",
+        "headerTimeoutMs": "header_ms",
+        "idleTimeoutMs": "idle_ms",
+        "tokensPerS": "tokens_per_second",
+    }
+    return {own: limits[name] for name, own in names.items() if name in limits}
--- /dev/null
+++ b/sequoiamoor/platform/replicas.py
@@ -0,0 +1,80 @@
+"""Requests to upstream replicas on the platform, and what their answers say."""
+
+from __future__ import annotations
+
+from ..core.routed import Fields, RoutedCall
+from ..net.formats import ReplicaLoad
+from ..net.http import Response
+from . import names
+from .callers import select_end_to_end
+
+_INTERNAL_FIELDS = frozenset({names.LOAD.encode()})
+
+
+def build_fields(
+    call: RoutedCall, replica_id: str, *, remaining: float, last_event: bytes | None
+) -> Fields:
+    """Returns the header fields of an attempt.
+
+    Args:
+        call: The request.
+        replica_id: Replica that is to run it; any other one refuses it.
+        remaining: Seconds after which the replica stops working.
+        last_event: Identifier of the last event that the caller has, if it differs
+            from the one in the request.
+    """
+    fields = call.fields
+    if last_event is not None:
+        name = names.LAST_EVENT_ID.encode()
+        fields = [one for one in fields if one[0] != name] + [(name, last_event)]
+    else:
+        fields = list(fields)
+    fields.append((names.REMAINING_MS.encode(), b"%d" % max(1, int(remaining * 1000))))
+    fields.append((names.EXPECTED_REPLICA.encode(), replica_id.encode()))
+    if call.organisation:
+        fields.append((names.ORGANISATION.encode(), call.organisation.encode()))
+    return fields
+
+
+def read_request_id(response: Response) -> str | None:
+    """Returns the identifier of the attempt that the answer belongs to."""
+    return response.headers.get(names.REQUEST_ID)
+
+
+def states_not_run(response: Response) -> bool:
+    """Whether the replica states that it did not run the request."""
+    return names.NOT_RUN in response.headers or response.status == 421
+
+
+def is_signed(response: Response) -> bool:
+    """Whether the answer carries the signature of a replica."""
+    return names.SIGNATURE in response.headers
+
+
+def is_encoded(response: Response) -> bool:
+    """Whether the body has an encoding that no caller asked for."""
+    return "content-encoding" in response.headers
+
+
+def read_load(response: Response) -> ReplicaLoad | None:
+    """Returns the load that the answer states, if it does."""
+    numbers = response.headers.get(names.LOAD, "").split(",")
+    try:
+        running, queued, slots = (int(one) for one in numbers)
+    except ValueError:
+        return None
+    return ReplicaLoad(running, queued, slots) if slots > 0 else None
+
+
+def read_idle_limit(response: Response) -> float | None:
+    """Returns the seconds after which the replica closes the idle connection."""
+    for item in response.headers.get("keep-alive", "").split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
+def select_answer_fields(response: Response) -> Fields:
+    """Returns the header fields of an answer that the caller gets."""
+    return select_end_to_end(response.fields, dropped=_INTERNAL_FIELDS)
--- /dev/null
+++ b/sequoiamoor/platform/store.py
@@ -0,0 +1,272 @@
+"""Calls to the platform's metadata store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+import curio
+import h11
+
+from ..errors import (
+    HistoryLostError,
+    PlatformUnavailableError,
+    ProtocolError,
+    VersionConflictError,
+)
+from ..net.http_client import ClientConnection
+from ..types import Address
+
+BODY_LIMIT_BYTES = 16_777_216
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of a table.
+
+    Attributes:
+        value: Bytes of the row; empty if it was removed.
+        version: Number of the transaction that wrote it.
+        is_removed: Whether a feed tells that the row is gone.
+    """
+
+    table: str
+    key: str
+    value: bytes
+    version: int
+    is_removed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Rows:
+    """An answer with rows.
+
+    Attributes:
+        version: Newest version of the store when it answered.
+        time_ms: Steady clock of the store when it answered.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    time_ms: float
+
+
+class StoreClient:
+    """Makes calls, one at a time, on a connection that is kept."""
+
+    def __init__(
+        self,
+        address: Address,
+        *,
+        timeout: float,
+        observe: Callable[[str, str], None] = lambda operation, result: None,
+    ) -> None:
+        self._address = address
+        self._timeout = timeout
+        self._observe = observe
+        self._connection: ClientConnection | None = None
+
+    async def read_table(self, table: str) -> Rows:
+        """Reads all rows of a table, each page as of one moment.
+
+        Returns:
+            The rows, with the version of the first page, so that a feed from there
+            tells every change made between the pages.
+
+        Raises:
+            PlatformUnavailableError: If the store did not answer.
+        """
+        rows: list[Row] = []
+        first: Rows | None = None
+        start = ""
+        while True:
+            query = {"table": table, "part": ""}
+            if start:
+                query["source"] = start
+            document = await self._call("GET", "/api/rows-get", query)
+            page = _decode_rows(document)
+            first = first or page
+            rows += page.rows
+            if not document.get("hasMore") or not page.rows:
+                return Rows(tuple(rows), first.version, first.time_ms)
+            # The smallest key above the last one of this page.
+            start = page.rows[-1].key + "\0"
+
+    async def follow_table(self, table: str, *, after: int, wait: float) -> Rows:
+        """Returns the rows that changed after a version.
+
+        Args:
+            table: Name of the table.
+            after: Version of the last answer.
+            wait: Seconds that the store may wait for a change.
+
+        Raises:
+            HistoryLostError: If the store no longer has the changes.
+            PlatformUnavailableError: If the store did not answer.
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "waitTimeoutMs": str(int(wait * 1000)),
+        }
+        return _decode_rows(await self._call("GET", "/api/rows-feed", query, wait=wait))
+
+    async def write_row(
+        self, table: str, key: str, value: bytes, *, expected: int | None = None
+    ) -> None:
+        """Writes one row.
+
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+            value: New value.
+            expected: Version that the row must have, 0 if it must be absent; None
+                writes in any case.
+
+        Raises:
+            VersionConflictError: If the row has another version.
+            PlatformUnavailableError: If the store did not answer; the row may have
+                been written.
+        """
+        row = {"table": table, "part": "", "key": key}
+        condition = [] if expected is None else [{**row, "schemaVersion": expected}]
+        encoded = base64.b64encode(value).decode()
+        await self._call(
+            "POST",
+            "/api/rows-tx",
+            {},
+            document={
+                "expectedRevision": condition,
+                "write": [{**row, "value": encoded}],
+                "removals": [],
+            },
+        )
+
+    async def remove_row(self, table: str, key: str) -> None:
+        """Removes one row.
+
+        Raises:
+            PlatformUnavailableError: If the store did not answer.
+        """
+        row = {"table": table, "part": "", "key": key}
+        document = {"expectedRevision": [], "write": [], "removals": [row]}
+        await self._call("POST", "/api/rows-tx", {}, document=document)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        *,
+        document: Any = None,
+        wait: float = 0.0,
+    ) -> dict[str, Any]:
+        operation = path.rpartition("/")[2]
+        target = f"{path}?{urlencode(query)}" if query else path
+        body = b"" if document is None else json.dumps(document).encode()
+        try:
+            async with curio.timeout_after(self._timeout + wait):
+                status, content = await self._exchange(method, target, body)
+        except (OSError, h11.ProtocolError, curio.TaskTimeout) as err:
+            self._observe(operation, "no-answer")
+            # An answer that comes later must not be taken for that of another call.
+            await self.close()
+            raise PlatformUnavailableError(
+                f"the store at {self._address} did not answer {operation}: {err!r}"
+            ) from err
+        except BaseException:
+            await self.close()
+            raise
+        self._observe(operation, str(status))
+        return _read_answer(operation, status, content)
+
+    async def _exchange(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        connection = self._connection
+        if connection is not None and not connection.is_quiet:
+            await self.close()
+            connection = None
+        if connection is None:
+            connection = await ClientConnection.connect(
+                self._address, timeout=self._timeout, detects_dead_peer=True
+            )
+            self._connection = connection
+        await connection.send_request(
+            method, target, {"content-type": "application/json"}, body
+        )
+        response = await connection.receive_response()
+        content = await connection.receive_body(limit=BODY_LIMIT_BYTES)
+        if connection.is_reusable:
+            connection.start_next_cycle()
+        else:
+            await self.close()
+        return response.status, content
+
+
+def _read_answer(operation: str, status: int, content: bytes) -> dict[str, Any]:
+    if status == 410:
+        raise HistoryLostError(
+            f"the store no longer has the changes asked for by {operation}; read the "
+            "whole table"
+        )
+    if status in (429, 503) or status >= 500:
+        raise PlatformUnavailableError(
+            f"the store answered {operation} with status {status}"
+        )
+    try:
+        document = json.loads(content)
+        if not isinstance(document, dict):
+            raise ValueError("not an object")
+    except (ValueError, RecursionError) as err:
+        raise PlatformUnavailableError(
+            f"the store answered {operation} with status {status} and no JSON object"
+        ) from err
+    if status == 412:
+        raise VersionConflictError(
+            "the row has another version; read it and try again",
+            version=int(document.get("schemaVersion", 0)),
+            value=document.get("rows"),
+        )
+    if status != 200:
+        raise ProtocolError(f"the store refused {operation} with {status}: {document}")
+    return document
+
+
+def _decode_rows(document: dict[str, Any]) -> Rows:
+    try:
+        return Rows(
+            tuple(_decode_row(one) for one in document["rows"]),
+            int(document["schemaVersion"]),
+            float(document.get("currentTimeMs", 0)),
+        )
+    except (KeyError, TypeError, ValueError) as err:
+        raise PlatformUnavailableError(
+            f"the store's answer has an unknown form: {err!r}"
+        ) from err
+
+
+def _decode_row(row: dict[str, Any]) -> Row:
+    try:
+        value = base64.b64decode(row.get("value") or "", validate=True)
+    except (binascii.Error, TypeError, ValueError):
+        # A row of a foreign writer; its reader reports that it cannot be decoded.
+        value = b""
+    return Row(
+        str(row.get("table", "")),
+        str(row["key"]),
+        value,
+        int(row["schemaVersion"]),
+        bool(row.get("deleted", False)),
+    )
--- a/sequoiamoor/settings.py
+++ b/sequoiamoor/settings.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 from pathlib import Path
-from typing import Annotated, Literal, get_args
+from typing import Annotated, Any, Literal, get_args
 
 from pydantic import (
     AfterValidator,
@@ -12,6 +12,7 @@
     ConfigDict,
     Field,
     ValidationError,
+    model_validator,
 )
 
 from .errors import SettingsError
@@ -37,11 +38,22 @@
 
 
 class AddressSettings(_Model):
-    """An IP address and a TCP port; port 0 takes any free port."""
+    """An IP address and a TCP port; port 0 takes any free port.
+
+    A text of the form IP:PORT is accepted too.
+    """
 
     host: IpAddress
     port: int = Field(ge=0, le=65_535)
 
+    @model_validator(mode="before")
+    @classmethod
+    def _split_text(cls, data: Any) -> Any:
+        if not isinstance(data, str):
+            return data
+        host, _, port = data.rpartition(":")
+        return {"host": host, "port": port}
+
     def to_address(self) -> Address:
         """Returns the address as the data class used inside the package."""
         return Address(self.host, self.port)
@@ -60,6 +72,29 @@
     connections: int = Field(2_000, ge=1)
 
 
+class RepeatSettings(_Model):
+    """Repeats of requests that the operators accept, over the whole fleet."""
+
+    ratio: float = Field(0.1, ge=0, le=1, description="repeats per request")
+    window: float = Field(10.0, gt=0, description="seconds")
+    extra: float = Field(20.0, ge=0, description="repeats in a window beyond that")
+
+
+class GatewaySettings(_Model):
+    """Settings of a router that serves routes on the operators' platform."""
+
+    ready: AddressSettings
+    metrics: AddressSettings
+    repeats: RepeatSettings = RepeatSettings.model_validate({})
+    revocation_limit: float | None = Field(
+        None, gt=0, description="seconds in which a key that was taken away must fail"
+    )
+    connections: int = Field(2_000, ge=16, description="connections of all kinds")
+    grace: float = Field(
+        8.0, gt=0, description="seconds between SIGTERM and the end by SIGKILL"
+    )
+
+
 class RouterSettings(_Model):
     """Settings of one router."""
 
@@ -77,6 +112,7 @@
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     limits: LimitSettings = LimitSettings.model_validate({})
     options: Options = Options.model_validate({})
+    gateway: GatewaySettings | None = None
 
 
 def parse_address(text: str) -> Address:
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -29,6 +29,14 @@
     PLAIN = "plain"
 
 
+class RouteKind(enum.StrEnum):
+    """What may be done with the requests of a route."""
+
+    REPEATABLE = "repeatable"
+    ONCE = "once"
+    STREAM = "stream"
+
+
 class VmState(enum.StrEnum):
     """State of a VM in the platform's list."""
 
--- a/tests/border.py
+++ b/tests/border.py
@@ -18,7 +18,7 @@
 from sequoiamoor.core.blackboard import Blackboard, create_blackboard
 from sequoiamoor.core.upstreams import Replica
 from sequoiamoor.daemon.calls import CallServer
-from sequoiamoor.daemon.listener import Listener
+from sequoiamoor.daemon.listener import CallListener
 from sequoiamoor.daemon.pages import Pages
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.metrics import Metrics
@@ -265,7 +265,7 @@
         policy = RoundRobinPolicy(rng=Random(1))
         self.calls = CallServer(self.board, policy, self.metrics)
         numbers = itertools.count(1)
-        self.listener = Listener(
+        self.listener = CallListener(
             self.board,
             self.calls,
             Pages(self.board, self.metrics),
@@ -353,7 +353,7 @@
         return (
             not self.board.running
             and not len(self.board.queues)
-            and not self.calls._pending
+            and not self.calls.in_service
             and not self.calls._pool._used
             and all(one.in_use == 0 for one in self.board.upstreams.replicas.values())
         )
