--- a/sequoiamoor/core/routed.py
+++ b/sequoiamoor/core/routed.py
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class RoutedCall(CallRequest):
-    """A request on a route; its organisation is empty on a public route.
+    """A request on a route; on a public route it belongs to nobody.
 
     Attributes:
         method: HTTP method, passed on unchanged.
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -39,7 +39,7 @@
 from ..net.forward import ForwardAttempt, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
-from ..types import Execution, RouteKind
+from ..types import PUBLIC_ORGANISATION, Execution, RouteKind
 from .dispatcher import Dispatcher
 from .sink import CallerGoneError
 
@@ -171,7 +171,9 @@
             raise NotFoundError(
                 f"no route of host {host[:80]!r} begins path {request.path[:80]!r}"
             )
-        organisation = "" if route.is_public else self._identify(request, table)
+        organisation = (
+            PUBLIC_ORGANISATION if route.is_public else self._identify(request, table)
+        )
         remaining = self._callers.read_remaining(request) or DEFAULT_TIMEOUT_SECONDS
         ends_at = now + min(remaining, route.timeout)
         if route.kind is RouteKind.STREAM:
@@ -284,7 +286,7 @@
         self, connection: ServerConnection, call: RoutedCall, caller: _Caller
     ) -> None:
         try:
-            async with curio.timeout_at(await _to_curio_time(call.ends_at)):
+            async with curio.timeout_after(max(call.ends_at - time.monotonic(), 0.0)):
                 await self._run(call, caller)
             outcome = "answered"
         except curio.TaskTimeout:
@@ -470,11 +472,6 @@
     return route.target
 
 
-async def _to_curio_time(at: float) -> float:
-    """Returns the time of curio's clock for a monotonic time."""
-    return float(await curio.clock()) + at - time.monotonic()
-
-
 def _describe(call: RoutedCall, *, reason: str) -> dict[str, object]:
     """Returns the log fields of a request."""
     return {
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -7,6 +7,14 @@
 import sys
 
 _FIELDS = (
+    "route",
+    "detail",
+    "status",
+    "attempts",
+    "first_ms",
+    "total_ms",
+    "elapsed_ms",
+    "table",
     "router_id",
     "request_id",
     "call_id",
--- a/sequoiamoor/platform/replicas.py
+++ b/sequoiamoor/platform/replicas.py
@@ -5,6 +5,7 @@
 from ..core.routed import Fields, RoutedCall
 from ..net.formats import ReplicaLoad
 from ..net.http import Response
+from ..types import PUBLIC_ORGANISATION
 from . import names
 from .callers import select_end_to_end
 
@@ -31,7 +32,7 @@
         fields = list(fields)
     fields.append((names.REMAINING_MS.encode(), b"%d" % max(1, int(remaining * 1000))))
     fields.append((names.EXPECTED_REPLICA.encode(), replica_id.encode()))
-    if call.organisation:
+    if call.organisation != PUBLIC_ORGANISATION:
         fields.append((names.ORGANISATION.encode(), call.organisation.encode()))
     return fields
 
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -13,6 +13,9 @@
 ClassName: TypeAlias = str
 ZoneName: TypeAlias = str
 
+PUBLIC_ORGANISATION: OrganisationName = "(public)"
+"""Requests on routes without keys; no declared name has parentheses."""
+
 
 class Execution(enum.StrEnum):
     """What a caller may conclude about the execution of its request."""
