Start work near the cached prompt parts, on slots that all routers see

Ruled out: granting by part at the arbiters, which needs demand per replica in the reports; in a queue of one to three requests per organisation and router, a granted slot seldom fits a part. Change: policy shared-load. Every router tells the slots that it uses per replica, and starts a request at the first of three replicas, ranked by rendezvous hashing of the last shared part, whose slots the reports leave free; it waits 60 ms for each.

--- a/sequoiamoor/policies/base.py
+++ b/sequoiamoor/policies/base.py
@@ -69,12 +69,14 @@
     from .least_load import LeastLoadPolicy
     from .local_fair import LocalFairPolicy
     from .round_robin import RoundRobinPolicy
+    from .shared_load import SharedLoadPolicy
 
     factories: dict[str, Callable[..., Policy]] = {
         "arbitrated": ArbitratedPolicy,
         "local-fair": LocalFairPolicy,
         "least-load": LeastLoadPolicy,
         "round-robin": RoundRobinPolicy,
+        "shared-load": SharedLoadPolicy,
     }
     if name not in factories:
         raise SettingsError(
--- /dev/null
+++ b/sequoiamoor/policies/shared_load.py
@@ -0,0 +1,226 @@
+"""Fair order on slots that every router sees free, near the cached prompt parts."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+from random import Random
+
+from ..core.actions import Action, Start
+from ..core.blackboard import Blackboard
+from ..core.fairness import choose_organisation, may_use_slot
+from ..core.messages import Grants, Report, SlotRow
+from ..core.rendezvous import hash_pair
+from ..core.reports import EarlyBudget
+from ..core.routed import RoutedCall
+from ..core.upstreams import Replica
+from ..types import (
+    CallRequest,
+    ReplicaId,
+    RouterId,
+    RouterIdentity,
+    ServiceName,
+)
+from .reporting import ReportingPolicy
+
+PASSED_REQUESTS = 24
+"""Waiting requests of an organisation that are tried before another one's turn."""
+
+SPILL_SECONDS = 0.06
+"""Time for which a request waits for a replica that has its prompt cached before it
+goes to one that has to read it. A slot comes free in about this time under load."""
+
+REPLICAS_PER_PART = 3
+"""Replicas that a request prefers one after the other before it takes any."""
+
+LEAST_SHARED_TOKENS = 64
+"""Prompt parts below this size are read again faster than a slot comes free."""
+
+
+@dataclass(slots=True)
+class _PeerUse:
+    """Slots in use at one peer, as last reported."""
+
+    identity: RouterIdentity
+    in_use: dict[ReplicaId, int]
+
+
+class SharedLoadPolicy(ReportingPolicy):
+    """Starts work where the reports of all routers leave a slot free.
+
+    Reports are up to one interval old, so routers can start a few requests more than
+    a replica has slots; these wait in the replica for a moment.
+    """
+
+    def __init__(self, *, rng: Random) -> None:
+        super().__init__(rng=rng)
+        self._peers: dict[RouterId, _PeerUse] = {}
+        self._peer_sums: dict[ReplicaId, int] = {}
+        self._told: dict[ReplicaId, int] = {}
+        self._early_budget: EarlyBudget | None = None
+
+    # Slots.
+
+    def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
+        pool = self._pool(board, replica.service, now)
+        window = pool.windows.get(replica.replica_id, 0)
+        return window - replica.in_use - self._peer_sums.get(replica.replica_id, 0)
+
+    def _sum_peers(self, board: Blackboard) -> None:
+        sums: dict[ReplicaId, int] = {}
+        for router_id in board.members:
+            peer = self._peers.get(router_id)
+            if peer is not None and peer.identity == board.members[router_id]:
+                for replica_id, count in peer.in_use.items():
+                    sums[replica_id] = sums.get(replica_id, 0) + count
+        self._peer_sums = sums
+
+    # Starts.
+
+    def choose_start(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> Start | None:
+        """Returns the next start, or None without waiting work that may start."""
+        names = board.queues.organisations(service)
+        if not names:
+            return None
+        self._note_waiting(board, service, names, now)
+        free = self._find_free(board, service, now)
+        if not free:
+            return None
+        view = self._build_view(board, service, now)
+        while names:
+            name = choose_organisation(names, view, now) or min(
+                names, key=lambda one: view.organisations[one].key
+            )
+            names.remove(name)
+            if not may_use_slot(name, view, is_granted=True):
+                continue
+            for request in board.queues.list_first(service, name, PASSED_REQUESTS):
+                usable = [
+                    one for one in free if request.may_use(one[0].replica_id, now)
+                ]
+                replica = self._find_place(board, request, usable, now)
+                if replica is not None:
+                    return self._start_at(board, request, replica, now)
+        return None
+
+    def _find_place(
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        free: list[tuple[Replica, int]],
+        now: float,
+    ) -> Replica | None:
+        """Returns the replica to start at, or None to wait for a better one."""
+        if not free:
+            return None
+        part = _find_part(request)
+        if part is None:
+            return self._choose_replica(board, request, free)
+        by_id = {one.replica_id: one for one, _ in free}
+        for count, replica_id in enumerate(self._rank(board, request, part, now)):
+            if now - request.arrival < count * SPILL_SECONDS:
+                break
+            if replica_id in by_id:
+                return by_id[replica_id]
+        if now - request.arrival < REPLICAS_PER_PART * SPILL_SECONDS:
+            return None
+        return self._choose_replica(board, request, free)
+
+    def _rank(
+        self, board: Blackboard, request: CallRequest, part: str, now: float
+    ) -> Iterator[ReplicaId]:
+        """Yields the replicas that the request prefers, the best first."""
+        pool = self._pool(board, request.service, now)
+        ranked = sorted(
+            (one.replica_id for one in pool.replicas if one.is_available(now)),
+            key=lambda one: hash_pair(part, one),
+            reverse=True,
+        )
+        yield from ranked[:REPLICAS_PER_PART]
+
+    def _start_at(
+        self, board: Blackboard, request: CallRequest, replica: Replica, now: float
+    ) -> Start:
+        return self._start(board, request, [(replica, 1)], now)
+
+    def _note_started(
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        replica_id: ReplicaId,
+        now: float,
+    ) -> None:
+        self._request_report(board, now)
+
+    def _free_slot(
+        self, board: Blackboard, service: ServiceName, replica_id: ReplicaId, now: float
+    ) -> list[Action]:
+        self._request_report(board, now)
+        return []
+
+    # Reports.
+
+    def _request_report(self, board: Blackboard, now: float) -> None:
+        if board.is_report_due:
+            return
+        if self._early_budget is None:
+            self._early_budget = EarlyBudget(board.options)
+        if self._early_budget.take(len(board.members), now, reserve=0.0):
+            board.is_report_due = True
+
+    def step(self, board: Blackboard, now: float) -> list[Action]:
+        """Does the periodic work of the ledger."""
+        actions = super().step(board, now)
+        board.ledger.note_live({board.identity, *board.members.values()})
+        self._sum_peers(board)
+        return actions
+
+    def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
+        """Returns the slots that this router uses.
+
+        A replica is named once more when none is left.
+        """
+        rows = []
+        for replica in board.upstreams.replicas.values():
+            if replica.in_use or self._told.get(replica.replica_id):
+                rows.append(SlotRow(replica.replica_id, 0, 0, 0, replica.in_use))
+        self._told = {row.replica_id: row.in_use for row in rows}
+        return tuple(rows)
+
+    def take_report(
+        self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
+    ) -> list[Action]:
+        """Takes a report of a peer."""
+        board.ledger.merge(origin, report.counters)
+        self._demands.take(origin, report.sequence, report.counters, now)
+        for row in report.counters:
+            if row.waiting:
+                self._waited_at[row.service, row.organisation] = now
+        self._peers[origin.router_id] = _PeerUse(
+            origin, {row.replica_id: row.in_use for row in report.slots}
+        )
+        self._sum_peers(board)
+        return []
+
+    def take_grants(
+        self, board: Blackboard, sender: RouterIdentity, grants: Grants, now: float
+    ) -> list[Action]:
+        """Does nothing: no slots are granted."""
+        return []
+
+    def forget_except(self, board: Blackboard, routers: Collection[RouterId]) -> None:
+        """Drops what is kept of routers that the membership has forgotten."""
+        self._demands.forget_except(routers)
+        for router_id in self._peers.keys() - set(routers):
+            del self._peers[router_id]
+
+
+def _find_part(request: CallRequest) -> str | None:
+    """Returns the last prompt part that other requests share, if it is large."""
+    if not isinstance(request, RoutedCall) or len(request.parts) < 2:
+        return None
+    if request.shared_tokens < LEAST_SHARED_TOKENS:
+        return None
+    return request.parts[-2].part_id
--- a/sequoiamoor/settings.py
+++ b/sequoiamoor/settings.py
@@ -104,9 +104,9 @@
     control: AddressSettings
     platform: AddressSettings
     peers: tuple[AddressSettings, ...] = ()
-    policy: Literal["arbitrated", "local-fair", "least-load", "round-robin"] = (
-        "arbitrated"
-    )
+    policy: Literal[
+        "arbitrated", "shared-load", "local-fair", "least-load", "round-robin"
+    ] = "arbitrated"
     seed: int | None = None
     fault_injection: bool = False
     log_level: Literal["debug", "info", "warning", "error"] = "info"
