--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -111,8 +111,12 @@
                 await tasks.spawn(self._serve, connection, call)
                 await tasks.spawn(connection.wait_closed)
         finally:
-            self._tasks.pop(call.call_id, None)
-            await self._dispatcher.forget(call)
+            await self.forget(call)
+
+    async def forget(self, call: CallRequest) -> None:
+        """Drops a call that ended and frees the slot that it may hold."""
+        self._tasks.pop(call.call_id, None)
+        await self._dispatcher.forget(call)
 
     async def dispatch(self, service: str) -> None:
         """Starts waiting calls until the policy has no further start."""
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -375,7 +375,7 @@
         await border.calls.dispatch("talk")
         replica = border.board.upstreams.replicas["replica-1"]
         assert replica.in_use == 1
-        await border.calls._forget(call)
+        await border.calls.forget(call)
         assert replica.in_use == 0 and border.is_idle()
 
     run(session)
--- a/tests/test_operators_page.py
+++ b/tests/test_operators_page.py
@@ -13,7 +13,9 @@
 from sequoiamoor.declaration import (
     ClassDeclaration,
     Declaration,
+    LimitDeclaration,
     OrganisationDeclaration,
+    RouteDeclaration,
     ServiceDeclaration,
 )
 from sequoiamoor.metrics import Metrics
@@ -87,13 +89,15 @@
         "organisations": OrganisationDeclaration,
         "classes": ClassDeclaration,
         "services": ServiceDeclaration,
+        "routes": RouteDeclaration,
     }
-    assert set(parts) == set(Declaration.model_fields)
-    return {
+    assert {*parts, "limits"} == set(Declaration.model_fields)
+    named = {
         f"{section}.NAME.{name}"
         for section, model in parts.items()
         for name in model.model_fields
     }
+    return named | list_fields(LimitDeclaration, "limits.")
 
 
 @pytest.mark.parametrize(
