--- /dev/null
+++ b/tests/core/test_directory.py
@@ -0,0 +1,62 @@
+"""Tests of entries that leave, lapse and come back."""
+
+from __future__ import annotations
+
+import pytest
+
+from sequoiamoor.core.directory import LAPSE_SECONDS, TROUBLE_SECONDS, Directory
+from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Upstreams
+from sequoiamoor.options import Options
+from sequoiamoor.types import Address
+
+ADDRESS = Address("10.0.0.1", 8042)
+
+
+def put(directory: Directory, *, born: int = 1, leaving: bool = False) -> bool:
+    listed = ListedUpstream("i-1", "talk", "a", ADDRESS, leaving)
+    load = LoadReport(born, 24, 0, 0, 0.0, leaving)
+    return directory.put(listed, load, 1.0)
+
+
+def build_directory() -> Directory:
+    directory = Directory(Upstreams(Options.model_validate({})))
+    put(directory)
+    return directory
+
+
+@pytest.mark.parametrize(
+    ("trouble_age", "is_kept"),
+    [(None, False), (TROUBLE_SECONDS + 0.1, False), (0.1, True)],
+)
+def test_entry_that_is_gone_may_come_back_only_after_an_outage(
+    trouble_age: float | None, is_kept: bool
+) -> None:
+    """Guards against work for replicas that left, and against a fleet without any."""
+    directory = build_directory()
+    if trouble_age is not None:
+        directory.note_trouble(10.0 - trouble_age)
+    directory.remove("i-1", 10.0)
+    assert ("i-1" in directory.upstreams.replicas) is is_kept
+    directory.step(10.0 + LAPSE_SECONDS)
+    assert not directory.upstreams.replicas
+
+
+def test_entry_that_came_back_stays() -> None:
+    """Guards against a replica that is dropped although its entry is back."""
+    directory = build_directory()
+    directory.note_trouble(9.9)
+    directory.remove("i-1", 10.0)
+    put(directory)
+    assert directory.step(20.0) == []
+    assert "i-1" in directory.upstreams.replicas
+
+
+def test_leaving_holds_for_the_process_and_not_for_its_successor() -> None:
+    """Guards against a restarted replica that stays unused under its old name."""
+    directory = build_directory()
+    assert put(directory, leaving=True)
+    assert not put(directory, leaving=False)
+    replica = directory.upstreams.replicas["i-1"]
+    assert replica.is_leaving
+    put(directory, born=2)
+    assert not replica.is_leaving
--- /dev/null
+++ b/tests/core/test_routes.py
@@ -0,0 +1,68 @@
+"""Tests of the choice of routes and of the organisation behind a key."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from sequoiamoor.core.routes import build_routes
+from sequoiamoor.declaration import parse_declaration
+
+
+def build_declaration(prefixes: list[str]) -> dict[str, object]:
+    return {
+        "organisations": {"captains": {"keys": ["k-1", "k-2"]}, "owners": {}},
+        "classes": {},
+        "services": {"talk": {"kind": "engine"}, "desk": {"kind": "plain"}},
+        "routes": {
+            f"r-{number}": {
+                "host": "alley.example",
+                "prefix": prefix,
+                "kind": "repeatable",
+                "timeout_ms": 800,
+                "target_ms": 100,
+                "services": [["desk", 9], ["talk", 1]],
+            }
+            for number, prefix in enumerate(prefixes)
+        },
+    }
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("alley.example", "/a/x", "/a/"),
+        ("alley.example", "/a/b/x", "/a/b/"),
+        ("alley.example", "/a/bc", "/a/"),
+        ("alley.example", "/a", None),
+        ("alley.example", "/c/x", None),
+        ("other.example", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(
+    host: str, path: str, expected: str | None
+) -> None:
+    """Guards against a request that goes where no declaration sends it."""
+    table = build_routes(parse_declaration(build_declaration(["/a/", "/a/b/"])))
+    route = table.find(host, path)
+    assert (route and route.prefix) == expected
+
+
+@pytest.mark.parametrize(
+    ("key", "expected"), [("k-1", "captains"), ("k-2", "captains"), ("k-3", None)]
+)
+def test_key_names_its_organisation(key: str, expected: str | None) -> None:
+    """Guards against a key that is accepted for another organisation, or for none."""
+    table = build_routes(parse_declaration(build_declaration(["/a/"])))
+    assert table.find_organisation(key) == expected
+
+
+def test_services_get_their_parts_of_the_requests() -> None:
+    """Guards against a split that sends all requests to one service."""
+    table = build_routes(parse_declaration(build_declaration(["/a/"])))
+    route = table.find("alley.example", "/a/x")
+    assert route is not None
+    rng = Random(5)
+    drawn = [route.choose_service(rng) for _ in range(1_000)]
+    assert 50 <= drawn.count("talk") <= 150
--- /dev/null
+++ b/tests/net/test_events.py
@@ -0,0 +1,47 @@
+"""Tests of the order of events in streams."""
+
+from __future__ import annotations
+
+import pytest
+
+from sequoiamoor.errors import AnswerMismatchError
+from sequoiamoor.net.events import EventOrder
+
+
+def build_events(*ids: int, end: bytes = b"\n") -> bytes:
+    return b"".join(b"id: %d%bdata: x%b%b" % (one, end, end, end) for one in ids)
+
+
+@pytest.mark.parametrize("size", [1, 3, 7, 1_000])
+@pytest.mark.parametrize("end", [b"\n", b"\r\n"])
+def test_only_whole_events_are_passed_on(size: int, end: bytes) -> None:
+    """Guards against a torn event in front of a resumed stream."""
+    data = build_events(1, 2, 3, end=end) + b"id: 4" + end + b"data"
+    order = EventOrder()
+    parts = [
+        order.feed(data[start : start + size]) for start in range(0, len(data), size)
+    ]
+    assert b"".join(one.data for one in parts) == build_events(1, 2, 3, end=end)
+    assert sum(one.count for one in parts) == 3
+    assert not order.is_between_events
+
+
+@pytest.mark.parametrize(
+    ("first", "second"), [([1, 2], [2]), ([1, 2], [4]), ([5], [4]), ([3, 3], [])]
+)
+def test_gap_or_repetition_is_refused(first: list[int], second: list[int]) -> None:
+    """Guards against a resumed stream with a missing or doubled event."""
+    order = EventOrder()
+    with pytest.raises(AnswerMismatchError):
+        order.feed(build_events(*first))
+        order.start_attempt()
+        order.feed(build_events(*second))
+
+
+def test_next_attempt_goes_on_after_the_last_whole_event() -> None:
+    """Guards against a torn event that is joined with the next replica's stream."""
+    order = EventOrder()
+    order.feed(build_events(1, 2) + b"id: 3\nda")
+    order.start_attempt()
+    assert order.last_id == 2
+    assert order.feed(build_events(3)).data == build_events(3)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,134 @@
+"""Tests of the platform's documents."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from sequoiamoor.declaration import parse_declaration
+from sequoiamoor.errors import SettingsError
+from sequoiamoor.platform.documents import decode_configuration, decode_replica
+from sequoiamoor.types import Address, RouteKind
+
+ENTRY: dict[str, Any] = {
+    "service": "talk",
+    "address": "10.128.0.9:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 24,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "sequence": 4,
+    "born": 1_700_000_000_123,
+}
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Alley.example",
+            "pathPrefix": "/a/",
+            "kind": "streaming",
+            "timeoutMs": 12_000,
+            "targetLatencyMs": 400,
+            "priority": 1,
+            "trafficSplit": [
+                {"service": "talk", "weight": 90},
+                {"service": "desk", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "public": False,
+            "streamResumption": True,
+            "gapTargetMs": 250,
+        },
+        {
+            "name": "r-2",
+            "host": "alley.example",
+            "pathPrefix": "/b/",
+            "kind": "non_idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 100.5,
+            "service": "desk",
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "talk",
+            "connectionLimit": 210,
+            "inferenceEngine": {"kvCapacityTokens": 729_846, "stride": 7},
+        },
+        {"name": "desk", "connectionLimit": 110},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16_384,
+        "idleTimeoutMs": 15_000,
+        "tokensPerS": 370_000,
+    },
+    "tenants": [{"name": "hule930", "apiKeys": ["key-1"], "priority": 1}],
+}
+
+
+def test_entry_of_a_replica_is_decoded() -> None:
+    """Guards against a field that is read under another name."""
+    entry = decode_replica("i-1", json.dumps(ENTRY).encode())
+    assert entry.address == Address("10.128.0.9", 8080)
+    assert (entry.slots, entry.is_leaving, entry.warm_up) == (24, False, 1.5)
+    assert (entry.service, entry.zone) == ("talk", "zone-a")
+    assert entry.born_ms == ENTRY["born"]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "gone"},
+        {"state": 1},
+        {"service": None},
+        {"slots": "24"},
+        {"slots": True},
+        {"slots": 0},
+        {"address": "10.128.0.9"},
+        {"address": "10.128.0.9:http"},
+        {"zone": 4},
+    ],
+)
+def test_entry_of_a_foreign_writer_names_no_replica(change: dict[str, Any]) -> None:
+    """Guards against requests to an address that no replica wrote."""
+    with pytest.raises(SettingsError):
+        decode_replica("i-1", json.dumps({**ENTRY, **change}).encode())
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"7", b"{"])
+def test_bytes_that_are_no_document_are_refused(value: bytes) -> None:
+    """Guards against a fault of the feed on bytes that cannot be read."""
+    with pytest.raises(SettingsError):
+        decode_replica("i-1", value)
+    with pytest.raises(SettingsError):
+        decode_configuration(value)
+
+
+def test_configuration_becomes_a_valid_declaration() -> None:
+    """Guards against a configuration of the operators that no router accepts."""
+    version, document = decode_configuration(json.dumps(CONFIGURATION).encode())
+    declaration = parse_declaration(document)
+    assert version == 7
+    stream, booking = declaration.routes["r-1"], declaration.routes["r-2"]
+    assert (stream.host, stream.kind) == ("alley.example", RouteKind.STREAM)
+    assert (stream.is_resumable, stream.pause_ms, stream.attempts) == (True, 250, 2)
+    assert stream.services == (("talk", 90), ("desk", 10))
+    assert (booking.kind, booking.is_public) == (RouteKind.ONCE, True)
+    assert booking.services == (("desk", 1),)
+    assert declaration.organisations["hule930"].keys == ("key-1",)
+    assert declaration.services["talk"].kv_tokens == 729_846
+    assert declaration.services["talk"].event_tokens == 7
+    assert declaration.limits.tokens_per_second == 370_000
+
+
+def test_configuration_without_a_needed_field_is_refused() -> None:
+    """Guards against a route that is left out without a word."""
+    document = {**CONFIGURATION, "routes": [{"name": "r-1"}]}
+    with pytest.raises(SettingsError, match="host|targetLatencyMs"):
+        decode_configuration(json.dumps(document).encode())
