Leave sockets open while a task waits for them

Cause: routers on Willow Bank ended with code 1 (FileNotFoundError in the selector of the loop). A stream that could not go on closed its caller's connection while the task that watches for the caller's close still waited for it; a new socket with the same descriptor then met the old registration. Ruled out: memory and the end of the process by a signal (the traceback names the selector). Change: the listener closes such a connection after the watching task has ended; a connection to a replica waits for its sending task before it closes. Test: tests/daemon/test_forwarder.py -k no_socket fails first for the caller's side. For the replica's side it passes either way; that change rests on reading the code.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -148,6 +148,15 @@
         """Closes the idle connections to replicas."""
         await self._pool.close()
 
+    @property
+    def in_service(self) -> int:
+        """How many accepted requests have not been answered completely."""
+        return self._dispatcher.in_service
+
+    async def dispatch(self, service: str) -> None:
+        """Starts waiting requests until the policy has no further start."""
+        await self._dispatcher.dispatch(service)
+
     def _routes(self) -> RouteTable:
         state = self._board.configuration
         if state.declaration is None:
@@ -324,10 +333,10 @@
         error: RefusalError,
     ) -> None:
         if caller.is_started:
-            # Without its last chunk the answer cannot be taken for a complete one.
+            # Without its last chunk the answer cannot be taken for a complete one. The
+            # listener closes the connection; a task still reads from it here.
             self._metrics.refusals.labels(error.code).inc()
             _LOG.warning("stream broken off", extra=_describe(call, reason=str(error)))
-            await connection.close()
             return
         if call.may_have_run and error.execution is Execution.WAS_NOT_RUN:
             error = UpstreamFailedError(str(error))
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -60,12 +60,9 @@
         limit = gateway.revocation_limit
         self._freshness = KeyFreshness(None if limit is None else limit * KEY_AGE_PART)
         self._directory = Directory(self.board.upstreams)
-        self._dispatcher = Dispatcher(
-            self.board, self._policy, perform=self._control.perform
-        )
         self._forwarder = Forwarder(
             self.board,
-            self._dispatcher,
+            Dispatcher(self.board, self._policy, perform=self._control.perform),
             self.metrics,
             callers=callers,
             upstreams=replicas,
@@ -138,7 +135,7 @@
                     "upstreams": self._sources.follow_upstreams,
                     "routers": self._sources.follow_routers,
                     "directory": self._step_directory,
-                    "control": partial(self._control.run, self._dispatcher.dispatch),
+                    "control": partial(self._control.run, self._forwarder.dispatch),
                 },
             )
             while await signals.wait() == signal.SIGHUP:
@@ -160,7 +157,7 @@
             await curio.sleep(STEP_SECONDS)
 
     def _count_in_service(self) -> int:
-        return self._dispatcher.in_service
+        return self._forwarder.in_service
 
     async def _answer_readiness(self, sock: Any, peer: Any) -> None:
         await self._serve_small(sock, is_readiness=True)
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -96,6 +96,12 @@
             Content-Length and Transfer-Encoding.
     """
     names = set()
+    # A bare line feed ends a line for some parsers and not for others.
+    if head.count(b"\n") != head.count(b"\r\n") or not head.endswith(b"\r"):
+        raise MalformedRequestError(
+            "a line of the request head ends without a carriage return; end each line "
+            "with CR LF"
+        )
     for line in head.split(b"\n")[1:]:
         if line[:1] in (b" ", b"\t"):
             raise MalformedRequestError(
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -305,7 +305,9 @@
         """Closes the connection."""
         sending, self._sending = self._sending, None
         if sending is not None:
-            await sending.cancel(blocking=False)
+            # A task that still waits for the socket after its close would make the
+            # loop fail as soon as another socket gets the same descriptor.
+            await sending.cancel()
         await self._sock.close()
 
 
--- a/tests/border.py
+++ b/tests/border.py
@@ -138,6 +138,7 @@
     ended: int = 0
     address: Address | None = None
     tasks: Any = None
+    reads_bodies: bool = True
 
     async def listen(self) -> None:
         sock = curio.network.tcp_server_socket("127.0.0.1", 0)
@@ -151,7 +152,7 @@
         data = b""
         try:
             while True:
-                while (end := _find_end(data)) is None:
+                while (end := _find_end(data, self.reads_bodies)) is None:
                     if not (more := await sock.recv(65_536)):
                         return
                     data += more
@@ -185,12 +186,12 @@
         return True
 
 
-def _find_end(data: bytes) -> int | None:
+def _find_end(data: bytes, with_body: bool = True) -> int | None:
     head = data.find(b"\r\n\r\n")
     if head < 0:
         return None
     match = re.search(rb"(?i)content-length: (\d+)", data[:head])
-    end = head + 4 + (int(match[1]) if match else 0)
+    end = head + 4 + (int(match[1]) if match and with_body else 0)
     return end if len(data) >= end else None
 
 
@@ -370,7 +371,11 @@
     options: dict[str, Any] | None = None,
 ) -> Any:
     """Runs one session on a loop of its own."""
-    border = Border(limits=limits, options=options)
+    return run_border(Border(limits=limits, options=options), session)
+
+
+def run_border(border: Any, session: Callable[[Any], Awaitable[Any]]) -> Any:
+    """Runs one session with the given border on a loop of its own."""
 
     async def main() -> Any:
         watch = await curio.spawn(border.calls.watch, daemon=True)
--- /dev/null
+++ b/tests/daemon/test_forwarder.py
@@ -0,0 +1,333 @@
+"""Tests of requests on routes against replicas that fail in every way."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import curio.io
+import pytest
+
+from sequoiamoor.net.http_client import ClientConnection
+from sequoiamoor.net.http_server import ServerConnection
+
+from ..border import Close, Hang, Step, Until, chunk, parse
+from ..route_border import (
+    KEY,
+    STREAM_HEAD,
+    RouteBorder,
+    answer,
+    ask_for,
+    event,
+    read_field,
+    run,
+)
+
+FOREIGN = answer(b"other", request_id="7777")
+NOT_RUN = answer(b"", status=503, extra=b"X-Not-Executed: 1\r\n")
+
+
+async def ask(border: RouteBorder, request: bytes) -> Any:
+    caller = await border.connect()
+    await caller.send(request)
+    await caller.receive_until(b"\r\n\r\n")
+    await border.wait_for(lambda: border.is_idle())
+    await caller.sock.shutdown(1)
+    return parse(await caller.receive_all())
+
+
+@pytest.mark.parametrize(
+    ("path", "scripts", "status", "body", "requests"),
+    [
+        ("/look/1", [[answer()]], 200, b"done", 1),
+        ("/hold/1", [[answer(status=500)]], 500, b"done", 1),
+        ("/hold/1", [[FOREIGN, answer()]], 200, b"done", 1),
+        ("/look/1", [[answer(extra=b"")], [answer()]], 200, b"done", 2),
+        ("/hold/1", [[answer(extra=b"")]], 502, None, 1),
+        ("/hold/1", [[answer(request_id=None)]], 502, None, 1),
+        ("/hold/1", [[answer(status=503)]], 502, None, 1),
+        ("/hold/1", [[answer(status=429)]], 502, None, 1),
+        ("/hold/1", [[b"HTTP/1.1 200", Close()], [answer()]], 502, None, 1),
+        ("/hold/1", [[NOT_RUN], [answer()]], 200, b"done", 2),
+        ("/hold/1", [[NOT_RUN], [NOT_RUN]], 503, None, 2),
+        ("/hold/1", [[NOT_RUN], [Close(is_reset=True)]], 502, None, 2),
+        ("/hold/1", [[Close(is_reset=True)], [answer()]], 502, None, 1),
+        ("/look/1", [[Close(is_reset=True)], [answer()]], 200, b"done", 2),
+        ("/look/1", [[answer(status=500)], [answer()]], 200, b"done", 2),
+        ("/look/1", [[answer(status=500)], [answer(status=500)]], 500, b"done", 2),
+        ("/look/1", [[answer(status=500)], [Close(is_reset=True)]], 500, b"done", 2),
+        ("/look/1", [[b"nonsense\r\n\r\n"], [answer()]], 200, b"done", 2),
+        (
+            "/look/1",
+            [[answer(extra=b"X-Server-Signature: 1\r\nContent-Encoding: gzip\r\n")],
+             [answer()]],
+            200, b"done", 2,
+        ),
+        ("/quick/1", [[Hang()]], 504, None, 1),
+    ],
+)  # fmt: skip
+def test_answers_are_whole_and_own_and_failures_true(
+    path: str, scripts: list[list[Step]], status: int, body: bytes | None, requests: int
+) -> None:
+    """Guards against foreign or torn answers, and against a false `was not run`."""
+
+    async def session(border: RouteBorder) -> None:
+        await border.add_replicas(2, *scripts)
+        seen = await ask(border, ask_for(path))
+        assert seen.status == status
+        if body is not None:
+            assert seen.body == body
+        assert sum(len(one.requests) for one in border.upstreams) == requests
+        if status == 503:
+            assert "retry-after" in seen.headers
+
+    run(session)
+
+
+def test_replica_gets_only_what_the_fleet_and_the_caller_may_say() -> None:
+    """Guards against forged fields, and a request that is changed on its way."""
+
+    async def session(border: RouteBorder) -> None:
+        upstream = await border.add_upstream(lambda _: [answer()])
+        extra = (
+            b"X-Tenant: other\r\nX-Expected-Instance: i-9\r\nKv-From: 10.0.0.1:1/2\r\n"
+            b"Authorization: Bearer %b\r\nX-Model: m\r\n" % KEY.encode()
+        )
+        seen = await ask(border, ask_for("/keyed/1?q=%20a", extra=extra, body=b"x" * 9))
+        assert seen.status == 200
+        request = upstream.requests[0]
+        assert request.startswith(b"POST /keyed/1?q=%20a HTTP/1.1\r\n")
+        assert request.endswith(b"\r\n\r\n" + b"x" * 9)
+        assert read_field(request, "x-tenant") == "captains"
+        assert read_field(request, "x-expected-instance") == "replica-1"
+        assert read_field(request, "x-model") == "m"
+        assert read_field(request, "authorization") is None
+        assert read_field(request, "kv-from") is None
+        assert 2_000 < int(read_field(request, "x-deadline-ms") or 0) <= 3_000
+
+    run(session)
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (ask_for("/none/1"), 404),
+        (ask_for("/look/1", host="other.example"), 404),
+        (ask_for("/keyed/1"), 401),
+        (ask_for("/keyed/1", extra=b"Authorization: Bearer no\r\n"), 401),
+        (ask_for("/look/1", request_id=""), 400),
+        (ask_for("/look/1", extra=b"Transfer-Encoding: chunked\r\n"), 400),
+        (ask_for("/look/1", extra=b"Content-Length: 9\r\n"), 400),
+        (ask_for("/look/1").replace(b"\r\n", b"\n"), 400),
+    ],
+)
+def test_bad_requests_are_refused_and_sent_nowhere(
+    request_bytes: bytes, status: int
+) -> None:
+    """Guards against smuggled requests, unknown routes and keys of nobody."""
+
+    async def session(border: RouteBorder) -> None:
+        upstream = await border.add_upstream(lambda _: [answer()])
+        seen = await ask(border, request_bytes)
+        assert seen.status == status
+        assert upstream.requests == []
+
+    run(session)
+
+
+def test_keys_are_refused_while_the_store_has_not_confirmed_them() -> None:
+    """Guards against a key that was taken away and still works at a router cut off."""
+
+    async def session(border: RouteBorder) -> None:
+        await border.add_upstream(lambda _: [answer()], lambda _: [answer()])
+        extra = b"Authorization: Bearer %b\r\n" % KEY.encode()
+        assert (await ask(border, ask_for("/keyed/1", extra=extra))).status == 503
+        assert (await ask(border, ask_for("/look/1"))).status == 200
+        border.freshness.confirm(border.freshness.read_time())
+        assert (await ask(border, ask_for("/keyed/1", extra=extra))).status == 200
+
+    run(session, limit=60.0)
+
+
+def test_router_without_configuration_says_so() -> None:
+    """Guards against a 404 for a route that a router does not know yet."""
+
+    async def session(border: RouteBorder) -> None:
+        border.board.configuration.declaration = None
+        assert (await ask(border, ask_for("/look/1"))).status == 503
+
+    run(session)
+
+
+def test_broken_stream_goes_on_at_another_replica_in_the_same_answer() -> None:
+    """Guards against a summary with a missing, doubled or torn event."""
+
+    async def session(border: RouteBorder) -> None:
+        first: list[Step] = [
+            STREAM_HEAD,
+            chunk(event(1) + event(2)),
+            chunk(b"id: 3\nda"),
+        ]
+        second: list[Step] = [STREAM_HEAD, chunk(event(3) + event(4)), b"0\r\n\r\n"]
+        first += [Until(event(2)), Close(is_reset=True)]
+        replicas = await border.add_replicas(2, first, second)
+        seen = await ask(border, ask_for("/summary/1"))
+        assert (seen.status, seen.is_whole) == (200, True)
+        assert seen.body == b"".join(event(one) for one in range(1, 5))
+        asked = {read_field(one.requests[0], "last-event-id") for one in replicas}
+        assert asked == {None, "2"}
+
+    run(session)
+
+
+@pytest.mark.parametrize(
+    ("path", "rest"),
+    [
+        ("/chat/1", [Close(is_reset=True)]),
+        ("/chat/1", [Close()]),
+        ("/chat/1", [chunk(event(4)), Hang()]),
+        ("/chat/1", [chunk(event(2)), Hang()]),
+        ("/chat/1", [chunk(b"id: 3\nda"), b"0\r\n\r\n"]),
+    ],
+)
+def test_stream_that_may_not_go_on_never_looks_complete(
+    path: str, rest: list[Step]
+) -> None:
+    """Guards against a stream that ends early and is taken for a whole one."""
+
+    async def session(border: RouteBorder) -> None:
+        script = [STREAM_HEAD, chunk(event(1) + event(2)), Until(event(2)), *rest]
+        replicas = await border.add_replicas(2, script, [answer()])
+        seen = await ask(border, ask_for(path))
+        assert not seen.is_whole
+        assert seen.body == event(1) + event(2)
+        assert sum(len(one.requests) for one in replicas) == 1
+
+    run(session)
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_answer_without_length_counts_only_if_its_connection_ends_in_order(
+    is_reset: bool,
+) -> None:
+    """Guards against a body that a reset cut short."""
+
+    async def session(border: RouteBorder) -> None:
+        head = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Signature: 3e1b\r\n\r\n"
+        )
+        await border.add_upstream(lambda _: [head + b"do", Close(is_reset=is_reset)])
+        seen = await ask(border, ask_for("/hold/1"))
+        assert seen.status == (502 if is_reset else 200)
+
+    run(session)
+
+
+def test_answer_before_a_long_body_was_read_spoils_no_later_request() -> None:
+    """Guards against a request whose bytes are taken for the rest of another body."""
+
+    async def session(border: RouteBorder) -> None:
+        early = await border.add_upstream(
+            lambda _: [answer()], lambda _: [answer()], lambda _: [answer()]
+        )
+        for _ in range(2):
+            seen = await ask(border, ask_for("/look/1", body=b"x" * 3_000_000))
+            assert seen.status == 200
+        assert all(one.startswith(b"POST /look/1") for one in early.requests)
+
+    run(session)
+
+
+@pytest.mark.parametrize("is_begun", [False, True])
+def test_caller_that_leaves_ends_the_work_at_the_replica(is_begun: bool) -> None:
+    """Guards against replicas that work for callers who are gone."""
+
+    async def session(border: RouteBorder) -> None:
+        head = [STREAM_HEAD, chunk(event(1))] if is_begun else []
+        upstream = await border.add_upstream(lambda _: [*head, Hang()])
+        caller = await border.connect()
+        await caller.send(ask_for("/chat/1"))
+        if is_begun:
+            await caller.receive_until(event(1))
+        await border.wait_for(lambda: bool(upstream.requests))
+        await caller.close()
+        await border.wait_for(lambda: upstream.closed_by_router == 1)
+        await border.wait_idle()
+        assert border.counter("callers_gone") == 1
+
+    run(session)
+
+
+def test_leaving_router_answers_and_asks_callers_to_close() -> None:
+    """Guards against callers that keep connections to a router that ends."""
+
+    async def session(border: RouteBorder) -> None:
+        await border.add_upstream(lambda _: [answer()])
+        border.board.is_leaving = True
+        seen = await ask(border, ask_for("/look/1"))
+        assert (seen.status, seen.headers["connection"]) == (200, "close")
+        border.forwarder.stops_taking = True
+        seen = await ask(border, ask_for("/look/1"))
+        assert (seen.status, seen.headers["connection"]) == (503, "close")
+
+    run(session)
+
+
+class _Watched:
+    """Tells whether a socket is closed while a task still waits for it."""
+
+    def __init__(self) -> None:
+        self.waiting: set[object] = set()
+        self.closed_too_early = 0
+
+    def wrap_wait(self, function: Any) -> Any:
+        async def wait(connection: object, *arguments: Any) -> Any:
+            self.waiting.add(connection)
+            try:
+                return await function(connection, *arguments)
+            finally:
+                self.waiting.discard(connection)
+
+        return wait
+
+    def wrap_close(self, function: Any) -> Any:
+        async def close(sock: Any) -> None:
+            self.closed_too_early += any(one._sock is sock for one in self.waiting)
+            await function(sock)
+
+        return close
+
+
+@pytest.mark.parametrize(
+    ("kind", "wait", "path", "body", "script"),
+    [
+        (
+            ServerConnection, "wait_closed", "/chat/1", b"{}",
+            [STREAM_HEAD, chunk(event(1)), Until(event(1)), Close(is_reset=True)],
+        ),
+        (ClientConnection, "_send_rest", "/hold/1", b"x" * 4_000_000, [answer()]),
+    ],
+)  # fmt: skip
+def test_no_socket_is_closed_while_a_task_waits_for_it(
+    kind: Any, wait: str, path: str, body: bytes, script: list[Step],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:  # fmt: skip
+    """Guards against a loop that ends when a new socket gets the old descriptor."""
+    watched = _Watched()
+    monkeypatch.setattr(kind, wait, watched.wrap_wait(getattr(kind, wait)))
+    monkeypatch.setattr(
+        curio.io.Socket, "close", watched.wrap_close(curio.io.Socket.close)
+    )
+
+    async def session(border: RouteBorder) -> None:
+        upstream = (await border.add_replicas(1, script))[0]
+        if kind is ClientConnection:
+            upstream.reads_bodies = False
+        caller = await border.connect()
+        await caller.send(ask_for(path, body=body))
+        await caller.receive_until(b"\r\n\r\n")
+        await border.wait_idle()
+        assert upstream.requests
+        assert not watched.closed_too_early
+
+    run(session)
--- /dev/null
+++ b/tests/route_border.py
@@ -0,0 +1,151 @@
+"""Sessions of a caller on routes, against scripted replicas of the platform."""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from typing import Any
+
+from sequoiamoor.core.freshness import KeyFreshness
+from sequoiamoor.core.repeats import RepeatBudget, RepeatLimits
+from sequoiamoor.daemon.dispatcher import Dispatcher
+from sequoiamoor.daemon.forwarder import Forwarder
+from sequoiamoor.daemon.route_listener import RouteListener
+from sequoiamoor.declaration import parse_declaration
+from sequoiamoor.platform import callers, replicas
+from sequoiamoor.policies.round_robin import RoundRobinPolicy
+from sequoiamoor.settings import LimitSettings
+
+from .border import Border, ScriptedUpstream, Step, run_border
+
+KEY = "key-1"
+
+
+def build_route(prefix: str, kind: str, **changes: Any) -> dict[str, Any]:
+    return {
+        "host": "alley.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4_000,
+        "target_ms": 2_000,
+        "attempts": 2,
+        "is_public": True,
+        "services": [["talk", 1]],
+        **changes,
+    }
+
+
+DECLARATION = {
+    "organisations": {"captains": {"keys": [KEY]}},
+    "classes": {},
+    "services": {"talk": {"kind": "engine", "event_tokens": 7}},
+    "routes": {
+        "look": build_route("/look/", "repeatable"),
+        "hold": build_route("/hold/", "once"),
+        "chat": build_route("/chat/", "stream"),
+        "summary": build_route("/summary/", "stream", is_resumable=True),
+        "keyed": build_route("/keyed/", "repeatable", is_public=False),
+        "quick": build_route("/quick/", "once", timeout_ms=150),
+    },
+}
+
+
+def ask_for(
+    path: str,
+    *,
+    request_id: str = "9c41",
+    extra: bytes = b"",
+    body: bytes = b"{}",
+    host: str = "alley.example",
+) -> bytes:
+    return (
+        b"POST %b HTTP/1.1\r\nHost: %b\r\nX-Attempt-Id: %b\r\nX-Deadline-Ms: 3000\r\n"
+        b"%bContent-Length: %d\r\n\r\n%b"
+        % (
+            path.encode(),
+            host.encode(),
+            request_id.encode(),
+            extra,
+            len(body),
+            body,
+        )
+    )
+
+
+def answer(
+    body: bytes = b"done",
+    *,
+    status: int = 200,
+    request_id: str | None = "9c41",
+    extra: bytes = b"X-Server-Signature: 3e1b\r\n",
+) -> bytes:
+    named = b"" if request_id is None else b"X-Attempt-Id: %b\r\n" % request_id.encode()
+    return b"HTTP/1.1 %d X\r\n%b%bContent-Length: %d\r\n\r\n%b" % (
+        status,
+        named,
+        extra,
+        len(body),
+        body,
+    )
+
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: 9c41\r\n"
+    b"X-Server-Signature: 3e1b\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def read_field(request: bytes, name: str) -> str | None:
+    """Returns the value of a header field that a replica received."""
+    match = re.search(rb"(?im)^%b: ?(.*?)\r$" % name.encode(), request)
+    return None if match is None else match[1].decode()
+
+
+class RouteBorder(Border):
+    """A listener on routes with scripted replicas, all in this process."""
+
+    def __init__(
+        self, *, options: dict[str, Any] | None = None, limit: float | None = None
+    ) -> None:
+        super().__init__(options=options)
+        self.board.configuration.declaration = parse_declaration(DECLARATION)
+        self.freshness = KeyFreshness(limit)
+        policy = RoundRobinPolicy(rng=Random(1))
+        self.forwarder = Forwarder(
+            self.board,
+            Dispatcher(self.board, policy),
+            self.metrics,
+            callers=callers,
+            upstreams=replicas,
+            budget=RepeatBudget(RepeatLimits(ratio=0.2, window=10.0, extra=20.0)),
+            freshness=self.freshness,
+            rng=Random(1),
+        )
+        self.calls = self.forwarder  # type: ignore[assignment]
+        self.listener = RouteListener(  # type: ignore[assignment]
+            self.board,
+            self.forwarder,
+            self.metrics,
+            limits=LimitSettings.model_validate({}),
+        )
+
+    async def add_replicas(
+        self, count: int, *scripts: Sequence[Step]
+    ) -> list[ScriptedUpstream]:
+        """Adds replicas that take the scripts in turn, whichever is asked."""
+        left = deque(scripts)
+        return [
+            await self.add_upstream(*[lambda _: left.popleft()] * len(scripts))
+            for _ in range(count)
+        ]
+
+
+def run(session: Callable[[RouteBorder], Awaitable[Any]], **changes: Any) -> Any:
+    """Runs one session on a loop of its own."""
+    return run_border(RouteBorder(**changes), session)
