Let requests leave the replica that has their prompt only for one with room

The allowed gap was 0, since the engines state no rate, so that only the least served organisation of the fleet could use a slot while another one waited somewhere. Change: a spill needs 12 % of the slots free (30 % at a replica that the part does not prefer) unless the replica had the part lately; the gap comes from the declared rate; organisations ahead yield only while more work waits than slots are free. Test: tests/policies/test_shared_load.py.

--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator
+from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import dataclass
 from random import Random
 
@@ -19,6 +20,7 @@
     ReplicaId,
     RouterId,
     RouterIdentity,
+    ServiceKind,
     ServiceName,
 )
 from .reporting import ReportingPolicy
@@ -33,6 +35,19 @@
 REPLICAS_PER_PART = 3
 """Replicas that a request prefers one after the other before it takes any."""
 
+SPILL_FREE_PART = 0.12
+"""Part of its slots that a replica without the prompt must have free. When all are
+busy, reading a prompt again costs more than the slot that it would save."""
+
+FAR_FREE_PART = 0.3
+"""The same for a replica that the part does not prefer."""
+
+WARM_SECONDS = 8.0
+"""Time for which a replica counts as one that has a part; later the part may have
+given way to others in its cache."""
+
+WARM_PARTS_KEPT = 4_096
+
 LEAST_SHARED_TOKENS = 64
 """Prompt parts below this size are read again faster than a slot comes free."""
 
@@ -58,6 +73,7 @@
         self._peer_sums: dict[ReplicaId, int] = {}
         self._told: dict[ReplicaId, int] = {}
         self._early_budget: EarlyBudget | None = None
+        self._warm: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
 
     # Slots.
 
@@ -75,6 +91,22 @@
                     sums[replica_id] = sums.get(replica_id, 0) + count
         self._peer_sums = sums
 
+    def _allowed_gap(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> float:
+        """Returns the difference of served work that may be ignored.
+
+        The rate of an engine is declared for the service and not reported by it.
+        """
+        declaration = board.configuration.declaration
+        if declaration is None or service not in declaration.services:
+            return super()._allowed_gap(board, service, now)
+        rate = declaration.limits.tokens_per_second
+        if declaration.services[service].kind is ServiceKind.PLAIN or rate is None:
+            # A slot of a plain service does 1,000 ms of work in a second.
+            rate = 1000.0 * self._pool(board, service, now).slots
+        return board.options.allowed_gap_seconds * rate
+
     # Starts.
 
     def choose_start(
@@ -89,12 +121,14 @@
         if not free:
             return None
         view = self._build_view(board, service, now)
+        waiting = sum(one.waiting for one in view.organisations.values())
+        is_contested = waiting > sum(count for _, count in free)
         while names:
             name = choose_organisation(names, view, now) or min(
                 names, key=lambda one: view.organisations[one].key
             )
             names.remove(name)
-            if not may_use_slot(name, view, is_granted=True):
+            if is_contested and not may_use_slot(name, view, is_granted=True):
                 continue
             for request in board.queues.list_first(service, name, PASSED_REQUESTS):
                 usable = [
@@ -118,27 +152,39 @@
         part = _find_part(request)
         if part is None:
             return self._choose_replica(board, request, free)
-        by_id = {one.replica_id: one for one, _ in free}
-        for count, replica_id in enumerate(self._rank(board, request, part, now)):
-            if now - request.arrival < count * SPILL_SECONDS:
-                break
-            if replica_id in by_id:
-                return by_id[replica_id]
-        if now - request.arrival < REPLICAS_PER_PART * SPILL_SECONDS:
-            return None
-        return self._choose_replica(board, request, free)
-
-    def _rank(
-        self, board: Blackboard, request: CallRequest, part: str, now: float
-    ) -> Iterator[ReplicaId]:
-        """Yields the replicas that the request prefers, the best first."""
         pool = self._pool(board, request.service, now)
+        by_id = {one.replica_id: (one, count) for one, count in free}
         ranked = sorted(
             (one.replica_id for one in pool.replicas if one.is_available(now)),
             key=lambda one: hash_pair(part, one),
             reverse=True,
         )
-        yield from ranked[:REPLICAS_PER_PART]
+        waited = now - request.arrival
+        for index, replica_id in enumerate(ranked):
+            known = by_id.get(replica_id)
+            if known is None:
+                continue
+            replica, count = known
+            if index == 0 or self._is_warm(part, replica_id, now):
+                return replica
+            is_far = index >= REPLICAS_PER_PART
+            if waited < SPILL_SECONDS * min(index, REPLICAS_PER_PART):
+                continue
+            least = FAR_FREE_PART if is_far else SPILL_FREE_PART
+            if count > least * pool.windows[replica_id]:
+                return replica
+        return None
+
+    def _is_warm(self, part: str, replica_id: ReplicaId, now: float) -> bool:
+        used_at = self._warm.get((part, replica_id))
+        return used_at is not None and now - used_at < WARM_SECONDS
+
+    def _note_warm(self, part: str, replica_id: ReplicaId, now: float) -> None:
+        key = (part, replica_id)
+        self._warm[key] = now
+        self._warm.move_to_end(key)
+        while len(self._warm) > WARM_PARTS_KEPT:
+            self._warm.popitem(last=False)
 
     def _start_at(
         self, board: Blackboard, request: CallRequest, replica: Replica, now: float
@@ -152,6 +198,9 @@
         replica_id: ReplicaId,
         now: float,
     ) -> None:
+        part = _find_part(request)
+        if part is not None:
+            self._note_warm(part, replica_id, now)
         self._request_report(board, now)
 
     def _free_slot(
--- /dev/null
+++ b/tests/policies/test_shared_load.py
@@ -0,0 +1,188 @@
+"""Tests of placement and shares under the loads that the policy answers."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from sequoiamoor.core.blackboard import Blackboard, create_blackboard
+from sequoiamoor.core.messages import CounterRow, Report, SlotRow
+from sequoiamoor.core.rendezvous import hash_pair
+from sequoiamoor.core.routed import PromptPart, RoutedCall
+from sequoiamoor.core.upstreams import LoadReport, Replica
+from sequoiamoor.declaration import parse_declaration
+from sequoiamoor.options import Options
+from sequoiamoor.policies.shared_load import SPILL_SECONDS, SharedLoadPolicy
+from sequoiamoor.types import Address, RouterIdentity
+
+SLOTS = 20
+REPLICAS = [f"i-{number}" for number in range(6)]
+PEER = RouterIdentity("router-1", 1, "zone-b")
+
+
+class Fleet:
+    """One router's decisions with replicas and a peer that reports."""
+
+    def __init__(self, *, replicas: int = 6) -> None:
+        identity = RouterIdentity("router-0", 1, "zone-a")
+        self.board: Blackboard = create_blackboard(identity, Options.model_validate({}))
+        self.board.configuration.declaration = parse_declaration(
+            {
+                "organisations": {},
+                "classes": {},
+                "services": {"talk": {"kind": "engine"}},
+                "limits": {"tokens_per_second": 100_000},
+            }
+        )
+        self.board.members[PEER.router_id] = PEER
+        self.policy = SharedLoadPolicy(rng=Random(1))
+        for number, replica_id in enumerate(REPLICAS[:replicas]):
+            replica = Replica(
+                replica_id, "talk", "zone-a", Address("10.0.0.1", 1 + number)
+            )
+            replica.load = LoadReport(1, SLOTS, 0, 0, 0.0, False)
+            self.board.upstreams.replicas[replica_id] = replica
+        self.sequence = 0
+        self.numbers = 0
+        self.policy.step(self.board, 0.0)
+
+    def report(self, in_use: dict[str, int], **waiting: int) -> None:
+        self.sequence += 1
+        counters = tuple(
+            CounterRow("talk", name, 0, 0, count, 0, 400)
+            for name, count in waiting.items()
+        )
+        slots = tuple(SlotRow(one, 0, 0, 0, count) for one, count in in_use.items())
+        message = Report(self.sequence, 1, False, counters, slots)
+        self.policy.take_report(self.board, PEER, message, 0.0)
+
+    def add(self, part: str = "subject", *, organisation: str = "a") -> RoutedCall:
+        self.numbers += 1
+        call = RoutedCall(
+            f"c-{self.numbers}", "q", organisation, "r", "talk", 0.0, 0.4, 0.4, b"",
+            parts=(PromptPart(part, 5_000), PromptPart(f"own-{self.numbers}", 900)),
+        )  # fmt: skip
+        self.board.queues.add(call)
+        return call
+
+    def start(self, now: float = 0.0) -> str | None:
+        start = self.policy.choose_start(self.board, "talk", now)
+        if start is None:
+            return None
+        call = self.board.queues.remove(start.call_id)
+        assert call is not None
+        self.board.upstreams.replicas[start.replica_id].in_use += 1
+        return start.replica_id
+
+
+def rank(part: str) -> list[str]:
+    return sorted(REPLICAS, key=lambda one: hash_pair(part, one), reverse=True)
+
+
+def test_requests_with_a_common_part_go_to_one_replica() -> None:
+    """Load: many subjects. Guards against a part that is read by every replica."""
+    fleet = Fleet()
+    for part in ("one", "two", "three"):
+        for _ in range(4):
+            fleet.add(part)
+            assert fleet.start() == rank(part)[0]
+
+
+@pytest.mark.parametrize(
+    ("busy", "waited", "expected"),
+    [
+        ({0: SLOTS}, 0.0, None),
+        ({0: SLOTS}, SPILL_SECONDS, 1),
+        ({0: SLOTS, 1: SLOTS}, SPILL_SECONDS, None),
+        ({0: SLOTS, 1: SLOTS}, 2 * SPILL_SECONDS, 2),
+        ({0: SLOTS, 1: SLOTS - 1, 2: SLOTS - 1, 3: SLOTS - 1, 4: SLOTS, 5: SLOTS},
+         3 * SPILL_SECONDS, None),
+        ({0: SLOTS, 1: SLOTS, 2: SLOTS}, 3 * SPILL_SECONDS, 3),
+        ({0: SLOTS - 1}, 0.0, 0),
+    ],
+)  # fmt: skip
+def test_request_leaves_its_replica_only_for_one_with_room(
+    busy: dict[int, int], waited: float, expected: int | None
+) -> None:
+    """Load: all replicas busy. Guards against prompts that are read again in vain."""
+    fleet = Fleet()
+    ranked = rank("subject")
+    fleet.report({ranked[index]: count for index, count in busy.items()})
+    fleet.add()
+    found = fleet.start(waited)
+    assert found == (None if expected is None else ranked[expected])
+
+
+def test_hot_part_uses_all_replicas_that_have_read_it() -> None:
+    """Load: hot key. Guards against a queue at one of two replicas with the part."""
+    fleet = Fleet()
+    first, second = rank("subject")[:2]
+    fleet.report({first: SLOTS})
+    fleet.add()
+    assert fleet.start(SPILL_SECONDS) == second
+    fleet.report({first: SLOTS, second: SLOTS - 2})
+    fleet.add()
+    assert fleet.start(0.0) == second
+
+
+def test_slots_that_peers_report_are_not_used_again() -> None:
+    """Load: wave at all routers. Guards against a queue inside the engines."""
+    fleet = Fleet(replicas=1)
+    fleet.report({REPLICAS[0]: SLOTS - 3})
+    for _ in range(5):
+        fleet.add()
+    assert [fleet.start() for _ in range(4)] == [REPLICAS[0]] * 3 + [None]
+
+
+def test_slots_of_a_peer_that_is_gone_are_free() -> None:
+    """Load: a router is lost. Guards against slots that nobody uses."""
+    fleet = Fleet(replicas=1)
+    fleet.report({REPLICAS[0]: SLOTS})
+    fleet.add()
+    assert fleet.start() is None
+    fleet.board.members.clear()
+    fleet.policy.step(fleet.board, 0.2)
+    assert fleet.start(0.2) == REPLICAS[0]
+
+
+@pytest.mark.parametrize(
+    ("waiting_elsewhere", "expected"), [(0, REPLICAS[0]), (40, None)]
+)
+def test_organisation_ahead_of_its_share_yields_to_work_elsewhere(
+    waiting_elsewhere: int, expected: Any
+) -> None:
+    """Load: hot organisation. Guards against a flood that takes every free slot.
+
+    The slots must not stay idle when nobody else waits.
+    """
+    fleet = Fleet(replicas=1)
+    fleet.board.ledger.charge("talk", "flood", 500_000.0)
+    for _ in range(12):
+        fleet.add(organisation="flood")
+        assert fleet.start() == REPLICAS[0]
+    fleet.report({}, small=waiting_elsewhere)
+    fleet.add(organisation="flood")
+    assert fleet.start() == expected
+
+
+def test_leaving_and_missing_replicas_are_skipped() -> None:
+    """Load: scale-in. Guards against work for replicas that leave."""
+    fleet = Fleet()
+    first, second = rank("subject")[:2]
+    fleet.board.upstreams.replicas[first].is_leaving = True
+    fleet.policy.step(fleet.board, 1.0)
+    fleet.add()
+    assert fleet.start(1.0) == second
+
+
+def test_reported_slots_name_a_replica_until_none_is_left() -> None:
+    """Guards against a slot that peers take for used for ever."""
+    fleet = Fleet(replicas=1)
+    fleet.add()
+    fleet.start()
+    assert [row.in_use for row in fleet.policy.build_slots(fleet.board, 0.0)] == [1]
+    fleet.board.upstreams.replicas[REPLICAS[0]].in_use = 0
+    assert [row.in_use for row in fleet.policy.build_slots(fleet.board, 0.1)] == [0]
+    assert fleet.policy.build_slots(fleet.board, 0.2) == ()
