Start prompts only where their first event can meet the target

Ruled out: too many requests in the engines (0 preempted); slow routers (54 CPU seconds). Change: routers tell the prompt tokens that each replica has still to read for them and learn a line for the time to the first event; a request starts where it meets its target, and is refused once it cannot any more.

--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -61,6 +61,8 @@
         base: Slots in use when the router adopted the epoch.
         released: Slots given back in this epoch so far; it only grows.
         in_use: Slots in use now.
+        prompt_tokens: Tokens of prompts that the replica has still to read for the
+            router.
     """
 
     replica_id: ReplicaId
@@ -68,6 +70,7 @@
     base: int
     released: int
     in_use: int
+    prompt_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sequoiamoor/core/routed.py
+++ b/sequoiamoor/core/routed.py
@@ -32,6 +32,7 @@
         output_tokens: Expected number of generated tokens.
         sent_attempts: Attempts of which a byte was sent.
         unsent_attempts: Attempts that sent nothing.
+        events: Events of a stream that were passed on.
         may_have_run: Whether an attempt was sent whose replica did not state that it
             did not run the request.
     """
@@ -46,6 +47,7 @@
     output_tokens: int = 0
     sent_attempts: int = 0
     unsent_attempts: int = 0
+    events: int = 0
     may_have_run: bool = False
 
     @property
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -114,6 +114,14 @@
         # The policy may have marked a report as due for the work that still waits.
         self._perform(())
 
+    def find_wait_limit(self, call: CallRequest) -> float | None:
+        """Returns how many seconds a call may wait, if the policy knows."""
+        return self._policy.find_wait_limit(call)
+
+    def note_first_event(self, call: CallRequest) -> None:
+        """Takes note that the first event of a stream came."""
+        self._policy.note_first_event(self._board, call, time.monotonic())
+
     async def release(self, call: CallRequest) -> None:
         """Frees the slot of a call that was started."""
         pending = self._pending[call.call_id]
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -238,6 +238,9 @@
                     retry_after=0.0,
                 )
             call = self._parse(request, request_id, now)
+            wait = self._dispatcher.find_wait_limit(call)
+            if wait is not None:
+                call.wait_limit_at = min(now + wait, call.ends_at)
             self._dispatcher.accept(call)
         except RefusalError as error:
             await self.refuse(connection, error, request_id)
@@ -323,6 +326,9 @@
         extra = _describe(call, reason=outcome)
         extra["first_ms"] = round((caller.first_at - call.arrival) * 1000)
         extra["total_ms"] = round((now - call.arrival) * 1000)
+        extra["events"] = call.events
+        extra["output_tokens"] = call.output_tokens
+        extra["prompt_tokens"] = call.prompt_tokens
         _LOG.info("served", extra=extra)
 
     async def _end_failed(
@@ -411,16 +417,19 @@
         assert declaration is not None
         service = declaration.services.get(call.service)
         event_units = (service.event_tokens if service else 1) * GENERATED_TOKEN_UNITS
-        is_charged = call.charged > 0
+        is_first = True
 
         async def send_events(head: StreamHead, events: Events) -> None:
-            nonlocal is_charged
+            nonlocal is_first
             units = event_units * events.count
-            if not is_charged:
-                is_charged = True
-                units += call.prompt_tokens
+            if is_first:
+                is_first = False
+                self._dispatcher.note_first_event(call)
+                if not call.charged:
+                    units += call.prompt_tokens
             self._board.ledger.charge(call.service, call.organisation, units)
             call.charged += units
+            call.events += events.count
             await caller.send_events(head, events.data)
 
         def note_load(load: ReplicaLoad) -> None:
--- a/sequoiamoor/net/encoder.py
+++ b/sequoiamoor/net/encoder.py
@@ -217,6 +217,7 @@
                     row.released - (old.released if old else 0),
                     row.epoch - (old.epoch if old else 0),
                     row.base - (old.base if old else 0),
+                    row.prompt_tokens,
                 ]
             )
             _trim(rows[-1], 2)
--- a/sequoiamoor/policies/base.py
+++ b/sequoiamoor/policies/base.py
@@ -27,6 +27,17 @@
     ) -> list[Action]:
         """Takes note that an attempt ended and its slot is free."""
 
+    def find_wait_limit(self, request: CallRequest) -> float | None:
+        """Returns how many seconds a request may wait and still meet its target.
+
+        None leaves it to the class or route of the request.
+        """
+
+    def note_first_event(
+        self, board: Blackboard, request: CallRequest, now: float
+    ) -> None:
+        """Takes note that the first event of a stream came."""
+
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Does the periodic work of the policy."""
 
--- a/sequoiamoor/policies/local.py
+++ b/sequoiamoor/policies/local.py
@@ -7,7 +7,7 @@
 from ..core.actions import Action
 from ..core.blackboard import Blackboard
 from ..core.messages import CounterRow, Grants, Report, SlotRow, Snapshot
-from ..types import RouterId, RouterIdentity
+from ..types import CallRequest, RouterId, RouterIdentity
 
 
 class LocalPolicy:
@@ -40,5 +40,14 @@
     def forget_except(self, board: Blackboard, routers: Collection[RouterId]) -> None:
         """Does nothing: no state of peers is kept."""
 
+    def find_wait_limit(self, request: CallRequest) -> float | None:
+        """Leaves the wait to the class or route of the request."""
+        return None
+
+    def note_first_event(
+        self, board: Blackboard, request: CallRequest, now: float
+    ) -> None:
+        """Does nothing: places do not depend on it."""
+
     def take_snapshot(self, board: Blackboard, snapshot: Snapshot) -> None:
         """Does nothing: each router decides alone."""
--- a/sequoiamoor/policies/reporting.py
+++ b/sequoiamoor/policies/reporting.py
@@ -9,7 +9,7 @@
 from ..core.blackboard import Blackboard
 from ..core.demand import Demand, DemandTable
 from ..core.messages import CounterRow, Snapshot
-from ..types import OrganisationName, ServiceName
+from ..types import CallRequest, OrganisationName, ServiceName
 from .fair import FairPolicy
 
 ROW_REFRESH = 1.0
@@ -71,6 +71,15 @@
     ) -> Mapping[OrganisationName, Demand]:
         return self._demands.sum(service, board.members.keys())
 
+    def find_wait_limit(self, request: CallRequest) -> float | None:
+        """Leaves the wait to the class or route of the request."""
+        return None
+
+    def note_first_event(
+        self, board: Blackboard, request: CallRequest, now: float
+    ) -> None:
+        """Does nothing: places do not depend on it."""
+
     def build_counters(self, board: Blackboard, now: float) -> tuple[CounterRow, ...]:
         """Returns this router's counters for a report."""
         keys = board.ledger.accounts()
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -11,6 +11,7 @@
 from ..core.blackboard import Blackboard
 from ..core.fairness import choose_organisation, may_use_slot
 from ..core.messages import Grants, Report, SlotRow
+from ..core.prefill import PromptReads
 from ..core.rendezvous import hash_pair
 from ..core.reports import EarlyBudget
 from ..core.routed import RoutedCall
@@ -42,6 +43,13 @@
 FAR_FREE_PART = 0.3
 """The same for a replica that the part does not prefer."""
 
+TARGET_PART = 0.95
+"""Part of the target within which the first event is to come; the rest is for the way
+to the caller."""
+
+LARGE_PROMPT_PART = 0.25
+"""Part of the target that other prompts ahead of a large one may take."""
+
 WARM_SECONDS = 8.0
 """Time for which a replica counts as one that has a part; later the part may have
 given way to others in its cache."""
@@ -54,10 +62,10 @@
 
 @dataclass(slots=True)
 class _PeerUse:
-    """Slots in use at one peer, as last reported."""
+    """Slots in use and prompts being read at one peer, as last reported."""
 
     identity: RouterIdentity
-    in_use: dict[ReplicaId, int]
+    rows: tuple[SlotRow, ...]
 
 
 class SharedLoadPolicy(ReportingPolicy):
@@ -70,7 +78,9 @@
     def __init__(self, *, rng: Random) -> None:
         super().__init__(rng=rng)
         self._peers: dict[RouterId, _PeerUse] = {}
-        self._peer_sums: dict[ReplicaId, int] = {}
+        self._peer_slots: dict[ReplicaId, int] = {}
+        self._peer_tokens: dict[ReplicaId, int] = {}
+        self._reads = PromptReads()
         self._told: dict[ReplicaId, int] = {}
         self._early_budget: EarlyBudget | None = None
         self._warm: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
@@ -80,16 +90,50 @@
     def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
         pool = self._pool(board, replica.service, now)
         window = pool.windows.get(replica.replica_id, 0)
-        return window - replica.in_use - self._peer_sums.get(replica.replica_id, 0)
+        return window - replica.in_use - self._peer_slots.get(replica.replica_id, 0)
 
     def _sum_peers(self, board: Blackboard) -> None:
-        sums: dict[ReplicaId, int] = {}
+        slots: dict[ReplicaId, int] = {}
+        tokens: dict[ReplicaId, int] = {}
         for router_id in board.members:
             peer = self._peers.get(router_id)
             if peer is not None and peer.identity == board.members[router_id]:
-                for replica_id, count in peer.in_use.items():
-                    sums[replica_id] = sums.get(replica_id, 0) + count
-        self._peer_sums = sums
+                for row in peer.rows:
+                    name = row.replica_id
+                    slots[name] = slots.get(name, 0) + row.in_use
+                    tokens[name] = tokens.get(name, 0) + row.prompt_tokens
+        self._peer_slots, self._peer_tokens = slots, tokens
+
+    def _tokens_ahead(self, replica_id: ReplicaId) -> int:
+        """Returns the tokens that the replica has still to read for all routers."""
+        return self._reads.tokens(replica_id) + self._peer_tokens.get(replica_id, 0)
+
+    def _may_read(
+        self, request: RoutedCall, replica_id: ReplicaId, tokens: int, now: float
+    ) -> bool:
+        """Returns whether the first event would come within the target.
+
+        A prompt that takes most of the target by itself starts when little is ahead.
+        """
+        assert request.route is not None
+        target = request.route.target
+        model = self._reads.model(request.service)
+        slack = target * TARGET_PART - model.predict(tokens)
+        if slack < LARGE_PROMPT_PART * target:
+            slack = LARGE_PROMPT_PART * target
+        else:
+            slack -= now - request.arrival
+        return model.per_token * self._tokens_ahead(replica_id) <= max(slack, 0.0)
+
+    def find_wait_limit(self, request: CallRequest) -> float | None:
+        """Returns how many seconds a request may wait and still meet its target."""
+        if not isinstance(request, RoutedCall) or not request.parts:
+            return None
+        assert request.route is not None
+        target = request.route.target
+        model = self._reads.model(request.service)
+        slack = target * TARGET_PART - model.predict(request.own_tokens)
+        return max(slack, LARGE_PROMPT_PART * target)
 
     def _allowed_gap(
         self, board: Blackboard, service: ServiceName, now: float
@@ -152,6 +196,7 @@
         part = _find_part(request)
         if part is None:
             return self._choose_replica(board, request, free)
+        assert isinstance(request, RoutedCall)
         pool = self._pool(board, request.service, now)
         by_id = {one.replica_id: (one, count) for one, count in free}
         ranked = sorted(
@@ -165,7 +210,11 @@
             if known is None:
                 continue
             replica, count = known
-            if index == 0 or self._is_warm(part, replica_id, now):
+            is_near = index == 0 or self._is_warm(part, replica_id, now)
+            tokens = request.own_tokens if is_near else request.prompt_tokens
+            if not self._may_read(request, replica_id, tokens, now):
+                continue
+            if is_near:
                 return replica
             is_far = index >= REPLICAS_PER_PART
             if waited < SPILL_SECONDS * min(index, REPLICAS_PER_PART):
@@ -201,8 +250,30 @@
         part = _find_part(request)
         if part is not None:
             self._note_warm(part, replica_id, now)
+        if isinstance(request, RoutedCall) and request.parts:
+            self._reads.start(
+                request.call_id,
+                request.service,
+                replica_id,
+                request.own_tokens,
+                ahead=self._tokens_ahead(replica_id),
+                now=now,
+            )
         self._request_report(board, now)
 
+    def note_first_event(
+        self, board: Blackboard, request: CallRequest, now: float
+    ) -> None:
+        """Takes note that the prompt of a request was read."""
+        self._reads.finish(request.call_id, now, is_answered=True)
+
+    def finish(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
+    ) -> list[Action]:
+        """Takes note that an attempt ended and its slot is free."""
+        self._reads.finish(request.call_id, now, is_answered=False)
+        return super().finish(board, request, replica_id, now)
+
     def _free_slot(
         self, board: Blackboard, service: ServiceName, replica_id: ReplicaId, now: float
     ) -> list[Action]:
@@ -234,7 +305,9 @@
         rows = []
         for replica in board.upstreams.replicas.values():
             if replica.in_use or self._told.get(replica.replica_id):
-                rows.append(SlotRow(replica.replica_id, 0, 0, 0, replica.in_use))
+                tokens = self._reads.tokens(replica.replica_id)
+                name = replica.replica_id
+                rows.append(SlotRow(name, 0, 0, 0, replica.in_use, tokens))
         self._told = {row.replica_id: row.in_use for row in rows}
         return tuple(rows)
 
@@ -247,9 +320,7 @@
         for row in report.counters:
             if row.waiting:
                 self._waited_at[row.service, row.organisation] = now
-        self._peers[origin.router_id] = _PeerUse(
-            origin, {row.replica_id: row.in_use for row in report.slots}
-        )
+        self._peers[origin.router_id] = _PeerUse(origin, report.slots)
         self._sum_peers(board)
         return []
 
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -11,17 +11,23 @@
 from sequoiamoor.core.messages import CounterRow, Report, SlotRow
 from sequoiamoor.core.rendezvous import hash_pair
 from sequoiamoor.core.routed import PromptPart, RoutedCall
+from sequoiamoor.core.routes import Route
 from sequoiamoor.core.upstreams import LoadReport, Replica
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.options import Options
 from sequoiamoor.policies.shared_load import SPILL_SECONDS, SharedLoadPolicy
-from sequoiamoor.types import Address, RouterIdentity
+from sequoiamoor.types import Address, RouteKind, RouterIdentity
 
 SLOTS = 20
 REPLICAS = [f"i-{number}" for number in range(6)]
 PEER = RouterIdentity("router-1", 1, "zone-b")
 
 
+ROUTE = Route(
+    "r", "h", "/", RouteKind.STREAM, True, True, 9.0, 0.4, 0.25, 2, (("talk", 1.0),)
+)
+
+
 class Fleet:
     """One router's decisions with replicas and a peer that reports."""
 
@@ -62,7 +68,7 @@
         self.numbers += 1
         call = RoutedCall(
             f"c-{self.numbers}", "q", organisation, "r", "talk", 0.0, 0.4, 0.4, b"",
-            parts=(PromptPart(part, 5_000), PromptPart(f"own-{self.numbers}", 900)),
+            route=ROUTE, parts=(PromptPart(part, 5_000), PromptPart(f"own-{self.numbers}", 900)),
         )  # fmt: skip
         self.board.queues.add(call)
         return call
