Leave long streams time to end, leave out grey replicas, end silent attempts

Cause: on Willow Bank streams of landowner-chat were cut at their 12 s: with 64 requests and prompts in between, a token takes 18 ms and more, and the longest tenth has 550 to 955 tokens. Replicas that fail part of their requests kept getting them, and a silent replica held a resumable stream until its caller left. Change: the window of a replica shrinks while the observed time per event is longer than long streams allow; a replica that fails much more often than the others is left out for 2 s, a third of a service at most; attempts that may be repeated end after a silence.

--- a/sequoiamoor/core/routed.py
+++ b/sequoiamoor/core/routed.py
@@ -33,6 +33,8 @@
         sent_attempts: Attempts of which a byte was sent.
         unsent_attempts: Attempts that sent nothing.
         events: Events of a stream that were passed on.
+        first_event_at: Monotonic time of the first event of the last attempt.
+        last_event_at: Monotonic time of the last event.
         may_have_run: Whether an attempt was sent whose replica did not state that it
             did not run the request.
     """
@@ -48,6 +50,8 @@
     sent_attempts: int = 0
     unsent_attempts: int = 0
     events: int = 0
+    first_event_at: float = 0.0
+    last_event_at: float = 0.0
     may_have_run: bool = False
 
     @property
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -8,6 +8,21 @@
 from ..options import Options
 from ..types import Address, ReplicaId, ServiceName, ZoneName
 
+OUTCOME_WEIGHT = 0.08
+"""Weight of the newest attempt in the failure rate of a replica."""
+
+LEAST_OUTCOMES = 10
+"""Attempts after which the failure rate tells something."""
+
+EJECTION_MARGIN = 0.3
+"""Difference to the mean rate of the other replicas that has a replica ejected."""
+
+EJECTION_SECONDS = 2.0
+"""Time for which an ejected replica gets nothing; then it is tried like any other."""
+
+EJECTED_PART = 0.34
+"""Largest part of a service's replicas that may be ejected at once."""
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
@@ -60,6 +75,9 @@
         is_probed: Whether an attempt was started at the replica while it was down.
         probe_at: Monotonic time from which a replica that is down may be tried.
         seen: Load that it stated with the last answer to this router.
+        failure_rate: Moving average of the attempts that failed at the replica.
+        outcomes: Attempts that the average is made of.
+        ejected_until: Monotonic time until which it gets nothing because many failed.
     """
 
     replica_id: ReplicaId
@@ -77,10 +95,17 @@
     is_probed: bool = False
     probe_at: float = float("-inf")
     seen: SeenLoad | None = None
+    failure_rate: float = 0.0
+    outcomes: int = 0
+    ejected_until: float = float("-inf")
 
     def is_available(self, now: float) -> bool:
         """Returns whether new work may be started at the replica."""
-        return not self.is_leaving and (self.failures == 0 or now >= self.probe_at)
+        return (
+            not self.is_leaving
+            and now >= self.ejected_until
+            and (self.failures == 0 or now >= self.probe_at)
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,6 +280,33 @@
             if now is not None:
                 replica.heard_at = max(replica.heard_at, now)
 
+    def record_outcome(self, replica: Replica, now: float, *, is_failure: bool) -> bool:
+        """Takes note of how an attempt ended that reached the replica.
+
+        A replica that fails much more often than the others of its service gets
+        nothing for a while, unless too many of them are out already.
+
+        Returns:
+            Whether the replica was ejected.
+        """
+        weight = max(OUTCOME_WEIGHT, 1.0 / (replica.outcomes + 1))
+        replica.outcomes += 1
+        replica.failure_rate += weight * (is_failure - replica.failure_rate)
+        if not is_failure or replica.outcomes < LEAST_OUTCOMES:
+            return False
+        pool = self.by_service(replica.service)
+        others = [one.failure_rate for one in pool if one is not replica]
+        usual = sum(others) / len(others) if others else 1.0
+        out = sum(one.ejected_until > now for one in pool)
+        if (
+            replica.failure_rate < usual + EJECTION_MARGIN
+            or out + 1 > len(pool) * EJECTED_PART
+        ):
+            return False
+        replica.ejected_until = now + EJECTION_SECONDS
+        replica.outcomes, replica.failure_rate = 0, 0.0
+        return True
+
     def record_failure(self, replica_id: ReplicaId, now: float) -> None:
         """Notes a failed connection and sets the time of the next probe."""
         replica = self.replicas.get(replica_id)
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -57,6 +57,16 @@
 ANSWER_MARGIN_SECONDS = 0.02
 """Time before the end of a request's time at which it is ended."""
 
+QUICK_RETURN_SECONDS = 0.1
+"""Time after which another router may reach a replica that this one does not."""
+
+RETURN_TARGETS = 4.0
+"""Time after which a refused caller may come back, in targets of its route. Those who
+come back at once meet the load that they were refused for."""
+
+RETURN_JITTER = 0.5
+"""Part by which that time is drawn shorter or longer, so that callers spread out."""
+
 GENERATED_TOKEN_UNITS = 2.0
 """Service units of a generated token; a prompt token that is read counts as one."""
 
@@ -241,7 +251,11 @@
             wait = self._dispatcher.find_wait_limit(call)
             if wait is not None:
                 call.wait_limit_at = min(now + wait, call.ends_at)
-            self._dispatcher.accept(call)
+            try:
+                self._dispatcher.accept(call)
+            except RefusalError as error:
+                self._set_return(call, error)
+                raise
         except RefusalError as error:
             await self.refuse(connection, error, request_id)
             return
@@ -348,11 +362,20 @@
             error = UpstreamFailedError(str(error))
         if error.execution is Execution.WAS_NOT_RUN and error.status in (502, 504):
             error = WaitLimitError(str(error), retry_after=error.retry_after)
-        if error.execution is Execution.WAS_NOT_RUN and error.retry_after is None:
-            error.retry_after = 0.1
+        if error.execution is Execution.WAS_NOT_RUN:
+            self._set_return(call, error)
         _LOG.info("failed", extra=_describe(call, reason=str(error)))
         await self.refuse(connection, error, call.request_id)
 
+    def _set_return(self, call: RoutedCall, error: RefusalError) -> None:
+        """Tells a refused caller when there may be room for it."""
+        assert call.route is not None
+        if isinstance(error, UpstreamRefusedError | UpstreamUnreachableError):
+            error.retry_after = QUICK_RETURN_SECONDS
+        elif call.route.kind is RouteKind.STREAM:
+            spread = self._rng.uniform(1 - RETURN_JITTER, 1 + RETURN_JITTER)
+            error.retry_after = RETURN_TARGETS * call.route.target * spread
+
     async def _run(self, call: RoutedCall, caller: _Caller) -> None:
         order = EventOrder()
         failed: WholeAnswer | None = None
@@ -424,12 +447,14 @@
             units = event_units * events.count
             if is_first:
                 is_first = False
+                call.first_event_at = time.monotonic()
                 self._dispatcher.note_first_event(call)
                 if not call.charged:
                     units += call.prompt_tokens
             self._board.ledger.charge(call.service, call.organisation, units)
             call.charged += units
             call.events += events.count
+            call.last_event_at = time.monotonic()
             await caller.send_events(head, events.data)
 
         def note_load(load: ReplicaLoad) -> None:
@@ -472,6 +497,10 @@
             call.may_have_run = True
         upstreams = self._board.upstreams
         now = time.monotonic()
+        is_failure = answer.is_failure if answer is not None else error is not None
+        is_own = not isinstance(error, UpstreamRefusedError | UpstreamUnreachableError)
+        if is_own and upstreams.record_outcome(replica, now, is_failure=is_failure):
+            _LOG.warning("upstream ejected", extra={"upstream": replica.replica_id})
         if error is None:
             upstreams.record_success(replica.replica_id, now)
             if answer is None or not answer.is_failure:
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -36,6 +36,7 @@
 # Part of the idle time of a replica for which a connection is used again; what is
 # sent later may cross the replica's close.
 IDLE_PART = 0.7
+CHECK_SECONDS = 0.25
 
 
 class Sink(Protocol):
@@ -120,6 +121,7 @@
             return
         self._used.discard(connection)
         connection.start_next_cycle()
+        connection.silence_limit = None
         entry = (time.monotonic(), connection)
         self._idle.setdefault(connection.address, deque()).append(entry)
         self._idle_count += 1
@@ -133,7 +135,8 @@
         """Ends receives that wait too long and closes old idle connections."""
         for connection in self._used:
             since = connection.waits_since
-            if since is not None and now - since >= self._options.upstream_idle_timeout:
+            limit = connection.silence_limit or self._options.upstream_idle_timeout
+            if since is not None and now - since >= limit:
                 connection.abort()
         limit = now - self._options.pool_idle_time
         for address, idle in list(self._idle.items()):
@@ -145,7 +148,7 @@
 
     async def watch(self) -> None:
         """Checks the connections periodically until cancelled."""
-        interval = min(1.0, self._options.upstream_idle_timeout / 8)
+        interval = min(CHECK_SECONDS, self._options.upstream_idle_timeout / 8)
         while True:
             await curio.sleep(interval)
             await self.check(time.monotonic())
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -33,6 +33,12 @@
 END_WAIT_SECONDS = 0.25
 # Answers for other requests that may come before the own one.
 FOREIGN_ANSWERS_LIMIT = 2
+# A stream that may go on elsewhere is late after one pause; callers leave after eight
+# pauses or two seconds.
+PAUSES_LIMIT = 4.0
+# An answer that takes this many targets is late; another replica may still give one.
+TARGETS_LIMIT = 4.0
+LEAST_SILENCE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +146,11 @@
             remaining=remaining,
             last_event=last_event,
         )
+        route = self._call.route
+        if route is not None and route.is_repeatable:
+            connection.silence_limit = max(
+                TARGETS_LIMIT * route.target, LEAST_SILENCE_SECONDS
+            )
         before = connection.bytes_sent
         target = self._call.target.decode("latin-1")
         try:
@@ -243,6 +254,11 @@
     ) -> None:
         connection = self._connection
         assert connection is not None
+        route = self._call.route
+        if route is not None and route.is_resumable:
+            connection.silence_limit = max(
+                PAUSES_LIMIT * route.pause, LEAST_SILENCE_SECONDS
+            )
         head = StreamHead(response.status, self._wire.select_answer_fields(response))
         order.start_attempt()
         while (data := await connection.receive_data()) is not None:
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -36,6 +36,8 @@
         waits_since: Monotonic time since which a receive waits, else None.
         is_aborted: Whether this side ended the connection during an exchange.
         idle_limit: Seconds after which the peer may close the idle connection.
+        silence_limit: Seconds without a byte after which the exchange has failed, None
+            for the limit of the pool.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self._decoder: ChunkDecoder | None = None
         self._sending: Any = None
         self.idle_limit = float("inf")
+        self.silence_limit: float | None = None
         self.address = address
         self.bytes_sent = 0
         self.bytes_received = 0
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -11,6 +11,7 @@
 from ..core.blackboard import Blackboard
 from ..core.fairness import choose_organisation, may_use_slot
 from ..core.messages import Grants, Report, SlotRow
+from ..core.pace import StreamPace
 from ..core.prefill import PromptReads
 from ..core.rendezvous import hash_pair
 from ..core.reports import EarlyBudget
@@ -50,6 +51,12 @@
 LARGE_PROMPT_PART = 0.25
 """Part of the target that other prompts ahead of a large one may take."""
 
+CUT_STREAM_FACTOR = 1.5
+"""Length that is assumed of a stream that was cut at its time, in events made."""
+
+PACE_SECONDS = 1.0
+"""Time between two looks at the pace of streams."""
+
 WARM_SECONDS = 8.0
 """Time for which a replica counts as one that has a part; later the part may have
 given way to others in its cache."""
@@ -81,6 +88,8 @@
         self._peer_slots: dict[ReplicaId, int] = {}
         self._peer_tokens: dict[ReplicaId, int] = {}
         self._reads = PromptReads()
+        self._pace = StreamPace()
+        self._paced_at = float("-inf")
         self._told: dict[ReplicaId, int] = {}
         self._early_budget: EarlyBudget | None = None
         self._warm: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
@@ -90,6 +99,7 @@
     def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
         pool = self._pool(board, replica.service, now)
         window = pool.windows.get(replica.replica_id, 0)
+        window = int(window * self._pace.factor(replica.service, replica.replica_id))
         return window - replica.in_use - self._peer_slots.get(replica.replica_id, 0)
 
     def _sum_peers(self, board: Blackboard) -> None:
@@ -272,6 +282,8 @@
     ) -> list[Action]:
         """Takes note that an attempt ended and its slot is free."""
         self._reads.finish(request.call_id, now, is_answered=False)
+        if isinstance(request, RoutedCall) and request.events:
+            self._note_pace(board, request, replica_id, now)
         return super().finish(board, request, replica_id, now)
 
     def _free_slot(
@@ -280,6 +292,29 @@
         self._request_report(board, now)
         return []
 
+    def _note_pace(
+        self,
+        board: Blackboard,
+        request: RoutedCall,
+        replica_id: ReplicaId,
+        now: float,
+    ) -> None:
+        assert request.route is not None
+        events = request.events
+        if now >= request.ends_at:
+            events = round(events * CUT_STREAM_FACTOR)
+        declaration = board.configuration.declaration
+        service = declaration and declaration.services.get(request.service)
+        event_tokens = service.event_tokens if service else 1
+        self._pace.note_end(
+            request.service,
+            replica_id,
+            request.route,
+            events=request.events,
+            length=max(events, request.output_tokens // event_tokens),
+            seconds=request.last_event_at - request.first_event_at,
+        )
+
     # Reports.
 
     def _request_report(self, board: Blackboard, now: float) -> None:
@@ -295,6 +330,9 @@
         actions = super().step(board, now)
         board.ledger.note_live({board.identity, *board.members.values()})
         self._sum_peers(board)
+        if now - self._paced_at >= PACE_SECONDS:
+            self._paced_at = now
+            self._pace.refresh()
         return actions
 
     def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
--- /dev/null
+++ b/tests/core/test_pace.py
@@ -0,0 +1,52 @@
+"""Tests of the slots that leave long streams time to end."""
+
+from __future__ import annotations
+
+import pytest
+
+from sequoiamoor.core.pace import LEAST_FACTOR, StreamPace
+from sequoiamoor.core.routes import Route
+from sequoiamoor.types import RouteKind
+
+ROUTE = Route(
+    "r", "h", "/", RouteKind.STREAM, True, True, 12.0, 0.4, 0.25, 2, (("talk", 1.0),)
+)
+
+
+def build_pace(interval: float, *, streams: int = 100, events: int = 100) -> StreamPace:
+    pace = StreamPace()
+    for _ in range(streams):
+        pace.note_end(
+            "talk",
+            "i-1",
+            ROUTE,
+            events=events,
+            length=events,
+            seconds=interval * (events - 1),
+        )
+    pace.refresh()
+    return pace
+
+
+@pytest.mark.parametrize(
+    ("interval", "streams", "events", "expected"),
+    [
+        (0.1, 100, 100, 1.0),
+        (0.2, 100, 100, LEAST_FACTOR),
+        (0.14, 100, 100, (11.6 / 100 / 0.14) ** 2),
+        (0.2, 100, 50, 1.0),
+        (0.2, 10, 100, 1.0),
+        (0.2, 100, 5, 1.0),
+    ],
+)
+def test_slots_shrink_only_when_long_streams_would_be_cut(
+    interval: float, streams: int, events: int, expected: float
+) -> None:
+    """Load: all slots busy. Guards against long answers that are cut at their time."""
+    pace = build_pace(interval, streams=streams, events=events)
+    assert pace.factor("talk", "i-1") == pytest.approx(expected)
+
+
+def test_replica_without_streams_keeps_its_slots() -> None:
+    """Guards against a new replica that is held back for the pace of others."""
+    assert build_pace(0.3).factor("talk", "i-2") == 1.0
--- a/tests/core/test_upstreams.py
+++ b/tests/core/test_upstreams.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
-from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Upstreams
+from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica, Upstreams
 from sequoiamoor.options import Options
 from sequoiamoor.types import Address
 
@@ -151,3 +153,40 @@
     assert not upstreams.take_state("talk-0", incarnation, is_leaving=True)
     assert names(upstreams, 1.0) == ["talk-1"]
     assert not upstreams.take_state("unknown", incarnation, is_leaving=True)
+
+
+def build_pool(count: int) -> Upstreams:
+    upstreams = Upstreams(Options.model_validate({}))
+    for number in range(count):
+        name = f"i-{number}"
+        upstreams.replicas[name] = Replica(
+            name, "talk", "zone-a", Address("10.0.0.1", 8_000 + number)
+        )
+    return upstreams
+
+
+@pytest.mark.parametrize(
+    ("failures", "ejected"),
+    [
+        ([0.6, 0.0, 0.0, 0.0], 1),
+        ([0.14, 0.14, 0.14, 0.14], 0),
+        ([0.6, 0.6, 0.6, 0.6], 0),
+        ([1.0, 1.0, 0.0, 0.0], 1),
+        ([1.0], 0),
+    ],
+)
+def test_replica_that_fails_more_than_the_others_is_left_out(
+    failures: list[float], ejected: int
+) -> None:
+    """Guards against grey replicas, and against a service without any."""
+    upstreams = build_pool(len(failures))
+    rng = Random(4)
+    for step in range(60):
+        for replica, rate in zip(upstreams.replicas.values(), failures, strict=True):
+            if replica.is_available(step / 100):
+                upstreams.record_outcome(
+                    replica, step / 100, is_failure=rng.random() < rate
+                )
+    out = [one for one in upstreams.replicas.values() if not one.is_available(0.6)]
+    assert len(out) == ejected
+    assert all(one.is_available(10.0) for one in upstreams.replicas.values())
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -68,7 +68,8 @@
         self.numbers += 1
         call = RoutedCall(
             f"c-{self.numbers}", "q", organisation, "r", "talk", 0.0, 0.4, 0.4, b"",
-            route=ROUTE, parts=(PromptPart(part, 5_000), PromptPart(f"own-{self.numbers}", 900)),
+            route=ROUTE,
+            parts=(PromptPart(part, 5_000), PromptPart(f"own-{self.numbers}", 900)),
         )  # fmt: skip
         self.board.queues.add(call)
         return call
