Share windows, show demand, compare organisations by recent tokens

Floors and caps in slots put the flood of short requests first; the router of the other one refused nearly all on arrival, so that the others saw no demand of it; each router had its own window of a replica. Change: no floor or cap in slots on the platform, tokens of the last 2 s instead of all since the start, up to eight requests of an organisation wait whatever the expected wait, the window is the mean over the routers, more early reports.

--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -151,6 +151,42 @@
     return name in low or known[name].key <= min(known[one].key for one in names) + gap
 
 
+@dataclass(slots=True)
+class _Recent:
+    total: float
+    units: float = 0.0
+
+
+class RecentService:
+    """Work done lately, per service and organisation; older work fades out.
+
+    An organisation that used what others left owes them nothing later.
+    """
+
+    def __init__(self, fade_time: float) -> None:
+        self._fade_time = fade_time
+        self._known: dict[tuple[ServiceName, OrganisationName], _Recent] = {}
+        self._updated_at = float("-inf")
+
+    def update(
+        self, totals: Mapping[tuple[ServiceName, OrganisationName], float], now: float
+    ) -> None:
+        """Takes the work done so far; it only grows."""
+        fade = math.exp(-max(now - self._updated_at, 0.0) / self._fade_time)
+        self._updated_at = now
+        for key, total in totals.items():
+            known = self._known.setdefault(key, _Recent(total))
+            known.units = known.units * fade + max(total - known.total, 0.0)
+            known.total = total
+
+    def units(
+        self, service: ServiceName, organisation: OrganisationName, total: float
+    ) -> float:
+        """Returns the recent work of an organisation with the given total."""
+        known = self._known.get((service, organisation))
+        return 0.0 if known is None else known.units + max(total - known.total, 0.0)
+
+
 class CostEstimates:
     """Moving average of the cost of a request per organisation."""
 
--- a/sequoiamoor/core/freshness.py
+++ b/sequoiamoor/core/freshness.py
@@ -50,6 +50,11 @@
         """Seconds since the configuration was last known to be the newest."""
         return self._read_time() - self._confirmed_at
 
+    @property
+    def age_ms(self) -> int | None:
+        """The age in whole milliseconds for logs, None before any confirmation."""
+        return None if self.age == float("inf") else round(self.age * 1000)
+
     def is_fresh(self) -> bool:
         """Returns whether keys may be accepted."""
         return self.limit is None or self.age < self.limit
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -63,6 +63,8 @@
         in_use: Slots in use now.
         prompt_tokens: Tokens of prompts that the replica has still to read for the
             router.
+        window: Requests that the router would have the replica run at once; 0 if it
+            does not say.
     """
 
     replica_id: ReplicaId
@@ -71,6 +73,7 @@
     released: int
     in_use: int
     prompt_tokens: int = 0
+    window: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sequoiamoor/core/overload.py
+++ b/sequoiamoor/core/overload.py
@@ -50,9 +50,16 @@
 
 @dataclass(slots=True)
 class Overload:
-    """Expected waits of the organisations at this router."""
+    """Expected waits of the organisations at this router.
+
+    Attributes:
+        always_queued: Requests of an organisation that may wait whatever the expected
+            wait is. Others leave slots only to work that they see waiting, so a router
+            that refuses all on arrival would never get any.
+    """
 
     options: Options
+    always_queued: int = 0
     rates: dict[tuple[ServiceName, OrganisationName], StartRate] = field(
         default_factory=dict
     )
@@ -86,6 +93,8 @@
             TargetUnreachableError: If the expected wait is over the limit.
         """
         expected = self.estimate_wait(call, waiting, now)
+        if waiting < self.always_queued:
+            return
         limit = call.wait_limit_at - now
         if expected > limit:
             raise TargetUnreachableError(
--- a/sequoiamoor/core/pace.py
+++ b/sequoiamoor/core/pace.py
@@ -9,7 +9,7 @@
 from .routes import Route
 
 LENGTHS_KEPT = 400
-LONG_QUANTILE = 0.98
+LONG_QUANTILE = 0.99
 """Part of the streams that are to end within their time."""
 
 LEAST_LENGTHS = 40
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -39,11 +39,12 @@
         policy: Policy,
         *,
         perform: Callable[[Iterable[Action]], None] = lambda _: None,
+        always_queued: int = 0,
     ) -> None:
         self._board = board
         self._policy = policy
         self._perform = perform
-        self._overload = Overload(board.options)
+        self._overload = Overload(board.options, always_queued)
         self._pending: dict[str, _PendingStart] = {}
 
     @property
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -280,6 +280,7 @@
                 "detail": str(error),
                 "status": error.status,
                 "version": self._board.configuration.version,
+                "key_age_ms": self._freshness.age_ms,
             },
         )
         if not connection.can_refuse:
@@ -364,7 +365,9 @@
             error = WaitLimitError(str(error), retry_after=error.retry_after)
         if error.execution is Execution.WAS_NOT_RUN:
             self._set_return(call, error)
-        _LOG.info("failed", extra=_describe(call, reason=str(error)))
+        extra = _describe(call, reason=str(error))
+        extra["waited_ms"] = round((time.monotonic() - call.arrival) * 1000)
+        _LOG.info("failed", extra=extra)
         await self.refuse(connection, error, call.request_id)
 
     def _set_return(self, call: RoutedCall, error: RefusalError) -> None:
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -47,6 +47,18 @@
 DRAIN_PART = 0.92
 """Part of the grace period after which requests in service are given up."""
 
+NO_SLOT_CAP = 1_000.0
+"""Shares on the platform are counted in tokens. A floor or a cap in slots would put an
+organisation with many short requests before one with few long ones."""
+
+ALWAYS_QUEUED = 8
+"""Waiting requests of an organisation that show its demand to the other routers. They
+are refused after their wait limit, which is a part of their target."""
+
+EARLY_MESSAGES_PER_SECOND = 70.0
+"""Reports to one peer each that may precede the interval. A slot that is left to
+another router stays idle until that router hears of it."""
+
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Time for a connection to a replica; a lost opening packet is sent again later."""
 
@@ -62,7 +74,12 @@
         self._directory = Directory(self.board.upstreams)
         self._forwarder = Forwarder(
             self.board,
-            Dispatcher(self.board, self._policy, perform=self._control.perform),
+            Dispatcher(
+                self.board,
+                self._policy,
+                perform=self._control.perform,
+                always_queued=ALWAYS_QUEUED,
+            ),
             self.metrics,
             callers=callers,
             upstreams=replicas,
@@ -201,6 +218,9 @@
             "drain_announce_time": TAKING_SECONDS + TAKING_MARGIN_SECONDS,
             "drain_cut_time": TAKING_MARGIN_SECONDS,
             "connect_timeout": CONNECT_TIMEOUT_SECONDS,
+            "slot_cap_factor": NO_SLOT_CAP,
+            "slot_floor_factor": 0.0,
+            "early_message_rate": EARLY_MESSAGES_PER_SECOND,
         }
     )
     return settings.model_copy(update={"options": options})
--- a/sequoiamoor/net/decoder.py
+++ b/sequoiamoor/net/decoder.py
@@ -219,8 +219,8 @@
             if isinstance(fields, list) and len(fields) == 1:
                 self._slots.pop(self._name(fields[0]), None)
                 continue
-            replica, in_use, released, epoch, base, prompt_tokens = pad_row(
-                fields, 2, (0, 0, 0, 0)
+            replica, in_use, released, epoch, base, prompt_tokens, window = pad_row(
+                fields, 2, (0, 0, 0, 0, 0)
             )
             replica_id = self._name(replica)
             old = self._slots.get(replica_id)
@@ -231,6 +231,7 @@
                 read_count((old.released if old else 0) + read_integer(released)),
                 read_count(in_use),
                 read_count(prompt_tokens),
+                read_count(window),
             )
         self._slot_rows = tuple(self._slots.values())
 
--- a/sequoiamoor/net/encoder.py
+++ b/sequoiamoor/net/encoder.py
@@ -218,6 +218,7 @@
                     row.epoch - (old.epoch if old else 0),
                     row.base - (old.base if old else 0),
                     row.prompt_tokens,
+                    row.window,
                 ]
             )
             _trim(rows[-1], 2)
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -14,8 +14,8 @@
 Report               sequence, version, leaving, counters, slots
 - counters           rows: service, organisation, served, waiting, running,
                      deadline + 1 or nil, lift
-- slots              rows: replica, in use, released, epoch, base, prompt tokens; a
-                     row with the replica alone removes it
+- slots              rows: replica, in use, released, epoch, base, prompt tokens,
+                     window; a row with the replica alone removes it
 Grants               rows: replica, epoch, granted, recalled; acknowledged report,
                      incarnation of the receiver
 Snapshot             in parts: whether it is the last one, router id, incarnation,
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -9,7 +9,12 @@
 
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
-from ..core.fairness import choose_organisation, may_use_slot
+from ..core.fairness import (
+    RecentService,
+    ServiceView,
+    choose_organisation,
+    may_use_slot,
+)
 from ..core.messages import Grants, Report, SlotRow
 from ..core.pace import StreamPace
 from ..core.prefill import PromptReads
@@ -51,9 +56,12 @@
 LARGE_PROMPT_PART = 0.25
 """Part of the target that other prompts ahead of a large one may take."""
 
-CUT_STREAM_FACTOR = 1.5
+CUT_STREAM_FACTOR = 2.0
 """Length that is assumed of a stream that was cut at its time, in events made."""
 
+SHARE_SECONDS = 2.0
+"""Time over which work counts for the shares; shares are owed every few seconds."""
+
 PACE_SECONDS = 1.0
 """Time between two looks at the pace of streams."""
 
@@ -87,6 +95,8 @@
         self._peers: dict[RouterId, _PeerUse] = {}
         self._peer_slots: dict[ReplicaId, int] = {}
         self._peer_tokens: dict[ReplicaId, int] = {}
+        self._peer_windows: dict[ReplicaId, list[int]] = {}
+        self._recent = RecentService(SHARE_SECONDS)
         self._reads = PromptReads()
         self._pace = StreamPace()
         self._paced_at = float("-inf")
@@ -97,14 +107,31 @@
     # Slots.
 
     def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
+        window = self._agreed_window(board, replica, now)
+        return window - replica.in_use - self._peer_slots.get(replica.replica_id, 0)
+
+    def _own_window(self, board: Blackboard, replica: Replica, now: float) -> int:
+        """Returns how many requests the replica should run, as seen by this router."""
         pool = self._pool(board, replica.service, now)
         window = pool.windows.get(replica.replica_id, 0)
-        window = int(window * self._pace.factor(replica.service, replica.replica_id))
-        return window - replica.in_use - self._peer_slots.get(replica.replica_id, 0)
+        return int(window * self._pace.factor(replica.service, replica.replica_id))
+
+    def _agreed_window(self, board: Blackboard, replica: Replica, now: float) -> int:
+        """Returns the mean of what the routers take for the replica's window.
+
+        A router with a smaller window than the others would see no free slot while
+        they use it.
+        """
+        own = self._own_window(board, replica, now)
+        told = self._peer_windows.get(replica.replica_id)
+        if not own or not told:
+            return own
+        return round((own + sum(told)) / (1 + len(told)))
 
     def _sum_peers(self, board: Blackboard) -> None:
         slots: dict[ReplicaId, int] = {}
         tokens: dict[ReplicaId, int] = {}
+        windows: dict[ReplicaId, list[int]] = {}
         for router_id in board.members:
             peer = self._peers.get(router_id)
             if peer is not None and peer.identity == board.members[router_id]:
@@ -112,7 +139,10 @@
                     name = row.replica_id
                     slots[name] = slots.get(name, 0) + row.in_use
                     tokens[name] = tokens.get(name, 0) + row.prompt_tokens
+                    if row.window:
+                        windows.setdefault(name, []).append(row.window)
         self._peer_slots, self._peer_tokens = slots, tokens
+        self._peer_windows = windows
 
     def _tokens_ahead(self, replica_id: ReplicaId) -> int:
         """Returns the tokens that the replica has still to read for all routers."""
@@ -161,6 +191,26 @@
             rate = 1000.0 * self._pool(board, service, now).slots
         return board.options.allowed_gap_seconds * rate
 
+    def _build_view(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> ServiceView:
+        view = super()._build_view(board, service, now)
+        for name, organisation in view.organisations.items():
+            total = board.ledger.total(service, name)
+            done = total - board.ledger.lift(service, name)
+            organisation.key += self._recent.units(service, name, done) - total
+        return view
+
+    def _update_recent(self, board: Blackboard, now: float) -> None:
+        ledger = board.ledger
+        keys = ledger.accounts()
+        for service in board.upstreams.services():
+            names = self._demands.sum(service, board.members.keys())
+            keys |= {(service, name) for name in names}
+        self._recent.update(
+            {key: ledger.total(*key) - ledger.lift(*key) for key in keys}, now
+        )
+
     # Starts.
 
     def choose_start(
@@ -230,7 +280,7 @@
             if waited < SPILL_SECONDS * min(index, REPLICAS_PER_PART):
                 continue
             least = FAR_FREE_PART if is_far else SPILL_FREE_PART
-            if count > least * pool.windows[replica_id]:
+            if count > least * self._agreed_window(board, replica, now):
                 return replica
         return None
 
@@ -330,6 +380,7 @@
         actions = super().step(board, now)
         board.ledger.note_live({board.identity, *board.members.values()})
         self._sum_peers(board)
+        self._update_recent(board, now)
         if now - self._paced_at >= PACE_SECONDS:
             self._paced_at = now
             self._pace.refresh()
@@ -345,7 +396,8 @@
             if replica.in_use or self._told.get(replica.replica_id):
                 tokens = self._reads.tokens(replica.replica_id)
                 name = replica.replica_id
-                rows.append(SlotRow(name, 0, 0, 0, replica.in_use, tokens))
+                window = self._own_window(board, replica, now)
+                rows.append(SlotRow(name, 0, 0, 0, replica.in_use, tokens, window))
         self._told = {row.replica_id: row.in_use for row in rows}
         return tuple(rows)
 
--- a/tests/core/test_overload.py
+++ b/tests/core/test_overload.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from sequoiamoor import Options
 from sequoiamoor.core.overload import Overload
 from sequoiamoor.errors import TargetUnreachableError
@@ -91,3 +93,24 @@
     error = queue.overload.build_wait_limit_error(call, len(queue.waiting), 10.0)
     assert error.execution is Execution.WAS_NOT_RUN
     assert error.retry_after is not None and error.retry_after > 30
+
+
+@pytest.mark.parametrize(("waiting", "is_refused"), [(0, False), (7, False), (8, True)])
+def test_some_requests_wait_so_that_their_demand_is_seen(
+    waiting: int, is_refused: bool
+) -> None:
+    """Load: two floods at two routers.
+
+    Guards against a router that refuses all on arrival after a second without a slot,
+    and so shows the others no demand and never gets one.
+    """
+    overload = Overload(Options.model_validate({}), always_queued=8)
+    call = CallRequest("c", "q", "o", "chat", "talk", 2.0, 2.4, 2.3, b"")
+    overload.note_waiting(call, 1, 0.0)
+    overload.note_waiting(call, 1, 2.0)
+    refused = False
+    try:
+        overload.check_arrival(call, waiting, 2.0)
+    except TargetUnreachableError:
+        refused = True
+    assert refused is is_refused
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -31,9 +31,13 @@
 class Fleet:
     """One router's decisions with replicas and a peer that reports."""
 
-    def __init__(self, *, replicas: int = 6) -> None:
+    def __init__(
+        self, *, replicas: int = 6, options: dict[str, Any] | None = None
+    ) -> None:
         identity = RouterIdentity("router-0", 1, "zone-a")
-        self.board: Blackboard = create_blackboard(identity, Options.model_validate({}))
+        self.board: Blackboard = create_blackboard(
+            identity, Options.model_validate(options or {})
+        )
         self.board.configuration.declaration = parse_declaration(
             {
                 "organisations": {},
@@ -54,13 +58,17 @@
         self.numbers = 0
         self.policy.step(self.board, 0.0)
 
-    def report(self, in_use: dict[str, int], **waiting: int) -> None:
+    def report(
+        self, in_use: dict[str, int], *, window: int = 0, **waiting: int
+    ) -> None:
         self.sequence += 1
         counters = tuple(
             CounterRow("talk", name, 0, 0, count, 0, 400)
             for name, count in waiting.items()
         )
-        slots = tuple(SlotRow(one, 0, 0, 0, count) for one, count in in_use.items())
+        slots = tuple(
+            SlotRow(one, 0, 0, 0, count, 0, window) for one, count in in_use.items()
+        )
         message = Report(self.sequence, 1, False, counters, slots)
         self.policy.take_report(self.board, PEER, message, 0.0)
 
@@ -74,6 +82,12 @@
         self.board.queues.add(call)
         return call
 
+    def charge(self, organisation: str, units: float) -> None:
+        """Charges work done since the router knows the organisation."""
+        self.board.ledger.charge("talk", organisation, 0.0)
+        self.policy.step(self.board, 0.0)
+        self.board.ledger.charge("talk", organisation, units)
+
     def start(self, now: float = 0.0) -> str | None:
         start = self.policy.choose_start(self.board, "talk", now)
         if start is None:
@@ -165,7 +179,7 @@
     The slots must not stay idle when nobody else waits.
     """
     fleet = Fleet(replicas=1)
-    fleet.board.ledger.charge("talk", "flood", 500_000.0)
+    fleet.charge("flood", 500_000.0)
     for _ in range(12):
         fleet.add(organisation="flood")
         assert fleet.start() == REPLICAS[0]
@@ -193,3 +207,59 @@
     fleet.board.upstreams.replicas[REPLICAS[0]].in_use = 0
     assert [row.in_use for row in fleet.policy.build_slots(fleet.board, 0.1)] == [0]
     assert fleet.policy.build_slots(fleet.board, 0.2) == ()
+
+
+def test_shares_are_counted_in_tokens_and_not_in_slots() -> None:
+    """Load: two floods, one of short and one of long requests.
+
+    Guards against a flood of short requests that always goes first, because it holds
+    few slots, and takes three times the tokens of the other.
+    """
+    fleet = Fleet(replicas=1, options={"slot_floor_factor": 0, "slot_cap_factor": 1000})
+    fleet.charge("short", 500_000.0)
+    for _ in range(8):
+        fleet.add(organisation="long")
+        assert fleet.start() == REPLICAS[0]
+    fleet.report({}, long=20)
+    fleet.add(organisation="short")
+    for _ in range(40):
+        fleet.add(organisation="long")
+    fleet.policy.step(fleet.board, 1.0)
+    started = [fleet.start(0.0) for _ in range(SLOTS - 8)]
+    assert started == [REPLICAS[0]] * (SLOTS - 8)
+    assert fleet.board.queues.count("talk", "short") == 1
+
+
+def test_organisation_that_used_idle_slots_is_not_held_back_later() -> None:
+    """Load: a flood alone, then a second one.
+
+    Guards against a flood that gets nothing until the other one has caught up with all
+    that it took while nobody else asked.
+    """
+    fleet = Fleet(replicas=1, options={"slot_floor_factor": 0, "slot_cap_factor": 1000})
+    fleet.charge("early", 5_000_000.0)
+    for step in range(1, 80):
+        fleet.policy.step(fleet.board, 0.1 + step / 5)
+    now = 16.1
+    fleet.report({}, late=30)
+    for _ in range(5):
+        call = fleet.add(organisation="early")
+        call.arrival, call.deadline = now, now + 0.4
+        assert fleet.start(now) == REPLICAS[0]
+
+
+def test_routers_agree_on_the_window_of_a_replica() -> None:
+    """Load: long streams at one router.
+
+    Guards against a router that takes the window for smaller than the others do, so
+    that its organisations get no slot at all.
+    """
+    fleet = Fleet(replicas=1)
+    fleet.report({REPLICAS[0]: 10}, window=12)
+    for _ in range(20):
+        fleet.add()
+    started = [fleet.start() for _ in range(20)]
+    assert started.count(REPLICAS[0]) == (SLOTS + 12) // 2 - 10
+    fleet.policy.step(fleet.board, 1.0)
+    (row,) = fleet.policy.build_slots(fleet.board, 1.0)
+    assert row.window == SLOTS
