Split the forwarder, and run the tests as a module

Change: make test runs 'python -m tests.run'; calls are made of requests in route_calls.py, answers passed on in route_sink.py. Behaviour is the same.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(BIN)/ruff check --fix .
 
 test: lint
-	$(BIN)/python tests/run.py
+	$(BIN)/python -m tests.run
 
 demo: $(STAMP)
 	$(BIN)/sequoiamoor demo
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -7,25 +7,19 @@
 from random import Random
 
 import curio
-import h11
 
 from ..core.blackboard import Blackboard
 from ..core.freshness import KeyFreshness
 from ..core.repeats import RepeatBudget, decide_repeat
 from ..core.routed import RoutedCall
-from ..core.routes import Route, RouteTable, build_routes
+from ..core.routes import Route
 from ..core.upstreams import Replica, SeenLoad
 from ..errors import (
     AnswerIncompleteError,
     DeadlineError,
     InternalError,
-    KeysUncertainError,
     LeavingError,
-    MalformedRequestError,
-    NotFoundError,
-    NotReadyError,
     RefusalError,
-    UnknownKeyError,
     UpstreamFailedError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
@@ -39,24 +33,14 @@
 from ..net.forward import ForwardAttempt, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
-from ..types import PUBLIC_ORGANISATION, Execution, RouteKind
+from ..types import Execution, RouteKind
 from .dispatcher import Dispatcher
+from .route_calls import RouteCalls
+from .route_sink import RouteSink
 from .sink import CallerGoneError
 
 _LOG = logging.getLogger(__name__)
 
-DEFAULT_TIMEOUT_SECONDS = 30.0
-"""Time of a request whose caller does not say how long it waits."""
-
-STREAM_WAIT_PART = 0.8
-"""Part of the target for which a request may wait; the rest is for the first event."""
-
-PLAIN_WAIT_PART = 0.5
-"""Part of its time for which a request to a plain service may wait for a slot."""
-
-ANSWER_MARGIN_SECONDS = 0.02
-"""Time before the end of a request's time at which it is ended."""
-
 QUICK_RETURN_SECONDS = 0.1
 """Time after which another router may reach a replica that this one does not."""
 
@@ -70,55 +54,6 @@
 GENERATED_TOKEN_UNITS = 2.0
 """Service units of a generated token; a prompt token that is read counts as one."""
 
-NO_HEADER = StreamHead(0, [])
-
-
-class _Caller:
-    """The caller's side of one request."""
-
-    def __init__(
-        self, connection: ServerConnection, call: RoutedCall, board: Blackboard
-    ) -> None:
-        self._connection = connection
-        self._call = call
-        self._board = board
-        self.is_started = False
-        self.first_at: float | None = None
-
-    def _closing(self) -> list[tuple[bytes, bytes]]:
-        return [(b"connection", b"close")] if self._board.is_leaving else []
-
-    async def send_events(self, head: StreamHead, data: bytes) -> None:
-        """Passes on events, after the head of the stream if it is the first time."""
-        try:
-            if not self.is_started:
-                self.is_started = True
-                self.first_at = time.monotonic()
-                await self._connection.start_stream(
-                    head.status, [*head.fields, *self._closing()]
-                )
-            await self._connection.send_data(data)
-        except (OSError, h11.LocalProtocolError) as err:
-            raise CallerGoneError(str(err)) from err
-
-    async def finish_stream(self) -> None:
-        """Ends the stream as complete."""
-        try:
-            await self._connection.end_stream()
-        except (OSError, h11.LocalProtocolError) as err:
-            raise CallerGoneError(str(err)) from err
-
-    async def send_answer(self, answer: WholeAnswer) -> None:
-        """Sends a whole answer."""
-        if self.first_at is None:
-            self.first_at = time.monotonic()
-        try:
-            await self._connection.send_response(
-                answer.status, [*answer.fields, *self._closing()], answer.body
-            )
-        except (OSError, h11.LocalProtocolError) as err:
-            raise CallerGoneError(str(err)) from err
-
 
 class Forwarder:
     """Serves requests on the routes of the configuration in force."""
@@ -143,11 +78,10 @@
         self._budget = budget
         self._freshness = freshness
         self._rng = rng
+        self._calls = RouteCalls(board, callers, freshness, rng=rng)
         self._pool = ConnectionPool(
             options=board.options, metrics=metrics, detects_dead_peers=True
         )
-        self._table: tuple[int, RouteTable] | None = None
-        self._numbers = 0
         self.stops_taking = False
 
     async def watch(self) -> None:
@@ -167,75 +101,6 @@
         """Starts waiting requests until the policy has no further start."""
         await self._dispatcher.dispatch(service)
 
-    def _routes(self) -> RouteTable:
-        state = self._board.configuration
-        if state.declaration is None:
-            raise NotReadyError(
-                "this router has no configuration yet; try another one",
-                retry_after=0.2,
-            )
-        if self._table is None or self._table[0] != state.version:
-            self._table = (state.version, build_routes(state.declaration))
-        return self._table[1]
-
-    def _parse(self, request: Request, request_id: str, now: float) -> RoutedCall:
-        if request.http_version != "1.1":
-            raise MalformedRequestError(
-                f"HTTP/{request.http_version} cannot carry a stream; send HTTP/1.1"
-            )
-        table = self._routes()
-        host = self._callers.read_host(request)
-        route = table.find(host, request.path)
-        if route is None:
-            raise NotFoundError(
-                f"no route of host {host[:80]!r} begins path {request.path[:80]!r}"
-            )
-        organisation = (
-            PUBLIC_ORGANISATION if route.is_public else self._identify(request, table)
-        )
-        remaining = self._callers.read_remaining(request) or DEFAULT_TIMEOUT_SECONDS
-        ends_at = now + min(remaining, route.timeout)
-        if route.kind is RouteKind.STREAM:
-            wait = min(route.target * STREAM_WAIT_PART, ends_at - now)
-        else:
-            wait = (ends_at - now) * PLAIN_WAIT_PART
-        hint, limit = self._callers.read_output_tokens(request)
-        self._numbers += 1
-        return RoutedCall(
-            call_id=str(self._numbers),
-            request_id=request_id,
-            organisation=organisation,
-            class_name=route.name,
-            service=route.choose_service(self._rng),
-            arrival=now,
-            deadline=now + route.target,
-            wait_limit_at=now + wait,
-            body=request.body,
-            route=route,
-            method=request.method,
-            target=request.target,
-            fields=self._callers.select_fields(request.fields),
-            is_repeatable=route.is_repeatable,
-            client_deadline=now + remaining,
-            ends_at=ends_at - ANSWER_MARGIN_SECONDS,
-            parts=self._callers.read_prompt(request),
-            output_tokens=min(hint or limit or 0, limit or hint or 0),
-        )
-
-    def _identify(self, request: Request, table: RouteTable) -> str:
-        if not self._freshness.is_fresh():
-            raise KeysUncertainError(
-                "this router cannot tell whether the key still holds; try another one",
-                retry_after=0.3,
-            )
-        key = self._callers.read_key(request)
-        organisation = None if key is None else table.find_organisation(key)
-        if organisation is None:
-            raise UnknownKeyError(
-                "the key belongs to no organisation; send a valid one"
-            )
-        return organisation
-
     async def serve(self, connection: ServerConnection, request: Request) -> None:
         """Serves one request until it is answered or its caller is gone."""
         now = time.monotonic()
@@ -247,7 +112,7 @@
                     "this router ends; send the request to another one",
                     retry_after=0.0,
                 )
-            call = self._parse(request, request_id, now)
+            call = self._calls.parse(request, request_id, now)
             wait = self._dispatcher.find_wait_limit(call)
             if wait is not None:
                 call.wait_limit_at = min(now + wait, call.ends_at)
@@ -293,7 +158,7 @@
         )
 
     async def _serve(self, connection: ServerConnection, call: RoutedCall) -> None:
-        caller = _Caller(connection, call, self._board)
+        caller = RouteSink(connection, self._board)
         try:
             await self._answer(connection, call, caller)
         except CallerGoneError as err:
@@ -310,7 +175,7 @@
         _LOG.info("caller gone", extra=_describe(call, reason=reason))
 
     async def _answer(
-        self, connection: ServerConnection, call: RoutedCall, caller: _Caller
+        self, connection: ServerConnection, call: RoutedCall, caller: RouteSink
     ) -> None:
         try:
             async with curio.timeout_after(max(call.ends_at - time.monotonic(), 0.0)):
@@ -350,7 +215,7 @@
         self,
         connection: ServerConnection,
         call: RoutedCall,
-        caller: _Caller,
+        caller: RouteSink,
         error: RefusalError,
     ) -> None:
         if caller.is_started:
@@ -379,7 +244,7 @@
             spread = self._rng.uniform(1 - RETURN_JITTER, 1 + RETURN_JITTER)
             error.retry_after = RETURN_TARGETS * call.route.target * spread
 
-    async def _run(self, call: RoutedCall, caller: _Caller) -> None:
+    async def _run(self, call: RoutedCall, caller: RouteSink) -> None:
         order = EventOrder()
         failed: WholeAnswer | None = None
         while True:
@@ -437,7 +302,7 @@
         self._dispatcher.accept_again(call)
 
     async def _attempt(
-        self, call: RoutedCall, replica: Replica, order: EventOrder, caller: _Caller
+        self, call: RoutedCall, replica: Replica, order: EventOrder, caller: RouteSink
     ) -> WholeAnswer | None:
         declaration = self._board.configuration.declaration
         assert declaration is not None
--- /dev/null
+++ b/sequoiamoor/daemon/route_calls.py
@@ -0,0 +1,125 @@
+"""From requests of callers to calls on the routes in force."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ..core.blackboard import Blackboard
+from ..core.freshness import KeyFreshness
+from ..core.routed import RoutedCall
+from ..core.routes import RouteTable, build_routes
+from ..errors import (
+    KeysUncertainError,
+    MalformedRequestError,
+    NotFoundError,
+    NotReadyError,
+    UnknownKeyError,
+)
+from ..net.formats import CallerFormat
+from ..net.http import Request
+from ..types import PUBLIC_ORGANISATION, RouteKind
+
+DEFAULT_TIMEOUT_SECONDS = 30.0
+"""Time of a request whose caller does not say how long it waits."""
+
+STREAM_WAIT_PART = 0.8
+"""Part of the target for which a request may wait; the rest is for the first event."""
+
+PLAIN_WAIT_PART = 0.5
+"""Part of its time for which a request to a plain service may wait for a slot."""
+
+ANSWER_MARGIN_SECONDS = 0.02
+"""Time before the end of a request's time at which it is ended."""
+
+
+class RouteCalls:
+    """Makes calls of requests, by the configuration in force."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        callers: CallerFormat,
+        freshness: KeyFreshness,
+        *,
+        rng: Random,
+    ) -> None:
+        self._board = board
+        self._callers = callers
+        self._freshness = freshness
+        self._rng = rng
+        self._table: tuple[int, RouteTable] | None = None
+        self._numbers = 0
+
+    def _routes(self) -> RouteTable:
+        state = self._board.configuration
+        if state.declaration is None:
+            raise NotReadyError(
+                "this router has no configuration yet; try another one",
+                retry_after=0.2,
+            )
+        if self._table is None or self._table[0] != state.version:
+            self._table = (state.version, build_routes(state.declaration))
+        return self._table[1]
+
+    def parse(self, request: Request, request_id: str, now: float) -> RoutedCall:
+        """Returns the call of a request.
+
+        Raises:
+            RefusalError: If the request cannot be accepted.
+        """
+        if request.http_version != "1.1":
+            raise MalformedRequestError(
+                f"HTTP/{request.http_version} cannot carry a stream; send HTTP/1.1"
+            )
+        table = self._routes()
+        host = self._callers.read_host(request)
+        route = table.find(host, request.path)
+        if route is None:
+            raise NotFoundError(
+                f"no route of host {host[:80]!r} begins path {request.path[:80]!r}"
+            )
+        organisation = (
+            PUBLIC_ORGANISATION if route.is_public else self._identify(request, table)
+        )
+        remaining = self._callers.read_remaining(request) or DEFAULT_TIMEOUT_SECONDS
+        ends_at = now + min(remaining, route.timeout)
+        if route.kind is RouteKind.STREAM:
+            wait = min(route.target * STREAM_WAIT_PART, ends_at - now)
+        else:
+            wait = (ends_at - now) * PLAIN_WAIT_PART
+        hint, limit = self._callers.read_output_tokens(request)
+        self._numbers += 1
+        return RoutedCall(
+            call_id=str(self._numbers),
+            request_id=request_id,
+            organisation=organisation,
+            class_name=route.name,
+            service=route.choose_service(self._rng),
+            arrival=now,
+            deadline=now + route.target,
+            wait_limit_at=now + wait,
+            body=request.body,
+            route=route,
+            method=request.method,
+            target=request.target,
+            fields=self._callers.select_fields(request.fields),
+            is_repeatable=route.is_repeatable,
+            client_deadline=now + remaining,
+            ends_at=ends_at - ANSWER_MARGIN_SECONDS,
+            parts=self._callers.read_prompt(request),
+            output_tokens=min(hint or limit or 0, limit or hint or 0),
+        )
+
+    def _identify(self, request: Request, table: RouteTable) -> str:
+        if not self._freshness.is_fresh():
+            raise KeysUncertainError(
+                "this router cannot tell whether the key still holds; try another one",
+                retry_after=0.3,
+            )
+        key = self._callers.read_key(request)
+        organisation = None if key is None else table.find_organisation(key)
+        if organisation is None:
+            raise UnknownKeyError(
+                "the key belongs to no organisation; send a valid one"
+            )
+        return organisation
--- /dev/null
+++ b/sequoiamoor/daemon/route_sink.py
@@ -0,0 +1,64 @@
+"""The caller's side of one request on a route."""
+
+from __future__ import annotations
+
+import time
+
+import h11
+
+from ..core.blackboard import Blackboard
+from ..net.forward import StreamHead, WholeAnswer
+from ..net.http_server import ServerConnection
+from .sink import CallerGoneError
+
+
+class RouteSink:
+    """Passes an answer on to the caller's connection.
+
+    Every failure of that connection is raised as CallerGoneError, so that it is never
+    taken for a failure of the upstream.
+
+    Attributes:
+        is_started: Whether the head of a stream was sent.
+        first_at: Monotonic time of the first part of the answer.
+    """
+
+    def __init__(self, connection: ServerConnection, board: Blackboard) -> None:
+        self._connection = connection
+        self._board = board
+        self.is_started = False
+        self.first_at: float | None = None
+
+    def _closing(self) -> list[tuple[bytes, bytes]]:
+        return [(b"connection", b"close")] if self._board.is_leaving else []
+
+    async def send_events(self, head: StreamHead, data: bytes) -> None:
+        """Passes on events, after the head of the stream if it is the first time."""
+        try:
+            if not self.is_started:
+                self.is_started = True
+                self.first_at = time.monotonic()
+                await self._connection.start_stream(
+                    head.status, [*head.fields, *self._closing()]
+                )
+            await self._connection.send_data(data)
+        except (OSError, h11.LocalProtocolError) as err:
+            raise CallerGoneError(str(err)) from err
+
+    async def finish_stream(self) -> None:
+        """Ends the stream as complete."""
+        try:
+            await self._connection.end_stream()
+        except (OSError, h11.LocalProtocolError) as err:
+            raise CallerGoneError(str(err)) from err
+
+    async def send_answer(self, answer: WholeAnswer) -> None:
+        """Sends a whole answer."""
+        if self.first_at is None:
+            self.first_at = time.monotonic()
+        try:
+            await self._connection.send_response(
+                answer.status, [*answer.fields, *self._closing()], answer.body
+            )
+        except (OSError, h11.LocalProtocolError) as err:
+            raise CallerGoneError(str(err)) from err
