Keep a router's log where its starter looks, and one loop for starts

Ruled out: load; the same tests pass beside the same load with the lines in the file. Change: the starter of processes puts both outputs of a router into its log file. The shared-load policy uses the loop of the fair policies with two hooks instead of a copy.

--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -190,15 +190,37 @@
             name = choose_organisation(names, view, now) or min(
                 names, key=lambda one: view.organisations[one].key
             )
+            names.remove(name)
+            if not self._may_start(name, view, free):
+                continue
             for request in self._list_next(board, service, name, free, now):
                 usable = [
                     one for one in free if request.may_use(one[0].replica_id, now)
                 ]
-                if usable:
-                    return self._start(board, request, usable, now)
-            names.remove(name)
+                replica = self._find_place(board, request, usable, now)
+                if replica is not None:
+                    return self._start(board, request, replica, now)
         return None
 
+    def _may_start(
+        self,
+        name: OrganisationName,
+        view: ServiceView,
+        free: list[tuple[Replica, int]],
+    ) -> bool:
+        """Returns whether work of the organisation may use a free slot now."""
+        return True
+
+    def _find_place(
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        free: list[tuple[Replica, int]],
+        now: float,
+    ) -> Replica | None:
+        """Returns the replica to start at, or None to wait for a better one."""
+        return self._choose_replica(board, request, free) if free else None
+
     def _list_next(
         self,
         board: Blackboard,
@@ -231,10 +253,9 @@
         self,
         board: Blackboard,
         request: CallRequest,
-        free: list[tuple[Replica, int]],
+        replica: Replica,
         now: float,
     ) -> Start:
-        replica = self._choose_replica(board, request, free)
         service, name = request.service, request.organisation
         self._running.add(request.call_id)
         self._charges.start(board, request, now)
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -7,12 +7,11 @@
 from dataclasses import dataclass
 from random import Random
 
-from ..core.actions import Action, Start
+from ..core.actions import Action
 from ..core.blackboard import Blackboard
 from ..core.fairness import (
     RecentService,
     ServiceView,
-    choose_organisation,
     may_use_slot,
 )
 from ..core.messages import Grants, Report, SlotRow
@@ -24,6 +23,7 @@
 from ..core.upstreams import Replica
 from ..types import (
     CallRequest,
+    OrganisationName,
     ReplicaId,
     RouterId,
     RouterIdentity,
@@ -213,35 +213,25 @@
 
     # Starts.
 
-    def choose_start(
-        self, board: Blackboard, service: ServiceName, now: float
-    ) -> Start | None:
-        """Returns the next start, or None without waiting work that may start."""
-        names = board.queues.organisations(service)
-        if not names:
-            return None
-        self._note_waiting(board, service, names, now)
-        free = self._find_free(board, service, now)
-        if not free:
-            return None
-        view = self._build_view(board, service, now)
+    def _may_start(
+        self,
+        name: OrganisationName,
+        view: ServiceView,
+        free: list[tuple[Replica, int]],
+    ) -> bool:
         waiting = sum(one.waiting for one in view.organisations.values())
         is_contested = waiting > sum(count for _, count in free)
-        while names:
-            name = choose_organisation(names, view, now) or min(
-                names, key=lambda one: view.organisations[one].key
-            )
-            names.remove(name)
-            if is_contested and not may_use_slot(name, view, is_granted=True):
-                continue
-            for request in board.queues.list_first(service, name, PASSED_REQUESTS):
-                usable = [
-                    one for one in free if request.may_use(one[0].replica_id, now)
-                ]
-                replica = self._find_place(board, request, usable, now)
-                if replica is not None:
-                    return self._start_at(board, request, replica, now)
-        return None
+        return not is_contested or may_use_slot(name, view, is_granted=True)
+
+    def _list_next(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        name: OrganisationName,
+        free: list[tuple[Replica, int]],
+        now: float,
+    ) -> list[CallRequest]:
+        return board.queues.list_first(service, name, PASSED_REQUESTS)
 
     def _find_place(
         self,
@@ -250,7 +240,6 @@
         free: list[tuple[Replica, int]],
         now: float,
     ) -> Replica | None:
-        """Returns the replica to start at, or None to wait for a better one."""
         if not free:
             return None
         part = _find_part(request)
@@ -295,11 +284,6 @@
         while len(self._warm) > WARM_PARTS_KEPT:
             self._warm.popitem(last=False)
 
-    def _start_at(
-        self, board: Blackboard, request: CallRequest, replica: Replica, now: float
-    ) -> Start:
-        return self._start(board, request, [(replica, 1)], now)
-
     def _note_started(
         self,
         board: Blackboard,
--- a/sequoiamoor/standin/processes.py
+++ b/sequoiamoor/standin/processes.py
@@ -43,6 +43,9 @@
 def start_process(arguments: list[str], log: Path) -> subprocess.Popen[bytes]:
     """Starts one ``sequoiamoor`` process with its standard error in ``log``.
 
+    A router's standard output, which has its log lines, goes there too; a stand-in
+    tells its address on it.
+
     A session of its own keeps Ctrl-C away from the process, so that its starter ends
     it in order.
     """
@@ -50,7 +53,7 @@
         return subprocess.Popen(
             [sys.executable, "-m", "sequoiamoor", *arguments],
             stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
+            stdout=stream if arguments[0] == "router" else subprocess.PIPE,
             stderr=stream,
             start_new_session=True,
         )
