Drop the load of answers and the last event, which no decision reads

The load header of answers was stored and not used: the reports between routers tell which slots are in use. The reading of both, and the table that tested read_load, go with it. Behaviour is the same.

--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -45,21 +45,6 @@
     is_leaving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class SeenLoad:
-    """Load that a replica stated with an answer.
-
-    Attributes:
-        in_use: Attempts of this router that ran there at that time.
-        at: Monotonic time of the answer.
-    """
-
-    running: int
-    queued: int
-    in_use: int
-    at: float
-
-
 @dataclass(slots=True)
 class Replica:
     """One upstream replica.
@@ -74,7 +59,6 @@
             the same time count once.
         is_probed: Whether an attempt was started at the replica while it was down.
         probe_at: Monotonic time from which a replica that is down may be tried.
-        seen: Load that it stated with the last answer to this router.
         failure_rate: Moving average of the attempts that failed at the replica.
         outcomes: Attempts that the average is made of.
         ejected_until: Monotonic time until which it gets nothing because many failed.
@@ -94,7 +78,6 @@
     failures: int = 0
     is_probed: bool = False
     probe_at: float = float("-inf")
-    seen: SeenLoad | None = None
     failure_rate: float = 0.0
     outcomes: int = 0
     ejected_until: float = float("-inf")
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -13,7 +13,7 @@
 from ..core.repeats import RepeatBudget, decide_repeat
 from ..core.routed import RoutedCall
 from ..core.routes import Route
-from ..core.upstreams import Replica, SeenLoad
+from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
     DeadlineError,
@@ -29,7 +29,7 @@
 from ..net.caller import to_refusal_body
 from ..net.events import EventOrder, Events
 from ..net.exchange import ConnectionPool
-from ..net.formats import CallerFormat, ReplicaLoad, UpstreamFormat
+from ..net.formats import CallerFormat, UpstreamFormat
 from ..net.forward import ForwardAttempt, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
@@ -180,7 +180,6 @@
         try:
             async with curio.timeout_after(max(call.ends_at - time.monotonic(), 0.0)):
                 await self._run(call, caller)
-            outcome = "answered"
         except curio.TaskTimeout:
             error: RefusalError = DeadlineError("the request's time is over")
             if not call.may_have_run:
@@ -203,7 +202,7 @@
         self._metrics.first_token_seconds.labels(call.class_name).observe(
             caller.first_at - call.arrival
         )
-        extra = _describe(call, reason=outcome)
+        extra = _describe(call, reason="answered")
         extra["first_ms"] = round((caller.first_at - call.arrival) * 1000)
         extra["total_ms"] = round((now - call.arrival) * 1000)
         extra["events"] = call.events
@@ -325,18 +324,12 @@
             call.last_event_at = time.monotonic()
             await caller.send_events(head, events.data)
 
-        def note_load(load: ReplicaLoad) -> None:
-            replica.seen = SeenLoad(
-                load.running, load.queued, replica.in_use, time.monotonic()
-            )
-
         attempt = ForwardAttempt(
             call,
             replica,
             wire=self._wire,
             pool=self._pool,
             metrics=self._metrics,
-            note_load=note_load,
         )
         try:
             return await attempt.run(order, send_events)
--- a/sequoiamoor/net/formats.py
+++ b/sequoiamoor/net/formats.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from ..core.routed import Fields, PromptPart, RoutedCall
@@ -10,15 +9,6 @@
 from .http import Request, Response
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaLoad:
-    """Load that a replica states with an answer."""
-
-    running: int
-    queued: int
-    slots: int
-
-
 class CallerFormat(Protocol):
     """How callers say what they want, and how refusals look."""
 
@@ -47,9 +37,6 @@
     def read_output_tokens(self, request: Request) -> tuple[int | None, int | None]:
         """Returns the caller's guess and the limit of the output, in tokens."""
 
-    def read_last_event(self, request: Request) -> int | None:
-        """Returns the last event that the caller has, if it resumes a stream."""
-
     def build_refusal(self, error: RefusalError, request_id: str | None) -> Fields:
         """Returns the header fields of a refusal."""
 
@@ -87,9 +74,6 @@
     def is_encoded(self, response: Response) -> bool:
         """Whether the body has an encoding that no caller asked for."""
 
-    def read_load(self, response: Response) -> ReplicaLoad | None:
-        """Returns the load that the answer states, if it does."""
-
     def read_idle_limit(self, response: Response) -> float | None:
         """Returns the seconds after which the replica closes the idle connection."""
 
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -23,7 +23,7 @@
 from ..types import RouteKind
 from .events import EventOrder, Events
 from .exchange import ConnectionPool
-from .formats import ReplicaLoad, UpstreamFormat
+from .formats import UpstreamFormat
 from .http import Response
 from .http_client import ClientConnection
 
@@ -82,16 +82,12 @@
         wire: UpstreamFormat,
         pool: ConnectionPool,
         metrics: Metrics,
-        note_load: Callable[[ReplicaLoad], None] = lambda load: None,
-        note_sent: Callable[[], None] = lambda: None,
     ) -> None:
         self._call = call
         self._replica = replica
         self._wire = wire
         self._pool = pool
         self._metrics = metrics
-        self._note_load = note_load
-        self._note_sent = note_sent
         self._connection: ClientConnection | None = None
         self.is_sent = False
         self.is_answered = False
@@ -160,7 +156,6 @@
         finally:
             if connection.bytes_sent != before:
                 self.is_sent = self._call.is_sent = True
-                self._note_sent()
         return await self._receive_own_response(connection)
 
     async def _take(self) -> ClientConnection:
@@ -195,9 +190,6 @@
 
     async def _check_head(self, response: Response) -> None:
         self.is_answered = True
-        load = self._wire.read_load(response)
-        if load is not None:
-            self._note_load(load)
         if self._wire.states_not_run(response):
             replica_id = self._replica.replica_id
             await self._keep_connection(response)
--- a/sequoiamoor/platform/callers.py
+++ b/sequoiamoor/platform/callers.py
@@ -109,11 +109,6 @@
     return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else None
 
 
-def read_last_event(request: Request) -> int | None:
-    """Returns the last event that the caller has, if it resumes a stream."""
-    return _read_count(request.headers.get(names.LAST_EVENT_ID, ""))
-
-
 def build_refusal(error: RefusalError, request_id: str | None) -> Fields:
     """Returns the header fields of a refusal."""
     fields: Fields = [(b"content-type", b"application/json")]
--- a/sequoiamoor/platform/names.py
+++ b/sequoiamoor/platform/names.py
@@ -10,14 +10,11 @@
 LAST_EVENT_ID = "last-event-id"
 ORGANISATION = "x-tenant"
 EXPECTED_REPLICA = "x-expected-instance"
-REPLICA_ID = "x-instance-id"
 SIGNATURE = "x-server-signature"
 LOAD = "x-server-load"
 NOT_RUN = "x-not-executed"
-RETRY_AFTER = "retry-after"
 
 READINESS_PATH = "/api/readiness"
-REPORT_PATH = "/api/report"
 
 # Fields that only the fleet may set; a caller's are dropped.
 FLEET_FIELDS = frozenset(
--- a/sequoiamoor/platform/replicas.py
+++ b/sequoiamoor/platform/replicas.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from ..core.routed import Fields, RoutedCall
-from ..net.formats import ReplicaLoad
 from ..net.http import Response
 from ..types import PUBLIC_ORGANISATION
 from . import names
@@ -57,16 +56,6 @@
     return "content-encoding" in response.headers
 
 
-def read_load(response: Response) -> ReplicaLoad | None:
-    """Returns the load that the answer states, if it does."""
-    numbers = response.headers.get(names.LOAD, "").split(",")
-    try:
-        running, queued, slots = (int(one) for one in numbers)
-    except ValueError:
-        return None
-    return ReplicaLoad(running, queued, slots) if slots > 0 else None
-
-
 def read_idle_limit(response: Response) -> float | None:
     """Returns the seconds after which the replica closes the idle connection."""
     for item in response.headers.get("keep-alive", "").split(","):
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -146,12 +146,3 @@
 ) -> None:
     """Guards against telling a caller that a request was not run although it was."""
     assert replicas.states_not_run(Response(status, headers)) is expected
-
-
-@pytest.mark.parametrize(
-    ("text", "expected"), [("3,1,8", (3, 1, 8)), ("3,1", None), ("a,b,c", None)]
-)
-def test_load_is_read(text: str, expected: tuple[int, int, int] | None) -> None:
-    """Guards against a load that cannot be read."""
-    load = replicas.read_load(Response(200, {"x-server-load": text}))
-    assert (load and (load.running, load.queued, load.slots)) == expected
