Hold the port of a dead replica in tests

That it was so in the one failure is inferred; no log names the listener. Change: the socket stays bound, without listening, until the session ends. Test: test_address_of_a_dead_upstream_is_taken_by_nobody fails first. No check changed.

--- a/tests/border.py
+++ b/tests/border.py
@@ -277,6 +277,7 @@
         self.upstreams: list[ScriptedUpstream] = []
         self.crashes: list[Exception] = []
         self._callers: list[Caller] = []
+        self._bound: list[socket.socket] = []
         self._progress = curio.Condition()
 
     async def add_upstream(
@@ -293,14 +294,24 @@
         return upstream
 
     def add_dead_upstream(self, service: str = "talk") -> str:
-        """Adds a replica whose address refuses connections."""
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            address = Address(*sock.getsockname()[:2])
+        """Adds a replica whose address refuses connections.
+
+        The socket stays bound and does not listen, so that no listener of another
+        test gets the port.
+        """
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        self._bound.append(sock)
+        address = Address(*sock.getsockname()[:2])
         name = f"dead-{len(self.board.upstreams.replicas)}"
         self.board.upstreams.replicas[name] = Replica(name, service, "zone-a", address)
         return name
 
+    def close_bound(self) -> None:
+        """Gives back the ports of the dead replicas."""
+        for sock in self._bound:
+            sock.close()
+
     async def connect(self) -> Caller:
         ours, theirs = _connect_pair()
         caller = Caller(self, curio.io.Socket(ours))
@@ -385,6 +396,7 @@
         await watch.cancel()
         await tick.cancel()
         await border.calls.close()
+        border.close_bound()
         assert not border.crashes
         return result
 
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -586,3 +587,17 @@
         assert len(pool) == 0
 
     run(session, options=options)
+
+
+def test_address_of_a_dead_upstream_is_taken_by_nobody() -> None:
+    """Guards against a listener of another test at an address that has to refuse."""
+
+    async def session(border: Border) -> None:
+        name = border.add_dead_upstream("desk")
+        address = border.board.upstreams.replicas[name].address
+        with pytest.raises(OSError, match="in use"):
+            socket.create_server((address.host, address.port)).close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((address.host, address.port)).close()
+
+    run(session)
