Use one piece of code for early reports, counters and deliveries on both interfaces

Read over the whole change; behaviour is the same. * The budget of early reports and the taking of counters stood in both reporting policies; they are in ReportingPolicy. * RouteSink wrote CallerSink's wrapper of sends three times; both call deliver. * A routed call always has its route: the field is required, and eight checks for None go. * Dropped: client_deadline and the mark is_sent on routed calls, which nothing reads, and a second END_WAIT_SECONDS. One test builds its call with a route now; its assertions are the same.

--- a/sequoiamoor/core/repeats.py
+++ b/sequoiamoor/core/repeats.py
@@ -104,7 +104,6 @@
         return GiveUp("not-an-attempt-failure")
     if now >= call.ends_at:
         return GiveUp("deadline")
-    assert call.route is not None
     if isinstance(error, UpstreamUnreachableError):
         # Nothing arrived anywhere, so this is no repeat.
         if call.unsent_attempts >= UNSENT_ATTEMPTS_LIMIT:
--- a/sequoiamoor/core/routed.py
+++ b/sequoiamoor/core/routed.py
@@ -18,7 +18,7 @@
     tokens: int
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, kw_only=True)
 class RoutedCall(CallRequest):
     """A request on a route; on a public route it belongs to nobody.
 
@@ -26,7 +26,6 @@
         method: HTTP method, passed on unchanged.
         target: Path and query, passed on unchanged.
         fields: End-to-end header fields, passed on unchanged.
-        client_deadline: Monotonic time at which the client stops waiting.
         ends_at: Monotonic time by which the answer must have ended.
         parts: Parts of the prompt in their order; the last one is the request's own.
         output_tokens: Expected number of generated tokens.
@@ -39,11 +38,10 @@
             did not run the request.
     """
 
-    route: Route | None = None
+    route: Route
     method: str = "POST"
     target: bytes = b"/"
     fields: Fields = field(default_factory=list)
-    client_deadline: float = 0.0
     ends_at: float = 0.0
     parts: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -12,7 +12,6 @@
 from ..core.freshness import KeyFreshness
 from ..core.repeats import RepeatBudget, decide_repeat
 from ..core.routed import RoutedCall
-from ..core.routes import Route
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
@@ -236,7 +235,6 @@
 
     def _set_return(self, call: RoutedCall, error: RefusalError) -> None:
         """Tells a refused caller when there may be room for it."""
-        assert call.route is not None
         if isinstance(error, UpstreamRefusedError | UpstreamUnreachableError):
             error.retry_after = QUICK_RETURN_SECONDS
         elif call.route.kind is RouteKind.STREAM:
@@ -296,7 +294,7 @@
         call.excluded |= {replica.replica_id}
         call.excluded_until = now + self._board.options.exclusion_time
         call.wait_limit_at = max(
-            call.wait_limit_at, min(call.ends_at, now + _wait_time(call.route))
+            call.wait_limit_at, min(call.ends_at, now + call.route.target)
         )
         self._dispatcher.accept_again(call)
 
@@ -375,11 +373,6 @@
         _LOG.info("attempt failed", extra=extra)
 
 
-def _wait_time(route: Route | None) -> float:
-    assert route is not None
-    return route.target
-
-
 def _describe(call: RoutedCall, *, reason: str) -> dict[str, object]:
     """Returns the log fields of a request."""
     return {
--- a/sequoiamoor/daemon/route_calls.py
+++ b/sequoiamoor/daemon/route_calls.py
@@ -104,7 +104,6 @@
             target=request.target,
             fields=self._callers.select_fields(request.fields),
             is_repeatable=route.is_repeatable,
-            client_deadline=now + remaining,
             ends_at=ends_at - ANSWER_MARGIN_SECONDS,
             parts=self._callers.read_prompt(request),
             output_tokens=min(hint or limit or 0, limit or hint or 0),
--- a/sequoiamoor/daemon/route_sink.py
+++ b/sequoiamoor/daemon/route_sink.py
@@ -4,12 +4,10 @@
 
 import time
 
-import h11
-
 from ..core.blackboard import Blackboard
 from ..net.forward import StreamHead, WholeAnswer
 from ..net.http_server import ServerConnection
-from .sink import CallerGoneError
+from .sink import deliver
 
 
 class RouteSink:
@@ -34,31 +32,22 @@
 
     async def send_events(self, head: StreamHead, data: bytes) -> None:
         """Passes on events, after the head of the stream if it is the first time."""
-        try:
-            if not self.is_started:
-                self.is_started = True
-                self.first_at = time.monotonic()
-                await self._connection.start_stream(
-                    head.status, [*head.fields, *self._closing()]
-                )
-            await self._connection.send_data(data)
-        except (OSError, h11.LocalProtocolError) as err:
-            raise CallerGoneError(str(err)) from err
+        if not self.is_started:
+            self.is_started = True
+            self.first_at = time.monotonic()
+            fields = [*head.fields, *self._closing()]
+            await deliver(self._connection.start_stream(head.status, fields))
+        await deliver(self._connection.send_data(data))
 
     async def finish_stream(self) -> None:
         """Ends the stream as complete."""
-        try:
-            await self._connection.end_stream()
-        except (OSError, h11.LocalProtocolError) as err:
-            raise CallerGoneError(str(err)) from err
+        await deliver(self._connection.end_stream())
 
     async def send_answer(self, answer: WholeAnswer) -> None:
         """Sends a whole answer."""
         if self.first_at is None:
             self.first_at = time.monotonic()
-        try:
-            await self._connection.send_response(
-                answer.status, [*answer.fields, *self._closing()], answer.body
-            )
-        except (OSError, h11.LocalProtocolError) as err:
-            raise CallerGoneError(str(err)) from err
+        fields = [*answer.fields, *self._closing()]
+        await deliver(
+            self._connection.send_response(answer.status, fields, answer.body)
+        )
--- a/sequoiamoor/daemon/sink.py
+++ b/sequoiamoor/daemon/sink.py
@@ -22,6 +22,18 @@
     """The caller closed its connection."""
 
 
+async def deliver(sending: Coroutine[Any, Any, None]) -> None:
+    """Awaits a send on the caller's connection.
+
+    Raises:
+        CallerGoneError: If the connection failed or is closed.
+    """
+    try:
+        await sending
+    except (OSError, h11.LocalProtocolError) as err:
+        raise CallerGoneError(str(err)) from err
+
+
 class CallerSink:
     """Passes an answer on to the caller's connection.
 
@@ -55,7 +67,7 @@
             return
         self.is_started = True
         headers = {**self._headers("text/event-stream"), "cache-control": "no-store"}
-        await self._deliver(self._connection.start_stream(200, headers))
+        await deliver(self._connection.start_stream(200, headers))
 
     async def send_events(self, data: bytes) -> None:
         """Passes on whole events of a streamed answer."""
@@ -78,7 +90,7 @@
         A caller that did not ask for a stream gets one JSON document instead.
         """
         if self._call.wants_stream:
-            await self._deliver(self._connection.end_stream())
+            await deliver(self._connection.end_stream())
             return
         document = build_document(b"".join(self._parts))
         body = json.dumps(document).encode() + b"\n"
@@ -93,28 +105,22 @@
         if self.first_at is None:
             self.first_at = time.monotonic()
         headers = self._headers(answer.content_type)
-        await self._deliver(
+        await deliver(
             self._connection.send_response(answer.status, headers, answer.body)
         )
 
     async def send_replay(self, answer: KeptAnswer) -> None:
         """Sends the kept answer of an earlier execution of the same call."""
         headers = {**self._headers(answer.content_type), "x-replayed": "true"}
-        await self._deliver(
+        await deliver(
             self._connection.send_response(answer.status, headers, answer.body)
         )
 
-    async def _deliver(self, sending: Coroutine[Any, Any, None]) -> None:
-        try:
-            await sending
-        except (OSError, h11.LocalProtocolError) as err:
-            raise CallerGoneError(str(err)) from err
-
     async def refuse(self, error: RefusalError) -> None:
         """Ends the answer as refused or, if it has begun, as incomplete."""
         if not self.is_started:
             if self._connection.can_refuse:
-                await self._deliver(
+                await deliver(
                     send_refusal(
                         self._connection,
                         error,
@@ -125,4 +131,4 @@
             return
         body = to_refusal_body(error, self._call.request_id)
         event = b"event: incomplete\ndata: " + body.strip() + b"\n\n"
-        await self._deliver(self._connection.send_data(event))
+        await deliver(self._connection.send_data(event))
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -22,15 +22,12 @@
 from ..metrics import Metrics
 from ..types import RouteKind
 from .events import EventOrder, Events
-from .exchange import ConnectionPool
+from .exchange import END_WAIT_SECONDS, ConnectionPool
 from .formats import UpstreamFormat
 from .http import Response
 from .http_client import ClientConnection
 
 ANSWER_LIMIT_BYTES = 16_777_216
-# The end of a response normally arrives with its last event; a connection whose
-# response takes longer to end is closed instead of being kept.
-END_WAIT_SECONDS = 0.25
 # Answers for other requests that may come before the own one.
 FOREIGN_ANSWERS_LIMIT = 2
 # A stream that may go on elsewhere is late after one pause; callers leave after eight
@@ -109,12 +106,8 @@
         """
         try:
             response = await self._request(order)
-            if (
-                self._call.route is None
-                or self._call.route.kind is not RouteKind.STREAM
-            ):
-                return await self._read_answer(response)
-            if response.status != 200:
+            is_stream = self._call.route.kind is RouteKind.STREAM
+            if not is_stream or response.status != 200:
                 return await self._read_answer(response)
             await self._copy_stream(response, order, send_events)
             return None
@@ -143,7 +136,7 @@
             last_event=last_event,
         )
         route = self._call.route
-        if route is not None and route.is_repeatable:
+        if route.is_repeatable:
             connection.silence_limit = max(
                 TARGETS_LIMIT * route.target, LEAST_SILENCE_SECONDS
             )
@@ -155,7 +148,7 @@
             )
         finally:
             if connection.bytes_sent != before:
-                self.is_sent = self._call.is_sent = True
+                self.is_sent = True
         return await self._receive_own_response(connection)
 
     async def _take(self) -> ClientConnection:
@@ -247,7 +240,7 @@
         connection = self._connection
         assert connection is not None
         route = self._call.route
-        if route is not None and route.is_resumable:
+        if route.is_resumable:
             connection.silence_limit = max(
                 PAUSES_LIMIT * route.pause, LEAST_SILENCE_SECONDS
             )
--- a/sequoiamoor/policies/arbitrated.py
+++ b/sequoiamoor/policies/arbitrated.py
@@ -14,7 +14,6 @@
 from ..core.messages import GrantRow, Grants, Report, SlotRow
 from ..core.placement import choose_arbiter
 from ..core.rendezvous import hash_pair
-from ..core.reports import EarlyBudget
 from ..core.upstreams import Replica
 from ..types import (
     CallRequest,
@@ -41,7 +40,6 @@
         ] = {}
         self._published_slots: dict[ReplicaId, tuple[SlotRow, float]] = {}
         self._sent_at: dict[int, float] = {}
-        self._early_budget: EarlyBudget | None = None
         self._taken_slots: dict[RouterIdentity, tuple[SlotRow, ...]] = {}
 
     def _own_arbiter(self, board: Blackboard) -> Arbiter:
@@ -49,18 +47,6 @@
             self._arbiter = Arbiter(board.identity, board.options)
         return self._arbiter
 
-    def _take_early(
-        self, board: Blackboard, messages: int, now: float, reserve: float = 0.0
-    ) -> bool:
-        """Returns whether reports may go out before the interval ends."""
-        if self._early_budget is None:
-            self._early_budget = EarlyBudget(board.options)
-        return self._early_budget.take(messages, now, reserve=reserve)
-
-    def _request_report(self, board: Blackboard, now: float) -> None:
-        if not board.is_report_due and self._take_early(board, len(board.members), now):
-            board.is_report_due = True
-
     # Slots of this router.
 
     def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
@@ -450,15 +436,11 @@
         self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
     ) -> list[Action]:
         """Takes a report of a peer, releases and grants what it calls for."""
-        board.ledger.merge(origin, report.counters)
-        if self._demands.take(origin, report.sequence, report.counters, now):
+        if self._take_counters(board, origin, report, now):
             pending = self._pending.get(origin.router_id)
             limit = now - 2 * board.options.flush_interval
             while pending and pending[0][0] < limit:
                 pending.popleft()
-        for row in report.counters:
-            if row.waiting:
-                self._waited_at[row.service, row.organisation] = now
         # Without a new row the connection's decoder hands out the same tuple again;
         # such a report is a heartbeat and calls for no decision.
         is_known = self._taken_slots.get(origin) is report.slots
--- a/sequoiamoor/policies/reporting.py
+++ b/sequoiamoor/policies/reporting.py
@@ -8,8 +8,9 @@
 
 from ..core.blackboard import Blackboard
 from ..core.demand import Demand, DemandTable
-from ..core.messages import CounterRow, Snapshot
-from ..types import CallRequest, OrganisationName, ServiceName
+from ..core.messages import CounterRow, Report, Snapshot
+from ..core.reports import EarlyBudget
+from ..types import CallRequest, OrganisationName, RouterIdentity, ServiceName
 from .fair import FairPolicy
 
 ROW_REFRESH = 1.0
@@ -64,6 +65,7 @@
     def __init__(self, *, rng: Random) -> None:
         super().__init__(rng=rng)
         self._demands = DemandTable()
+        self._early_budget: EarlyBudget | None = None
         self._published: dict[tuple[ServiceName, OrganisationName], _PublishedRow] = {}
 
     def _peer_demands(
@@ -71,6 +73,29 @@
     ) -> Mapping[OrganisationName, Demand]:
         return self._demands.sum(service, board.members.keys())
 
+    def _take_early(
+        self, board: Blackboard, messages: int, now: float, reserve: float = 0.0
+    ) -> bool:
+        """Returns whether reports may go out before the interval ends."""
+        if self._early_budget is None:
+            self._early_budget = EarlyBudget(board.options)
+        return self._early_budget.take(messages, now, reserve=reserve)
+
+    def _request_report(self, board: Blackboard, now: float) -> None:
+        if not board.is_report_due and self._take_early(board, len(board.members), now):
+            board.is_report_due = True
+
+    def _take_counters(
+        self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
+    ) -> bool:
+        """Takes the counters of a report; returns False if a later one was taken."""
+        board.ledger.merge(origin, report.counters)
+        is_latest = self._demands.take(origin, report.sequence, report.counters, now)
+        for row in report.counters:
+            if row.waiting:
+                self._waited_at[row.service, row.organisation] = now
+        return is_latest
+
     def find_wait_limit(self, request: CallRequest) -> float | None:
         """Leaves the wait to the class or route of the request."""
         return None
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -18,7 +18,6 @@
 from ..core.pace import StreamPace
 from ..core.prefill import PromptReads
 from ..core.rendezvous import hash_pair
-from ..core.reports import EarlyBudget
 from ..core.routed import RoutedCall
 from ..core.upstreams import Replica
 from ..types import (
@@ -101,7 +100,6 @@
         self._pace = StreamPace()
         self._paced_at = float("-inf")
         self._told: dict[ReplicaId, int] = {}
-        self._early_budget: EarlyBudget | None = None
         self._warm: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
 
     # Slots.
@@ -155,7 +153,6 @@
 
         A prompt that takes most of the target by itself starts when little is ahead.
         """
-        assert request.route is not None
         target = request.route.target
         model = self._reads.model(request.service)
         slack = target * TARGET_PART - model.predict(tokens)
@@ -169,7 +166,6 @@
         """Returns how many seconds a request may wait and still meet its target."""
         if not isinstance(request, RoutedCall) or not request.parts:
             return None
-        assert request.route is not None
         target = request.route.target
         model = self._reads.model(request.service)
         slack = target * TARGET_PART - model.predict(request.own_tokens)
@@ -333,7 +329,6 @@
         replica_id: ReplicaId,
         now: float,
     ) -> None:
-        assert request.route is not None
         events = request.events
         if now >= request.ends_at:
             events = round(events * CUT_STREAM_FACTOR)
@@ -351,14 +346,6 @@
 
     # Reports.
 
-    def _request_report(self, board: Blackboard, now: float) -> None:
-        if board.is_report_due:
-            return
-        if self._early_budget is None:
-            self._early_budget = EarlyBudget(board.options)
-        if self._early_budget.take(len(board.members), now, reserve=0.0):
-            board.is_report_due = True
-
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Does the periodic work of the ledger."""
         actions = super().step(board, now)
@@ -389,11 +376,7 @@
         self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
     ) -> list[Action]:
         """Takes a report of a peer."""
-        board.ledger.merge(origin, report.counters)
-        self._demands.take(origin, report.sequence, report.counters, now)
-        for row in report.counters:
-            if row.waiting:
-                self._waited_at[row.service, row.organisation] = now
+        self._take_counters(board, origin, report, now)
         self._peers[origin.router_id] = _PeerUse(origin, report.slots)
         self._sum_peers(board)
         return []
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -5,10 +5,11 @@
 import pytest
 
 from sequoiamoor.core.routed import PromptPart, RoutedCall
+from sequoiamoor.core.routes import Route
 from sequoiamoor.errors import MalformedRequestError, QueueFullError
 from sequoiamoor.net.http import Request, Response
 from sequoiamoor.platform import callers, replicas
-from sequoiamoor.types import PUBLIC_ORGANISATION
+from sequoiamoor.types import PUBLIC_ORGANISATION, RouteKind
 
 
 def build_request(**headers: str) -> Request:
@@ -111,6 +112,9 @@
     organisation: str, expected: bytes | None
 ) -> None:
     """Guards against a replica that runs what was meant for another one."""
+    route = Route(
+        "r", "h", "/", RouteKind.ONCE, False, True, 1.0, 0.4, 0.4, 1, (("s", 1.0),)
+    )
     call = RoutedCall(
         "c",
         "q",
@@ -121,6 +125,7 @@
         1.0,
         1.0,
         b"",
+        route=route,
         fields=[(b"last-event-id", b"4"), (b"x-model", b"m")],
     )
     fields = dict(replicas.build_fields(call, "i-1", remaining=0.75, last_event=b"9"))
