Reset connections whose exchange is unfinished

The connection was closed and not reset, so the kernel went on sending what it held. Ruled out: the directory (the replica's entry was dropped in time), a new send (the request's bytes were written before the partition). Change: a close in the middle of an exchange resets the connection. A receive that waits too long is ended by closing the receiving side only; a shutdown of both sides would send the rest and an ordinary end before the reset.

--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import struct
 import time
 from typing import Any
 
@@ -25,6 +27,8 @@
 from .reachability import REACHABILITY
 
 RESPONSE_HEAD_BYTES = 65_536
+# Value of SO_LINGER that makes the kernel drop what is unsent and reset at the close.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ClientConnection:
@@ -297,15 +301,35 @@
         self._decoder = None
 
     def abort(self) -> None:
-        """Ends the connection; a receive that waits sees it closed."""
+        """Ends the connection; a receive that waits sees it closed.
+
+        The sending side stays open, so that the close resets it.
+        """
         self.is_aborted = True
         try:
-            self._raw.shutdown(socket.SHUT_RDWR)
+            self._raw.shutdown(socket.SHUT_RD)
         except OSError:
             return
 
+    @property
+    def _is_unfinished(self) -> bool:
+        """Whether a request was begun whose response was not read to its end."""
+        return self._h11.our_state is not h11.IDLE and (
+            self._sending is not None
+            or self._h11.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        )
+
     async def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection, with a reset in the middle of an exchange.
+
+        After an ordinary close the kernel still delivers what it holds, so that a
+        request that was given up in a partition would reach the peer when that heals.
+        """
+        if self._is_unfinished:
+            with contextlib.suppress(OSError):
+                self._raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
         sending, self._sending = self._sending, None
         if sending is not None:
             # A task that still waits for the socket after its close would make the
