--- a/sequoiamoor/core/routed.py
+++ b/sequoiamoor/core/routed.py
@@ -29,8 +29,6 @@
         ends_at: Monotonic time by which the answer must have ended.
         parts: Parts of the prompt in their order; the last one is the request's own.
         output_tokens: Expected number of generated tokens.
-        is_overdue: Whether its caller has waited for longer than the target since it
-            first asked.
         sent_attempts: Attempts of which a byte was sent.
         unsent_attempts: Attempts that sent nothing.
         events: Events of a stream that were passed on.
@@ -47,7 +45,6 @@
     ends_at: float = 0.0
     parts: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
-    is_overdue: bool = False
     sent_attempts: int = 0
     unsent_attempts: int = 0
     events: int = 0
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -250,12 +250,6 @@
             reverse=True,
         )
         waited = now - request.arrival
-        if request.is_overdue:
-            by_id = {
-                name: (one, count)
-                for name, (one, count) in by_id.items()
-                if count > FAR_FREE_PART * self._agreed_window(board, one, now)
-            }
         for index, replica_id in enumerate(ranked):
             known = by_id.get(replica_id)
             if known is None:
