Take up changed settings while the router runs, and log the longest pause of streams

Cause: SIGHUP was logged and nothing else; a file that changes without a signal was not noticed at all. While a router drained, SIGHUP counted as a second signal, which cuts what is in service. Lines of served streams did not tell whether a late stream was late by its first event or by a pause. Change: the settings file is read again after SIGHUP and when it differs; limits, repeat budget, key age, grace period and log level change at once, other fields keep their values until a restart and are named in the log. Only SIGTERM and SIGINT hurry a drain.

--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -13,7 +13,7 @@
 from .core.leases import Order, OrderKind
 from .declaration import parse_declaration
 from .errors import SequoiamoorError, SettingsError
-from .settings import parse_address, read_settings
+from .settings import parse_address
 from .types import Address
 
 app = typer.Typer(
@@ -47,7 +47,7 @@
     """
     from .daemon import run_router
 
-    run_router(read_settings(settings))
+    run_router(settings)
 
 
 @app.command()
--- a/sequoiamoor/core/repeats.py
+++ b/sequoiamoor/core/repeats.py
@@ -50,15 +50,19 @@
 
 
 class RepeatBudget:
-    """This router's part of the repeats that the whole fleet may make."""
+    """This router's part of the repeats that the whole fleet may make.
+
+    Attributes:
+        limits: Limits in force; they may change at any time.
+    """
 
     def __init__(self, limits: RepeatLimits) -> None:
-        self._limits = limits
+        self.limits = limits
         self._windows: dict[ServiceName, _Window] = {}
 
     def _trimmed(self, service: ServiceName, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
-        window.trim(now - self._limits.window)
+        window.trim(now - self.limits.window)
         return window
 
     def record_request(self, service: ServiceName, now: float) -> None:
@@ -74,7 +78,7 @@
             routers: Routers of the fleet, this one included.
         """
         window = self._trimmed(service, now)
-        limits = self._limits
+        limits = self.limits
         allowed = limits.ratio * len(window.requests) + limits.extra / max(routers, 1)
         if len(window.repeats) + 1 > BUDGET_PART * allowed:
             return False
--- a/sequoiamoor/core/routed.py
+++ b/sequoiamoor/core/routed.py
@@ -34,6 +34,7 @@
         events: Events of a stream that were passed on.
         first_event_at: Monotonic time of the first event of the last attempt.
         last_event_at: Monotonic time of the last event.
+        longest_pause: Longest time between two groups of events, in seconds.
         may_have_run: Whether an attempt was sent whose replica did not state that it
             did not run the request.
     """
@@ -50,6 +51,7 @@
     events: int = 0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
+    longest_pause: float = 0.0
     may_have_run: bool = False
 
     @property
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -205,6 +205,7 @@
         extra["first_ms"] = round((caller.first_at - call.arrival) * 1000)
         extra["total_ms"] = round((now - call.arrival) * 1000)
         extra["events"] = call.events
+        extra["pause_ms"] = round(call.longest_pause * 1000)
         extra["output_tokens"] = call.output_tokens
         extra["prompt_tokens"] = call.prompt_tokens
         _LOG.info("served", extra=extra)
@@ -310,16 +311,20 @@
         async def send_events(head: StreamHead, events: Events) -> None:
             nonlocal is_first
             units = event_units * events.count
+            now = time.monotonic()
+            if call.events:
+                pause = now - call.last_event_at
+                call.longest_pause = max(call.longest_pause, pause)
             if is_first:
                 is_first = False
-                call.first_event_at = time.monotonic()
+                call.first_event_at = now
                 self._dispatcher.note_first_event(call)
                 if not call.charged:
                     units += call.prompt_tokens
             self._board.ledger.charge(call.service, call.organisation, units)
             call.charged += units
             call.events += events.count
-            call.last_event_at = time.monotonic()
+            call.last_event_at = now
             await caller.send_events(head, events.data)
 
         attempt = ForwardAttempt(
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -17,11 +17,17 @@
 from ..net.http_server import ServerConnection
 from ..net.signals import SignalWatch
 from ..platform import callers, names, replicas
-from ..settings import AddressSettings, GatewaySettings, RouterSettings
+from ..settings import (
+    AddressSettings,
+    GatewaySettings,
+    LimitSettings,
+    RouterSettings,
+)
 from .dispatcher import Dispatcher
 from .forwarder import Forwarder
 from .pages import Pages
 from .process import RouterProcess
+from .reloading import SettingsFile
 from .route_listener import RouteListener
 from .sources import Sources
 
@@ -32,6 +38,10 @@
 unconfirmed; the rest covers the delay of the answer that confirms it."""
 
 STEP_SECONDS = 0.1
+
+SETTINGS_CHECK_SECONDS = 1.0
+"""Time between two looks at the settings file, which may change without a signal."""
+
 BACKLOG_CONNECTIONS = 1_024
 PAGE_IDLE_SECONDS = 5.0
 PAGE_HEADER_BYTES = 4_096
@@ -66,11 +76,18 @@
 class Gateway(RouterProcess):
     """A router that serves routes."""
 
-    def __init__(self, settings: RouterSettings, gateway: GatewaySettings) -> None:
+    def __init__(
+        self,
+        settings: RouterSettings,
+        gateway: GatewaySettings,
+        *,
+        file: SettingsFile | None = None,
+    ) -> None:
         super().__init__(_adapt_options(settings, gateway))
         self._gateway = gateway
-        limit = gateway.revocation_limit
-        self._freshness = KeyFreshness(None if limit is None else limit * KEY_AGE_PART)
+        self._file = file
+        self._freshness = KeyFreshness(_find_key_limit(gateway))
+        self._budget = RepeatBudget(_build_repeat_limits(gateway))
         self._directory = Directory(self.board.upstreams)
         self._forwarder = Forwarder(
             self.board,
@@ -83,13 +100,7 @@
             self.metrics,
             callers=callers,
             upstreams=replicas,
-            budget=RepeatBudget(
-                RepeatLimits(
-                    ratio=gateway.repeats.ratio,
-                    window=gateway.repeats.window,
-                    extra=gateway.repeats.extra,
-                )
-            ),
+            budget=self._budget,
             freshness=self._freshness,
             rng=self._rng,
         )
@@ -97,9 +108,7 @@
             self.board,
             self._forwarder,
             self.metrics,
-            limits=settings.limits.model_copy(
-                update={"connections": gateway.connections}
-            ),
+            limits=_build_caller_limits(settings, gateway),
         )
         self._pages = Pages(self.board, self.metrics, policy=self._policy)
         self._sources = Sources(
@@ -153,16 +162,36 @@
                     "routers": self._sources.follow_routers,
                     "directory": self._step_directory,
                     "control": partial(self._control.run, self._forwarder.dispatch),
+                    "settings": self._watch_settings,
                 },
             )
             while await signals.wait() == signal.SIGHUP:
-                _LOG.info("settings file changed", extra={"reason": "SIGHUP"})
+                self._reload_settings("SIGHUP")
             await tasks.spawn(self._stop_taking)
             end = await self._drain(signals)
             await self._sources.remove_own_row()
             await tasks.cancel_remaining()
         return end
 
+    async def _watch_settings(self) -> None:
+        """Takes up a settings file that changes without a signal."""
+        while True:
+            await curio.sleep(SETTINGS_CHECK_SECONDS)
+            if self._file is not None and self._file.is_changed():
+                self._reload_settings("the file changed")
+
+    def _reload_settings(self, reason: str) -> None:
+        settings = None if self._file is None else self._file.reload(reason)
+        if settings is None or settings.gateway is None:
+            return
+        adapted = _adapt_options(settings, settings.gateway)
+        self._settings, self._options = adapted, adapted.options
+        self._gateway = settings.gateway
+        self._freshness.limit = _find_key_limit(settings.gateway)
+        self._budget.limits = _build_repeat_limits(settings.gateway)
+        self._listener.base_limits = _build_caller_limits(settings, settings.gateway)
+        logging.getLogger().setLevel(settings.log_level.upper())
+
     async def _stop_taking(self) -> None:
         await curio.sleep(TAKING_SECONDS)
         self._forwarder.stops_taking = True
@@ -208,6 +237,23 @@
             await connection.close()
 
 
+def _find_key_limit(gateway: GatewaySettings) -> float | None:
+    """Returns for how many seconds the configuration may go unconfirmed."""
+    limit = gateway.revocation_limit
+    return None if limit is None else limit * KEY_AGE_PART
+
+
+def _build_repeat_limits(gateway: GatewaySettings) -> RepeatLimits:
+    repeats = gateway.repeats
+    return RepeatLimits(ratio=repeats.ratio, window=repeats.window, extra=repeats.extra)
+
+
+def _build_caller_limits(
+    settings: RouterSettings, gateway: GatewaySettings
+) -> LimitSettings:
+    return settings.limits.model_copy(update={"connections": gateway.connections})
+
+
 def _adapt_options(
     settings: RouterSettings, gateway: GatewaySettings
 ) -> RouterSettings:
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -108,8 +109,9 @@
 
     async def _take_signals(self, drain: Drain, signals: SignalWatch) -> None:
         while True:
-            await signals.wait()
-            drain.take_signal(time.monotonic())
+            # A change of the settings file does not hurry a shutdown.
+            if await signals.wait() != signal.SIGHUP:
+                drain.take_signal(time.monotonic())
 
     def _find_end(self, drain: Drain) -> DrainEnd | None:
         return drain.find_end(
--- a/sequoiamoor/daemon/route_listener.py
+++ b/sequoiamoor/daemon/route_listener.py
@@ -15,7 +15,11 @@
 
 
 class RouteListener(Listener):
-    """Serves connections of callers, with the limits of the configuration."""
+    """Serves connections of callers, with the limits of the configuration.
+
+    Attributes:
+        base_limits: Limits of the settings in force, where the configuration has none.
+    """
 
     def __init__(
         self,
@@ -26,6 +30,7 @@
         limits: LimitSettings,
     ) -> None:
         super().__init__(board, metrics, limits=limits)
+        self.base_limits = limits
         self._forwarder = forwarder
         self._detects_dead_peers = True
 
@@ -37,9 +42,10 @@
     def _apply_limits(self) -> None:
         declaration = self._board.configuration.declaration
         if declaration is None:
+            self._limits = self.base_limits
             return
         limits = declaration.limits
-        self._limits = self._limits.model_copy(
+        self._limits = self.base_limits.model_copy(
             update={
                 "header_bytes": limits.header_bytes,
                 "body_bytes": limits.body_bytes,
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import curio
@@ -16,7 +17,7 @@
 from ..logs import configure_logs
 from ..net.platform import PlatformClient
 from ..net.signals import SignalWatch
-from ..settings import RouterSettings
+from ..settings import RouterSettings, read_settings
 from .calls import CallServer
 from .debug import DebugPages
 from .gateway import Gateway
@@ -25,6 +26,7 @@
 from .pollers import Pollers
 from .process import RouterProcess
 from .records import Records
+from .reloading import SettingsFile
 
 _LOG = logging.getLogger(__name__)
 
@@ -124,17 +126,22 @@
         await self._calls.cut(reason)
 
 
-def run_router(settings: RouterSettings) -> None:
+def run_router(path: Path) -> None:
     """Runs a router until it is told to stop and its work is done.
 
+    Args:
+        path: Settings file.
+
     Raises:
+        SettingsError: If the file cannot be read or a field is wrong.
         SystemExit: With code 1 if the drain limit or a second signal ended it.
     """
+    settings = read_settings(path)
     configure_logs(settings.log_level)
     if settings.gateway is None:
         router: Router | Gateway = Router(settings)
     else:
-        router = Gateway(settings, settings.gateway)
+        router = Gateway(settings, settings.gateway, file=SettingsFile(path, settings))
     end = curio.run(router.serve, activations=[router.usage])
     if end is not DrainEnd.IDLE:
         sys.exit(1)
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -30,6 +30,7 @@
     "waited_ms",
     "elapsed_ms",
     "events",
+    "pause_ms",
     "prompt_tokens",
     "output_tokens",
     "left_out",
