Serve overdue callers last, and short prompts where the least is to be read

Prompts with 200 shared tokens waited at the replica that rendezvous hashing chose for them, behind long prompts. Change: the age of a request is estimated from the time that its caller still has; past its target it goes behind the others of its organisation. A shared part below 256 tokens no longer chooses the replica: the one with the least to read does, where the target can be met. Test: tests/platform/test_documents.py.

--- a/sequoiamoor/daemon/route_calls.py
+++ b/sequoiamoor/daemon/route_calls.py
@@ -6,6 +6,7 @@
 
 from ..core.blackboard import Blackboard
 from ..core.freshness import KeyFreshness
+from ..core.returns import CallerAges
 from ..core.routed import RoutedCall
 from ..core.routes import RouteTable, build_routes
 from ..errors import (
@@ -49,6 +50,7 @@
         self._rng = rng
         self._table: tuple[int, RouteTable] | None = None
         self._numbers = 0
+        self._ages = CallerAges()
 
     def _routes(self) -> RouteTable:
         state = self._board.configuration
@@ -87,6 +89,8 @@
             wait = min(route.target * STREAM_WAIT_PART, ends_at - now)
         else:
             wait = (ends_at - now) * PLAIN_WAIT_PART
+        # A request whose target has passed must not keep others from meeting theirs.
+        is_overdue = self._ages.estimate(route.name, remaining, now) > route.target
         hint, limit = self._callers.read_output_tokens(request)
         self._numbers += 1
         return RoutedCall(
@@ -96,7 +100,7 @@
             class_name=route.name,
             service=route.choose_service(self._rng),
             arrival=now,
-            deadline=now + route.target,
+            deadline=ends_at if is_overdue else now + route.target,
             wait_limit_at=now + wait,
             body=request.body,
             route=route,
--- a/sequoiamoor/platform/documents.py
+++ b/sequoiamoor/platform/documents.py
@@ -88,7 +88,10 @@
     """
     try:
         document = json.loads(value)
-        return document["version"], {
+        version = _require(document, "version", int)
+        if version < 1:
+            raise SettingsError(f"field 'version' is {version}; it must be at least 1")
+        return version, {
             "organisations": {
                 one["name"]: {
                     "keys": one.get("apiKeys", []),
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -70,8 +70,9 @@
 
 WARM_PARTS_KEPT = 4_096
 
-LEAST_SHARED_TOKENS = 64
-"""Prompt parts below this size are read again faster than a slot comes free."""
+LEAST_SHARED_TOKENS = 256
+"""Prompt parts below this size are read again within a few milliseconds, which is less
+than the prompts ahead of a request at a busy replica take."""
 
 
 @dataclass(slots=True)
@@ -239,9 +240,10 @@
         if not free:
             return None
         part = _find_part(request)
-        if part is None:
+        if not isinstance(request, RoutedCall) or not request.parts:
             return self._choose_replica(board, request, free)
-        assert isinstance(request, RoutedCall)
+        if part is None:
+            return self._find_quickest(request, free, now)
         pool = self._pool(board, request.service, now)
         by_id = {one.replica_id: (one, count) for one, count in free}
         ranked = sorted(
@@ -269,6 +271,20 @@
                 return replica
         return None
 
+    def _find_quickest(
+        self, request: RoutedCall, free: list[tuple[Replica, int]], now: float
+    ) -> Replica | None:
+        """Returns the replica with the least to read, if the target can be met there.
+
+        Among replicas that have the same to read, the one with the most free slots.
+        """
+        found = [
+            (self._tokens_ahead(one.replica_id), -count, one.replica_id, one)
+            for one, count in free
+            if self._may_read(request, one.replica_id, request.prompt_tokens, now)
+        ]
+        return min(found)[-1] if found else None
+
     def _is_warm(self, part: str, replica_id: ReplicaId, now: float) -> bool:
         used_at = self._warm.get((part, replica_id))
         return used_at is not None and now - used_at < WARM_SECONDS
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -101,7 +101,20 @@
         decode_replica("i-1", json.dumps({**ENTRY, **change}).encode())
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"7", b"{"])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"7",
+        b"{",
+        b'{"version": "7"}',
+        b'{"version": true}',
+        b'{"version": 7.5}',
+        b'{"version": 0}',
+    ],
+)
 def test_bytes_that_are_no_document_are_refused(value: bytes) -> None:
     """Guards against a fault of the feed on bytes that cannot be read."""
     with pytest.raises(SettingsError):
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -59,7 +59,12 @@
         self.policy.step(self.board, 0.0)
 
     def report(
-        self, in_use: dict[str, int], *, window: int = 0, **waiting: int
+        self,
+        in_use: dict[str, int],
+        *,
+        window: int = 0,
+        to_read: dict[str, int] | None = None,
+        **waiting: int,
     ) -> None:
         self.sequence += 1
         counters = tuple(
@@ -67,17 +72,25 @@
             for name, count in waiting.items()
         )
         slots = tuple(
-            SlotRow(one, 0, 0, 0, count, 0, window) for one, count in in_use.items()
+            SlotRow(one, 0, 0, 0, count, (to_read or {}).get(one, 0), window)
+            for one, count in in_use.items()
         )
         message = Report(self.sequence, 1, False, counters, slots)
         self.policy.take_report(self.board, PEER, message, 0.0)
 
-    def add(self, part: str = "subject", *, organisation: str = "a") -> RoutedCall:
+    def add(
+        self,
+        part: str = "subject",
+        *,
+        organisation: str = "a",
+        shared: int = 5_000,
+        deadline: float = 0.4,
+    ) -> RoutedCall:
         self.numbers += 1
         call = RoutedCall(
-            f"c-{self.numbers}", "q", organisation, "r", "talk", 0.0, 0.4, 0.4, b"",
-            route=ROUTE,
-            parts=(PromptPart(part, 5_000), PromptPart(f"own-{self.numbers}", 900)),
+            f"c-{self.numbers}", "q", organisation, "r", "talk", 0.0, deadline, 0.4,
+            b"", route=ROUTE,
+            parts=(PromptPart(part, shared), PromptPart(f"own-{self.numbers}", 900)),
         )  # fmt: skip
         self.board.queues.add(call)
         return call
@@ -136,6 +149,44 @@
     assert found == (None if expected is None else ranked[expected])
 
 
+@pytest.mark.parametrize(
+    ("to_read", "expected"),
+    [
+        ([9_000, 100, 4_000, 4_000, 4_000, 4_000], 1),
+        ([4_000, 4_000, 4_000, 4_000, 0, 9_000], 4),
+        ([80_000] * 6, None),
+    ],
+)
+def test_short_shared_part_goes_where_the_least_is_to_be_read(
+    to_read: list[int], expected: int | None
+) -> None:
+    """Load: long prompts at some replicas, and short questions for all.
+
+    Guards against a question that waits behind a long prompt for the sake of a part
+    that is read in a few milliseconds, and against a start that is late anyway.
+    """
+    fleet = Fleet()
+    fleet.report(
+        dict.fromkeys(REPLICAS, 1), to_read=dict(zip(REPLICAS, to_read, strict=True))
+    )
+    fleet.add("greeting", shared=200)
+    assert fleet.start() == (None if expected is None else REPLICAS[expected])
+
+
+def test_requests_that_can_be_in_time_go_before_overdue_ones() -> None:
+    """Load: all callers back at once after a refusal.
+
+    Guards against slots for those who are late anyway while others become late.
+    """
+    fleet = Fleet(replicas=1)
+    fleet.report({REPLICAS[0]: SLOTS - 1})
+    overdue = fleet.add(deadline=8.0)
+    timely = fleet.add(deadline=0.4)
+    assert fleet.start() == REPLICAS[0]
+    assert timely.call_id not in fleet.board.queues
+    assert overdue.call_id in fleet.board.queues
+
+
 def test_hot_part_uses_all_replicas_that_have_read_it() -> None:
     """Load: hot key. Guards against a queue at one of two replicas with the part."""
     fleet = Fleet()
