Take an overloaded router out of the load balancer, send long streams to quick replicas

A prompt without a large shared part goes to a replica where its stream is expected to end in time, among these to the one with the least to read.

--- a/sequoiamoor/core/pace.py
+++ b/sequoiamoor/core/pace.py
@@ -86,6 +86,10 @@
             needed = [one for one in found if one is not None]
             self._needed[service] = min(needed, default=None)
 
+    def interval(self, replica_id: ReplicaId) -> float:
+        """Returns the seconds between two events at the replica, 0 if unknown."""
+        return self._intervals.get(replica_id, 0.0)
+
     def factor(self, service: ServiceName, replica_id: ReplicaId) -> float:
         """Returns the part of the replica's slots that may be used."""
         needed = self._needed.get(service)
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -14,6 +14,7 @@
 from ..core.directory import Directory
 from ..core.drain import DrainEnd
 from ..core.freshness import KeyFreshness
+from ..core.lag import LoopLag
 from ..core.repeats import RepeatBudget, RepeatLimits
 from ..net.http_server import ServerConnection
 from ..net.signals import SignalWatch
@@ -90,6 +91,7 @@
         self._freshness = KeyFreshness(_find_key_limit(gateway))
         self._budget = RepeatBudget(_build_repeat_limits(gateway))
         self._directory = Directory(self.board.upstreams)
+        self._lag = LoopLag()
         self._forwarder = Forwarder(
             self.board,
             Dispatcher(
@@ -130,6 +132,7 @@
             not self.board.is_leaving
             and self.board.configuration.declaration is not None
             and self._directory.is_known
+            and not self._lag.is_overloaded
         )
 
     async def serve(self) -> DrainEnd:
@@ -165,6 +168,7 @@
                     "directory": self._step_directory,
                     "control": partial(self._control.run, self._forwarder.dispatch),
                     "settings": self._watch_settings,
+                    "lag": self._watch_lag,
                 },
             )
             while await signals.wait() == signal.SIGHUP:
@@ -175,6 +179,20 @@
             await tasks.cancel_remaining()
         return end
 
+    async def _watch_lag(self) -> None:
+        """Takes the router out of the load balancer while its loop is too slow."""
+        while True:
+            due = time.monotonic() + STEP_SECONDS
+            await curio.sleep(STEP_SECONDS)
+            now = time.monotonic()
+            is_changed = self._lag.note(now - due, now)
+            self.metrics.loop_lag.set(self._lag.seconds)
+            if is_changed and self._lag.is_overloaded:
+                lag_ms = round(self._lag.seconds * 1000)
+                _LOG.warning("loop is overloaded", extra={"elapsed_ms": lag_ms})
+            elif is_changed:
+                _LOG.info("loop keeps up again")
+
     async def _watch_settings(self) -> None:
         """Takes up a settings file that changes without a signal."""
         while True:
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -118,6 +118,11 @@
             ["operation", "result"],
             registry=self.registry,
         )
+        self.loop_lag = Gauge(
+            "sequoiamoor_loop_lag_seconds",
+            "How late the loop came to a task that slept.",
+            registry=self.registry,
+        )
         self.members = Gauge(
             "sequoiamoor_members",
             "Live routers that this router sees, itself included.",
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -58,6 +58,10 @@
 CUT_STREAM_FACTOR = 2.0
 """Length that is assumed of a stream that was cut at its time, in events made."""
 
+LENGTH_MARGIN = 1.5
+"""Length of a stream that is planned for, in lengths that its caller expects. Their
+guesses are right at the median only."""
+
 SHARE_SECONDS = 2.0
 """Time over which work counts for the shares; shares are owed every few seconds."""
 
@@ -243,7 +247,7 @@
         if not isinstance(request, RoutedCall) or not request.parts:
             return self._choose_replica(board, request, free)
         if part is None:
-            return self._find_quickest(request, free, now)
+            return self._find_quickest(board, request, free, now)
         pool = self._pool(board, request.service, now)
         by_id = {one.replica_id: (one, count) for one, count in free}
         ranked = sorted(
@@ -272,19 +276,35 @@
         return None
 
     def _find_quickest(
-        self, request: RoutedCall, free: list[tuple[Replica, int]], now: float
+        self,
+        board: Blackboard,
+        request: RoutedCall,
+        free: list[tuple[Replica, int]],
+        now: float,
     ) -> Replica | None:
         """Returns the replica with the least to read, if the target can be met there.
 
-        Among replicas that have the same to read, the one with the most free slots.
+        Among replicas that have the same to read, the one with the most free slots. A
+        long stream goes where it ends in time, or else to the quickest replica.
         """
-        found = [
-            (self._tokens_ahead(one.replica_id), -count, one.replica_id, one)
-            for one, count in free
-            if self._may_read(request, one.replica_id, request.prompt_tokens, now)
-        ]
+        expected = self._count_events(board, request) * LENGTH_MARGIN
+        found = []
+        for one, count in free:
+            name = one.replica_id
+            if not self._may_read(request, name, request.prompt_tokens, now):
+                continue
+            interval = self._pace.interval(name)
+            is_in_time = now + expected * interval <= request.ends_at
+            slowness = 0.0 if is_in_time else interval
+            found.append((slowness, self._tokens_ahead(name), -count, name, one))
         return min(found)[-1] if found else None
 
+    def _count_events(self, board: Blackboard, request: RoutedCall) -> int:
+        """Returns how many events the stream is expected to have."""
+        declaration = board.configuration.declaration
+        service = declaration and declaration.services.get(request.service)
+        return request.output_tokens // (service.event_tokens if service else 1)
+
     def _is_warm(self, part: str, replica_id: ReplicaId, now: float) -> bool:
         used_at = self._warm.get((part, replica_id))
         return used_at is not None and now - used_at < WARM_SECONDS
@@ -348,15 +368,12 @@
         events = request.events
         if now >= request.ends_at:
             events = round(events * CUT_STREAM_FACTOR)
-        declaration = board.configuration.declaration
-        service = declaration and declaration.services.get(request.service)
-        event_tokens = service.event_tokens if service else 1
         self._pace.note_end(
             request.service,
             replica_id,
             request.route,
             events=request.events,
-            length=max(events, request.output_tokens // event_tokens),
+            length=max(events, self._count_events(board, request)),
             seconds=request.last_event_at - request.first_event_at,
         )
 
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -173,6 +173,32 @@
     assert fleet.start() == (None if expected is None else REPLICAS[expected])
 
 
+@pytest.mark.parametrize(("events", "expected"), [(20, 2), (70, 4), (200, 4)])
+def test_long_stream_goes_where_it_ends_in_time(events: int, expected: int) -> None:
+    """Load: replicas of different speed with all slots in use.
+
+    Guards against long streams that are cut at their time while a quicker replica has
+    room. The one with the least to read is slow.
+    """
+    fleet = Fleet()
+    fleet.report(
+        dict.fromkeys(REPLICAS, 1),
+        to_read=dict(zip(REPLICAS, [900, 900, 0, 900, 500, 900], strict=True)),
+    )
+    for number, replica_id in enumerate(REPLICAS):
+        fleet.policy._pace.note_end(
+            "talk",
+            replica_id,
+            ROUTE,
+            events=41,
+            length=41,
+            seconds=2.0 if number == 4 else 4.0,
+        )
+    call = fleet.add(shared=200)
+    call.output_tokens, call.ends_at = events, 9.0
+    assert fleet.start() == REPLICAS[expected]
+
+
 def test_requests_that_can_be_in_time_go_before_overdue_ones() -> None:
     """Load: all callers back at once after a refusal.
 
