Keep the sums of peers as their reports come; one backoff, one limit of answers

Change: a report replaces its peer's part of the sums. A stream is planned for with the length that its caller expects. The feeds of the store draw their delays as every other retry does, and answers on routes have the limit of the options.

--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -14,6 +14,7 @@
 from ..core.cadence import JITTER, UPSTREAM_WAIT_SECONDS, Cadence
 from ..core.directory import Directory
 from ..core.freshness import FEED_LAG_SECONDS, KeyFreshness, StoreClock
+from ..core.retries import draw_backoff
 from ..core.upstreams import ListedUpstream, LoadReport
 from ..errors import (
     HistoryLostError,
@@ -148,7 +149,7 @@
                 except (PlatformUnavailableError, ProtocolError) as err:
                     failures += 1
                     self._note_reachable(table, err)
-                    await curio.sleep(self._find_delay(failures))
+                    await curio.sleep(self._draw_delay(failures))
                     continue
                 failures = 0
                 self._note_reachable(table, None)
@@ -162,11 +163,13 @@
         finally:
             await client.close()
 
-    def _find_delay(self, failures: int) -> float:
-        limit = min(
-            LONGEST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2.0 ** min(failures, 8)
+    def _draw_delay(self, failures: int) -> float:
+        return draw_backoff(
+            failures,
+            base=FIRST_RETRY_SECONDS,
+            limit=LONGEST_RETRY_SECONDS,
+            rng=self._rng,
         )
-        return limit * self._rng.uniform(0.5, 1.0)
 
     def _note_reachable(self, table: str, error: Exception | None) -> None:
         was_reachable = self._is_reachable.get(table, True)
@@ -248,7 +251,7 @@
                 except SequoiamoorError as err:
                     failures += 1
                     _LOG.debug("addresses of routers: %s", err)
-                    delay = self._find_delay(failures)
+                    delay = self._draw_delay(failures)
                 if not self._control.membership.members:
                     delay = min(delay, NO_PEER_REFRESH_SECONDS)
                 await curio.sleep(delay)
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -79,6 +79,11 @@
         """Returns the number of idle connections."""
         return self._idle_count
 
+    @property
+    def answer_limit_bytes(self) -> int:
+        """The largest answer that is held as a whole."""
+        return self._options.answer_limit_bytes
+
     async def take(
         self, address: Address, *, is_fresh: bool
     ) -> tuple[ClientConnection, bool]:
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -27,7 +27,6 @@
 from .http import Response
 from .http_client import ClientConnection
 
-ANSWER_LIMIT_BYTES = 16_777_216
 # Answers for other requests that may come before the own one.
 FOREIGN_ANSWERS_LIMIT = 2
 # A stream that may go on elsewhere is late after one pause; callers leave after eight
@@ -207,7 +206,7 @@
         assert connection is not None
         try:
             async with curio.timeout_after(END_WAIT_SECONDS):
-                await connection.receive_body(limit=ANSWER_LIMIT_BYTES)
+                await connection.receive_body(limit=self._pool.answer_limit_bytes)
         except (OSError, h11.ProtocolError, curio.TaskTimeout):
             await self._pool.discard(connection)
             return
@@ -227,7 +226,7 @@
     async def _read_answer(self, response: Response) -> WholeAnswer:
         connection = self._connection
         assert connection is not None
-        body = await connection.receive_body(limit=ANSWER_LIMIT_BYTES)
+        body = await connection.receive_body(limit=self._pool.answer_limit_bytes)
         self._connection = None
         await self._give_back(connection, response)
         return WholeAnswer(
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict
 from collections.abc import Collection
-from dataclasses import dataclass
 from random import Random
 
 from ..core.actions import Action
@@ -16,6 +15,7 @@
 )
 from ..core.messages import Grants, Report, SlotRow
 from ..core.pace import StreamPace
+from ..core.peer_loads import PeerLoads
 from ..core.prefill import PromptReads
 from ..core.rendezvous import hash_pair
 from ..core.routed import RoutedCall
@@ -58,10 +58,6 @@
 CUT_STREAM_FACTOR = 2.0
 """Length that is assumed of a stream that was cut at its time, in events made."""
 
-LENGTH_MARGIN = 1.5
-"""Length of a stream that is planned for, in lengths that its caller expects. Their
-guesses are right at the median only."""
-
 SHARE_SECONDS = 2.0
 """Time over which work counts for the shares; shares are owed every few seconds."""
 
@@ -79,14 +75,6 @@
 than the prompts ahead of a request at a busy replica take."""
 
 
-@dataclass(slots=True)
-class _PeerUse:
-    """Slots in use and prompts being read at one peer, as last reported."""
-
-    identity: RouterIdentity
-    rows: tuple[SlotRow, ...]
-
-
 class SharedLoadPolicy(ReportingPolicy):
     """Starts work where the reports of all routers leave a slot free.
 
@@ -96,10 +84,7 @@
 
     def __init__(self, *, rng: Random) -> None:
         super().__init__(rng=rng)
-        self._peers: dict[RouterId, _PeerUse] = {}
-        self._peer_slots: dict[ReplicaId, int] = {}
-        self._peer_tokens: dict[ReplicaId, int] = {}
-        self._peer_windows: dict[ReplicaId, list[int]] = {}
+        self._peers = PeerLoads()
         self._recent = RecentService(SHARE_SECONDS)
         self._reads = PromptReads()
         self._pace = StreamPace()
@@ -111,7 +96,7 @@
 
     def _free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
         window = self._agreed_window(board, replica, now)
-        return window - replica.in_use - self._peer_slots.get(replica.replica_id, 0)
+        return window - replica.in_use - self._peers.get(replica.replica_id).in_use
 
     def _own_window(self, board: Blackboard, replica: Replica, now: float) -> int:
         """Returns how many requests the replica should run, as seen by this router."""
@@ -126,30 +111,15 @@
         they use it.
         """
         own = self._own_window(board, replica, now)
-        told = self._peer_windows.get(replica.replica_id)
-        if not own or not told:
+        told = self._peers.get(replica.replica_id)
+        if not own or not told.window_count:
             return own
-        return round((own + sum(told)) / (1 + len(told)))
-
-    def _sum_peers(self, board: Blackboard) -> None:
-        slots: dict[ReplicaId, int] = {}
-        tokens: dict[ReplicaId, int] = {}
-        windows: dict[ReplicaId, list[int]] = {}
-        for router_id in board.members:
-            peer = self._peers.get(router_id)
-            if peer is not None and peer.identity == board.members[router_id]:
-                for row in peer.rows:
-                    name = row.replica_id
-                    slots[name] = slots.get(name, 0) + row.in_use
-                    tokens[name] = tokens.get(name, 0) + row.prompt_tokens
-                    if row.window:
-                        windows.setdefault(name, []).append(row.window)
-        self._peer_slots, self._peer_tokens = slots, tokens
-        self._peer_windows = windows
+        return round((own + told.window) / (1 + told.window_count))
 
     def _tokens_ahead(self, replica_id: ReplicaId) -> int:
         """Returns the tokens that the replica has still to read for all routers."""
-        return self._reads.tokens(replica_id) + self._peer_tokens.get(replica_id, 0)
+        peers = self._peers.get(replica_id)
+        return self._reads.tokens(replica_id) + peers.prompt_tokens
 
     def _may_read(
         self, request: RoutedCall, replica_id: ReplicaId, tokens: int, now: float
@@ -287,7 +257,7 @@
         Among replicas that have the same to read, the one with the most free slots. A
         long stream goes where it ends in time, or else to the quickest replica.
         """
-        expected = self._count_events(board, request) * LENGTH_MARGIN
+        expected = self._count_events(board, request)
         found = []
         for one, count in free:
             name = one.replica_id
@@ -383,7 +353,7 @@
         """Does the periodic work of the ledger."""
         actions = super().step(board, now)
         board.ledger.note_live({board.identity, *board.members.values()})
-        self._sum_peers(board)
+        self._peers.keep_only(board.members.values())
         self._update_recent(board, now)
         if now - self._paced_at >= PACE_SECONDS:
             self._paced_at = now
@@ -410,8 +380,7 @@
     ) -> list[Action]:
         """Takes a report of a peer."""
         self._take_counters(board, origin, report, now)
-        self._peers[origin.router_id] = _PeerUse(origin, report.slots)
-        self._sum_peers(board)
+        self._peers.take(origin, report.slots)
         return []
 
     def take_grants(
@@ -423,8 +392,6 @@
     def forget_except(self, board: Blackboard, routers: Collection[RouterId]) -> None:
         """Drops what is kept of routers that the membership has forgotten."""
         self._demands.forget_except(routers)
-        for router_id in self._peers.keys() - set(routers):
-            del self._peers[router_id]
 
 
 def _find_part(request: CallRequest) -> str | None:
--- /dev/null
+++ b/tests/core/test_peer_loads.py
@@ -0,0 +1,57 @@
+"""Tests of the sums of what peers use of the replicas."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sequoiamoor.core.messages import SlotRow
+from sequoiamoor.core.peer_loads import PeerLoads
+from sequoiamoor.types import RouterIdentity
+
+REPLICAS = ("i-1", "i-2", "i-3")
+PEERS = tuple(
+    RouterIdentity(f"router-{number}", incarnation, "zone-a")
+    for number in range(3)
+    for incarnation in (1, 2)
+)
+ROWS = st.builds(
+    SlotRow,
+    st.sampled_from(REPLICAS),
+    st.just(0),
+    st.just(0),
+    st.just(0),
+    st.integers(0, 9),
+    st.integers(0, 9_000),
+    st.integers(0, 24),
+)
+REPORTS = st.tuples(
+    st.sampled_from(PEERS),
+    st.lists(ROWS, max_size=3, unique_by=lambda row: row.replica_id).map(tuple),
+)
+LIVE = st.sets(st.sampled_from(PEERS))
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(REPORTS | LIVE, max_size=12))
+def test_sums_are_those_of_the_last_report_of_each_live_peer(
+    steps: list[tuple[RouterIdentity, tuple[SlotRow, ...]] | set[RouterIdentity]],
+) -> None:
+    """Guards against slots that stay in use for ever, or are counted twice."""
+    loads = PeerLoads()
+    last: dict[RouterIdentity, tuple[SlotRow, ...]] = {}
+    for step in steps:
+        if isinstance(step, tuple):
+            loads.take(*step)
+            last[step[0]] = step[1]
+        else:
+            loads.keep_only(step)
+            last = {peer: rows for peer, rows in last.items() if peer in step}
+    for name in REPLICAS:
+        rows = [row for all_rows in last.values() for row in all_rows]
+        rows = [row for row in rows if row.replica_id == name]
+        found = loads.get(name)
+        assert found.in_use == sum(row.in_use for row in rows)
+        assert found.prompt_tokens == sum(row.prompt_tokens for row in rows)
+        assert found.window == sum(row.window for row in rows)
+        assert found.window_count == sum(row.window > 0 for row in rows)
