--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import base64
+import itertools
 import json
+import time
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
@@ -25,6 +27,7 @@
         loses_answers: Whether calls are done and their connections closed.
         oldest: Version below which the history is gone.
         calls: Paths of the calls that came.
+        created_at: Monotonic time at which its clock began.
     """
 
     rows: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
@@ -37,6 +40,7 @@
     page_rows: int = 500
     calls: list[str] = field(default_factory=list)
     address: Address | None = None
+    created_at: float = field(default_factory=time.monotonic)
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row as the operators or a replica do."""
@@ -97,7 +101,8 @@
         return self._write(json.loads(request.body))
 
     def _stamp(self, **found: Any) -> dict[str, Any]:
-        return {"schemaVersion": self.version, "currentTimeMs": 5_000, **found}
+        time_ms = 5_000 + (time.monotonic() - self.created_at) * 1000
+        return {"schemaVersion": self.version, "currentTimeMs": time_ms, **found}
 
     def _read(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         keys = sorted(
@@ -112,17 +117,18 @@
         after = int(query["after"])
         if after < self.oldest:
             return 410, {}
-        ticks = int(query["waitTimeoutMs"]) // 5
-        for _ in range(ticks + 1):
-            found = [
-                one
-                for one in self.changes
-                if one["table"] == query["table"] and one["schemaVersion"] > after
-            ]
-            if found:
-                break
+        end = time.monotonic() + int(query["waitTimeoutMs"]) / 1000
+        while True:
+            found = self._list_changes(query["table"], after)
+            if found or time.monotonic() >= end:
+                return 200, self._stamp(rows=found)
             await curio.sleep(0.005)
-        return 200, self._stamp(rows=found)
+
+    def _list_changes(self, table: str, after: int) -> list[dict[str, Any]]:
+        newer = itertools.takewhile(
+            lambda one: one["schemaVersion"] > after, reversed(self.changes)
+        )
+        return [one for one in newer if one["table"] == table][::-1]
 
     def _write(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for one in document["expectedRevision"]:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 import time
 
@@ -21,6 +22,8 @@
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--callers", type=int, default=24)
     chosen = parser.parse_args()
+    # Without it SIGTERM would end the soak before it ended its routers.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     broken = 0
     for seed in range(chosen.seed, chosen.seed + chosen.count):
         began = time.monotonic()
