Wake the other feed when one regains the store; leave the balancer before the limit

Change: a feed that regains the store aborts the unanswered call of the other one. A router with more than 0.8 of its connections is not ready.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -133,6 +133,7 @@
             and self.board.configuration.declaration is not None
             and self._directory.is_known
             and not self._lag.is_overloaded
+            and not self._listener.is_crowded
         )
 
     async def serve(self) -> DrainEnd:
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -26,6 +26,10 @@
 # closed without a response, so that refusals need a bounded number of descriptors.
 EXCESS_CONNECTIONS = 64
 
+# Part of the connections above which new ones should go elsewhere. The load balancer
+# takes about two seconds to notice, in which the rest is for those that still come.
+CROWDED_PART = 0.8
+
 
 class Listener:
     """Accepts connections of callers and receives their requests in turn.
@@ -42,6 +46,11 @@
         self._connections = 0
         self._detects_dead_peers = False
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether so many connections are open that new ones should go elsewhere."""
+        return self._connections > CROWDED_PART * self._limits.connections
+
     async def accept(self, sock: Any, peer: Any) -> None:
         """Serves one connection until it ends."""
         connection = ServerConnection(
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -81,6 +81,7 @@
         self._address = address
         self._rng = rng
         self._is_reachable: dict[str, bool] = {}
+        self._followers: dict[str, StoreClient] = {}
         self._warned: dict[str, bytes] = {}
 
     def _connect(self) -> StoreClient:
@@ -126,7 +127,7 @@
         find_pause: Callable[[], float],
         take: TakeRows,
     ) -> None:
-        client = self._connect()
+        client = self._followers[table] = self._connect()
         clock = StoreClock()
         version: int | None = None
         failures = 0
@@ -180,6 +181,16 @@
             _LOG.warning("store lost", extra={"table": table, "detail": str(error)})
         elif not was_reachable and error is None:
             _LOG.info("store regained", extra={"table": table})
+            self._abort_lost()
+
+    def _abort_lost(self) -> None:
+        """Lets the feeds that have not regained the store call it again at once.
+
+        A call that was sent into a partition would wait for its timeout.
+        """
+        for table, client in self._followers.items():
+            if not self._is_reachable.get(table, True):
+                client.abort()
 
     def _take_configuration(self, rows: Rows, is_whole: bool) -> None:
         for row in rows.rows:
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -157,6 +157,11 @@
         document = {"expectedRevision": [], "write": [], "removals": [row]}
         await self._call("POST", "/api/rows-tx", {}, document=document)
 
+    def abort(self) -> None:
+        """Ends the call that waits for an answer, if there is one, as unanswered."""
+        if self._connection is not None:
+            self._connection.abort()
+
     async def close(self) -> None:
         """Closes the connection."""
         connection, self._connection = self._connection, None
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -530,3 +530,17 @@
         assert received.endswith(b"ready\n") == (method == b"GET")
 
     run(session)
+
+
+def test_crowded_listener_is_told_before_connections_are_refused() -> None:
+    """Guards against a router that stays in the load balancer until it is full."""
+
+    async def session(border: Border) -> None:
+        callers = [await border.connect() for _ in range(4)]
+        await border.wait_for(lambda: border.listener._connections == 4)
+        assert not border.listener.is_crowded
+        callers.append(await border.connect())
+        await border.wait_for(lambda: border.listener._connections == 5)
+        assert border.listener.is_crowded
+
+    run(session, limits={"connections": 5})
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import curio
+import pytest
 
 from sequoiamoor.core.blackboard import create_blackboard
 from sequoiamoor.core.cadence import Cadence
@@ -145,6 +146,9 @@
         store.put("servers", "i-1", build_entry())
         await feeds.wait_for(lambda: feeds.replicas() == {"i-1"})
         store.status = 503
+        # Calls of the other feed tell nothing about the one of the entries.
+        reachable = feeds.sources._is_reachable
+        await feeds.wait_for(lambda: not reachable["servers"])
         seen = len(store.calls)
         await feeds.wait_for(lambda: len(store.calls) > seen + 2)
         assert feeds.replicas() == {"i-1"}
@@ -181,6 +185,28 @@
     run(session)
 
 
+def test_feed_that_regains_the_store_wakes_the_other_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against keys that stay uncertain after a partition has healed.
+
+    A call that was sent into the partition waits for its timeout, here a long one.
+    """
+    monkeypatch.setattr(sources, "CALL_TIMEOUT_SECONDS", 60.0)
+
+    async def session(feeds: Feeds) -> None:
+        store, reachable = feeds.store, feeds.sources._is_reachable
+        await feeds.wait_for(lambda: reachable == {"op": True, "servers": True})
+        store.refused_tables = {"op", "servers"}
+        await feeds.wait_for(lambda: reachable == {"op": False, "servers": False})
+        store.silent_tables, store.refused_tables = {"op"}, {"servers"}
+        await feeds.wait_for(lambda: store.hanging > 0)
+        store.silent_tables, store.refused_tables = set(), set()
+        await feeds.wait_for(lambda: reachable == {"op": True, "servers": True})
+
+    run(session)
+
+
 def test_entry_that_lapsed_is_dropped_in_time_after_a_partition() -> None:
     """Guards against work for a replica that left while its router was cut off.
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,6 +24,9 @@
     Attributes:
         status: Answers every call with this status if it is set.
         is_silent: Whether calls get no answer.
+        silent_tables: Tables whose calls get no answer.
+        refused_tables: Tables whose calls are refused.
+        hanging: Calls that came and get no answer.
         loses_answers: Whether calls are done and their connections closed.
         oldest: Version below which the history is gone.
         calls: Paths of the calls that came.
@@ -35,6 +38,9 @@
     version: int = 100
     status: int | None = None
     is_silent: bool = False
+    silent_tables: set[str] = field(default_factory=set)
+    refused_tables: set[str] = field(default_factory=set)
+    hanging: int = 0
     loses_answers: bool = False
     oldest: int = 0
     page_rows: int = 500
@@ -77,9 +83,13 @@
                 idle_timeout=60.0, receive_timeout=60.0
             ):
                 self.calls.append(request.path)
-                if self.is_silent:
+                table = parse_qs(request.query).get("table", [""])[0]
+                if self.is_silent or table in self.silent_tables:
+                    self.hanging += 1
                     await curio.sleep(60.0)
                 status, document = self.status or 200, {}
+                if table in self.refused_tables:
+                    status = 503
                 if status == 200:
                     status, document = await self._answer(request)
                 if self.loses_answers:
