Bound the time of each fault of the soak

Cause: the soak of seed 112 did not end on a machine with 19 runnable processes: callers went on for ten minutes, so a fault had not ended. The seed ends in 19 s when run alone; which fault hung is not known. Change: a fault that does not end in 30 s is reported as a violation with its name.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,9 @@
 PAUSE_SECONDS = (0.5, 3.0)
 """Range of the time for which a process is paused or the store is silent."""
 
+FAULT_SECONDS = 30.0
+"""Time in which every fault ends; longer, and the soak itself is at fault."""
+
 OVERLAP_SECONDS = (0.1, 1.5)
 """Range of the time between the starts of two faults."""
 
@@ -215,6 +218,16 @@
 )
 
 
+async def _run_fault(fault: Fault, fleet: SoakFleet, rng: Random) -> None:
+    try:
+        async with curio.timeout_after(FAULT_SECONDS):
+            await fault(fleet, rng)
+    except curio.TaskTimeout:
+        fleet.violations.append(
+            f"SOAK: {fault.__name__} did not end in {FAULT_SECONDS} s"
+        )
+
+
 async def inject(fleet: SoakFleet, seed: int, seconds: float) -> list[str]:
     """Starts faults for a time and waits until all of them have ended.
 
@@ -227,7 +240,7 @@
         while True:
             fault = rng.choice(FAULTS)
             names.append(fault.__name__)
-            await tasks.spawn(fault, fleet, Random(rng.random()))
+            await tasks.spawn(_run_fault, fault, fleet, Random(rng.random()))
             await curio.sleep(_draw(rng, OVERLAP_SECONDS))
     for task in tasks.tasks:
         if task.exception is not None:
