Send nothing on for callers that have left while the loop was late

The request and the close were both in the kernel's buffer; the close was noticed only after the send. Change: before each attempt the router looks whether its caller's close has arrived. Test: tests/daemon/test_forwarder.py, both cases fail without the look.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -335,6 +335,7 @@
             metrics=self._metrics,
         )
         try:
+            caller.check_present()
             return await attempt.run(order, send_events)
         except UpstreamRefusedError:
             call.sent_attempts += 1
--- a/sequoiamoor/daemon/route_sink.py
+++ b/sequoiamoor/daemon/route_sink.py
@@ -7,7 +7,7 @@
 from ..core.blackboard import Blackboard
 from ..net.forward import StreamHead, WholeAnswer
 from ..net.http_server import ServerConnection
-from .sink import deliver
+from .sink import CallerGoneError, deliver
 
 
 class RouteSink:
@@ -27,6 +27,17 @@
         self.is_started = False
         self.first_at: float | None = None
 
+    def check_present(self) -> None:
+        """Looks whether the caller is still there.
+
+        A loop that is late reads requests of callers that have left meanwhile.
+
+        Raises:
+            CallerGoneError: If its connection is closed.
+        """
+        if self._connection.has_peer_left:
+            raise CallerGoneError("the caller left before its request was sent on")
+
     def _closing(self) -> list[tuple[bytes, bytes]]:
         return [(b"connection", b"close")] if self._board.is_leaving else []
 
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -246,6 +246,16 @@
         self._is_streaming = False
         await self._send(h11.EndOfMessage())
 
+    @property
+    def has_peer_left(self) -> bool:
+        """Whether the peer's close has arrived, even if nobody has read it yet."""
+        try:
+            return not self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def wait_closed(self) -> None:
         """Returns when the peer closes its side; keeps data that comes earlier."""
         while len(self._h11.trailing_data[0]) <= self._header_limit:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -331,3 +331,23 @@
         assert not watched.closed_too_early
 
     run(session)
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/chat/1"])
+def test_request_of_a_caller_that_has_left_is_not_sent_on(path: str) -> None:
+    """Load: a loop that is late. Guards against work for callers that have left.
+
+    The request and the close are in the kernel's buffer when the router reads it.
+    """
+
+    async def session(border: RouteBorder) -> None:
+        upstream = await border.add_upstream(lambda _: [answer()])
+        caller = await border.connect()
+        caller.sock._socket.send(ask_for(path))
+        caller.sock._socket.close()
+        caller.is_closed = True
+        await border.wait_for(lambda: border.counter("callers_gone") == 1)
+        await border.wait_for(border.is_idle)
+        assert upstream.requests == []
+
+    run(session)
