--- a/sequoiamoor/core/freshness.py
+++ b/sequoiamoor/core/freshness.py
@@ -26,7 +26,7 @@
         self._noted_at = float("-inf")
 
     def date(self, asked_at: float, store_time: float) -> float:
-        """Returns a local time at which the answer was not yet made.
+        """Returns a local time that is not later than the making of the answer.
 
         Args:
             asked_at: Local time at which the answer was asked for.
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import signal
 import subprocess
 import time
@@ -17,9 +18,6 @@
 GRACE_SECONDS = 6.0
 REVOCATION_SECONDS = 5.0
 HOST = "127.0.0.1"
-INTERPRETER_SECONDS = 1.0
-"""Time after its start from which a process may get SIGHUP. Until the interpreter runs
-the first line of the program, the default action of the signal ends the process."""
 
 
 class Router:
@@ -36,7 +34,6 @@
         self._path = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
-        self._started_at = float("-inf")
         self.is_ending = False
         self.name = name
         self.is_paused = False
@@ -76,7 +73,6 @@
         """Starts the process."""
         self.disturbed_at = time.monotonic()
         self.is_ending = self.is_paused = False
-        self._started_at = time.monotonic()
         arguments = ["router", "--settings", str(self._path)]
         self._process = start_process(arguments, self._log)
 
@@ -86,13 +82,26 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def _takes_reload(self) -> bool:
+        """Whether SIGHUP would not end the process.
+
+        Until the interpreter runs the first line of the program, the default action of
+        the signal does; no program can prevent that.
+        """
+        try:
+            status = Path(f"/proc/{self.process_id}/status").read_text()
+        except OSError:
+            return False
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\t([0-9a-f]+)$", status, re.MULTILINE)
+        return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it is there."""
         assert self._process is not None
         if self._process.poll() is not None:
             return
-        age = time.monotonic() - self._started_at
-        if number is signal.SIGHUP and age < INTERPRETER_SECONDS:
+        if number is signal.SIGHUP and not self._takes_reload:
             return
         if number is not signal.SIGHUP:
             self.disturbed_at = time.monotonic()
