Charge the expected output of a stream where it begins

Output was charged as it came, so that long streams held back what their organisation wanted to start later, while work is owed where it begins. Ruled out: the tolerance of the comparison (a third of it changes little). Change: prompt and expected output are charged at the first event; only output beyond the expected is charged as it comes.

--- a/sequoiamoor/core/routed.py
+++ b/sequoiamoor/core/routed.py
@@ -35,6 +35,7 @@
         first_event_at: Monotonic time of the first event of the last attempt.
         last_event_at: Monotonic time of the last event.
         longest_pause: Longest time between two groups of events, in seconds.
+        prepaid: Units of output that were charged before they were generated.
         may_have_run: Whether an attempt was sent whose replica did not state that it
             did not run the request.
     """
@@ -52,6 +53,7 @@
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_pause: float = 0.0
+    prepaid: float = 0.0
     may_have_run: bool = False
 
     @property
@@ -68,3 +70,23 @@
     def shared_tokens(self) -> int:
         """Tokens of the prompt that other requests may share."""
         return self.prompt_tokens - self.own_tokens
+
+    def prepay(self, units_per_token: float) -> float:
+        """Returns the units to charge at the first event of the first attempt.
+
+        The prompt and the expected output count where the request begins. Charged as
+        they come, long streams would hold back what their organisation starts later.
+
+        Args:
+            units_per_token: Service units of a generated token.
+        """
+        if self.charged:
+            return 0.0
+        self.prepaid = units_per_token * self.output_tokens
+        return self.prompt_tokens + self.prepaid
+
+    def use_prepaid(self, units: float) -> float:
+        """Returns what is left to charge of work whose price may have been prepaid."""
+        taken = min(self.prepaid, units)
+        self.prepaid -= taken
+        return units - taken
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -310,7 +310,7 @@
 
         async def send_events(head: StreamHead, events: Events) -> None:
             nonlocal is_first
-            units = event_units * events.count
+            units = 0.0
             now = time.monotonic()
             if call.events:
                 pause = now - call.last_event_at
@@ -319,8 +319,8 @@
                 is_first = False
                 call.first_event_at = now
                 self._dispatcher.note_first_event(call)
-                if not call.charged:
-                    units += call.prompt_tokens
+                units += call.prepay(GENERATED_TOKEN_UNITS)
+            units += call.use_prepaid(event_units * events.count)
             self._board.ledger.charge(call.service, call.organisation, units)
             call.charged += units
             call.events += events.count
