Use one piece of code where the change had written a second one

A look at what has arrived on a socket stood in both sides of HTTP, the tokens of an event in forwarder and policy, a draw around a mean twice in the feeds. The list of settings that need a restart would have let a new field pass for one that is taken up; the fields that change are named instead. The soak had its own reset value, header encoding, readiness call and connect. Its RouteKind is SoakRoute now, since the package has a RouteKind. Behaviour as before; no test's assertion changed.

--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -6,7 +6,7 @@
 
 from ..declaration import Declaration
 from ..options import Options
-from ..types import CallRequest, RouterId, RouterIdentity
+from ..types import CallRequest, RouterId, RouterIdentity, ServiceName
 from .ledger import Ledger
 from .placement import TreePlace
 from .queues import RequestQueues
@@ -21,6 +21,11 @@
     declaration: Declaration | None = None
     document: object = None
 
+    def find_event_tokens(self, service: ServiceName) -> int:
+        """Returns the tokens in one event of the service's streams, 1 if unknown."""
+        known = self.declaration and self.declaration.services.get(service)
+        return known.event_tokens if known else 1
+
 
 @dataclass(slots=True)
 class Blackboard:
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -302,10 +302,8 @@
     async def _attempt(
         self, call: RoutedCall, replica: Replica, order: EventOrder, caller: RouteSink
     ) -> WholeAnswer | None:
-        declaration = self._board.configuration.declaration
-        assert declaration is not None
-        service = declaration.services.get(call.service)
-        event_units = (service.event_tokens if service else 1) * GENERATED_TOKEN_UNITS
+        tokens = self._board.configuration.find_event_tokens(call.service)
+        event_units = tokens * GENERATED_TOKEN_UNITS
         is_first = True
 
         async def send_events(head: StreamHead, events: Events) -> None:
--- a/sequoiamoor/daemon/reloading.py
+++ b/sequoiamoor/daemon/reloading.py
@@ -4,27 +4,22 @@
 
 import logging
 from pathlib import Path
+from typing import TypeVar
+
+from pydantic import BaseModel
 
 from ..errors import SettingsError
 from ..settings import RouterSettings, read_settings
 
 _LOG = logging.getLogger(__name__)
+_M = TypeVar("_M", bound=BaseModel)
 
-FIXED_FIELDS = (
-    "router_id",
-    "zone",
-    "http",
-    "control",
-    "platform",
-    "peers",
-    "policy",
-    "seed",
-    "fault_injection",
-    "options",
-)
-"""Fields that a running router keeps; a change of them needs a restart."""
+RELOADED_FIELDS = frozenset({"limits", "log_level"})
+"""Fields that a running router takes up; a change of any other one needs a restart."""
 
-FIXED_GATEWAY_FIELDS = ("ready", "metrics", "connections")
+RELOADED_GATEWAY_FIELDS = frozenset(
+    {"repeats", "revocation_limit", "leaving_bound", "configuration_bound", "grace"}
+)
 
 
 class SettingsFile:
@@ -84,24 +79,30 @@
 def _merge(
     old: RouterSettings, new: RouterSettings
 ) -> tuple[RouterSettings, list[str]]:
-    """Returns the new settings with the fixed fields of the old ones, and their names.
+    """Returns the old settings with the fields that can change, and the other changes.
 
     A router keeps the interface that it serves, so a gateway section that appears or
-    goes counts as a fixed field.
+    goes needs a restart.
     """
-    kept = [name for name in FIXED_FIELDS if getattr(old, name) != getattr(new, name)]
-    merged = new.model_copy(update={name: getattr(old, name) for name in kept})
     if old.gateway is None or new.gateway is None:
-        if old.gateway != new.gateway:
-            kept.append("gateway")
-        return merged.model_copy(update={"gateway": old.gateway}), kept
-    fixed = [
+        return _take(old, new, RELOADED_FIELDS)
+    gateway, kept = _take(old.gateway, new.gateway, RELOADED_GATEWAY_FIELDS)
+    merged, kept_above = _take(
+        old, new.model_copy(update={"gateway": gateway}), RELOADED_FIELDS | {"gateway"}
+    )
+    return merged, kept_above + [f"gateway.{name}" for name in kept]
+
+
+def _take(old: _M, new: _M, names: frozenset[str]) -> tuple[_M, list[str]]:
+    """Returns a copy of the old model with some fields of the new one.
+
+    The names of other fields that differ come with it.
+    """
+    changed = [
         name
-        for name in FIXED_GATEWAY_FIELDS
-        if getattr(old.gateway, name) != getattr(new.gateway, name)
+        for name in type(old).model_fields
+        if getattr(old, name) != getattr(new, name)
     ]
-    gateway = new.gateway.model_copy(
-        update={name: getattr(old.gateway, name) for name in fixed}
-    )
-    kept += [f"gateway.{name}" for name in fixed]
-    return merged.model_copy(update={"gateway": gateway}), kept
+    taken = {name: getattr(new, name) for name in changed if name in names}
+    kept = [name for name in changed if name not in names]
+    return old.model_copy(update=taken), kept
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -116,8 +116,7 @@
         return self.cadence.find_configuration_wait(self._count_routers())
 
     def _find_upstream_pause(self) -> float:
-        mean = self.cadence.find_upstream_pause(self._count_routers())
-        return mean * self._rng.uniform(1 - JITTER, 1 + JITTER)
+        return self._spread(self.cadence.find_upstream_pause(self._count_routers()))
 
     async def _follow(
         self,
@@ -270,7 +269,9 @@
             await client.close()
 
     def _find_router_refresh(self) -> float:
-        mean = self.cadence.find_router_refresh(self._count_routers())
+        return self._spread(self.cadence.find_router_refresh(self._count_routers()))
+
+    def _spread(self, mean: float) -> float:
         return mean * self._rng.uniform(1 - JITTER, 1 + JITTER)
 
     async def remove_own_row(self) -> None:
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -128,6 +128,21 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
 
+def peek(sock: Any) -> bytes | None:
+    """Returns the first byte that has arrived on a non-blocking socket, unread.
+
+    Returns:
+        None if nothing has arrived, no byte if the connection is closed or broken.
+    """
+    try:
+        data: bytes = sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+    return data
+
+
 def set_no_delay(sock: Any) -> None:
     """Turns off the delay of small segments on a TCP socket."""
     # Without it the kernel may hold a small chunk until the one before it is
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -20,6 +20,7 @@
     Headers,
     Response,
     from_headers,
+    peek,
     set_no_delay,
     set_timeouts,
     to_headers,
@@ -269,13 +270,7 @@
     @property
     def is_quiet(self) -> bool:
         """Whether the peer neither closed the idle connection nor sent anything."""
-        try:
-            self._raw.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return peek(self._raw) is None
 
     async def skip_response(self) -> None:
         """Reads a response that belongs to no request and expects the next one.
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -21,6 +21,7 @@
     Request,
     check_request_head,
     from_headers,
+    peek,
     set_no_delay,
     set_timeouts,
     to_headers,
@@ -249,12 +250,7 @@
     @property
     def has_peer_left(self) -> bool:
         """Whether the peer's close has arrived, even if nobody has read it yet."""
-        try:
-            return not self._raw.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return peek(self._raw) == b""
 
     async def wait_closed(self) -> None:
         """Returns when the peer closes its side; keeps data that comes earlier."""
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -213,9 +213,9 @@
     ) -> Replica | None:
         if not free:
             return None
-        part = _find_part(request)
         if not isinstance(request, RoutedCall) or not request.parts:
             return self._choose_replica(board, request, free)
+        part = _find_part(request)
         if part is None:
             return self._find_quickest(board, request, free, now)
         pool = self._pool(board, request.service, now)
@@ -271,9 +271,8 @@
 
     def _count_events(self, board: Blackboard, request: RoutedCall) -> int:
         """Returns how many events the stream is expected to have."""
-        declaration = board.configuration.declaration
-        service = declaration and declaration.services.get(request.service)
-        return request.output_tokens // (service.event_tokens if service else 1)
+        tokens = board.configuration.find_event_tokens(request.service)
+        return request.output_tokens // tokens
 
     def _is_warm(self, part: str, replica_id: ReplicaId, now: float) -> bool:
         used_at = self._warm.get((part, replica_id))
--- a/tests/border.py
+++ b/tests/border.py
@@ -22,6 +22,7 @@
 from sequoiamoor.daemon.pages import Pages
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.metrics import Metrics
+from sequoiamoor.net.http_client import RESET_ON_CLOSE
 from sequoiamoor.options import Options
 from sequoiamoor.policies.round_robin import RoundRobinPolicy
 from sequoiamoor.settings import LimitSettings
@@ -180,8 +181,7 @@
             return False
         else:
             if step.is_reset:
-                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             return False
         return True
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RouteKind:
+class SoakRoute:
     """How requests on one route may be treated.
 
     Attributes:
@@ -38,10 +38,10 @@
 
 
 ROUTES = (
-    RouteKind("/look/", "desk", is_stream=False, runs_once=False),
-    RouteKind("/hold/", "desk", is_stream=False, runs_once=True),
-    RouteKind("/chat/", "talk", is_stream=True, runs_once=True),
-    RouteKind("/summary/", "talk", is_stream=True, runs_once=False),
+    SoakRoute("/look/", "desk", is_stream=False, runs_once=False),
+    SoakRoute("/hold/", "desk", is_stream=False, runs_once=True),
+    SoakRoute("/chat/", "talk", is_stream=True, runs_once=True),
+    SoakRoute("/summary/", "talk", is_stream=True, runs_once=False),
 )
 
 
@@ -55,7 +55,7 @@
     """
 
     request_id: str
-    route: RouteKind
+    route: SoakRoute
     organisation: str
     key: str
     router: str
@@ -120,14 +120,15 @@
         while not self.is_stopped:
             if connection is None:
                 router = rng.choice(sorted(self.fronts))
-                connection = await self._connect(router)
+                connection = await self.connect(router)
             if connection is not None:
                 connection = await self._ask_once(connection, router, rng)
             await curio.sleep(rng.uniform(0.0, PAUSE_SECONDS))
         if connection is not None:
             await connection.close()
 
-    async def _connect(self, router: str) -> ClientConnection | None:
+    async def connect(self, router: str) -> ClientConnection | None:
+        """Connects to a router; returns None if that fails."""
         try:
             return await ClientConnection.connect(self.fronts[router], timeout=1.0)
         except OSError:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,6 +10,8 @@
 
 import curio
 
+from sequoiamoor.net.http_client import exchange
+
 from ..platform.standin import StandInStore
 from .callers import HOST
 from .replicas import Replica, RunLog
@@ -93,15 +95,12 @@
 
     async def _is_ready(self, router: Router) -> bool:
         try:
-            async with curio.timeout_after(1.0):
-                sock = await curio.open_connection(router.ready.host, router.ready.port)
-                async with sock:
-                    await sock.sendall(
-                        b"GET /api/readiness HTTP/1.1\r\nHost: r\r\n\r\n"
-                    )
-                    return bool((await sock.recv(64)).startswith(b"HTTP/1.1 200"))
-        except (OSError, curio.TaskTimeout):
+            response, _ = await exchange(
+                router.ready, "GET", "/api/readiness", timeout=1.0
+            )
+        except OSError:
             return False
+        return response.status == 200
 
     async def restart(self, router: Router) -> None:
         """Waits for the end of a process that was told to end, and starts it again.
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,16 +4,15 @@
 
 import enum
 import socket
-import struct
 from collections.abc import Callable
 from typing import Any
 
 import curio
 
+from sequoiamoor.net.http_client import RESET_ON_CLOSE
 from sequoiamoor.types import Address
 
 CHUNK_BYTES = 65_536
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class LinkState(enum.Enum):
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -190,7 +190,7 @@
         body = f"{request.path} {request_id}".encode()
         if self.fault == "cut":
             # An answer of two halves of which the second never comes.
-            await connection.start_stream(200, [*_encode(signed)])
+            await connection.start_stream(200, signed)
             await connection.send_data(body[: len(body) // 2])
             return False
         await connection.send_response(200, signed, body)
@@ -222,8 +222,8 @@
         count = int(parse_qs(request.query)["events"][0])
         first = int(request.headers.get("last-event-id", -1)) + 1
         cut_at = self._rng.randrange(first, count + 1) if self.fault == "cut" else None
-        fields = _encode({**signed, "Content-Type": "text/event-stream"})
-        await connection.start_stream(200, [*fields])
+        fields = {**signed, "Content-Type": "text/event-stream"}
+        await connection.start_stream(200, fields)
         for number in range(first, count):
             event = build_event(request_id, number)
             if number == cut_at:
@@ -238,7 +238,3 @@
         """Ends whatever is wrong with the replica and its link."""
         self.fault, self.proxy.delay = None, 0.0
         await self.proxy.set_state(LinkState.OPEN)
-
-
-def _encode(fields: dict[str, str]) -> list[tuple[bytes, bytes]]:
-    return [(name.encode(), value.encode()) for name, value in fields.items()]
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -71,7 +71,7 @@
 
     def start(self) -> None:
         """Starts the process."""
-        self.disturbed_at = time.monotonic()
+        self.touch()
         self.is_ending = self.is_paused = False
         arguments = ["router", "--settings", str(self._path)]
         self._process = start_process(arguments, self._log)
@@ -104,7 +104,7 @@
         if number is signal.SIGHUP and not self._takes_reload:
             return
         if number is not signal.SIGHUP:
-            self.disturbed_at = time.monotonic()
+            self.touch()
         self.is_ending |= number in (signal.SIGTERM, signal.SIGKILL)
         if number in (signal.SIGSTOP, signal.SIGCONT):
             self.is_paused = number is signal.SIGSTOP
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,8 +11,6 @@
 
 import curio
 
-from sequoiamoor.net.http_client import ClientConnection
-
 from .callers import PROMISED_NOT_RUN, ROUTES, Asked, Callers
 from .faults import inject
 from .fleet import SoakFleet
@@ -113,11 +111,8 @@
             key = fleet.keys[organisation][-1]
             request_id = f"recovery{seed:x}-{number}"
             asked = Asked(request_id, route, organisation, key, name, 0.0)
-            try:
-                connection = await ClientConnection.connect(
-                    callers.fronts[name], timeout=1.0
-                )
-            except OSError:
+            connection = await callers.connect(name)
+            if connection is None:
                 continue
             await callers.ask(connection, asked, rng)
             await connection.close()
