Bound the unread prompts at a replica by the shortest target

Cause: on the Sicilian deployment engines take 64 requests but read prompts slowly, so slots never bind.

Change: a request starts only where the unread prompts take at most a quarter of the shortest target that the service's streams declare, and a shared part is read again only at a replica with a quarter of that. A first event dispatches waiting requests, since the replica has read the prompt.

--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from ..declaration import Declaration
 from ..options import Options
-from ..types import CallRequest, RouterId, RouterIdentity, ServiceName
+from ..types import CallRequest, RouteKind, RouterId, RouterIdentity, ServiceName
 from .ledger import Ledger
 from .placement import TreePosition
 from .queues import RequestQueues
@@ -26,12 +27,38 @@
     version: int = 0
     declaration: Declaration | None = None
     document: object = None
+    _targets_version: int = -1
+    _shortest_targets: dict[ServiceName, float] = field(default_factory=dict)
 
     def find_event_tokens(self, service: ServiceName) -> int:
         """Returns the tokens per event of the service's streams, 1 if unknown."""
         declared = self.declaration and self.declaration.services.get(service)
         return declared.event_tokens if declared else 1
 
+    def find_shortest_stream_target(self, service: ServiceName) -> float:
+        """Returns the shortest target of the service's streams in seconds.
+
+        It is infinite without a declared stream.
+        """
+        if self._targets_version != self.version:
+            self._targets_version = self.version
+            self._shortest_targets = _find_shortest_targets(self.declaration)
+        return self._shortest_targets.get(service, math.inf)
+
+
+def _find_shortest_targets(
+    declaration: Declaration | None,
+) -> dict[ServiceName, float]:
+    shortest_targets: dict[ServiceName, float] = {}
+    routes = {} if declaration is None else declaration.routes
+    for route in routes.values():
+        if route.kind is not RouteKind.STREAM:
+            continue
+        for service, _ in route.services:
+            shortest = shortest_targets.get(service, math.inf)
+            shortest_targets[service] = min(shortest, route.target_ms / 1000)
+    return shortest_targets
+
 
 @dataclass(slots=True)
 class Blackboard:
--- a/sequoiamoor/core/prefill.py
+++ b/sequoiamoor/core/prefill.py
@@ -17,6 +17,9 @@
 _PRIOR_SAMPLES = ((500.0, 0.05), (20_000.0, 0.25))
 _PRIOR_WEIGHT = 5.0
 
+MEAN_SMOOTHING_WEIGHT = 0.05
+"""Weight of the newest prompt in the moving average of the tokens to be read."""
+
 MAX_SAMPLE_SECONDS = 3.0
 """Longer times come from a replica that hangs and not from reading the prompt."""
 
@@ -106,11 +109,18 @@
     models: dict[ServiceName, FirstEventModel] = field(default_factory=dict)
     _reads_by_call_id: dict[str, _PromptRead] = field(default_factory=dict)
     _unread_tokens_by_replica: dict[ReplicaId, int] = field(default_factory=dict)
+    _mean_tokens: dict[ServiceName, float] = field(default_factory=dict)
 
     def model(self, service: ServiceName) -> FirstEventModel:
         """Returns the model of the service's replicas."""
         return self.models.setdefault(service, FirstEventModel())
 
+    def find_mean_seconds(self, service: ServiceName) -> float:
+        """Returns the mean seconds that reading a prompt takes, 0 before the first."""
+        return self.model(service).seconds_per_token * self._mean_tokens.get(
+            service, 0.0
+        )
+
     def count_unread_tokens(self, replica_id: ReplicaId) -> int:
         """Returns the tokens that the replica still has to read for this router."""
         return self._unread_tokens_by_replica.get(replica_id, 0)
@@ -137,6 +147,8 @@
         """
         read = _PromptRead(service, replica_id, tokens, ahead, now)
         self._reads_by_call_id[call_id] = read
+        mean = self._mean_tokens.get(service, float(tokens))
+        self._mean_tokens[service] = mean + MEAN_SMOOTHING_WEIGHT * (tokens - mean)
         self._unread_tokens_by_replica[replica_id] = (
             self.count_unread_tokens(replica_id) + tokens
         )
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -131,9 +131,14 @@
         """
         return self._policy.find_wait_limit(call)
 
-    def record_first_event(self, call: CallRequest) -> None:
-        """Tells the policy that the first event of a stream has arrived."""
+    async def record_first_event(self, call: CallRequest) -> None:
+        """Tells the policy that the first event of a stream has arrived.
+
+        The replica has read the prompt then, so waiting calls may start there.
+        """
         self._policy.record_first_event(self._board, call, time.monotonic())
+        if call.service in self._board.queues.services():
+            await self.dispatch(call.service)
 
     async def release(self, call: CallRequest) -> None:
         """Frees the slot of a started call and starts calls that wait for one."""
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -341,15 +341,14 @@
 
         async def send_events(head: StreamHead, events: Events) -> None:
             nonlocal is_first_event
+            is_first, is_first_event = is_first_event, False
             units = 0.0
             now = time.monotonic()
             if call.events:
                 pause = now - call.last_event_at
                 call.longest_pause = max(call.longest_pause, pause)
-            if is_first_event:
-                is_first_event = False
+            if is_first:
                 call.first_event_at = now
-                self._dispatcher.record_first_event(call)
                 units += call.prepay(UNITS_PER_GENERATED_TOKEN)
             units += call.use_prepaid(event_units * events.count)
             self._board.ledger.charge(call.service, call.organisation, units)
@@ -357,6 +356,8 @@
             call.events += events.count
             call.last_event_at = now
             await sink.send_events(head, events.data)
+            if is_first:
+                await self._dispatcher.record_first_event(call)
 
         attempt = ForwardAttempt(
             call,
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -213,12 +213,13 @@
                 return None
             free = self._find_free_replicas(board, service, now)
         view = self._build_view(board, service, now)
+        placeable = self._count_placeable(board, service, free, now)
         while names and free:
             name = choose_organisation(names, view, now) or min(
                 names, key=lambda candidate: view.organisations[candidate].key
             )
             names.remove(name)
-            if not self._may_start(name, view, free):
+            if not self._may_start(name, view, placeable):
                 continue
             for request in self._list_candidates(board, service, name, free, now):
                 usable = [
@@ -233,11 +234,27 @@
         self,
         name: OrganisationName,
         view: ServiceView,
-        free: list[tuple[Replica, int]],
+        placeable: int,
     ) -> bool:
-        """Returns whether work of the organisation may start on a free slot now."""
+        """Returns whether work of the organisation may start on a free slot now.
+
+        Args:
+            name: An organisation with waiting work at this router.
+            view: All organisations with waiting or running requests.
+            placeable: Requests that the replicas can take now.
+        """
         return True
 
+    def _count_placeable(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        free: list[tuple[Replica, int]],
+        now: float,
+    ) -> int:
+        """Returns how many requests the replicas with free slots can take now."""
+        return sum(count for _, count in free)
+
     def _find_replica(
         self,
         board: Blackboard,
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Collection
 from random import Random
@@ -45,6 +46,10 @@
 """Fraction of its slots that a preferred replica without the prompt must have free.
 When all replicas are busy, reading a prompt again costs more than the slot saves."""
 
+SPILL_BACKLOG_FRACTION = 0.25
+"""Fraction of the backlog limit up to which a replica may get a shared prompt part to
+read that another one has cached. On busy replicas the repeated read delays the rest."""
+
 UNPREFERRED_FREE_FRACTION = 0.3
 """Fraction of its slots that a replica outside the preferred ones must have free."""
 
@@ -55,6 +60,14 @@
 LARGE_PROMPT_FRACTION = 0.25
 """Fraction of the target that the prompts ahead of a large one may take."""
 
+BACKLOG_TARGET_FRACTION = 0.25
+"""Fraction of the service's shortest target that unread prompts at a replica may take.
+
+A replica reads prompts in the order of arrival. Without the limit, requests with a long
+target would fill it up to their own slack, and those with a shorter one would find no
+replica that reads their prompt in time.
+"""
+
 CUT_STREAM_LENGTH_FACTOR = 2.0
 """Assumed length of a stream cut at its timeout, as a multiple of its events so far."""
 
@@ -130,7 +143,13 @@
         return self._reads.count_unread_tokens(replica_id) + peer_load.prompt_tokens
 
     def _can_meet_target(
-        self, request: RoutedCall, replica_id: ReplicaId, tokens: int, now: float
+        self,
+        request: RoutedCall,
+        replica_id: ReplicaId,
+        tokens: int,
+        now: float,
+        *,
+        backlog_limit: float,
     ) -> bool:
         """Returns whether the first event would arrive within the target.
 
@@ -143,6 +162,8 @@
             replica_id: Replica at which it would start.
             tokens: Prompt tokens that the replica would read for it.
             now: Monotonic time in seconds.
+            backlog_limit: Longest time in seconds that prompts ahead may take, for
+                any request of the service.
         """
         target = request.route.target
         model = self._reads.model(request.service)
@@ -151,9 +172,8 @@
             slack = LARGE_PROMPT_FRACTION * target
         else:
             slack -= now - request.arrival
-        return model.seconds_per_token * self._count_tokens_ahead(replica_id) <= max(
-            slack, 0.0
-        )
+        backlog_seconds = model.seconds_per_token * self._count_tokens_ahead(replica_id)
+        return backlog_seconds <= max(min(slack, backlog_limit), 0.0)
 
     def find_wait_limit(self, request: CallRequest) -> float | None:
         """Returns how many seconds a request may wait and still meet its target."""
@@ -210,13 +230,37 @@
         self,
         name: OrganisationName,
         view: ServiceView,
-        free: list[tuple[Replica, int]],
+        placeable: int,
     ) -> bool:
         waiting = sum(state.waiting for state in view.organisations.values())
-        is_contested = waiting > sum(count for _, count in free)
+        is_contested = waiting > placeable
         # No arbiter grants slots here; ``is_granted`` selects the larger allowed gap.
         return not is_contested or may_use_slot(name, view, is_granted=True)
 
+    def _count_placeable(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        free: list[tuple[Replica, int]],
+        now: float,
+    ) -> int:
+        """Returns how many requests the replicas can take now.
+
+        An engine with many slots takes only as many prompts as it can read in time.
+        """
+        shortest_target = board.configuration.find_shortest_stream_target(service)
+        mean_seconds = self._reads.find_mean_seconds(service)
+        if math.isinf(shortest_target) or not mean_seconds:
+            return super()._count_placeable(board, service, free, now)
+        limit = BACKLOG_TARGET_FRACTION * shortest_target
+        seconds_per_token = self._reads.model(service).seconds_per_token
+        placeable = 0
+        for replica, count in free:
+            ahead = self._count_tokens_ahead(replica.replica_id)
+            room = (limit - seconds_per_token * ahead) / mean_seconds
+            placeable += min(count, max(math.ceil(room), 0))
+        return placeable
+
     def _list_candidates(
         self,
         board: Blackboard,
@@ -251,6 +295,7 @@
             reverse=True,
         )
         waited_seconds = now - request.arrival
+        backlog_limit = _find_backlog_limit(board, request)
         for index, replica_id in enumerate(ranked):
             entry = free_by_id.get(replica_id)
             if entry is None:
@@ -260,7 +305,14 @@
                 part, replica_id, now
             )
             tokens = request.own_tokens if is_assumed_cached else request.prompt_tokens
-            if not self._can_meet_target(request, replica_id, tokens, now):
+            if not self._can_meet_target(
+                request,
+                replica_id,
+                tokens,
+                now,
+                backlog_limit=backlog_limit
+                * (1.0 if is_assumed_cached else SPILL_BACKLOG_FRACTION),
+            ):
                 continue
             if is_assumed_cached:
                 return replica
@@ -288,11 +340,16 @@
         fewest tokens left to read is chosen, then the one with the most free slots.
         """
         expected_events = self._count_events(board, request)
+        backlog_limit = _find_backlog_limit(board, request)
         candidates = []
         for replica, count in free:
             replica_id = replica.replica_id
             if not self._can_meet_target(
-                request, replica_id, request.prompt_tokens, now
+                request,
+                replica_id,
+                request.prompt_tokens,
+                now,
+                backlog_limit=backlog_limit,
             ):
                 continue
             interval = self._pace.find_event_interval(replica_id)
@@ -443,3 +500,9 @@
     if request.shared_tokens < MIN_SHARED_TOKENS:
         return None
     return request.parts[-2].part_id
+
+
+def _find_backlog_limit(board: Blackboard, request: RoutedCall) -> float:
+    """Returns how many seconds the unread prompts at one replica may take."""
+    shortest = board.configuration.find_shortest_stream_target(request.service)
+    return BACKLOG_TARGET_FRACTION * min(shortest, request.route.target)
