--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -436,7 +436,7 @@
     Guards against a flood that starts ahead of its share, since there are free slots
     for all that wait, while others cannot start in time.
     """
-    fleet = Fleet(replicas=1, targets=(0.4,))
+    fleet = Fleet(replicas=1, options={"slot_floor_factor": 0}, targets=(0.4,))
     fleet.charge("flood", 500_000.0)
     fleet.add(organisation="flood")
     assert fleet.start() == REPLICAS[0]
