Let routers of a large fleet report less often

Cause: every router sends its report to every other one, at 195 routers twice a second: 388 reports sent and 388 received a second, and each send compares the rows of all organisations for that connection. The limit was a third of suspect_after, however many routers there are.

Change: the report interval on the operators' platform grows until 75 reports a second arrive, up to 4 s, and a router is suspected after three intervals of the fleet that is known, silent routers included. Members are scanned five times an interval instead of at each step.

--- a/sequoiamoor/core/membership.py
+++ b/sequoiamoor/core/membership.py
@@ -8,6 +8,11 @@
 
 from ..options import Options
 from ..types import Address, RouterId, RouterIdentity
+from .reports import find_suspect_after
+
+SUSPICIONS_UNTIL_DEAD = 2.0
+"""Silence after which a router of a large fleet is dead, as a multiple of that after
+which it is suspected."""
 
 
 class MemberState(enum.StrEnum):
@@ -153,6 +158,7 @@
                 member.last_message_at = min(now, member.last_message_at + elapsed)
         self._stepped_at = now
         changes = []
+        suspect_after = find_suspect_after(self.options, self._count_expected_peers())
         for router_id, member in list(self.members.items()):
             if (
                 member.is_closed
@@ -161,7 +167,7 @@
                 # A router listens until its process ends, and a connection that it
                 # opened has ended as well.
                 member.has_ended = True
-            state = self._classify(member, now)
+            state = self._classify(member, now, suspect_after)
             if state is not member.state:
                 member.state = state
                 changes.append(MemberChange(member.identity, state))
@@ -169,11 +175,18 @@
                 del self.members[router_id]
         return changes
 
-    def _classify(self, member: Member, now: float) -> MemberState:
+    def _count_expected_peers(self) -> int:
+        known_ids = self._listed_addresses.keys() | self.members.keys()
+        return len(known_ids - {self.identity.router_id})
+
+    def _classify(
+        self, member: Member, now: float, suspect_after: float
+    ) -> MemberState:
         silence = now - member.last_message_at
-        if member.has_ended or silence > self.options.dead_after:
+        dead_after = max(self.options.dead_after, SUSPICIONS_UNTIL_DEAD * suspect_after)
+        if member.has_ended or silence > dead_after:
             return MemberState.DEAD
-        if silence > self.options.suspect_after:
+        if silence > suspect_after:
             return MemberState.SUSPECT
         return MemberState.ALIVE
 
--- a/sequoiamoor/core/reports.py
+++ b/sequoiamoor/core/reports.py
@@ -20,9 +20,8 @@
 # Rate of received reports above which the report interval grows; a flat fleet of 16
 # routers reaches this rate.
 MAX_RECEIVED_REPORTS_PER_SECOND = 75.0
-# Longest report interval, as a fraction of the silence after which a router is
-# suspected.
-MAX_INTERVAL_FRACTION = 1 / 3
+# Report intervals without a message after which a router is suspected.
+SUSPECT_AFTER_INTERVALS = 3
 # A changed row that is held back for longer goes before rows with a larger change.
 HELD_BACK_PRIORITY_SECONDS = 1.0
 
@@ -33,9 +32,21 @@
     Every router receives the reports of every other one, so the routers of a large
     fleet report less often.
     """
-    longest = options.suspect_after * MAX_INTERVAL_FRACTION
-    needed = min(peers / MAX_RECEIVED_REPORTS_PER_SECOND, longest)
-    return max(options.report_interval, needed)
+    needed = peers / MAX_RECEIVED_REPORTS_PER_SECOND
+    return max(options.report_interval, min(needed, options.longest_report_interval))
+
+
+def find_suspect_after(options: Options, peers: int) -> float:
+    """Returns the seconds of silence after which a router is suspected.
+
+    Args:
+        options: Options of the router.
+        peers: Other routers that may report, including silent ones. A router that
+            counted only those it hears would suspect the routers of a large fleet,
+            which report less often, and never count them.
+    """
+    interval = find_report_interval(options, peers)
+    return max(options.suspect_after, SUSPECT_AFTER_INTERVALS * interval)
 
 
 @dataclass(slots=True)
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -53,6 +53,10 @@
 
 _LOG = logging.getLogger(__name__)
 
+MEMBER_UPDATES_PER_REPORT = 5
+"""Scans of all members within one report interval. In a large fleet, which reports less
+often, a scan in every step would take more time than the reports."""
+
 Dispatch = Callable[[ServiceName], Awaitable[None]]
 
 
@@ -100,6 +104,7 @@
         self._is_report_to_all_due = False
         self._is_flush_due = False
         self._flushed_at = self._reported_at = float("-inf")
+        self._members_updated_at = float("-inf")
         self._wakeup = Wakeup()
 
     def bind(self) -> Address:
@@ -273,13 +278,15 @@
             await self._wakeup.close()
 
     async def _step(self, now: float) -> None:
-        self._update_members(now)
-        await self._peers.connect(self.membership.candidates())
-        self._peers.close_silent(now)
+        interval = find_report_interval(self._options, len(self._board.members))
+        if now - self._members_updated_at >= interval / MEMBER_UPDATES_PER_REPORT:
+            self._members_updated_at = now
+            self._update_members(now)
+            await self._peers.connect(self.membership.candidates())
+            self._peers.close_silent(now)
         actions = self._policy.step(self._board, now)
         self._request_configuration(now)
         self.perform(actions)
-        interval = find_report_interval(self._options, len(self._board.members))
         # Half a step of tolerance, since steps run slightly early or late.
         if now - self._reported_at >= interval - self._options.report_interval / 2:
             self._report_to_all(now)
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -74,6 +74,10 @@
 """Rate of reports that are sent to a single peer before the report interval ends. A
 slot that is left to another router stays idle until that router hears of it."""
 
+LONGEST_REPORT_INTERVAL_SECONDS = 4.0
+"""Bound of the interval between reports to all routers in a large fleet. No slots are
+granted on this platform, so none expire between two reports."""
+
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout for connecting to a replica, shorter than the kernel's delay before it
 retransmits a lost SYN packet."""
@@ -311,6 +315,7 @@
             "slot_cap_factor": UNLIMITED_SLOT_CAP_FACTOR,
             "slot_floor_factor": 0.0,
             "early_message_rate": EARLY_MESSAGES_PER_SECOND,
+            "longest_report_interval": LONGEST_REPORT_INTERVAL_SECONDS,
         }
     )
     return settings.model_copy(update={"options": options})
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -14,6 +14,11 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     report_interval: float = Field(0.2, gt=0, le=10)
+    longest_report_interval: float = Field(
+        0.5,
+        gt=0,
+        description="bound of the report interval, which grows with the fleet",
+    )
     flush_interval: float = Field(0.02, gt=0, le=1)
     control_bytes_per_second: float = Field(
         4_300.0, gt=0, description="bytes sent per second to all other routers together"
