Let two routers per zone follow the store for the others

Change: in a fleet of more than flat_limit routers, two routers of each zone, chosen by rendezvous among the live ones, follow the feeds at the full rate and confirm to their zone up to which time of the store's clock no change is missing. Without a recent confirmation a router asks the store itself, as before. Confirmations carry times of the store, converted by the receiver's own measurements of that clock, so one that waited in a buffer confirms nothing newer.

--- a/sequoiamoor/core/freshness.py
+++ b/sequoiamoor/core/freshness.py
@@ -45,6 +45,15 @@
         self._offset = max(self._offset, asked_at - store_time)
         return store_time + self._offset
 
+    def convert(self, store_time: float) -> float:
+        """Returns a local time in seconds that is not after a time of the store.
+
+        Args:
+            store_time: Steady clock of the store, in seconds, as told by a peer.
+        """
+        elapsed = max(store_time - self._last_store_time, 0.0)
+        return store_time + self._offset - elapsed * MAX_CLOCK_DRIFT_FRACTION
+
 
 def read_boot_time() -> float:
     """Returns the seconds since the VM started, including time it was suspended.
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -250,6 +250,26 @@
     rows: tuple[UpstreamRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """What a reader of the store confirms to the other routers of its zone.
+
+    The times are those of the store's steady clock, so that a message that waited in a
+    buffer confirms nothing newer than when it was built.
+
+    Attributes:
+        configuration_version: Version of the configuration in force at the sender.
+        configuration_ms: Time at which no newer configuration existed.
+        upstreams_version: Version of the store with the newest change of an upstream.
+        upstreams_ms: Time at which no later change of an upstream existed.
+    """
+
+    configuration_version: int
+    configuration_ms: int
+    upstreams_version: int
+    upstreams_ms: int
+
+
 Message: TypeAlias = (
     Hello
     | Report
@@ -261,4 +281,5 @@
     | UpstreamState
     | Loads
     | UpstreamList
+    | Confirmation
 )
--- /dev/null
+++ b/sequoiamoor/core/readers.py
@@ -0,0 +1,130 @@
+"""Readers of the store: a few routers per zone that confirm its state to the others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..types import RouterIdentity
+from .freshness import FEED_LAG_SECONDS
+from .messages import Confirmation
+from .placement import rank
+
+READERS_PER_ZONE = 2
+"""Routers of a zone that follow the store closely; one may fail without a gap."""
+
+CONFIRMATION_INTERVAL_SECONDS = 0.6
+"""Shortest time between two confirmations that report no change."""
+
+_RANKING_NAME = "store"
+
+
+def is_reader(
+    own: RouterIdentity, members: Iterable[RouterIdentity], *, flat_limit: int
+) -> bool:
+    """Returns whether a router follows the store closely.
+
+    In a fleet of at most ``flat_limit`` routers, every router does.
+
+    Args:
+        own: The router.
+        members: Live peers.
+        flat_limit: Largest number of routers that all follow the store.
+    """
+    peers = list(members)
+    if len(peers) < flat_limit:
+        return True
+    zone_ids = [peer.router_id for peer in peers if peer.zone == own.zone]
+    return (
+        own.router_id
+        in rank(_RANKING_NAME, [own.router_id, *zone_ids])[:READERS_PER_ZONE]
+    )
+
+
+@dataclass(slots=True)
+class FeedState:
+    """How recently the copy of one table was known to be the newest.
+
+    Attributes:
+        max_age: Seconds after which the router has to ask the store itself.
+        version: Version of the store up to which changes were applied.
+        wanted_version: Newest version with a change that a reader reported.
+        confirmed_at: Local time in seconds at which the copy was the newest one.
+        is_held: Whether the store holds a call until something changes.
+    """
+
+    max_age: float
+    version: int = 0
+    wanted_version: int = 0
+    confirmed_at: float = float("-inf")
+    is_held: bool = False
+
+    def confirm(self, version: int, confirmed_at: float) -> None:
+        """Applies a confirmation, which counts only if no change is missing."""
+        self.wanted_version = max(self.wanted_version, version)
+        if self.wanted_version <= self.version:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def is_call_due(self, now: float) -> bool:
+        """Returns whether the store has to be asked now."""
+        return (
+            self.wanted_version > self.version or now - self.confirmed_at > self.max_age
+        )
+
+
+@dataclass(slots=True)
+class ReaderReport:
+    """What a reader knows of the store, for the other routers of its zone.
+
+    All times are those of the steady clock of the store, in milliseconds.
+    """
+
+    _configuration_ms: int = 0
+    _upstreams_ms: int = 0
+    _upstreams_version: int = 0
+    _sent_at: float = field(default=float("-inf"))
+    _has_change: bool = False
+
+    def record_configuration(self, answered_ms: float) -> None:
+        """Records an answer of the feed of the configuration."""
+        self._configuration_ms = _subtract_lag(answered_ms)
+
+    def record_upstreams(
+        self, answered_ms: float, version: int, *, is_changed: bool
+    ) -> None:
+        """Records an answer of the feed of upstreams.
+
+        Args:
+            answered_ms: Time of the answer.
+            version: Version of the store with the answer.
+            is_changed: Whether replicas or their states changed, other than by a
+                heartbeat.
+        """
+        self._upstreams_ms = _subtract_lag(answered_ms)
+        if is_changed:
+            self._upstreams_version = version
+            self._has_change = True
+
+    def build(self, configuration_version: int, now: float) -> Confirmation | None:
+        """Returns the confirmation to send now, if one is due.
+
+        Args:
+            configuration_version: Version of the configuration in force.
+            now: Monotonic time in seconds.
+        """
+        if not self._configuration_ms or not self._upstreams_ms:
+            return None
+        is_due = now - self._sent_at >= CONFIRMATION_INTERVAL_SECONDS
+        if not is_due and not self._has_change:
+            return None
+        self._sent_at, self._has_change = now, False
+        return Confirmation(
+            configuration_version,
+            self._configuration_ms,
+            self._upstreams_version,
+            self._upstreams_ms,
+        )
+
+
+def _subtract_lag(answered_ms: float) -> int:
+    return max(round(answered_ms - FEED_LAG_SECONDS * 1000), 0)
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -21,6 +21,7 @@
 from ..core.messages import (
     Configuration,
     ConfigurationRequest,
+    Confirmation,
     Grants,
     Hello,
     LoadRow,
@@ -66,6 +67,7 @@
     Attributes:
         membership: Other routers and how they are reached.
         versions: Configuration versions of this router and its peers.
+        handle_confirmation: Called with the confirmations of readers of the store.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         self._flushed_at = self._reported_at = float("-inf")
         self._members_updated_at = float("-inf")
         self._wakeup = Wakeup()
+        self.handle_confirmation: Callable[[Confirmation], None] = lambda _: None
 
     def bind(self) -> Address:
         """Listens for other routers and returns the address.
@@ -190,6 +193,13 @@
                 },
             )
 
+    def confirm_to_zone(self, confirmation: Confirmation) -> None:
+        """Sends what this router knows of the store to the live peers of its zone."""
+        for peer in self._board.members.values():
+            if peer.zone == self._board.identity.zone:
+                self._send(confirmation, peer.router_id)
+        self._flush_if_due()
+
     def announce_leaving(self, replicas: Iterable[Replica]) -> None:
         """Logs that these replicas are leaving and tells all peers without delay."""
         for replica in replicas:
@@ -503,6 +513,9 @@
                     made_at_ms=made_at_ms,
                     source=identity.router_id,
                 )
+            case Confirmation():
+                if identity.zone == self._board.identity.zone:
+                    self.handle_confirmation(message)
             case Sum():
                 self._sums.take(identity, message)
             case Snapshot():
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -174,6 +174,7 @@
                     "configuration": self._sources.follow_configuration,
                     "upstreams": self._sources.follow_upstreams,
                     "routers": self._sources.follow_routers,
+                    "readers": self._sources.watch_readers,
                     "directory": self._step_directory,
                     "control": partial(self._control.run, self._forwarder.dispatch),
                     "settings": self._watch_settings,
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -13,11 +13,15 @@
 from ..core.blackboard import Blackboard
 from ..core.directory import UpstreamDirectory
 from ..core.freshness import FEED_LAG_SECONDS, KeyFreshness, StoreClock
+from ..core.messages import Confirmation
 from ..core.poll_intervals import (
+    CONFIRMED_CONFIGURATION_WAIT_SECONDS,
+    CONFIRMED_UPSTREAM_PAUSE_SECONDS,
     PAUSE_JITTER_FRACTION,
     UPSTREAM_WAIT_SECONDS,
     PollIntervals,
 )
+from ..core.readers import FeedState, ReaderReport, is_reader
 from ..core.retries import draw_backoff
 from ..core.upstreams import ListedUpstream, LoadReport
 from ..errors import (
@@ -31,7 +35,7 @@
 from ..platform import names
 from ..platform.documents import decode_configuration, decode_replica
 from ..platform.store import Row, Rows, StoreClient
-from ..types import Address
+from ..types import Address, ReplicaId
 from .control import Control
 
 _LOG = logging.getLogger(__name__)
@@ -58,6 +62,21 @@
 ROUTER_LIFETIME_MS = 70_000
 """Age, by the clock of the store, from which the address of a router is ignored."""
 
+KEY_CONFIRMATION_FRACTION = 0.6
+"""Fraction of the time for which keys are accepted without a confirmation, after which
+a router stops to rely on readers; the rest is for its own call to the store."""
+
+UPSTREAM_CONFIRMATION_FRACTION = 0.7
+"""The same for upstreams, as a fraction of the time in which a leaving one must get no
+new work."""
+
+CONFIRMATION_CHECK_SECONDS = 0.2
+"""Interval between two checks whether the confirmations of readers are recent."""
+
+CHANGE_JITTER_SECONDS = 0.3
+"""Longest random delay before upstreams are read after a reader reported a change, so
+that the routers of a zone do not call the store at the same moment."""
+
 ApplyRows = Callable[[Rows, bool], None]
 
 
@@ -90,6 +109,17 @@
         self._rng = rng
         self._is_reachable: dict[str, bool] = {}
         self._feed_clients: dict[str, StoreClient] = {}
+        self._clocks: dict[str, StoreClock] = {}
+        self._feed_states = {
+            names.CONFIGURATION_TABLE: FeedState(self._find_configuration_max_age()),
+            names.UPSTREAM_TABLE: FeedState(
+                poll_intervals.leaving_bound * UPSTREAM_CONFIRMATION_FRACTION
+            ),
+        }
+        self._recalled_tables: set[str] = set()
+        self._reader_report = ReaderReport()
+        self._is_reader = True
+        control.handle_confirmation = self._apply_confirmation
         self._reported_values: dict[str, bytes] = {}
 
     def _create_client(self) -> StoreClient:
@@ -118,12 +148,106 @@
         )
 
     def _count_routers(self) -> int:
+        """Returns by how many routers the calls to the store are shared."""
+        if self._is_reader and self._is_large_fleet:
+            return 1
         return len(self._board.members) + 1
 
+    @property
+    def _is_large_fleet(self) -> bool:
+        return len(self._board.members) >= self._board.options.flat_limit
+
+    def _find_configuration_max_age(self) -> float:
+        limit = self._freshness.limit
+        if limit is None:
+            return self.poll_intervals.configuration_bound
+        return limit * KEY_CONFIRMATION_FRACTION
+
+    def _relies_on_readers(self, table: str) -> bool:
+        state = self._feed_states[table]
+        return not self._is_reader and not state.is_call_due(
+            self._freshness.read_time()
+        )
+
+    async def watch_readers(self) -> None:
+        """Recalls held calls that no reader of the zone confirms, until cancelled.
+
+        Such a call is aborted and repeated with a short wait.
+        """
+        while True:
+            self._update_role()
+            table = names.CONFIGURATION_TABLE
+            state = self._feed_states[table]
+            client = self._feed_clients.get(table)
+            if (
+                client is not None
+                and state.is_held
+                and not self._relies_on_readers(table)
+            ):
+                # Aborted at each check until the call ends: a call that is still
+                # connecting has nothing to abort.
+                self._recalled_tables.add(table)
+                client.abort()
+            await curio.sleep(CONFIRMATION_CHECK_SECONDS)
+
+    def _update_role(self) -> None:
+        was_reader = self._is_reader
+        self._is_reader = is_reader(
+            self._board.identity,
+            self._board.members.values(),
+            flat_limit=self._board.options.flat_limit,
+        )
+        self._metrics.store_reader.set(self._is_reader)
+        if self._is_reader != was_reader:
+            _LOG.info(
+                "role towards the store changed",
+                extra={"reason": "reader" if self._is_reader else "relies on readers"},
+            )
+
+    def _apply_confirmation(self, message: Confirmation) -> None:
+        """Applies what a reader of this zone confirms."""
+        configuration = self._feed_states[names.CONFIGURATION_TABLE]
+        configuration.version = self._board.configuration.version
+        self._confirm_feed(
+            configuration, message.configuration_version, message.configuration_ms
+        )
+        self._freshness.confirm(configuration.confirmed_at)
+        self._confirm_feed(
+            self._feed_states[names.UPSTREAM_TABLE],
+            message.upstreams_version,
+            message.upstreams_ms,
+        )
+
+    def _confirm_feed(self, state: FeedState, version: int, store_ms: int) -> None:
+        confirmed_at = max(
+            (clock.convert(store_ms / 1000) for clock in self._clocks.values()),
+            default=float("-inf"),
+        )
+        if confirmed_at > self._freshness.read_time():
+            _LOG.warning(
+                "confirmation is newer than the store's clock allows; ignored",
+                extra={"version": version},
+            )
+            return
+        state.confirm(version, confirmed_at)
+
+    def _confirm_to_zone(self) -> None:
+        if not self._is_reader or not self._is_large_fleet:
+            return
+        confirmation = self._reader_report.build(
+            self._board.configuration.version, time.monotonic()
+        )
+        if confirmation is not None:
+            self._control.confirm_to_zone(confirmation)
+
     def _find_configuration_wait(self) -> float:
+        if self._relies_on_readers(names.CONFIGURATION_TABLE):
+            return CONFIRMED_CONFIGURATION_WAIT_SECONDS
         return self.poll_intervals.find_configuration_wait(self._count_routers())
 
     def _find_upstream_pause(self) -> float:
+        if self._relies_on_readers(names.UPSTREAM_TABLE):
+            return self._add_jitter(CONFIRMED_UPSTREAM_PAUSE_SECONDS)
         return self._add_jitter(
             self.poll_intervals.find_upstream_pause(self._count_routers())
         )
@@ -137,18 +261,23 @@
         apply_rows: ApplyRows,
     ) -> None:
         client = self._feed_clients[table] = self._create_client()
-        clock = StoreClock()
+        clock = self._clocks[table] = StoreClock()
+        state = self._feed_states[table]
         version: int | None = None
         failures = 0
         try:
             while True:
                 asked_at = self._freshness.read_time()
+                state.is_held = False
+                self._recalled_tables.discard(table)
                 try:
                     if version is None:
                         rows = await client.read_table(table)
                     else:
+                        wait = find_wait()
+                        state.is_held = wait == CONFIRMED_CONFIGURATION_WAIT_SECONDS
                         rows = await client.follow_table(
-                            table, after=version, wait=find_wait()
+                            table, after=version, wait=wait
                         )
                 except HistoryLostError as err:
                     _LOG.info(
@@ -158,6 +287,8 @@
                     version = None
                     continue
                 except (PlatformUnavailableError, ProtocolError) as err:
+                    if table in self._recalled_tables:
+                        continue
                     failures += 1
                     self._record_reachability(table, err)
                     await curio.sleep(self._draw_retry_delay(failures))
@@ -166,18 +297,38 @@
                 self._record_reachability(table, None)
                 apply_rows(rows, version is None)
                 version = rows.version
+                # The store may hold a call, so its answer can confirm a later time
+                # than that of the request.
+                answered_at = clock.date(asked_at, rows.time_ms / 1000)
+                confirmed_at = max(asked_at, answered_at - FEED_LAG_SECONDS)
                 if table == names.CONFIGURATION_TABLE:
-                    # The store may hold a call, so its answer can confirm a later time
-                    # than that of the request.
-                    answered_at = clock.date(asked_at, rows.time_ms / 1000)
-                    self._freshness.confirm(
-                        max(asked_at, answered_at - FEED_LAG_SECONDS)
-                    )
+                    self._freshness.confirm(confirmed_at)
+                    self._reader_report.record_configuration(rows.time_ms)
+                    state.version = self._board.configuration.version
+                else:
+                    state.version = rows.version
+                state.confirm(0, confirmed_at)
+                self._confirm_to_zone()
                 if (pause_seconds := find_pause()) > 0:
-                    await curio.sleep(pause_seconds)
+                    await self._pause(table, pause_seconds)
         finally:
             await client.close()
 
+    async def _pause(self, table: str, seconds: float) -> None:
+        """Waits before the next call; a pause that relies on readers may end early."""
+        if not self._relies_on_readers(table):
+            await curio.sleep(seconds)
+            return
+        state = self._feed_states[table]
+        ends_at = time.monotonic() + seconds
+        while (remaining := ends_at - time.monotonic()) > 0:
+            await curio.sleep(min(remaining, CONFIRMATION_CHECK_SECONDS))
+            if state.wanted_version > state.version:
+                await curio.sleep(self._rng.uniform(0, CHANGE_JITTER_SECONDS))
+                return
+            if not self._relies_on_readers(table):
+                return
+
     def _draw_retry_delay(self, failures: int) -> float:
         return draw_backoff(
             failures,
@@ -222,6 +373,7 @@
 
     def _apply_upstreams(self, rows: Rows, is_full_table: bool) -> None:
         now = time.monotonic()
+        before = self._describe_upstreams()
         if is_full_table:
             self._directory.keep_only({row.key for row in rows.rows}, now)
         for row in rows.rows:
@@ -230,6 +382,23 @@
             else:
                 self._apply_upstream(row, now)
         self._directory.record_answer()
+        self._reader_report.record_upstreams(
+            rows.time_ms, rows.version, is_changed=before != self._describe_upstreams()
+        )
+
+    def _describe_upstreams(self) -> dict[ReplicaId, tuple[object, ...]]:
+        """Returns what requests depend on; a heartbeat of a replica changes nothing."""
+        missing = self._directory.missing
+        return {
+            replica.replica_id: (
+                replica.address,
+                replica.service,
+                replica.is_leaving,
+                replica.incarnation,
+                replica.replica_id in missing,
+            )
+            for replica in self._board.upstreams.replicas.values()
+        }
 
     def _apply_upstream(self, row: Row, now: float) -> None:
         try:
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -123,6 +123,11 @@
             "How late the loop came to a task that slept.",
             registry=self.registry,
         )
+        self.store_reader = Gauge(
+            "sequoiamoor_store_reader",
+            "Whether this router follows the store closely.",
+            registry=self.registry,
+        )
         self.members = Gauge(
             "sequoiamoor_members",
             "Live routers that this router sees, itself included.",
--- a/sequoiamoor/net/decoder.py
+++ b/sequoiamoor/net/decoder.py
@@ -10,6 +10,7 @@
 from ..core.messages import (
     Configuration,
     ConfigurationRequest,
+    Confirmation,
     CounterRow,
     GrantRow,
     Grants,
@@ -41,6 +42,7 @@
 from .wire import (
     CONFIGURATION,
     CONFIGURATION_REQUEST,
+    CONFIRMATION,
     CONTAINER_LENGTH_LIMIT,
     GRANTS,
     HELLO,
@@ -98,6 +100,7 @@
             UPSTREAM_LIST: self._read_upstream_list,
             HELLO: self._read_hello,
             SUM: self._read_sum,
+            CONFIRMATION: self._read_confirmation,
         }
         self.message_count = 0
 
@@ -389,6 +392,15 @@
             self._resolve_name(replica), read_count(incarnation), read_flag(leaving)
         )
 
+    def _read_confirmation(self, fields: list[Any]) -> Confirmation:
+        configuration_version, configuration_ms, version, upstreams_ms = fields
+        return Confirmation(
+            read_count(configuration_version),
+            read_count(configuration_ms),
+            read_count(version),
+            read_count(upstreams_ms),
+        )
+
     def _read_upstream_list(self, fields: list[Any]) -> UpstreamList:
         made_at_ms, rows = fields
         upstreams = tuple([self._read_upstream(row) for row in read_rows(rows)])
--- a/sequoiamoor/net/encoder.py
+++ b/sequoiamoor/net/encoder.py
@@ -10,6 +10,7 @@
 from ..core.messages import (
     Configuration,
     ConfigurationRequest,
+    Confirmation,
     CounterRow,
     GrantRow,
     Grants,
@@ -30,6 +31,7 @@
 from .wire import (
     CONFIGURATION,
     CONFIGURATION_REQUEST,
+    CONFIRMATION,
     GRANTS,
     HELLO,
     LOADS,
@@ -125,6 +127,14 @@
                 yield [CONFIGURATION_REQUEST, version]
             case Configuration(version, document):
                 yield [CONFIGURATION, version, document]
+            case Confirmation():
+                yield [
+                    CONFIRMATION,
+                    message.configuration_version,
+                    message.configuration_ms,
+                    message.upstreams_version,
+                    message.upstreams_ms,
+                ]
             case Sum():
                 yield self._build_sum(message)
             case Snapshot(origins):
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -22,6 +22,7 @@
 from ..core.messages import (
     Configuration,
     ConfigurationRequest,
+    Confirmation,
     GrantRow,
     Grants,
     Hello,
@@ -98,6 +99,7 @@
         self._loads: dict[ReplicaId, LoadRow] = {}
         self._configuration_request: ConfigurationRequest | None = None
         self._configuration: Configuration | None = None
+        self._confirmation: Confirmation | None = None
         self._upstream_list: UpstreamList | None = None
         self._report: Report | None = None
         self._sums: dict[tuple[ZoneName, int], Sum] = {}
@@ -137,6 +139,8 @@
                     or message.version > self._configuration.version
                 ):
                     self._configuration = message
+            case Confirmation():
+                self._confirmation = message
             case UpstreamList():
                 self._upstream_list = message
             case Hello() | Snapshot():
@@ -160,6 +164,8 @@
         if self._grants:
             rows = tuple(self._grants.values())
             messages.append(Grants(rows, self._acknowledged, self._incarnation))
+        if self._confirmation is not None:
+            messages.append(self._confirmation)
         if self._configuration_request is not None:
             messages.append(self._configuration_request)
         if self._configuration is not None:
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -30,6 +30,8 @@
 UpstreamState        replica, incarnation, leaving
 Loads                rows: replica, incarnation, slots, running, queued, rate,
                      leaving; the replica alone repeats its previous row
+Confirmation         version of the configuration, its time, version of the upstreams,
+                     their time; times of the store in ms
 UpstreamList         time in ms, rows: replica, service, zone, host, port, leaving
 ==================== ==========================================================
 """
@@ -61,6 +63,7 @@
     5, 10
 )
 SUM = 10
+CONFIRMATION = 11
 
 CounterKey = tuple[str, str]
 
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -13,6 +13,7 @@
 from sequoiamoor.core.blackboard import create_blackboard
 from sequoiamoor.core.directory import EXPIRED_ENTRY_GRACE_SECONDS, UpstreamDirectory
 from sequoiamoor.core.freshness import KeyFreshness
+from sequoiamoor.core.messages import Confirmation
 from sequoiamoor.core.poll_intervals import PollIntervals
 from sequoiamoor.daemon import sources
 from sequoiamoor.daemon.control import Control
@@ -92,6 +93,7 @@
         async with curio.timeout_after(SESSION_SECONDS), curio.TaskGroup() as tasks:
             await tasks.spawn(feeds.sources.follow_configuration)
             await tasks.spawn(feeds.sources.follow_upstreams)
+            await tasks.spawn(feeds.sources.watch_readers)
             await session(feeds)
             await tasks.cancel_remaining()
 
@@ -212,6 +214,48 @@
     run(session)
 
 
+def test_router_relies_on_readers_only_while_they_confirm() -> None:
+    """Guards against calls to the store that grow with the fleet.
+
+    A change that a reader reports is read at once, and a router whose readers went
+    silent follows the store itself.
+    """
+
+    async def session(feeds: Feeds) -> None:
+        store, state = feeds.store, feeds.sources._feed_states
+        store.put("op", "config", build_configuration(1))
+        await feeds.wait_for(lambda: all(feed.version for feed in state.values()))
+        feeds.board.members.update(
+            (f"router-{number}", RouterIdentity(f"router-{number}", 1, "a"))
+            for number in range(1, 40)
+        )
+        feeds.sources._update_role()
+        assert not feeds.sources._is_reader
+
+        def confirm(upstreams_version: int) -> None:
+            now_ms = round(store.read_time_ms())
+            feeds.control.handle_confirmation(
+                Confirmation(1, now_ms, upstreams_version, now_ms)
+            )
+
+        async def confirm_for(seconds: float) -> int:
+            seen = len(store.calls)
+            for _ in range(int(seconds / 0.1)):
+                confirm(0)
+                await curio.sleep(0.1)
+            return len(store.calls) - seen
+
+        await confirm_for(1.5)
+        assert await confirm_for(1.5) == 0
+        store.put("servers", "i-9", build_entry())
+        confirm(store.version)
+        await feeds.wait_for(lambda: feeds.replicas() == {"i-9"})
+        seen = len(store.calls)
+        await feeds.wait_for(lambda: len(store.calls) > seen + 3)
+
+    run(session)
+
+
 def test_expired_entry_is_dropped_in_time_after_a_partition() -> None:
     """Guards against requests to a replica that left during a network partition.
 
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -13,6 +13,7 @@
 from sequoiamoor.core.messages import (
     Configuration,
     ConfigurationRequest,
+    Confirmation,
     CounterRow,
     GrantRow,
     Grants,
@@ -124,6 +125,7 @@
         ).map(tuple),
     ),
     st.builds(UpstreamState, NAMES, COUNTS, st.booleans()),
+    st.builds(Confirmation, COUNTS, COUNTS, COUNTS, COUNTS),
 )
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -112,9 +112,16 @@
             return await self._follow(query)
         return self._write(json.loads(request.body))
 
+    def read_time_ms(self) -> float:
+        """Returns the time of the store's steady clock in milliseconds."""
+        return 5_000 + (time.monotonic() - self.created_at) * 1000
+
     def _build_answer(self, **fields: Any) -> dict[str, Any]:
-        time_ms = 5_000 + (time.monotonic() - self.created_at) * 1000
-        return {"schemaVersion": self.version, "currentTimeMs": time_ms, **fields}
+        return {
+            "schemaVersion": self.version,
+            "currentTimeMs": self.read_time_ms(),
+            **fields,
+        }
 
     def _read(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         keys = sorted(
