End streams whose replica sends bytes but no events

Cause: the silence of a replica was measured in bytes, so comments or an event that never ends kept a resumable stream at a stalled replica until its deadline; and any number of informational responses was read before a response.

Change: a resumable stream without an event for the time that silence is allowed to last breaks and resumes elsewhere; over 8 informational responses are an error. Three of the six new cases failed before (comments, bytes of no event, informational responses); endless bytes in place of a head, of chunks, or answers to others already ended the attempt.

--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -259,8 +259,14 @@
             )
         head = StreamHead(response.status, self._format.select_answer_fields(response))
         event_order.start_attempt()
+        last_event_at = time.monotonic()
         while (data := await connection.receive_data()) is not None:
             events = event_order.feed(data)
+            now = time.monotonic()
+            if events.count:
+                last_event_at = now
+            elif route.is_resumable:
+                self._check_progress(connection, now - last_event_at)
             if events.data:
                 await send_events(head, events)
         if not event_order.is_between_events:
@@ -271,6 +277,17 @@
         self._connection = None
         await self._release_connection(connection, response)
 
+    def _check_progress(
+        self, connection: ClientConnection, seconds_without_event: float
+    ) -> None:
+        """Ends a stream whose replica sends bytes but no events for too long."""
+        limit = connection.silence_limit
+        if limit is not None and seconds_without_event > limit:
+            raise AnswerIncompleteError(
+                f"replica {self._replica.replica_id!r} has sent bytes but no event for "
+                f"{seconds_without_event:.1f} s"
+            )
+
     def _build_refusal(self, error: Exception) -> RefusalError:
         replica_id = self._replica.replica_id
         if not self.is_sent:
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -28,6 +28,7 @@
 from .reachability import REACHABILITY
 
 RESPONSE_HEAD_LIMIT_BYTES = 65_536
+INFORMATIONAL_RESPONSES_LIMIT = 8
 # Value of SO_LINGER with which a close discards unsent data and resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -168,6 +169,7 @@
             OSError: If the connection fails or is closed.
             h11.RemoteProtocolError: If the peer does not follow HTTP/1.1.
         """
+        informational_count = 0
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
@@ -184,7 +186,14 @@
                 ):
                     self._chunk_decoder = ChunkDecoder()
                 return response
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                informational_count += 1
+                if informational_count > INFORMATIONAL_RESPONSES_LIMIT:
+                    raise h11.RemoteProtocolError(
+                        f"over {INFORMATIONAL_RESPONSES_LIMIT} informational responses "
+                        "came before the response"
+                    )
+            else:
                 raise ConnectionResetError(f"{self.address} closed the connection")
 
     async def _receive_head(self) -> None:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -11,7 +11,7 @@
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.net.http_server import ServerConnection
 
-from ..listener_harness import Close, Hang, Step, Until, chunk, parse
+from ..listener_harness import Close, Hang, Repeat, Step, Until, chunk, parse
 from ..route_listener_harness import (
     KEY,
     STREAM_HEAD,
@@ -191,6 +191,59 @@
     run(session)
 
 
+@pytest.mark.parametrize(
+    "rest",
+    [
+        Repeat(chunk(b": still here\n\n")),
+        Repeat(chunk(b"x")),
+        Repeat(b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ],
+    ids=["comments", "bytes-of-no-event", "no-chunks"],
+)
+def test_stream_whose_replica_sends_no_more_events_resumes_elsewhere(
+    rest: Step,
+) -> None:
+    """Guards against a stalled stream that lasts until its deadline.
+
+    The replica sends bytes all the time, so the connection is never silent.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        first = [STREAM_HEAD, chunk(event(1) + event(2)), Until(event(2)), rest]
+        second = [STREAM_HEAD, chunk(event(3)), b"0\r\n\r\n"]
+        replicas = await harness.add_replicas(2, first, second)
+        response = await ask(harness, route_request("/brief/1"))
+        assert (response.status, response.is_whole) == (200, True)
+        events = [line for line in response.body.split(b"\n") if b"id: " in line]
+        assert events == [b"id: 1", b"id: 2", b"id: 3"]
+        while not any(replica.closed_by_router for replica in replicas):
+            await curio.sleep(0.005)
+
+    run(session)
+
+
+@pytest.mark.parametrize(
+    "noise",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 1\r\n\r\nx",
+        b"noise " * 4_000,
+    ],
+    ids=["informational-responses", "answers-to-others", "no-response"],
+)
+def test_endless_bytes_in_place_of_a_head_end_the_attempt(noise: bytes) -> None:
+    """Guards against a replica in trouble that holds a request until its deadline."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        replicas = await harness.add_replicas(2, [Repeat(noise)], [answer()])
+        response = await ask(harness, route_request("/look/1"))
+        assert (response.status, response.body) == (200, b"done")
+        while not any(replica.closed_by_router for replica in replicas):
+            await curio.sleep(0.005)
+
+    run(session)
+
+
 @pytest.mark.parametrize(
     ("path", "rest"),
     [
--- a/tests/listener_harness.py
+++ b/tests/listener_harness.py
@@ -65,7 +65,15 @@
     is_reset: bool = False
 
 
-Step = bytes | Until | Hang | Close
+@dataclass(frozen=True, slots=True)
+class Repeat:
+    """Sends the same bytes again and again until the router closes the connection."""
+
+    data: bytes
+    pause_seconds: float = 0.02
+
+
+Step = bytes | Until | Hang | Close | Repeat
 Answerer = Callable[[bytes], Sequence[Step]]
 
 
@@ -186,6 +194,10 @@
             await sock.sendall(step)
         elif isinstance(step, Until):
             await self.harness.wait_received(step.marker)
+        elif isinstance(step, Repeat):
+            while True:
+                await sock.sendall(step.data)
+                await curio.sleep(step.pause_seconds)
         elif isinstance(step, Hang):
             while await sock.recv(65_536):
                 pass
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -46,6 +46,7 @@
         "hold": build_route("/hold/", "once"),
         "chat": build_route("/chat/", "stream"),
         "summary": build_route("/summary/", "stream", is_resumable=True),
+        "brief": build_route("/brief/", "stream", is_resumable=True, pause_ms=100),
         "keyed": build_route("/keyed/", "repeatable", is_public=False),
         "quick": build_route("/quick/", "once", timeout_ms=150),
     },
