Wait for a cached part as long as reading it again takes

Cause: a request left the replica that has its shared part after 60 ms, however long the part takes to read.

Change: it waits at least as long as the repeated read would take; waiting longer than that would cost more than it saves.

--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -36,8 +36,9 @@
 """Waiting requests of an organisation that are tried before the next organisation."""
 
 SPILL_WAIT_SECONDS = 0.06
-"""Wait for a replica that has the prompt cached, before the request may start at the
-next preferred one, which has to read it. Under load a slot frees in about this time."""
+"""Shortest wait for a replica that has the prompt cached, before the request may start
+at the next preferred one, which has to read it. Under load a slot frees in about this
+time."""
 
 MAX_PREFERRED_REPLICAS = 3
 """Replicas that a request prefers, in order, before it may use any other."""
@@ -296,6 +297,12 @@
         )
         waited_seconds = now - request.arrival
         backlog_limit = _find_backlog_limit(board, request)
+        # Waiting for the cached part costs at most as much as reading it again.
+        spill_wait = max(
+            SPILL_WAIT_SECONDS,
+            self._reads.model(request.service).seconds_per_token
+            * request.shared_tokens,
+        )
         for index, replica_id in enumerate(ranked):
             entry = free_by_id.get(replica_id)
             if entry is None:
@@ -317,7 +324,7 @@
             if is_assumed_cached:
                 return replica
             is_unpreferred = index >= MAX_PREFERRED_REPLICAS
-            if waited_seconds < SPILL_WAIT_SECONDS * min(index, MAX_PREFERRED_REPLICAS):
+            if waited_seconds < spill_wait * min(index, MAX_PREFERRED_REPLICAS):
                 continue
             min_free = (
                 UNPREFERRED_FREE_FRACTION if is_unpreferred else SPILL_FREE_FRACTION
