--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -61,7 +61,7 @@
 LARGE_PROMPT_FRACTION = 0.25
 """Fraction of the target that the prompts ahead of a large one may take."""
 
-BACKLOG_TARGET_FRACTION = 0.25
+BACKLOG_TARGET_FRACTION = 0.35
 """Fraction of the service's shortest target that unread prompts at a replica may take.
 
 A replica reads prompts in the order of arrival. Without the limit, requests with a long
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -69,7 +69,10 @@
                 "grace": SHUTDOWN_GRACE_SECONDS,
             },
         }
-        self._path.write_text(json.dumps(settings), encoding="utf-8")
+        # Replaced as a whole: a process that starts meanwhile must not read a part.
+        new_path = self._path.with_suffix(".new")
+        new_path.write_text(json.dumps(settings), encoding="utf-8")
+        new_path.replace(self._path)
 
     def start(self) -> None:
         """Starts the process."""
