--- a/sequoiamoor/core/readers.py
+++ b/sequoiamoor/core/readers.py
@@ -53,7 +53,7 @@
         is_held: Whether the store holds a call until something changes.
     """
 
-    max_age: float
+    max_age: float = 0.0
     version: int = 0
     wanted_version: int = 0
     confirmed_at: float = float("-inf")
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -13,7 +13,6 @@
 from ..core.blackboard import Blackboard
 from ..core.directory import UpstreamDirectory
 from ..core.freshness import FEED_LAG_SECONDS, KeyFreshness, StoreClock
-from ..core.messages import Confirmation
 from ..core.poll_intervals import (
     CONFIRMED_CONFIGURATION_WAIT_SECONDS,
     CONFIRMED_UPSTREAM_PAUSE_SECONDS,
@@ -21,7 +20,6 @@
     UPSTREAM_WAIT_SECONDS,
     PollIntervals,
 )
-from ..core.readers import FeedState, ReaderReport, is_reader
 from ..core.retries import draw_backoff
 from ..core.upstreams import ListedUpstream, LoadReport
 from ..errors import (
@@ -37,6 +35,7 @@
 from ..platform.store import Row, Rows, StoreClient
 from ..types import Address, ReplicaId
 from .control import Control
+from .store_role import StoreRole
 
 _LOG = logging.getLogger(__name__)
 
@@ -62,14 +61,6 @@
 ROUTER_LIFETIME_MS = 70_000
 """Age, by the clock of the store, from which the address of a router is ignored."""
 
-KEY_CONFIRMATION_FRACTION = 0.6
-"""Fraction of the time for which keys are accepted without a confirmation, after which
-a router stops to rely on readers; the rest is for its own call to the store."""
-
-UPSTREAM_CONFIRMATION_FRACTION = 0.7
-"""The same for upstreams, as a fraction of the time in which a leaving one must get no
-new work."""
-
 CONFIRMATION_CHECK_SECONDS = 0.2
 """Interval between two checks whether the confirmations of readers are recent."""
 
@@ -109,17 +100,14 @@
         self._rng = rng
         self._is_reachable: dict[str, bool] = {}
         self._feed_clients: dict[str, StoreClient] = {}
-        self._clocks: dict[str, StoreClock] = {}
+        self._role = StoreRole(
+            board, control, freshness, metrics, poll_intervals=poll_intervals
+        )
         self._feed_states = {
-            names.CONFIGURATION_TABLE: FeedState(self._find_configuration_max_age()),
-            names.UPSTREAM_TABLE: FeedState(
-                poll_intervals.leaving_bound * UPSTREAM_CONFIRMATION_FRACTION
-            ),
+            names.CONFIGURATION_TABLE: self._role.configuration,
+            names.UPSTREAM_TABLE: self._role.upstreams,
         }
         self._recalled_tables: set[str] = set()
-        self._reader_report = ReaderReport()
-        self._is_reader = True
-        control.handle_confirmation = self._apply_confirmation
         self._reported_values: dict[str, bytes] = {}
 
     def _create_client(self) -> StoreClient:
@@ -147,42 +135,20 @@
             apply_rows=self._apply_upstreams,
         )
 
-    def _count_routers(self) -> int:
-        """Returns by how many routers the calls to the store are shared."""
-        if self._is_reader and self._is_large_fleet:
-            return 1
-        return len(self._board.members) + 1
-
-    @property
-    def _is_large_fleet(self) -> bool:
-        return len(self._board.members) >= self._board.options.flat_limit
-
-    def _find_configuration_max_age(self) -> float:
-        limit = self._freshness.limit
-        if limit is None:
-            return self.poll_intervals.configuration_bound
-        return limit * KEY_CONFIRMATION_FRACTION
-
-    def _relies_on_readers(self, table: str) -> bool:
-        state = self._feed_states[table]
-        return not self._is_reader and not state.is_call_due(
-            self._freshness.read_time()
-        )
-
     async def watch_readers(self) -> None:
         """Recalls held calls that no reader of the zone confirms, until cancelled.
 
         Such a call is aborted and repeated with a short wait.
         """
         while True:
-            self._update_role()
+            self._role.update(self.poll_intervals)
             table = names.CONFIGURATION_TABLE
-            state = self._feed_states[table]
+            state = self._role.configuration
             client = self._feed_clients.get(table)
             if (
                 client is not None
                 and state.is_held
-                and not self._relies_on_readers(table)
+                and not self._role.is_confirmed(state)
             ):
                 # Aborted at each check until the call ends: a call that is still
                 # connecting has nothing to abort.
@@ -190,66 +156,16 @@
                 client.abort()
             await curio.sleep(CONFIRMATION_CHECK_SECONDS)
 
-    def _update_role(self) -> None:
-        was_reader = self._is_reader
-        self._is_reader = is_reader(
-            self._board.identity,
-            self._board.members.values(),
-            flat_limit=self._board.options.flat_limit,
-        )
-        self._metrics.store_reader.set(self._is_reader)
-        if self._is_reader != was_reader:
-            _LOG.info(
-                "role towards the store changed",
-                extra={"reason": "reader" if self._is_reader else "relies on readers"},
-            )
-
-    def _apply_confirmation(self, message: Confirmation) -> None:
-        """Applies what a reader of this zone confirms."""
-        configuration = self._feed_states[names.CONFIGURATION_TABLE]
-        configuration.version = self._board.configuration.version
-        self._confirm_feed(
-            configuration, message.configuration_version, message.configuration_ms
-        )
-        self._freshness.confirm(configuration.confirmed_at)
-        self._confirm_feed(
-            self._feed_states[names.UPSTREAM_TABLE],
-            message.upstreams_version,
-            message.upstreams_ms,
-        )
-
-    def _confirm_feed(self, state: FeedState, version: int, store_ms: int) -> None:
-        confirmed_at = max(
-            (clock.convert(store_ms / 1000) for clock in self._clocks.values()),
-            default=float("-inf"),
-        )
-        if confirmed_at > self._freshness.read_time():
-            _LOG.warning(
-                "confirmation is newer than the store's clock allows; ignored",
-                extra={"version": version},
-            )
-            return
-        state.confirm(version, confirmed_at)
-
-    def _confirm_to_zone(self) -> None:
-        if not self._is_reader or not self._is_large_fleet:
-            return
-        confirmation = self._reader_report.build(
-            self._board.configuration.version, time.monotonic()
-        )
-        if confirmation is not None:
-            self._control.confirm_to_zone(confirmation)
-
     def _find_configuration_wait(self) -> float:
-        if self._relies_on_readers(names.CONFIGURATION_TABLE):
+        if self._role.is_confirmed(self._role.configuration):
             return CONFIRMED_CONFIGURATION_WAIT_SECONDS
-        return self.poll_intervals.find_configuration_wait(self._count_routers())
+        return self.poll_intervals.find_configuration_wait(self._role.count_callers())
 
     def _find_upstream_pause(self) -> float:
-        if self._relies_on_readers(names.UPSTREAM_TABLE):
+        if self._role.is_confirmed(self._role.upstreams):
             return self._add_jitter(CONFIRMED_UPSTREAM_PAUSE_SECONDS)
         return self._add_jitter(
-            self.poll_intervals.find_upstream_pause(self._count_routers())
+            self.poll_intervals.find_upstream_pause(self._role.count_callers())
         )
 
     async def _follow(
@@ -261,7 +177,7 @@
         apply_rows: ApplyRows,
     ) -> None:
         client = self._feed_clients[table] = self._create_client()
-        clock = self._clocks[table] = StoreClock()
+        clock = self._role.clock_by_table[table] = StoreClock()
         state = self._feed_states[table]
         version: int | None = None
         failures = 0
@@ -303,12 +219,12 @@
                 confirmed_at = max(asked_at, answered_at - FEED_LAG_SECONDS)
                 if table == names.CONFIGURATION_TABLE:
                     self._freshness.confirm(confirmed_at)
-                    self._reader_report.record_configuration(rows.time_ms)
+                    self._role.report.record_configuration(rows.time_ms)
                     state.version = self._board.configuration.version
                 else:
                     state.version = rows.version
                 state.confirm(0, confirmed_at)
-                self._confirm_to_zone()
+                self._role.confirm_to_zone()
                 if (pause_seconds := find_pause()) > 0:
                     await self._pause(table, pause_seconds)
         finally:
@@ -316,17 +232,17 @@
 
     async def _pause(self, table: str, seconds: float) -> None:
         """Waits before the next call; a pause that relies on readers may end early."""
-        if not self._relies_on_readers(table):
+        state = self._feed_states[table]
+        if not self._role.is_confirmed(state):
             await curio.sleep(seconds)
             return
-        state = self._feed_states[table]
         ends_at = time.monotonic() + seconds
         while (remaining := ends_at - time.monotonic()) > 0:
             await curio.sleep(min(remaining, CONFIRMATION_CHECK_SECONDS))
             if state.wanted_version > state.version:
                 await curio.sleep(self._rng.uniform(0, CHANGE_JITTER_SECONDS))
                 return
-            if not self._relies_on_readers(table):
+            if not self._role.is_confirmed(state):
                 return
 
     def _draw_retry_delay(self, failures: int) -> float:
@@ -382,7 +298,7 @@
             else:
                 self._apply_upstream(row, now)
         self._directory.record_answer()
-        self._reader_report.record_upstreams(
+        self._role.report.record_upstreams(
             rows.time_ms, rows.version, is_changed=before != self._describe_upstreams()
         )
 
@@ -456,7 +372,7 @@
 
     def _find_router_refresh(self) -> float:
         return self._add_jitter(
-            self.poll_intervals.find_router_refresh(self._count_routers())
+            self.poll_intervals.find_router_refresh(self._role.count_callers())
         )
 
     def _add_jitter(self, mean: float) -> float:
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -229,8 +229,9 @@
             (f"router-{number}", RouterIdentity(f"router-{number}", 1, "a"))
             for number in range(1, 40)
         )
-        feeds.sources._update_role()
-        assert not feeds.sources._is_reader
+        role = feeds.sources._role
+        role.update(feeds.sources.poll_intervals)
+        assert not role.is_reader
 
         def confirm(upstreams_version: int) -> None:
             now_ms = round(store.read_time_ms())
