Show how current a router's knowledge of upstreams is at a send

Requests reached upstreams after they had left, and neither logs nor metrics could tell whether the router did not know, or knew and sent: a removal of an upstream was not logged, `upstream is leaving` shared a limit with the lines of each request, and nothing had the age of the list of upstreams or the time from choice to send.

* Lines without a request identifier have a limit of their own.
The test that fails without it: test_lines_about_requests_do_not_displace_lines_about_state.
The existing test of the rate now writes lines about requests, which have the limit that it checks.
* `upstream removed` is logged for each removal; it and `upstream is leaving` have `view_age_ms`, the latter also the router that passed it on.
* `served` and `attempt failed` have `upstream`, `to_send_ms` and `view_age_ms`; two histograms have the same; `request sent to a leaving upstream` is a warning.

No decision changes.

--- a/sequoiamoor/core/directory.py
+++ b/sequoiamoor/core/directory.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..types import ReplicaId
+from .readers import FeedState
 from .upstreams import ListedUpstream, LoadReport, Upstreams
 
 EXPIRED_ENTRY_GRACE_SECONDS = 1.2
@@ -27,11 +28,13 @@
         missing: Replicas whose entry is missing, with the monotonic time in seconds
             at which they are to be removed.
         is_known: Whether the complete list of entries has been read.
+        feed: How recently the entries were known to be the newest.
     """
 
     upstreams: Upstreams
     missing: dict[ReplicaId, float] = field(default_factory=dict)
     is_known: bool = False
+    feed: FeedState = field(default_factory=FeedState)
     _is_after_outage: bool = False
 
     def record_outage(self) -> None:
@@ -55,25 +58,35 @@
         self.missing.pop(listed.replica_id, None)
         return self.upstreams.put(listed, load, now)
 
-    def remove(self, replica_id: ReplicaId, now: float) -> None:
+    def remove(self, replica_id: ReplicaId, now: float) -> bool:
         """Handles the removal of an entry.
 
         The replica is removed at once, or after ``EXPIRED_ENTRY_GRACE_SECONDS`` if the
         entry may have expired in an outage of the store.
+
+        Returns:
+            Whether the replica was removed at once.
         """
         if replica_id not in self.upstreams.replicas:
-            return
+            return False
         if self._is_after_outage:
             self.missing.setdefault(replica_id, now + EXPIRED_ENTRY_GRACE_SECONDS)
-        else:
-            self._remove_now(replica_id)
+            return False
+        self._remove_now(replica_id)
+        return True
+
+    def keep_only(self, listed: Collection[ReplicaId], now: float) -> list[ReplicaId]:
+        """Handles the removal of all entries that are not in ``listed``.
 
-    def keep_only(self, listed: Collection[ReplicaId], now: float) -> None:
-        """Handles the removal of all entries that are not in ``listed``."""
+        Returns:
+            The replicas that were removed at once.
+        """
         self.is_known = True
-        for replica_id in list(self.upstreams.replicas):
-            if replica_id not in listed:
-                self.remove(replica_id, now)
+        return [
+            replica_id
+            for replica_id in list(self.upstreams.replicas)
+            if replica_id not in listed and self.remove(replica_id, now)
+        ]
 
     def step(self, now: float) -> list[ReplicaId]:
         """Removes and returns the replicas whose entry did not reappear in time."""
--- a/sequoiamoor/core/readers.py
+++ b/sequoiamoor/core/readers.py
@@ -65,11 +65,13 @@
         if self.wanted_version <= self.version:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
+    def find_age(self, now: float) -> float:
+        """Returns for how many seconds the copy may have been out of date."""
+        return now - self.confirmed_at
+
     def is_call_due(self, now: float) -> bool:
         """Returns whether the store has to be asked now."""
-        return (
-            self.wanted_version > self.version or now - self.confirmed_at > self.max_age
-        )
+        return self.wanted_version > self.version or self.find_age(now) > self.max_age
 
 
 @dataclass(slots=True)
--- a/sequoiamoor/core/routed_call.py
+++ b/sequoiamoor/core/routed_call.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ..types import CallRequest
+from ..types import CallRequest, ReplicaId
 from .routes import Route
 
 Fields = list[tuple[bytes, bytes]]
@@ -43,6 +43,10 @@
         last_event_at: Monotonic time in seconds of the last event.
         longest_pause: Longest time between two groups of events, in seconds.
         prepaid: Service units of output charged but not generated yet.
+        replica_id: Replica to which the last attempt was sent.
+        sent_after: Seconds from the choice of that replica to the send, or None.
+        view_age: Seconds for which the list of upstreams may have been outdated at that
+            send, or None.
         may_have_run: Whether an attempt was sent whose replica did not state that it
             did not run the request.
     """
@@ -61,6 +65,9 @@
     last_event_at: float = 0.0
     longest_pause: float = 0.0
     prepaid: float = 0.0
+    replica_id: ReplicaId | None = None
+    sent_after: float | None = None
+    view_age: float | None = None
     may_have_run: bool = False
 
     @property
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -200,10 +200,27 @@
                 self._send(confirmation, peer.router_id)
         self._flush_if_due()
 
-    def announce_leaving(self, replicas: Iterable[Replica]) -> None:
-        """Logs that these replicas are leaving and tells all peers without delay."""
+    def announce_leaving(
+        self,
+        replicas: Iterable[Replica],
+        *,
+        source: str = "store",
+        view_age_ms: int | None = None,
+    ) -> None:
+        """Logs that these replicas are leaving and tells all peers without delay.
+
+        Args:
+            replicas: Replicas that were not known to be leaving.
+            source: Where this was learned, for the log.
+            view_age_ms: For how many milliseconds this router may not have known it.
+        """
         for replica in replicas:
-            _LOG.info("upstream is leaving", extra={"upstream": replica.replica_id})
+            extra = {
+                "upstream": replica.replica_id,
+                "peer": source,
+                "view_age_ms": view_age_ms,
+            }
+            _LOG.info("upstream is leaving", extra=extra)
             self._send(UpstreamState(replica.replica_id, replica.incarnation, True))
         self._flush_if_due()
 
@@ -226,7 +243,7 @@
         leaving = state.apply_vm_list(
             upstreams, made_at_ms=made_at_ms, now=time.monotonic()
         )
-        self.announce_leaving(leaving)
+        self.announce_leaving(leaving, source=source)
         if state.entries() == entries_before:
             return
         _LOG.info("VM list changed", extra={"peer": source})
@@ -490,13 +507,15 @@
                 await self._dispatch_replicas(row.replica_id for row in message.rows)
             case Loads(rows):
                 for row in rows:
-                    self._apply_load(row, now)
+                    self._apply_load(row, now, source=identity.router_id)
             case UpstreamState(replica_id, incarnation, is_leaving):
                 upstreams = self._board.upstreams
                 if upstreams.apply_peer_state(
                     replica_id, incarnation, is_leaving=is_leaving
                 ):
-                    self.announce_leaving([upstreams.replicas[replica_id]])
+                    self.announce_leaving(
+                        [upstreams.replicas[replica_id]], source=identity.router_id
+                    )
             case UpstreamList(made_at_ms, upstream_rows):
                 listed_upstreams = [
                     ListedUpstream(
@@ -559,7 +578,7 @@
             self._request_configuration(now)
             self._flush_if_due()
 
-    def _apply_load(self, row: LoadRow, now: float) -> None:
+    def _apply_load(self, row: LoadRow, now: float, *, source: str) -> None:
         load = LoadReport(
             row.incarnation,
             row.slots,
@@ -570,7 +589,7 @@
         )
         upstreams = self._board.upstreams
         if upstreams.record_load(row.replica_id, load, now):
-            self.announce_leaving([upstreams.replicas[row.replica_id]])
+            self.announce_leaving([upstreams.replicas[row.replica_id]], source=source)
 
     async def _dispatch_replicas(self, replica_ids: Iterable[ReplicaId]) -> None:
         replicas = self._board.upstreams.replicas
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -115,6 +115,7 @@
             assert call is not None
             self._overload.record_start(call, self._count_waiting(call), now)
             call.attempts += 1
+            call.started_at = now
             self._board.running[call.call_id] = call
             replica = self._board.upstreams.replicas[start.replica_id]
             self._board.upstreams.record_start(replica, now)
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from random import Random
 
 import curio
 
 from ..core.blackboard import Blackboard
+from ..core.directory import UpstreamDirectory
 from ..core.freshness import KeyFreshness
 from ..core.repeats import RepeatBudget, decide_repeat
 from ..core.routed_call import RoutedCall
@@ -74,8 +76,10 @@
         upstream_format: UpstreamFormat,
         budget: RepeatBudget,
         freshness: KeyFreshness,
+        directory: UpstreamDirectory,
         rng: Random,
     ) -> None:
+        self._directory = directory
         self._board = board
         self._dispatcher = dispatcher
         self._metrics = metrics
@@ -219,6 +223,7 @@
             sink.first_at - call.arrival
         )
         extra = _build_log_fields(call, reason="answered")
+        extra["upstream"] = call.replica_id
         extra["first_ms"] = round((sink.first_at - call.arrival) * 1000)
         extra["total_ms"] = round((now - call.arrival) * 1000)
         extra["events"] = call.events
@@ -273,6 +278,7 @@
         failed_answer: WholeAnswer | None = None
         while True:
             replica = await self._dispatcher.wait_start(call)
+            call.sent_after = call.view_age = None
             started_at = time.monotonic()
             error: RefusalError | None = None
             answer: WholeAnswer | None = None
@@ -365,6 +371,7 @@
             upstream_format=self._upstream_format,
             pool=self._pool,
             metrics=self._metrics,
+            on_send=lambda: self._record_send(call, replica),
         )
         try:
             sink.check_present()
@@ -380,6 +387,18 @@
         finally:
             await self._dispatcher.release(call)
 
+    def _record_send(self, call: RoutedCall, replica: Replica) -> None:
+        """Records how current the knowledge is with which a request is sent."""
+        call.replica_id = replica.replica_id
+        call.sent_after = time.monotonic() - call.started_at
+        call.view_age = self._directory.feed.find_age(self._freshness.read_time())
+        self._metrics.start_to_send.observe(call.sent_after)
+        self._metrics.upstream_view_age.observe(call.view_age)
+        if replica.is_leaving:
+            extra = _build_log_fields(call, reason="upstream-leaving")
+            extra["upstream"] = replica.replica_id
+            _LOG.warning("request sent to a leaving upstream", extra=extra)
+
     def _record_result(
         self,
         call: RoutedCall,
@@ -434,4 +453,12 @@
         "route": call.class_name,
         "attempts": call.attempts,
         "reason": reason,
+        "to_send_ms": _to_ms(call.sent_after),
+        "view_age_ms": _to_ms(call.view_age),
     }
+
+
+def _to_ms(seconds: float | None) -> int | None:
+    if seconds is None or not math.isfinite(seconds):
+        return None
+    return round(seconds * 1000)
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -113,6 +113,7 @@
             upstream_format=replicas,
             budget=self._repeat_budget,
             freshness=self._freshness,
+            directory=self._directory,
             rng=self._rng,
         )
         self._listener = RouteListener(
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 import time
 from collections.abc import Callable
 from random import Random
@@ -101,7 +102,12 @@
         self._is_reachable: dict[str, bool] = {}
         self._feed_clients: dict[str, StoreClient] = {}
         self._role = StoreRole(
-            board, control, freshness, metrics, poll_intervals=poll_intervals
+            board,
+            control,
+            freshness,
+            metrics,
+            upstreams=directory.feed,
+            poll_intervals=poll_intervals,
         )
         self._feed_states = {
             names.CONFIGURATION_TABLE: self._role.configuration,
@@ -290,13 +296,17 @@
     def _apply_upstreams(self, rows: Rows, is_full_table: bool) -> None:
         now = time.monotonic()
         before = self._describe_upstreams()
+        removed: list[ReplicaId] = []
         if is_full_table:
-            self._directory.keep_only({row.key for row in rows.rows}, now)
+            removed = self._directory.keep_only({row.key for row in rows.rows}, now)
         for row in rows.rows:
-            if row.is_removed:
-                self._directory.remove(row.key, now)
-            else:
+            if not row.is_removed:
                 self._apply_upstream(row, now)
+            elif self._directory.remove(row.key, now):
+                removed.append(row.key)
+        for replica_id in removed:
+            extra = {"upstream": replica_id, "view_age_ms": self._find_view_age_ms()}
+            _LOG.info("upstream removed", extra=extra)
         self._directory.record_answer()
         self._role.report.record_upstreams(
             rows.time_ms, rows.version, is_changed=before != self._describe_upstreams()
@@ -337,9 +347,15 @@
         load = LoadReport(entry.born_ms, entry.slots, 0, 0, 0.0, entry.is_leaving)
         if self._directory.put(listed, load, now):
             self._control.announce_leaving(
-                [self._board.upstreams.replicas[entry.replica_id]]
+                [self._board.upstreams.replicas[entry.replica_id]],
+                view_age_ms=self._find_view_age_ms(),
             )
 
+    def _find_view_age_ms(self) -> int | None:
+        """Returns the age of the copy of the table before the answer being applied."""
+        age = self._directory.feed.find_age(self._freshness.read_time())
+        return round(age * 1000) if math.isfinite(age) else None
+
     async def follow_routers(self) -> None:
         """Publishes this router's address and reads the others' until cancelled."""
         client = self._create_client()
--- a/sequoiamoor/daemon/store_role.py
+++ b/sequoiamoor/daemon/store_role.py
@@ -42,6 +42,7 @@
         freshness: KeyFreshness,
         metrics: Metrics,
         *,
+        upstreams: FeedState,
         poll_intervals: PollIntervals,
     ) -> None:
         self._board = board
@@ -50,7 +51,7 @@
         self._metrics = metrics
         self.is_reader = True
         self.configuration = FeedState()
-        self.upstreams = FeedState()
+        self.upstreams = upstreams
         self.clock_by_table: dict[str, StoreClock] = {}
         self.report = ReaderReport()
         self.update(poll_intervals)
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -28,6 +28,8 @@
     "first_ms",
     "total_ms",
     "waited_ms",
+    "to_send_ms",
+    "view_age_ms",
     "elapsed_ms",
     "events",
     "pause_ms",
@@ -37,10 +39,17 @@
 )
 
 MAX_LINES_PER_SECOND = 200.0
-"""Sustained rate of lines; warnings and errors are written beyond it."""
+"""Sustained rate of lines about requests; warnings and errors are written beyond it."""
 
 MAX_BURST_LINES = 400.0
-"""Lines that may be written at once after a time with few lines."""
+"""Lines about requests that may be written at once after a time with few of them."""
+
+MAX_STATE_LINES_PER_SECOND = 50.0
+"""Sustained rate of the other lines, which tell what the router knows or does. They
+have a limit of their own, so that a flood of requests does not displace them."""
+
+MAX_STATE_BURST_LINES = 400.0
+"""Other lines that may be written at once after a time with few of them."""
 
 MAX_BUFFER_BYTES = 262_144
 """Buffered output above which new lines are left out until it is read."""
@@ -64,11 +73,31 @@
         return json.dumps(document)
 
 
+class _Allowance:
+    """Number of lines that may be written now, refilled at a constant rate."""
+
+    def __init__(self, *, rate: float, burst: float, now: float) -> None:
+        self._rate = rate
+        self._burst = self._available = burst
+        self._refilled_at = now
+
+    def take(self, now: float) -> bool:
+        """Takes one line; returns whether one was left."""
+        refill = (now - self._refilled_at) * self._rate
+        self._available = min(self._burst, self._available + refill)
+        self._refilled_at = now
+        if self._available < 1:
+            return False
+        self._available -= 1
+        return True
+
+
 class BoundedHandler(logging.Handler):
     """Writes lines to a non-blocking file descriptor.
 
-    Lines above the rate limit, and lines for which the buffer is full because nobody
-    reads the output, are left out. Their number is logged before the next line.
+    Lines above the rate limit of their kind, and lines for which the buffer is full
+    because nobody reads the output, are left out. Their number is logged before the
+    next line. Lines with a request identifier are about requests.
     """
 
     def __init__(
@@ -80,8 +109,13 @@
         super().__init__()
         self._descriptor = descriptor
         self._read_time = read_time
-        self._available_lines = MAX_BURST_LINES
-        self._refilled_at = read_time()
+        now = read_time()
+        self._request_lines = _Allowance(
+            rate=MAX_LINES_PER_SECOND, burst=MAX_BURST_LINES, now=now
+        )
+        self._state_lines = _Allowance(
+            rate=MAX_STATE_LINES_PER_SECOND, burst=MAX_STATE_BURST_LINES, now=now
+        )
         self._buffer = bytearray()
         self._left_out_lines = 0
 
@@ -104,14 +138,10 @@
             self._flush_buffer()
             if len(self._buffer) > MAX_BUFFER_BYTES:
                 return False
-        now = self._read_time()
-        refill = (now - self._refilled_at) * MAX_LINES_PER_SECOND
-        self._available_lines = min(MAX_BURST_LINES, self._available_lines + refill)
-        self._refilled_at = now
-        if self._available_lines < 1:
-            return record.levelno >= logging.WARNING
-        self._available_lines -= 1
-        return True
+        # A refusal of a request that could not be parsed has the identifier None.
+        is_about_request = hasattr(record, "request_id")
+        allowance = self._request_lines if is_about_request else self._state_lines
+        return allowance.take(self._read_time()) or record.levelno >= logging.WARNING
 
     def _build_left_out_record(self, record: logging.LogRecord) -> logging.LogRecord:
         summary = logging.LogRecord(
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -123,6 +123,18 @@
             "How late the loop came to a task that slept.",
             registry=self.registry,
         )
+        self.upstream_view_age = Histogram(
+            "sequoiamoor_upstream_view_age_seconds",
+            "Time for which the list of upstreams may have been outdated at a send.",
+            buckets=(0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.5, 3.0, 5.0),
+            registry=self.registry,
+        )
+        self.start_to_send = Histogram(
+            "sequoiamoor_start_to_send_seconds",
+            "Time from the choice of an upstream to the send of the request.",
+            buckets=(0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0),
+            registry=self.registry,
+        )
         self.store_reader = Gauge(
             "sequoiamoor_store_reader",
             "Whether this router follows the store closely.",
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -81,7 +81,19 @@
         upstream_format: UpstreamFormat,
         pool: ConnectionPool,
         metrics: Metrics,
+        on_send: Callable[[], None] = lambda: None,
     ) -> None:
+        """Initialises the attempt.
+
+        Args:
+            call: The request.
+            replica: Replica that runs the request.
+            upstream_format: Format of the request and its answer.
+            pool: Pool from which the connection is taken.
+            metrics: Metrics to update.
+            on_send: Called right before the request is sent.
+        """
+        self._on_send = on_send
         self._call = call
         self._replica = replica
         self._format = upstream_format
@@ -146,6 +158,7 @@
                 ANSWER_SILENCE_LIMIT_TARGETS * route.target, MIN_SILENCE_LIMIT_SECONDS
             )
         sent_before = connection.bytes_sent
+        self._on_send()
         request_target = self._call.target.decode("latin-1")
         try:
             await connection.send_request(
--- a/sequoiamoor/types.py
+++ b/sequoiamoor/types.py
@@ -108,6 +108,8 @@
         caller_deadline_at: Monotonic time of the caller's own limit, if it gave one.
         attempts: Number of attempts started so far, without those that could not
             connect while other replicas had not been tried.
+        started_at: Monotonic time in seconds at which the replica of the last attempt
+            was chosen.
         excluded: Replicas where an attempt failed.
         excluded_until: Monotonic time until which these replicas are not tried again.
         charged: Work charged for the request so far, in service units.
@@ -131,6 +133,7 @@
     is_repeatable: bool = True
     caller_deadline_at: float | None = None
     attempts: int = 0
+    started_at: float = 0.0
     excluded: frozenset[ReplicaId] = frozenset()
     excluded_until: float = float("-inf")
     charged: float = 0.0
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Any
 
+from sequoiamoor.core.directory import UpstreamDirectory
 from sequoiamoor.core.freshness import KeyFreshness
 from sequoiamoor.core.repeats import RepeatBudget, RepeatLimits
 from sequoiamoor.daemon.dispatcher import Dispatcher
@@ -132,6 +133,7 @@
             upstream_format=replicas,
             budget=RepeatBudget(RepeatLimits(ratio=0.2, window=10.0, extra=20.0)),
             freshness=self.freshness,
+            directory=UpstreamDirectory(self.board.upstreams),
             rng=Random(1),
         )
         self.calls = self.forwarder  # type: ignore[assignment]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -10,13 +10,18 @@
     MAX_BUFFER_BYTES,
     MAX_BURST_LINES,
     MAX_LINES_PER_SECOND,
+    MAX_STATE_BURST_LINES,
     BoundedHandler,
     JsonFormatter,
 )
 
 
-def build_record(level: int = logging.INFO, size: int = 1) -> logging.LogRecord:
-    return logging.LogRecord("x", level, "", 0, "x" * size, None, None)
+def build_record(
+    level: int = logging.INFO, size: int = 1, **fields: str | None
+) -> logging.LogRecord:
+    record = logging.LogRecord("x", level, "", 0, "x" * size, None, None)
+    vars(record).update(fields)
+    return record
 
 
 def build_handler(descriptor: int) -> tuple[BoundedHandler, list[float]]:
@@ -32,11 +37,11 @@
     os.set_blocking(writer, False)
     handler, now = build_handler(writer)
     for _ in range(int(MAX_BURST_LINES) + 30):
-        handler.emit(build_record())
+        handler.emit(build_record(request_id="9c41"))
     handler.emit(build_record(logging.WARNING))
     now[0] = 1.0
     for _ in range(int(MAX_LINES_PER_SECOND) - 10):
-        handler.emit(build_record())
+        handler.emit(build_record(request_id="9c41"))
     lines = [json.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
     counts = [line["left_out"] for line in lines if line["event"] == "lines left out"]
     assert counts == [30]
@@ -62,3 +67,19 @@
     assert handler._left_out_lines == 0
     os.close(reader)
     os.close(writer)
+
+
+def test_lines_about_requests_do_not_displace_lines_about_state() -> None:
+    """Guards against a flood whose refusals hide that an upstream left."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    handler, _ = build_handler(writer)
+    for number in range(int(MAX_BURST_LINES) + 1):
+        handler.emit(build_record(request_id=None if number % 2 else "9c41"))
+    for _ in range(int(MAX_STATE_BURST_LINES) + 1):
+        handler.emit(build_record())
+    lines = [json.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+    written = sum(line["event"] == "x" for line in lines)
+    assert written == MAX_BURST_LINES + MAX_STATE_BURST_LINES
+    os.close(reader)
+    os.close(writer)
