Reproduce requests to upstreams that left, in two failing tests

One shows a request that is sent although its upstream left between the choice and the send (three ways to leave).

--- /dev/null
+++ b/tests/daemon/test_leaving_upstreams.py
@@ -0,0 +1,174 @@
+"""Tests that requests stop to reach upstreams in time after these began to leave."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import curio
+import pytest
+
+from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica, Upstreams
+from sequoiamoor.net.exchange import ConnectionPool
+from sequoiamoor.net.http_client import ClientConnection
+from sequoiamoor.types import Address
+
+from ..platform.standin import StandInStore
+from ..route_listener_harness import (
+    RouteListenerHarness,
+    answer,
+    route_request,
+    run,
+)
+from .test_sources import Feeds, build_entry
+
+LEAVING_BOUND_SECONDS = 2.0
+"""Time after which the operators allow no request to reach a leaving upstream."""
+
+PASS_SECONDS = 1.2
+"""Duration of one pass of the event loop in the test of a late one."""
+
+PASSES_BEFORE, PASSES_AFTER = 4, 4
+"""Passes before and after an upstream leaves; a request is sent two or three passes
+after it arrived."""
+
+CALLERS_PER_PASS = 6
+CALLERS = CALLERS_PER_PASS * (PASSES_BEFORE + PASSES_AFTER)
+
+
+def mark_leaving(upstreams: Upstreams, replica: Replica) -> None:
+    replica.is_leaving = True
+
+
+def remove(upstreams: Upstreams, replica: Replica) -> None:
+    upstreams.remove(replica.replica_id)
+
+
+def move_elsewhere(upstreams: Upstreams, replica: Replica) -> None:
+    """Lets another process at another address take over the identifier."""
+    listed = ListedUpstream(
+        replica.replica_id, replica.service, replica.zone, Address("127.0.0.1", 1)
+    )
+    upstreams.put(listed, LoadReport(9, 24, 0, 0, 0.0, False), time.monotonic())
+
+
+@pytest.mark.parametrize("leave", [mark_leaving, remove, move_elsewhere])
+def test_no_request_is_sent_to_an_upstream_that_left_after_its_choice(
+    leave: Callable[[Upstreams, Replica], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that reaches an upstream after it began to leave.
+
+    The upstream leaves while the router connects to it for a request.
+    """
+    acquire = ConnectionPool.acquire
+    chosen: list[Address] = []
+
+    async def session(harness: RouteListenerHarness) -> None:
+        upstreams = harness.board.upstreams
+
+        async def acquire_late(
+            pool: ConnectionPool, address: Address, *, force_new: bool
+        ) -> tuple[ClientConnection, bool]:
+            connection = await acquire(pool, address, force_new=force_new)
+            if not chosen:
+                chosen.append(address)
+                (replica,) = (
+                    replica
+                    for replica in upstreams.replicas.values()
+                    if replica.address == address
+                )
+                leave(upstreams, replica)
+            return connection
+
+        monkeypatch.setattr(ConnectionPool, "acquire", acquire_late)
+        replicas = await harness.add_replicas(2, [answer()])
+        caller = await harness.connect()
+        await caller.send(route_request("/hold/1"))
+        await caller.receive_until(b"done")
+        assert caller.received.startswith(b"HTTP/1.1 200")
+        requests = {replica.address: len(replica.requests) for replica in replicas}
+        assert requests.pop(chosen[0]) == 0
+        assert list(requests.values()) == [1]
+
+    run(session)
+
+
+@contextmanager
+def serve_store() -> Iterator[StandInStore]:
+    """Runs a store on an event loop of its own."""
+    store = StandInStore()
+    is_listening, is_over = threading.Event(), threading.Event()
+
+    async def serve() -> None:
+        await store.listen()
+        is_listening.set()
+        while not is_over.is_set():
+            await curio.sleep(0.02)
+
+    thread = threading.Thread(target=curio.run, args=(serve,))
+    thread.start()
+    is_listening.wait()
+    try:
+        yield store
+    finally:
+        is_over.set()
+        thread.join()
+
+
+def spin(seconds: float) -> None:
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        pass
+
+
+def test_late_event_loop_does_not_delay_the_news_of_a_removed_upstream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests to an upstream that left while the router is overloaded.
+
+    Each turn of the feed of upstreams waits for a whole pass of the event loop, which a
+    flood of requests makes long.
+    """
+    sent: list[tuple[float, Address]] = []
+    send_request = ClientConnection.send_request
+
+    async def record_send(connection: ClientConnection, *arguments: Any) -> None:
+        if arguments[1].startswith("/look/"):
+            sent.append((time.monotonic(), connection.address))
+        await send_request(connection, *arguments)
+
+    async def session(harness: RouteListenerHarness, store: StandInStore) -> None:
+        monkeypatch.setattr(ClientConnection, "send_request", record_send)
+        feeds = Feeds(store, board=harness.board, directory=harness.directory)
+        replicas = await harness.add_replicas(2, *[[answer()]] * 200)
+        harness.board.upstreams.replicas.clear()
+        for number, replica in enumerate(replicas):
+            store.put("servers", f"i-{number}", build_entry(address=replica.address))
+        waiting = [await harness.connect() for _ in range(CALLERS)]
+
+        async def delay_loop(passes: int) -> None:
+            for _ in range(passes):
+                for _ in range(CALLERS_PER_PASS):
+                    spin(PASS_SECONDS / CALLERS_PER_PASS)
+                    await waiting.pop().send(route_request("/look/1"))
+                await curio.sleep(0)
+
+        async with curio.TaskGroup() as tasks:
+            for follow in feeds.list_tasks():
+                await tasks.spawn(follow)
+            await feeds.wait_for(lambda: len(feeds.replicas()) == 2)
+            await delay_loop(PASSES_BEFORE)
+            left_at = time.monotonic()
+            store.drop("servers", "i-0")
+            await delay_loop(PASSES_AFTER)
+            await tasks.cancel_remaining()
+        left = replicas[0].address
+        late = [at - left_at for at, address in sent if address == left]
+        assert max(late) < LEAVING_BOUND_SECONDS
+        assert max(at for at, _ in sent) > left_at + LEAVING_BOUND_SECONDS
+
+    with serve_store() as store:
+        run(lambda harness: session(harness, store))
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -10,7 +10,7 @@
 import curio
 import pytest
 
-from sequoiamoor.core.blackboard import create_blackboard
+from sequoiamoor.core.blackboard import Blackboard, create_blackboard
 from sequoiamoor.core.directory import EXPIRED_ENTRY_GRACE_SECONDS, UpstreamDirectory
 from sequoiamoor.core.freshness import KeyFreshness
 from sequoiamoor.core.messages import Confirmation
@@ -21,17 +21,17 @@
 from sequoiamoor.metrics import Metrics
 from sequoiamoor.policies import create_policy
 from sequoiamoor.settings import RouterSettings
-from sequoiamoor.types import RouterIdentity
+from sequoiamoor.types import Address, RouterIdentity
 
 from ..platform.standin import StandInStore
 
 SESSION_SECONDS = 20.0
 
 
-def build_entry(**changes: Any) -> bytes:
+def build_entry(*, address: Address | str = "10.0.0.9:8042", **changes: Any) -> bytes:
     entry = {
         "service": "talk",
-        "address": "10.0.0.9:8042",
+        "address": str(address),
         "zone": "a",
         "slots": 24,
         "state": "ready",
@@ -44,7 +44,13 @@
 class Feeds:
     """The feeds of one router and the store that they read."""
 
-    def __init__(self, store: StandInStore) -> None:
+    def __init__(
+        self,
+        store: StandInStore,
+        *,
+        board: Blackboard | None = None,
+        directory: UpstreamDirectory | None = None,
+    ) -> None:
         self.store = store
         assert store.address is not None
         address = {"host": store.address.host, "port": store.address.port}
@@ -57,14 +63,14 @@
                 "platform": address,
             }
         )
-        self.board = create_blackboard(
+        self.board = board or create_blackboard(
             RouterIdentity("router-0", 1, "a"), settings.options
         )
         metrics = Metrics()
         rng = Random(1)
         policy = create_policy("shared-load", rng=rng)
         self.control = Control(self.board, policy, metrics, settings=settings, rng=rng)
-        self.directory = UpstreamDirectory(self.board.upstreams)
+        self.directory = directory or UpstreamDirectory(self.board.upstreams)
         self.freshness = KeyFreshness(60.0)
         self.sources = Sources(
             self.board,
@@ -77,6 +83,14 @@
             rng=rng,
         )
 
+    def list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
+        """Returns the tasks that read the store."""
+        return [
+            self.sources.follow_configuration,
+            self.sources.follow_upstreams,
+            self.sources.watch_readers,
+        ]
+
     async def wait_for(self, check: Callable[[], bool]) -> None:
         while not check():
             await curio.sleep(0.005)
@@ -91,9 +105,8 @@
         await store.listen()
         feeds = Feeds(store)
         async with curio.timeout_after(SESSION_SECONDS), curio.TaskGroup() as tasks:
-            await tasks.spawn(feeds.sources.follow_configuration)
-            await tasks.spawn(feeds.sources.follow_upstreams)
-            await tasks.spawn(feeds.sources.watch_readers)
+            for follow in feeds.list_tasks():
+                await tasks.spawn(follow)
             await session(feeds)
             await tasks.cancel_remaining()
 
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -124,6 +124,7 @@
         super().__init__(options=options)
         self.board.configuration.declaration = parse_declaration(DECLARATION)
         self.freshness = KeyFreshness(limit)
+        self.directory = UpstreamDirectory(self.board.upstreams)
         policy = RoundRobinPolicy(rng=Random(1))
         self.forwarder = Forwarder(
             self.board,
@@ -133,7 +134,7 @@
             upstream_format=replicas,
             budget=RepeatBudget(RepeatLimits(ratio=0.2, window=10.0, extra=20.0)),
             freshness=self.freshness,
-            directory=UpstreamDirectory(self.board.upstreams),
+            directory=self.directory,
             rng=Random(1),
         )
         self.calls = self.forwarder  # type: ignore[assignment]
