Check again before a send that the upstream is still in service

What callers saw: whole answers, but from upstreams that had left; an upstream may end at any time then, and the answer with it.

Cause: an upstream is chosen first; then come the wait for a connection, up to 0.5 s for a new one, and turns of the event loop. Nothing looked at the upstream again.

Fix: right before the send, the upstream must still be known under its identifier, not leave, and have the address of the connection. Otherwise the attempt ends with `upstream-leaving` (not run), costs nothing of the budget of repeats, does not count as a failure of the upstream, and another upstream is chosen. No await lies between the check and the write. The same gap was in the project's own interface; both use the same check.

The log line that showed the fault cannot occur any more and is removed.

--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from ..errors import UpstreamLeavingError
 from ..options import Options
 from ..types import Address, ReplicaId, ServiceName, ZoneName
 
@@ -144,6 +145,27 @@
             if replica.is_available(now)
         ]
 
+    def check_in_service(self, replica: Replica, address: Address) -> None:
+        """Checks that a replica chosen earlier may still get a request.
+
+        Args:
+            replica: The replica.
+            address: Address of the connection on which the request is to be sent.
+
+        Raises:
+            UpstreamLeavingError: If the replica is leaving or was removed, or another
+                process has taken over its identifier.
+        """
+        if (
+            replica.is_leaving
+            or self.replicas.get(replica.replica_id) is not replica
+            or replica.address != address
+        ):
+            raise UpstreamLeavingError(
+                f"replica {replica.replica_id!r} at {address} left before the request "
+                "was sent to it; try again"
+            )
+
     def apply_vm_list(
         self, upstreams: Iterable[ListedUpstream], *, made_at_ms: int, now: float
     ) -> list[Replica]:
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -22,6 +22,7 @@
     InternalError,
     RefusalError,
     RouterShuttingDownError,
+    UpstreamLeavingError,
     UpstreamUnreachableError,
 )
 from ..metrics import Metrics
@@ -29,7 +30,7 @@
 from ..net.http_server import ServerConnection
 from ..net.relay import StreamCheck
 from ..policies import Policy
-from ..types import CallRequest, Execution, ServiceKind
+from ..types import Address, CallRequest, Execution, ServiceKind
 from .dispatcher import Dispatcher
 from .records import CallRecord, Records
 from .sink import CallerGoneError, CallerSink
@@ -286,6 +287,11 @@
                 served_metric.inc(uncounted_units)
                 uncounted_units = 0.0
 
+        def check_before_send(address: Address) -> None:
+            self._board.upstreams.check_in_service(replica, address)
+            if record is not None:
+                record.check_before_send()
+
         attempt = Attempt(
             call,
             replica,
@@ -293,7 +299,7 @@
             options=self._options,
             metrics=self._metrics,
             charge=charge,
-            check_before_send=record.check_before_send if record else None,
+            check_before_send=check_before_send,
             on_response=partial(
                 self._board.upstreams.record_success, replica.replica_id
             ),
@@ -327,7 +333,9 @@
 
 def _is_connection_failure(error: RefusalError) -> bool:
     """Returns whether an attempt failed at the connection to its replica."""
-    return isinstance(error, (UpstreamUnreachableError, AnswerIncompleteError))
+    return isinstance(
+        error, (UpstreamUnreachableError, AnswerIncompleteError)
+    ) and not isinstance(error, UpstreamLeavingError)
 
 
 def build_log_fields(
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import time
+from functools import partial
 from random import Random
 
 import curio
@@ -22,6 +23,7 @@
     RefusalError,
     RouterShuttingDownError,
     UpstreamFailedError,
+    UpstreamLeavingError,
     UpstreamRefusedError,
     UpstreamUnreachableError,
     WaitLimitError,
@@ -34,7 +36,7 @@
 from ..net.forward import ForwardAttempt, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
-from ..types import Execution, RouteKind
+from ..types import Address, Execution, RouteKind
 from .dispatcher import Dispatcher
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
@@ -371,7 +373,7 @@
             upstream_format=self._upstream_format,
             pool=self._pool,
             metrics=self._metrics,
-            on_send=lambda: self._record_send(call, replica),
+            check_before_send=partial(self._check_before_send, call, replica),
         )
         try:
             sink.check_present()
@@ -387,17 +389,20 @@
         finally:
             await self._dispatcher.release(call)
 
-    def _record_send(self, call: RoutedCall, replica: Replica) -> None:
-        """Records how current the knowledge is with which a request is sent."""
+    def _check_before_send(
+        self, call: RoutedCall, replica: Replica, address: Address
+    ) -> None:
+        """Checks the replica again and records how current the knowledge of it is.
+
+        Raises:
+            UpstreamLeavingError: If the replica has left since it was chosen.
+        """
+        self._board.upstreams.check_in_service(replica, address)
         call.replica_id = replica.replica_id
         call.sent_after = time.monotonic() - call.started_at
         call.view_age = self._directory.feed.find_age(self._freshness.read_time())
         self._metrics.start_to_send.observe(call.sent_after)
         self._metrics.upstream_view_age.observe(call.view_age)
-        if replica.is_leaving:
-            extra = _build_log_fields(call, reason="upstream-leaving")
-            extra["upstream"] = replica.replica_id
-            _LOG.warning("request sent to a leaving upstream", extra=extra)
 
     def _record_result(
         self,
@@ -433,7 +438,9 @@
             upstreams.record_success(replica.replica_id, now)
             if answer is None or not answer.is_failure:
                 return
-        elif isinstance(error, UpstreamUnreachableError):
+        elif isinstance(error, UpstreamUnreachableError) and not isinstance(
+            error, UpstreamLeavingError
+        ):
             upstreams.record_failure(replica.replica_id, now)
         extra = _build_log_fields(
             call, reason="answer-failed" if error is None else error.code
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -268,6 +268,12 @@
     status = 502
 
 
+class UpstreamLeavingError(UpstreamUnreachableError):
+    """The upstream of an attempt left before the request was sent to it."""
+
+    code = "upstream-leaving"
+
+
 class UpstreamFailedError(RefusalError):
     """An attempt failed after it may have reached an upstream."""
 
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -201,7 +201,7 @@
         options: Options,
         metrics: Metrics,
         charge: Callable[[float], None],
-        check_before_send: Callable[[], None] | None = None,
+        check_before_send: Callable[[Address], None] = lambda address: None,
         on_response: Callable[[], None] = lambda: None,
     ) -> None:
         """Initialises the attempt.
@@ -214,8 +214,8 @@
             metrics: Metrics to update.
             charge: Called with the service units of the work that was done: tokens for
                 an engine, milliseconds for a plain service.
-            check_before_send: Called before each send; an error that it raises
-                prevents the send.
+            check_before_send: Called with the address of the connection before each
+                send; an error that it raises prevents the send.
             on_response: Called after the head of the response was validated.
         """
         self._check_before_send = check_before_send
@@ -335,8 +335,7 @@
     async def _send(
         self, connection: ClientConnection, path: str, fields: dict[str, str]
     ) -> None:
-        if self._check_before_send is not None:
-            self._check_before_send()
+        self._check_before_send(connection.address)
         sent_before = connection.bytes_sent
         try:
             await connection.send_request("POST", path, fields, self._call.body)
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -20,7 +20,7 @@
     UpstreamUnreachableError,
 )
 from ..metrics import Metrics
-from ..types import RouteKind
+from ..types import Address, RouteKind
 from .events import Events, EventSequence
 from .exchange import RESPONSE_END_TIMEOUT_SECONDS, ConnectionPool
 from .formats import UpstreamFormat
@@ -81,7 +81,7 @@
         upstream_format: UpstreamFormat,
         pool: ConnectionPool,
         metrics: Metrics,
-        on_send: Callable[[], None] = lambda: None,
+        check_before_send: Callable[[Address], None] = lambda address: None,
     ) -> None:
         """Initialises the attempt.
 
@@ -91,9 +91,10 @@
             upstream_format: Format of the request and its answer.
             pool: Pool from which the connection is taken.
             metrics: Metrics to update.
-            on_send: Called right before the request is sent.
+            check_before_send: Called with the address of the connection right before
+                the request is sent; an error that it raises prevents the send.
         """
-        self._on_send = on_send
+        self._check_before_send = check_before_send
         self._call = call
         self._replica = replica
         self._format = upstream_format
@@ -158,7 +159,7 @@
                 ANSWER_SILENCE_LIMIT_TARGETS * route.target, MIN_SILENCE_LIMIT_SECONDS
             )
         sent_before = connection.bytes_sent
-        self._on_send()
+        self._check_before_send(connection.address)
         request_target = self._call.target.decode("latin-1")
         try:
             await connection.send_request(
--- a/tests/daemon/test_leaving_upstreams.py
+++ b/tests/daemon/test_leaving_upstreams.py
@@ -16,6 +16,15 @@
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.types import Address
 
+from ..listener_harness import (
+    Answerer,
+    ListenerHarness,
+    Step,
+    complete_response,
+    read_call_id,
+    request,
+    run_harness,
+)
 from ..platform.standin import StandInStore
 from ..route_listener_harness import (
     RouteListenerHarness,
@@ -55,9 +64,25 @@
     upstreams.put(listed, LoadReport(9, 24, 0, 0, 0.0, False), time.monotonic())
 
 
+def answer_call(received: bytes) -> list[Step]:
+    return [complete_response(read_call_id(received), b"done")]
+
+
 @pytest.mark.parametrize("leave", [mark_leaving, remove, move_elsewhere])
+@pytest.mark.parametrize(
+    ("create_harness", "request_bytes", "script"),
+    [
+        (RouteListenerHarness, route_request("/hold/1"), lambda _: [answer()]),
+        (ListenerHarness, request("look", stream=False), answer_call),
+    ],
+    ids=["routes", "own-interface"],
+)
 def test_no_request_is_sent_to_an_upstream_that_left_after_its_choice(
-    leave: Callable[[Upstreams, Replica], None], monkeypatch: pytest.MonkeyPatch
+    create_harness: type[ListenerHarness],
+    request_bytes: bytes,
+    script: Answerer,
+    leave: Callable[[Upstreams, Replica], None],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a request that reaches an upstream after it began to leave.
 
@@ -66,7 +91,7 @@
     acquire = ConnectionPool.acquire
     chosen: list[Address] = []
 
-    async def session(harness: RouteListenerHarness) -> None:
+    async def session(harness: ListenerHarness) -> None:
         upstreams = harness.board.upstreams
 
         async def acquire_late(
@@ -84,16 +109,19 @@
             return connection
 
         monkeypatch.setattr(ConnectionPool, "acquire", acquire_late)
-        replicas = await harness.add_replicas(2, [answer()])
+        service = "look" if create_harness is ListenerHarness else "talk"
+        replicas = [
+            await harness.add_upstream(script, service=service) for _ in range(2)
+        ]
         caller = await harness.connect()
-        await caller.send(route_request("/hold/1"))
+        await caller.send(request_bytes)
         await caller.receive_until(b"done")
         assert caller.received.startswith(b"HTTP/1.1 200")
         requests = {replica.address: len(replica.requests) for replica in replicas}
         assert requests.pop(chosen[0]) == 0
         assert list(requests.values()) == [1]
 
-    run(session)
+    run_harness(create_harness(), session)
 
 
 @contextmanager
