Follow the store on a thread, so that a late event loop does not delay it

What callers saw: whole answers, but from upstreams that had left up to 3.3 s before (bound 2 s); an upstream may end then, and the answer with it.

Cause: the feeds of the store were tasks of the router's event loop. A pause, a call and its answer each waited for whole passes of a loop that a flood made over a second late. Nothing bounded the sum. `draining` also came from other routers, a removal did not, so only upstreams that leave by removal of their row were concerned.

Ruled out: failed calls to the store (none in the log); a leaving upstream that is taken back (no line shows it). Telling peers of removals was weighed and not done: an entry that lapses in an outage of the store comes back, but the mark would stay at the peers.

Fix: the feeds of the configuration and of the upstreams run on an event loop on a thread of their own (daemon/feeds.py), which the interpreter gives its turn within milliseconds. Answers go through a queue. They are applied by a task, and also right before a request is parsed, its upstream chosen and the request sent (Sources.apply_received), so no decision waits for that task. An answer that cannot be applied makes the feed read the whole table. Waits, pauses, retries and the part of readers in large fleets are unchanged.

--- a/sequoiamoor/core/readers.py
+++ b/sequoiamoor/core/readers.py
@@ -50,14 +50,12 @@
         version: Version of the store up to which changes were applied.
         wanted_version: Newest version with a change that a reader reported.
         confirmed_at: Local time in seconds at which the copy was the newest one.
-        is_held: Whether the store holds a call until something changes.
     """
 
     max_age: float = 0.0
     version: int = 0
     wanted_version: int = 0
     confirmed_at: float = float("-inf")
-    is_held: bool = False
 
     def confirm(self, version: int, confirmed_at: float) -> None:
         """Applies a confirmation, which counts only if no change is missing."""
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import time
+from collections.abc import Callable
 from functools import partial
 from random import Random
 
@@ -63,6 +64,10 @@
 class Forwarder:
     """Serves requests on the routes of the configuration in force.
 
+    Args:
+        apply_received: Applies what has arrived from the platform's store; called
+            before decisions that must not rely on older knowledge.
+
     Attributes:
         is_refusing_requests: Whether new requests are refused, shortly before the
             process ends.
@@ -79,8 +84,10 @@
         budget: RepeatBudget,
         freshness: KeyFreshness,
         directory: UpstreamDirectory,
+        apply_received: Callable[[], None] = lambda: None,
         rng: Random,
     ) -> None:
+        self._apply_received = apply_received
         self._directory = directory
         self._board = board
         self._dispatcher = dispatcher
@@ -115,6 +122,7 @@
 
     async def serve(self, connection: ServerConnection, request: Request) -> None:
         """Serves one request until it is answered or its caller disconnects."""
+        self._apply_received()
         now = time.monotonic()
         request_id = None
         try:
@@ -279,6 +287,7 @@
         event_sequence = EventSequence()
         failed_answer: WholeAnswer | None = None
         while True:
+            self._apply_received()
             replica = await self._dispatcher.wait_start(call)
             call.sent_after = call.view_age = None
             started_at = time.monotonic()
@@ -397,6 +406,7 @@
         Raises:
             UpstreamLeavingError: If the replica has left since it was chosen.
         """
+        self._apply_received()
         self._board.upstreams.check_in_service(replica, address)
         call.replica_id = replica.replica_id
         call.sent_after = time.monotonic() - call.started_at
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -100,6 +100,16 @@
         self._repeat_budget = RepeatBudget(_build_repeat_limits(gateway))
         self._directory = UpstreamDirectory(self.board.upstreams)
         self._lag = LoopLag()
+        self._sources = Sources(
+            self.board,
+            self._control,
+            self._directory,
+            self._freshness,
+            self.metrics,
+            address=settings.platform.to_address(),
+            poll_intervals=_build_poll_intervals(gateway),
+            rng=self._rng,
+        )
         self._forwarder = Forwarder(
             self.board,
             Dispatcher(
@@ -114,6 +124,7 @@
             budget=self._repeat_budget,
             freshness=self._freshness,
             directory=self._directory,
+            apply_received=self._sources.apply_received,
             rng=self._rng,
         )
         self._listener = RouteListener(
@@ -123,16 +134,6 @@
             limits=_build_caller_limits(settings, gateway),
         )
         self._pages = Pages(self.board, self.metrics, policy=self._policy)
-        self._sources = Sources(
-            self.board,
-            self._control,
-            self._directory,
-            self._freshness,
-            self.metrics,
-            address=settings.platform.to_address(),
-            poll_intervals=_build_poll_intervals(gateway),
-            rng=self._rng,
-        )
 
     @property
     def is_ready(self) -> bool:
@@ -172,8 +173,7 @@
                 tasks,
                 {
                     "pool": self._forwarder.watch,
-                    "configuration": self._sources.follow_configuration,
-                    "upstreams": self._sources.follow_upstreams,
+                    "feeds": self._sources.follow,
                     "routers": self._sources.follow_routers,
                     "readers": self._sources.watch_readers,
                     "directory": self._step_directory,
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -6,7 +6,6 @@
 import logging
 import math
 import time
-from collections.abc import Callable
 from random import Random
 
 import curio
@@ -21,12 +20,8 @@
     UPSTREAM_WAIT_SECONDS,
     PollIntervals,
 )
-from ..core.retries import draw_backoff
 from ..core.upstreams import ListedUpstream, LoadReport
 from ..errors import (
-    HistoryLostError,
-    PlatformUnavailableError,
-    ProtocolError,
     SequoiamoorError,
     SettingsError,
 )
@@ -36,6 +31,13 @@
 from ..platform.store import Row, Rows, StoreClient
 from ..types import Address, ReplicaId
 from .control import Control
+from .feeds import (
+    RETRY_BASE_DELAY_SECONDS,
+    FeedResult,
+    Schedule,
+    StoreFeeds,
+    draw_retry_delay,
+)
 from .store_role import StoreRole
 
 _LOG = logging.getLogger(__name__)
@@ -49,9 +51,6 @@
 NO_PEER_REFRESH_INTERVAL_SECONDS = 1.0
 """Time between reads of the routers' addresses while no other router is known."""
 
-RETRY_BASE_DELAY_SECONDS = 0.1
-RETRY_MAX_DELAY_SECONDS = 0.5
-
 LOST_ANSWER_RETRY_SECONDS = CALL_TIMEOUT_SECONDS + RETRY_BASE_DELAY_SECONDS
 """Time from the end of a long poll's wait to the retry of a call without an answer."""
 
@@ -69,8 +68,6 @@
 """Longest random delay before upstreams are read after a reader reported a change, so
 that the routers of a zone do not call the store at the same moment."""
 
-ApplyRows = Callable[[Rows, bool], None]
-
 
 class Sources:
     """Keeps the blackboard up to date from the platform's store.
@@ -100,7 +97,21 @@
         self._address = address
         self._rng = rng
         self._is_reachable: dict[str, bool] = {}
-        self._feed_clients: dict[str, StoreClient] = {}
+        self._feeds = StoreFeeds(
+            {
+                names.CONFIGURATION_TABLE: Schedule(
+                    self._find_configuration_wait, find_pause=lambda: 0.0
+                ),
+                names.UPSTREAM_TABLE: Schedule(
+                    lambda: UPSTREAM_WAIT_SECONDS,
+                    self._find_upstream_pause,
+                    self._find_early_end,
+                ),
+            },
+            create_client=self._create_client,
+            read_time=freshness.read_time,
+            rng=Random(rng.random()),
+        )
         self._role = StoreRole(
             board,
             control,
@@ -113,7 +124,6 @@
             names.CONFIGURATION_TABLE: self._role.configuration,
             names.UPSTREAM_TABLE: self._role.upstreams,
         }
-        self._recalled_tables: set[str] = set()
         self._reported_values: dict[str, bytes] = {}
 
     def _create_client(self) -> StoreClient:
@@ -123,23 +133,53 @@
             observe=self._metrics.count_platform_operation,
         )
 
-    async def follow_configuration(self) -> None:
-        """Follows the configuration until cancelled."""
-        await self._follow(
-            names.CONFIGURATION_TABLE,
-            find_wait=self._find_configuration_wait,
-            find_pause=lambda: 0.0,
-            apply_rows=self._apply_configuration,
-        )
+    async def follow(self) -> None:
+        """Follows the configuration and the upstreams until cancelled.
 
-    async def follow_upstreams(self) -> None:
-        """Follows the table of replicas until cancelled."""
-        await self._follow(
-            names.UPSTREAM_TABLE,
-            find_wait=lambda: UPSTREAM_WAIT_SECONDS,
-            find_pause=self._find_upstream_pause,
-            apply_rows=self._apply_upstreams,
-        )
+        Raises:
+            RuntimeError: If the feeds ended.
+        """
+        await self._feeds.run(self.apply_received)
+
+    def apply_received(self) -> None:
+        """Applies the answers of the store that have arrived.
+
+        Decisions call this first: they must not rely on older knowledge only because
+        the event loop has not come to the task that applies the answers.
+        """
+        while (result := self._feeds.take()) is not None:
+            try:
+                self._apply_result(result)
+            except Exception:
+                _LOG.exception(
+                    "answer of the store not applied; reading the whole table",
+                    extra={"table": result.table},
+                )
+                self._metrics.task_failures.labels("feeds").inc()
+                self._feeds.read_again(result.table)
+
+    def _apply_result(self, result: FeedResult) -> None:
+        table, rows = result.table, result.rows
+        self._record_reachability(table, result.error)
+        if rows is None:
+            return
+        state = self._feed_states[table]
+        if table == names.CONFIGURATION_TABLE:
+            self._apply_configuration(rows)
+            state.version = self._board.configuration.version
+            self._role.report.record_configuration(rows.time_ms)
+        else:
+            self._apply_upstreams(rows, is_full_table=result.is_full_table)
+            state.version = rows.version
+        # The store may hold a call, so its answer can confirm a later time than that of
+        # the request.
+        clock = self._role.clock_by_table.setdefault(table, StoreClock())
+        answered_at = clock.date(result.asked_at, rows.time_ms / 1000)
+        confirmed_at = max(result.asked_at, answered_at - FEED_LAG_SECONDS)
+        if table == names.CONFIGURATION_TABLE:
+            self._freshness.confirm(confirmed_at)
+        state.confirm(0, confirmed_at)
+        self._role.confirm_to_zone()
 
     async def watch_readers(self) -> None:
         """Recalls held calls that no reader of the zone confirms, until cancelled.
@@ -149,17 +189,14 @@
         while True:
             self._role.update(self.poll_intervals)
             table = names.CONFIGURATION_TABLE
-            state = self._role.configuration
-            client = self._feed_clients.get(table)
-            if (
-                client is not None
-                and state.is_held
-                and not self._role.is_confirmed(state)
+            if self._feeds.find_wait(
+                table
+            ) == CONFIRMED_CONFIGURATION_WAIT_SECONDS and not self._role.is_confirmed(
+                self._role.configuration
             ):
-                # Aborted at each check until the call ends: a call that is still
+                # Recalled at each check until the call ends: a call that is still
                 # connecting has nothing to abort.
-                self._recalled_tables.add(table)
-                client.abort()
+                self._feeds.recall(table)
             await curio.sleep(CONFIRMATION_CHECK_SECONDS)
 
     def _find_configuration_wait(self) -> float:
@@ -174,90 +211,16 @@
             self.poll_intervals.find_upstream_pause(self._role.count_callers())
         )
 
-    async def _follow(
-        self,
-        table: str,
-        *,
-        find_wait: Callable[[], float],
-        find_pause: Callable[[], float],
-        apply_rows: ApplyRows,
-    ) -> None:
-        client = self._feed_clients[table] = self._create_client()
-        clock = self._role.clock_by_table[table] = StoreClock()
-        state = self._feed_states[table]
-        version: int | None = None
-        failures = 0
-        try:
-            while True:
-                asked_at = self._freshness.read_time()
-                state.is_held = False
-                self._recalled_tables.discard(table)
-                try:
-                    if version is None:
-                        rows = await client.read_table(table)
-                    else:
-                        wait = find_wait()
-                        state.is_held = wait == CONFIRMED_CONFIGURATION_WAIT_SECONDS
-                        rows = await client.follow_table(
-                            table, after=version, wait=wait
-                        )
-                except HistoryLostError as err:
-                    _LOG.info(
-                        "store history lost; reading the whole table",
-                        extra={"table": table, "detail": str(err)},
-                    )
-                    version = None
-                    continue
-                except (PlatformUnavailableError, ProtocolError) as err:
-                    if table in self._recalled_tables:
-                        continue
-                    failures += 1
-                    self._record_reachability(table, err)
-                    await curio.sleep(self._draw_retry_delay(failures))
-                    continue
-                failures = 0
-                self._record_reachability(table, None)
-                apply_rows(rows, version is None)
-                version = rows.version
-                # The store may hold a call, so its answer can confirm a later time
-                # than that of the request.
-                answered_at = clock.date(asked_at, rows.time_ms / 1000)
-                confirmed_at = max(asked_at, answered_at - FEED_LAG_SECONDS)
-                if table == names.CONFIGURATION_TABLE:
-                    self._freshness.confirm(confirmed_at)
-                    self._role.report.record_configuration(rows.time_ms)
-                    state.version = self._board.configuration.version
-                else:
-                    state.version = rows.version
-                state.confirm(0, confirmed_at)
-                self._role.confirm_to_zone()
-                if (pause_seconds := find_pause()) > 0:
-                    await self._pause(table, pause_seconds)
-        finally:
-            await client.close()
+    def _find_early_end(self, version: int) -> float | None:
+        """Returns when a pause ends that relies on readers of the store.
 
-    async def _pause(self, table: str, seconds: float) -> None:
-        """Waits before the next call; a pause that relies on readers may end early."""
-        state = self._feed_states[table]
-        if not self._role.is_confirmed(state):
-            await curio.sleep(seconds)
-            return
-        ends_at = time.monotonic() + seconds
-        while (remaining := ends_at - time.monotonic()) > 0:
-            await curio.sleep(min(remaining, CONFIRMATION_CHECK_SECONDS))
-            if state.wanted_version > state.version:
-                await curio.sleep(self._rng.uniform(0, CHANGE_JITTER_SECONDS))
-                return
-            if not self._role.is_confirmed(state):
-                return
-
-    def _draw_retry_delay(self, failures: int) -> float:
-        return draw_backoff(
-            failures,
-            base=RETRY_BASE_DELAY_SECONDS,
-            limit=RETRY_MAX_DELAY_SECONDS,
-            rng=self._rng,
-        )
+        Args:
+            version: Version of the store up to which changes were received.
+        """
+        state = self._role.upstreams
+        if state.wanted_version > version:
+            return self._rng.uniform(0, CHANGE_JITTER_SECONDS)
+        return None if self._role.is_reader or self._role.is_confirmed(state) else 0.0
 
     def _record_reachability(self, table: str, error: Exception | None) -> None:
         was_reachable = self._is_reachable.get(table, True)
@@ -270,18 +233,8 @@
             )
         elif not was_reachable and error is None:
             _LOG.info("store reachable again", extra={"table": table})
-            self._abort_unreachable()
-
-    def _abort_unreachable(self) -> None:
-        """Makes the feeds whose last call failed call the store again at once.
-
-        A call that was sent during a network partition would wait for its timeout.
-        """
-        for table, client in self._feed_clients.items():
-            if not self._is_reachable.get(table, True):
-                client.abort()
 
-    def _apply_configuration(self, rows: Rows, is_full_table: bool) -> None:
+    def _apply_configuration(self, rows: Rows) -> None:
         for row in rows.rows:
             if row.key != names.CONFIGURATION_KEY or row.is_removed:
                 continue
@@ -293,7 +246,7 @@
                 continue
             self._control.offer_configuration(version, {"document": document}, "store")
 
-    def _apply_upstreams(self, rows: Rows, is_full_table: bool) -> None:
+    def _apply_upstreams(self, rows: Rows, *, is_full_table: bool) -> None:
         now = time.monotonic()
         before = self._describe_upstreams()
         removed: list[ReplicaId] = []
@@ -379,7 +332,7 @@
                 except SequoiamoorError as err:
                     failures += 1
                     _LOG.debug("reading or writing router addresses failed: %s", err)
-                    delay = self._draw_retry_delay(failures)
+                    delay = draw_retry_delay(failures, self._rng)
                 if not self._control.membership.members:
                     delay = min(delay, NO_PEER_REFRESH_INTERVAL_SECONDS)
                 await curio.sleep(delay)
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -159,8 +159,10 @@
 
     def abort(self) -> None:
         """Aborts the call in progress, if any, which fails like an unanswered call."""
-        if self._connection is not None:
-            self._connection.abort()
+        # Another thread may close the connection meanwhile.
+        connection = self._connection
+        if connection is not None:
+            connection.abort()
 
     async def close(self) -> None:
         """Closes the connection."""
--- a/tests/daemon/test_leaving_upstreams.py
+++ b/tests/daemon/test_leaving_upstreams.py
@@ -171,6 +171,7 @@
     async def session(harness: RouteListenerHarness, store: StandInStore) -> None:
         monkeypatch.setattr(ClientConnection, "send_request", record_send)
         feeds = Feeds(store, board=harness.board, directory=harness.directory)
+        harness.apply_received = feeds.sources.apply_received
         replicas = await harness.add_replicas(2, *[[answer()]] * 200)
         harness.board.upstreams.replicas.clear()
         for number, replica in enumerate(replicas):
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -17,6 +17,7 @@
 from sequoiamoor.core.poll_intervals import PollIntervals
 from sequoiamoor.daemon import sources
 from sequoiamoor.daemon.control import Control
+from sequoiamoor.daemon.feeds import RETRY_MAX_DELAY_SECONDS
 from sequoiamoor.daemon.sources import Sources
 from sequoiamoor.metrics import Metrics
 from sequoiamoor.policies import create_policy
@@ -86,8 +87,7 @@
     def list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
         """Returns the tasks that read the store."""
         return [
-            self.sources.follow_configuration,
-            self.sources.follow_upstreams,
+            self.sources.follow,
             self.sources.watch_readers,
         ]
 
@@ -275,5 +275,5 @@
 
     The operators require a router to drop it within 3 s after the partition.
     """
-    first_answer = sources.RETRY_MAX_DELAY_SECONDS + sources.CALL_TIMEOUT_SECONDS
+    first_answer = RETRY_MAX_DELAY_SECONDS + sources.CALL_TIMEOUT_SECONDS
     assert first_answer + EXPIRED_ENTRY_GRACE_SECONDS < 3.0
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -116,6 +116,9 @@
 
     Args:
         limit: Revocation limit of keys in seconds, None for no limit.
+
+    Attributes:
+        apply_received: Called by the forwarder before its decisions.
     """
 
     def __init__(
@@ -124,6 +127,7 @@
         super().__init__(options=options)
         self.board.configuration.declaration = parse_declaration(DECLARATION)
         self.freshness = KeyFreshness(limit)
+        self.apply_received: Callable[[], None] = lambda: None
         self.directory = UpstreamDirectory(self.board.upstreams)
         policy = RoundRobinPolicy(rng=Random(1))
         self.forwarder = Forwarder(
@@ -135,6 +139,7 @@
             budget=RepeatBudget(RepeatLimits(ratio=0.2, window=10.0, extra=20.0)),
             freshness=self.freshness,
             directory=self.directory,
+            apply_received=lambda: self.apply_received(),
             rng=Random(1),
         )
         self.calls = self.forwarder  # type: ignore[assignment]
