Check right before a send that the caller is still there

What callers saw: nothing, but replicas worked for callers that had left.

Cause: of the same class as the sends to upstreams that left. The router looked at the caller's connection before it waited for a connection to the upstream and for its turn in the event loop, and not after.

Fix: the check right before the send, with no await in between, looks at the caller too. The earlier look stays, since it saves the connection.

Test: test_no_request_is_sent_after_its_caller_left; before, the upstream gets the request.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -382,9 +382,10 @@
             upstream_format=self._upstream_format,
             pool=self._pool,
             metrics=self._metrics,
-            check_before_send=partial(self._check_before_send, call, replica),
+            check_before_send=partial(self._check_before_send, call, replica, sink),
         )
         try:
+            # Saves the connection to the upstream.
             sink.check_present()
             return await attempt.run(event_sequence, send_events)
         except UpstreamRefusedError:
@@ -399,13 +400,15 @@
             await self._dispatcher.release(call)
 
     def _check_before_send(
-        self, call: RoutedCall, replica: Replica, address: Address
+        self, call: RoutedCall, replica: Replica, sink: RouteSink, address: Address
     ) -> None:
-        """Checks the replica again and records how current the knowledge of it is.
+        """Checks both ends again and records how current the knowledge is.
 
         Raises:
+            CallerGoneError: If the caller has closed its connection.
             UpstreamLeavingError: If the replica has left since it was chosen.
         """
+        sink.check_present()
         self._apply_received()
         self._board.upstreams.check_in_service(replica, address)
         call.replica_id = replica.replica_id
--- a/tests/daemon/test_leaving_upstreams.py
+++ b/tests/daemon/test_leaving_upstreams.py
@@ -124,6 +124,35 @@
     run_harness(create_harness(), session)
 
 
+def test_no_request_is_sent_after_its_caller_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against work for callers that disconnected before their request was sent.
+
+    The caller leaves while the router connects to an upstream for its request.
+    """
+    acquire = ConnectionPool.acquire
+
+    async def session(harness: RouteListenerHarness) -> None:
+        caller = await harness.connect()
+
+        async def acquire_late(
+            pool: ConnectionPool, address: Address, *, force_new: bool
+        ) -> tuple[ClientConnection, bool]:
+            connection = await acquire(pool, address, force_new=force_new)
+            await caller.close()
+            return connection
+
+        monkeypatch.setattr(ConnectionPool, "acquire", acquire_late)
+        (replica,) = await harness.add_replicas(1, [answer()])
+        await caller.send(route_request("/look/1"))
+        while not replica.connections or harness.forwarder.in_service:
+            await curio.sleep(0.005)
+        assert replica.requests == []
+
+    run(session)
+
+
 @contextmanager
 def serve_store() -> Iterator[StandInStore]:
     """Runs a store on an event loop of its own."""
