Send nothing on a list of upstreams that may be older than the bound

A router sent requests however old its list of upstreams was: after it was paused or suspended, or while its processor was taken away, an upstream may have left any time ago. Keys have had such a limit from the start, the list of upstreams had none.

Change: while the store can be reached, requests are sent only if an answer of the store (or, in a large fleet, a confirmation of a reader) says that the list was the newest one within 0.9 of the time that the operators allow. Otherwise they wait for the next answer, at most until their wait limit, and are chosen an upstream anew. If the last call failed, the list holds, so that an outage of the store ends no service.

Test: test_requests_wait_for_an_outdated_list_of_upstreams_but_not_for_an_outage; without the check of the forwarder the first case fails, the second passes.

--- a/sequoiamoor/core/directory.py
+++ b/sequoiamoor/core/directory.py
@@ -29,12 +29,15 @@
             at which they are to be removed.
         is_known: Whether the complete list of entries has been read.
         feed: How recently the entries were known to be the newest.
+        max_age: Seconds for which the entries may be relied on without a confirmation
+            while the store can be reached.
     """
 
     upstreams: Upstreams
     missing: dict[ReplicaId, float] = field(default_factory=dict)
     is_known: bool = False
     feed: FeedState = field(default_factory=FeedState)
+    max_age: float = float("inf")
     _is_after_outage: bool = False
 
     def record_outage(self) -> None:
@@ -49,6 +52,14 @@
         """
         self._is_after_outage = False
 
+    def is_outdated(self, now: float) -> bool:
+        """Returns whether an answer of the store has to be awaited before a send.
+
+        Args:
+            now: Time in seconds of the clock of ``feed``.
+        """
+        return not self._is_after_outage and self.feed.find_age(now) > self.max_age
+
     def put(self, listed: ListedUpstream, load: LoadReport, now: float) -> bool:
         """Adds or updates a replica.
 
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -26,6 +26,7 @@
     UpstreamFailedError,
     UpstreamLeavingError,
     UpstreamRefusedError,
+    UpstreamsOutdatedError,
     UpstreamUnreachableError,
     WaitLimitError,
 )
@@ -57,6 +58,9 @@
 """Largest fraction by which Retry-After is shortened or lengthened at random, so that
 retries spread out."""
 
+OUTDATED_CHECK_SECONDS = 0.02
+"""Interval between two checks whether an answer of the store has arrived."""
+
 UNITS_PER_GENERATED_TOKEN = 2.0
 """Service units of a generated token; a processed prompt token counts as one unit."""
 
@@ -287,7 +291,7 @@
         event_sequence = EventSequence()
         failed_answer: WholeAnswer | None = None
         while True:
-            self._apply_received()
+            await self._wait_for_current_upstreams(call)
             replica = await self._dispatcher.wait_start(call)
             call.sent_after = call.view_age = None
             started_at = time.monotonic()
@@ -336,6 +340,16 @@
             )
         await sink.send_answer(answer)
 
+    async def _wait_for_current_upstreams(self, call: RoutedCall) -> None:
+        """Waits for an answer of the store if the list of upstreams is too old."""
+        self._apply_received()
+        while (
+            self._directory.is_outdated(self._freshness.read_time())
+            and time.monotonic() < call.wait_limit_at
+        ):
+            await curio.sleep(OUTDATED_CHECK_SECONDS)
+            self._apply_received()
+
     def _prepare_retry(self, call: RoutedCall, replica: Replica) -> None:
         now = time.monotonic()
         call.excluded |= {replica.replica_id}
@@ -407,10 +421,16 @@
         Raises:
             CallerGoneError: If the caller has closed its connection.
             UpstreamLeavingError: If the replica has left since it was chosen.
+            UpstreamsOutdatedError: If it may have left without this router's knowledge.
         """
         sink.check_present()
         self._apply_received()
         self._board.upstreams.check_in_service(replica, address)
+        if self._directory.is_outdated(self._freshness.read_time()):
+            raise UpstreamsOutdatedError(
+                "the request was not sent, since the list of upstreams has not been "
+                f"confirmed for over {self._directory.max_age} s; try again"
+            )
         call.replica_id = replica.replica_id
         call.sent_after = time.monotonic() - call.started_at
         call.view_age = self._directory.feed.find_age(self._freshness.read_time())
@@ -452,7 +472,7 @@
             if answer is None or not answer.is_failure:
                 return
         elif isinstance(error, UpstreamUnreachableError) and not isinstance(
-            error, UpstreamLeavingError
+            error, UpstreamLeavingError | UpstreamsOutdatedError
         ):
             upstreams.record_failure(replica.replica_id, now)
         extra = _build_log_fields(
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -69,6 +69,11 @@
 that the routers of a zone do not call the store at the same moment."""
 
 
+SEND_VIEW_AGE_FRACTION = 0.9
+"""Fraction of the time in which a leaving upstream must get no new work, for which
+requests are sent without a newer answer of the store. The rest is for the way."""
+
+
 class Sources:
     """Keeps the blackboard up to date from the platform's store.
 
@@ -120,6 +125,7 @@
             upstreams=directory.feed,
             poll_intervals=poll_intervals,
         )
+        self._update_limits()
         self._feed_states = {
             names.CONFIGURATION_TABLE: self._role.configuration,
             names.UPSTREAM_TABLE: self._role.upstreams,
@@ -187,7 +193,7 @@
         Such a call is aborted and repeated with a short wait.
         """
         while True:
-            self._role.update(self.poll_intervals)
+            self._update_limits()
             table = names.CONFIGURATION_TABLE
             if self._feeds.find_wait(
                 table
@@ -199,6 +205,12 @@
                 self._feeds.recall(table)
             await curio.sleep(CONFIRMATION_CHECK_SECONDS)
 
+    def _update_limits(self) -> None:
+        self._role.update(self.poll_intervals)
+        self._directory.max_age = (
+            self.poll_intervals.leaving_bound * SEND_VIEW_AGE_FRACTION
+        )
+
     def _find_configuration_wait(self) -> float:
         if self._role.is_confirmed(self._role.configuration):
             return CONFIRMED_CONFIGURATION_WAIT_SECONDS
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -274,6 +274,12 @@
     code = "upstream-leaving"
 
 
+class UpstreamsOutdatedError(UpstreamUnreachableError):
+    """The list of upstreams was too old to send a request."""
+
+    code = "upstreams-outdated"
+
+
 class UpstreamFailedError(RefusalError):
     """An attempt failed after it may have reached an upstream."""
 
--- a/tests/daemon/test_leaving_upstreams.py
+++ b/tests/daemon/test_leaving_upstreams.py
@@ -153,6 +153,34 @@
     run(session)
 
 
+@pytest.mark.parametrize("is_store_unreachable", [False, True])
+def test_requests_wait_for_an_outdated_list_of_upstreams_but_not_for_an_outage(
+    is_store_unreachable: bool,
+) -> None:
+    """Guards against requests to upstreams that left while the router was paused.
+
+    The list of upstreams is older than the time in which a leaving one must get no
+    requests. During an outage of the store the router serves with the list it has.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        directory, freshness = harness.directory, harness.freshness
+        directory.max_age = 0.5
+        directory.feed.confirmed_at = freshness.read_time() - 1.0
+        if is_store_unreachable:
+            directory.record_outage()
+        (replica,) = await harness.add_replicas(1, [answer()])
+        caller = await harness.connect()
+        await caller.send(route_request("/look/1"))
+        await curio.ignore_after(0.3, caller.receive_until, b"done")
+        assert len(replica.requests) == is_store_unreachable
+        directory.feed.confirm(0, freshness.read_time())
+        await caller.receive_until(b"done")
+        assert len(replica.requests) == 1
+
+    run(session)
+
+
 @contextmanager
 def serve_store() -> Iterator[StandInStore]:
     """Runs a store on an event loop of its own."""
