Use no upstream whose entry in the store is invalid

A row that could not be read or had an unknown state was ignored, so the earlier one stayed in force for as long as the row stayed invalid.

Fix: such a row counts as a removal; the next valid row brings the upstream back. The log line is now called `invalid replica entry not used`.

--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -265,9 +265,8 @@
         if is_full_table:
             removed = self._directory.keep_only({row.key for row in rows.rows}, now)
         for row in rows.rows:
-            if not row.is_removed:
-                self._apply_upstream(row, now)
-            elif self._directory.remove(row.key, now):
+            names_replica = not row.is_removed and self._apply_upstream(row, now)
+            if not names_replica and self._directory.remove(row.key, now):
                 removed.append(row.key)
         for replica_id in removed:
             extra = {"upstream": replica_id, "view_age_ms": self._find_view_age_ms()}
@@ -291,17 +290,18 @@
             for replica in self._board.upstreams.replicas.values()
         }
 
-    def _apply_upstream(self, row: Row, now: float) -> None:
+    def _apply_upstream(self, row: Row, now: float) -> bool:
+        """Applies a row; returns whether it names a replica."""
         try:
             entry = decode_replica(row.key, row.value)
         except SettingsError as err:
             if self._reported_values.get(row.key) != row.value:
                 self._reported_values[row.key] = row.value
                 _LOG.warning(
-                    "invalid replica entry ignored",
+                    "invalid replica entry not used",
                     extra={"upstream": row.key, "detail": str(err)},
                 )
-            return
+            return False
         listed = ListedUpstream(
             entry.replica_id,
             entry.service,
@@ -315,6 +315,7 @@
                 [self._board.upstreams.replicas[entry.replica_id]],
                 view_age_ms=self._find_view_age_ms(),
             )
+        return True
 
     def _find_view_age_ms(self) -> int | None:
         """Returns the age of the copy of the table before the answer being applied."""
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -156,6 +156,25 @@
     run(session)
 
 
+@pytest.mark.parametrize(
+    "value", [build_entry(state="resting"), build_entry(slots=None), b"\xff"]
+)
+def test_upstream_whose_entry_is_invalid_gets_no_requests(value: bytes) -> None:
+    """Guards against requests to an upstream whose entry no longer names one."""
+
+    async def session(feeds: Feeds) -> None:
+        store = feeds.store
+        store.put("servers", "i-1", build_entry())
+        store.put("servers", "i-2", build_entry())
+        await feeds.wait_for(lambda: feeds.replicas() == {"i-1", "i-2"})
+        store.put("servers", "i-1", value)
+        await feeds.wait_for(lambda: feeds.replicas() == {"i-2"})
+        store.put("servers", "i-1", build_entry())
+        await feeds.wait_for(lambda: feeds.replicas() == {"i-1", "i-2"})
+
+    run(session)
+
+
 def test_outage_of_the_store_keeps_the_replicas() -> None:
     """Guards against a fleet that drops its replicas during an outage of the store."""
 
