Let replicas of the soak leave by removal, and under a flood

The soak missed the incident: its replicas left only with an entry that says so, which routers pass on to each other, and no router of it was ever busy. Half of the replicas now leave by removal of their entry, and each run ends with a flood of one router while three replicas leave; the check of what reaches a leaving replica and its bound are unchanged.

--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -69,7 +69,7 @@
     Attributes:
         fault: Fault of its answers: None, "error", "hang", "cut" or "refuse".
         drain_acknowledged_at: Monotonic time, in seconds, at which the store
-            acknowledged that it drains.
+            acknowledged that it drains or is gone.
         is_listed: Whether heartbeats renew its entry as ready.
     """
 
@@ -118,9 +118,15 @@
             await self.proxy.reset_all()
 
     async def leave(self) -> None:
-        """Marks its entry as draining, goes on serving for a while, and ends."""
+        """Announces its end, goes on serving for a while, and ends.
+
+        Half of the time its entry says that it drains; otherwise the entry is removed.
+        """
         self.is_listed = False
-        self._write("draining")
+        if self._rng.random() < 0.5:
+            self._write("draining")
+        else:
+            self._store.drop("servers", self.name)
         self.drain_acknowledged_at = time.monotonic()
         await curio.sleep(DRAIN_SECONDS)
         self._store.drop("servers", self.name)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from .callers import NOT_EXECUTED_STATUSES, ROUTES, Callers, RequestRecord
 from .faults import inject_faults
 from .fleet import SoakFleet
+from .flood import flood_while_replicas_leave
 from .routers import REVOCATION_LIMIT_SECONDS
 
 RECOVERY_LIMIT_SECONDS = 12.0
@@ -82,6 +83,7 @@
     result.faults = await inject_faults(fleet, seed, seconds)
     await fleet.clear_faults()
     result.violations += await _check_recovery(fleet, callers, seed)
+    flood_ids = await flood_while_replicas_leave(fleet, seed)
     callers.is_stopped = True
     for task in tasks:
         await task.join()
@@ -90,7 +92,10 @@
     fleet.check_processes()
     result.status_counts = Counter(record.status for record in callers.records)
     result.violations += [*callers.violations, *fleet.violations]
-    result.violations += [*fleet.log.violations, *_check_runs(fleet, callers.records)]
+    result.violations += [
+        *fleet.log.violations,
+        *_check_runs(fleet, callers.records, flood_ids),
+    ]
     return result
 
 
@@ -132,7 +137,9 @@
     ]
 
 
-def _check_runs(fleet: SoakFleet, records: list[RequestRecord]) -> list[str]:
+def _check_runs(
+    fleet: SoakFleet, records: list[RequestRecord], flood_ids: set[str]
+) -> list[str]:
     """Compares the answers to callers with the requests that replicas executed."""
     violations = []
     runs = fleet.log.runs
@@ -164,7 +171,7 @@
             violations.append(
                 f"CONFIG: {name} ran {late_seconds:.1f} s after its key was revoked"
             )
-    known = {record.request_id for record in records}
+    known = {record.request_id for record in records} | flood_ids
     violations += [
         f"UNASKED: {request_id!r} was sent by no caller"
         for request_id in runs.keys() - known
