Ask the store for an immediate answer when the confirmation is overdue

A router that relies on readers, or whose thread was starved, asked the store with the usual wait of 0.4 s. Since requests wait for an overdue confirmation, the store held them with the call. The wait is 0.05 s then.

Test: test_call_for_an_overdue_confirmation_is_not_held; before, the wait stays 0.4 s.

--- a/sequoiamoor/core/poll_intervals.py
+++ b/sequoiamoor/core/poll_intervals.py
@@ -24,6 +24,9 @@
 UPSTREAM_WAIT_SECONDS = 0.4
 """Longest time for which the store holds a call for changes of upstreams."""
 
+OVERDUE_UPSTREAM_WAIT_SECONDS = 0.05
+"""The same while the last confirmation is too old; requests may wait for the answer."""
+
 UPSTREAM_PAUSE_SECONDS = 0.4
 """Pause between two calls for changes of upstreams at the full rate; without it, the
 heartbeats of the replicas would make each call follow the last one at once."""
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -16,6 +16,7 @@
 from ..core.poll_intervals import (
     CONFIRMED_CONFIGURATION_WAIT_SECONDS,
     CONFIRMED_UPSTREAM_PAUSE_SECONDS,
+    OVERDUE_UPSTREAM_WAIT_SECONDS,
     PAUSE_JITTER_FRACTION,
     UPSTREAM_WAIT_SECONDS,
     PollIntervals,
@@ -108,7 +109,7 @@
                     self._find_configuration_wait, find_pause=lambda: 0.0
                 ),
                 names.UPSTREAM_TABLE: Schedule(
-                    lambda: UPSTREAM_WAIT_SECONDS,
+                    self._find_upstream_wait,
                     self._find_upstream_pause,
                     self._find_early_end,
                 ),
@@ -216,6 +217,11 @@
             return CONFIRMED_CONFIGURATION_WAIT_SECONDS
         return self.poll_intervals.find_configuration_wait(self._role.count_callers())
 
+    def _find_upstream_wait(self) -> float:
+        if self._role.upstreams.is_call_due(self._freshness.read_time()):
+            return OVERDUE_UPSTREAM_WAIT_SECONDS
+        return UPSTREAM_WAIT_SECONDS
+
     def _find_upstream_pause(self) -> float:
         if self._role.is_confirmed(self._role.upstreams):
             return self._add_jitter(CONFIRMED_UPSTREAM_PAUSE_SECONDS)
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -14,7 +14,11 @@
 from sequoiamoor.core.directory import EXPIRED_ENTRY_GRACE_SECONDS, UpstreamDirectory
 from sequoiamoor.core.freshness import KeyFreshness
 from sequoiamoor.core.messages import Confirmation
-from sequoiamoor.core.poll_intervals import PollIntervals
+from sequoiamoor.core.poll_intervals import (
+    OVERDUE_UPSTREAM_WAIT_SECONDS,
+    UPSTREAM_WAIT_SECONDS,
+    PollIntervals,
+)
 from sequoiamoor.daemon import sources
 from sequoiamoor.daemon.control import Control
 from sequoiamoor.daemon.feeds import RETRY_MAX_DELAY_SECONDS
@@ -175,6 +179,22 @@
     run(session)
 
 
+def test_call_for_an_overdue_confirmation_is_not_held() -> None:
+    """Guards against requests that wait while the store holds a call for them."""
+
+    async def session(feeds: Feeds) -> None:
+        waits = feeds.store.longest_waits
+        await feeds.wait_for(lambda: waits.get("servers") == UPSTREAM_WAIT_SECONDS)
+        feeds.sources.poll_intervals = PollIntervals(
+            sources.LOST_ANSWER_RETRY_SECONDS, leaving_bound=0.1
+        )
+        await feeds.wait_for(
+            lambda: waits.get("servers") == OVERDUE_UPSTREAM_WAIT_SECONDS
+        )
+
+    run(session)
+
+
 def test_outage_of_the_store_keeps_the_replicas() -> None:
     """Guards against a fleet that drops its replicas during an outage of the store."""
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -32,6 +32,8 @@
         oldest: Version before which the history is lost.
         page_rows: Largest number of rows in an answer.
         calls: Paths of the calls received.
+        longest_waits: Longest time in seconds that the last call of each table may be
+            held.
         created_at: Monotonic time in seconds at which the store's clock started.
     """
 
@@ -47,6 +49,7 @@
     oldest: int = 0
     page_rows: int = 500
     calls: list[str] = field(default_factory=list)
+    longest_waits: dict[str, float] = field(default_factory=dict)
     address: Address | None = None
     created_at: float = field(default_factory=time.monotonic)
 
@@ -136,7 +139,8 @@
         after = int(query["after"])
         if after < self.oldest:
             return 410, {}
-        end = time.monotonic() + int(query["waitTimeoutMs"]) / 1000
+        wait = self.longest_waits[query["table"]] = int(query["waitTimeoutMs"]) / 1000
+        end = time.monotonic() + wait
         while True:
             changed = self._list_changes(query["table"], after)
             if changed or time.monotonic() >= end:
