Do not take this process's own lateness for an outage of the store

Found beside load (load average 18): the test of the late event loop failed in 3 of 5 runs, with sends to the removed upstream up to 6.9 s after it left and `store unreachable` in its log, though the store was up.

* The test ran its store on a thread of the same process, where it had no turn either.
* A call whose answer was there, but whose thread came late, failed by its timeout.
That counted as an outage, which lifts the limit on the age of the list and holds removals back for 1.2 s: the router relied on the outdated list just when it was slow.

Fix: a call whose timeout fired 0.1 s late is repeated at once and logged; after two in a row the failure counts as an outage.

--- a/sequoiamoor/daemon/feeds.py
+++ b/sequoiamoor/daemon/feeds.py
@@ -30,6 +30,12 @@
 PAUSE_CHECK_SECONDS = 0.2
 """Interval between two checks whether a pause has to end early."""
 
+STARVED_SECONDS = 0.1
+"""Delay of the timeout of a call from which this process, not the store, was late."""
+
+MAX_STARVED_CALLS = 2
+"""Calls in a row that fail for this reason before they count as an outage."""
+
 STOP_TIMEOUT_SECONDS = 1.0
 """Longest time for which a stop waits for the thread."""
 
@@ -188,13 +194,13 @@
         schedule = self._schedules[table]
         client = self._clients[table] = self._create_client()
         version: int | None = None
-        failures = 0
+        failures = starved_calls = 0
         try:
             while True:
                 if table in self._outdated_tables:
                     self._outdated_tables.discard(table)
                     version = None
-                asked_at = self._read_time()
+                asked_at, called_at = self._read_time(), time.monotonic()
                 self._waits[table] = 0.0
                 self._recalled_tables.discard(table)
                 try:
@@ -215,12 +221,27 @@
                 except (PlatformUnavailableError, ProtocolError) as err:
                     if table in self._recalled_tables:
                         continue
+                    ends_at = called_at + client.timeout + self._waits[table]
+                    late_seconds = time.monotonic() - ends_at
+                    if (
+                        late_seconds > STARVED_SECONDS
+                        and starved_calls < MAX_STARVED_CALLS
+                    ):
+                        # The answer may have arrived. As an outage, the failure would
+                        # let requests rely on the outdated table.
+                        starved_calls += 1
+                        late_ms = round(late_seconds * 1000)
+                        _LOG.warning(
+                            "call to the store ended late; repeating it",
+                            extra={"table": table, "elapsed_ms": late_ms},
+                        )
+                        continue
                     failures += 1
                     self._failed_tables.add(table)
                     self._deliver(FeedResult(table, asked_at, error=err), wakeup)
                     await curio.sleep(draw_retry_delay(failures, self._rng))
                     continue
-                failures = 0
+                failures = starved_calls = 0
                 if table in self._failed_tables:
                     self._failed_tables.discard(table)
                     self._abort_failed()
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -57,7 +57,11 @@
 
 
 class StoreClient:
-    """Client that makes one call at a time on a persistent connection."""
+    """Client that makes one call at a time on a persistent connection.
+
+    Attributes:
+        timeout: Seconds until a call without an answer fails, on top of its wait.
+    """
 
     def __init__(
         self,
@@ -67,7 +71,7 @@
         observe: Callable[[str, str], None] = lambda operation, result: None,
     ) -> None:
         self._address = address
-        self._timeout = timeout
+        self.timeout = timeout
         self._observe = observe
         self._connection: ClientConnection | None = None
 
@@ -183,7 +187,7 @@
         target = f"{path}?{urlencode(query)}" if query else path
         body = b"" if document is None else json.dumps(document).encode()
         try:
-            async with curio.timeout_after(self._timeout + wait):
+            async with curio.timeout_after(self.timeout + wait):
                 status, content = await self._exchange(method, target, body)
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as err:
             self._observe(operation, "no-answer")
@@ -207,7 +211,7 @@
             connection = None
         if connection is None:
             connection = await ClientConnection.connect(
-                self._address, timeout=self._timeout, detects_dead_peer=True
+                self._address, timeout=self.timeout, detects_dead_peer=True
             )
             self._connection = connection
         await connection.send_request(
