Reserve the ports of the routers of the soak

Cause: the ports of a router were only free when the soak chose them. They are in the range of outgoing connections, so while the router is down, any process's connection may take one of them, and listening on it then fails (tried with two sockets). Routers of deployments have ports outside that range; this is a fault of the soak alone.

--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from sequoiamoor.standin.processes import find_free_port, start_process
+from sequoiamoor.standin.processes import reserve_port, start_process
 from sequoiamoor.types import Address
 
 from .proxy import LinkState, Proxy
@@ -40,9 +40,11 @@
         self.name = name
         self.is_paused = False
         self.disturbed_at = time.monotonic()
-        ports = [find_free_port(HOST) for _ in range(4)]
+        # Without a reservation, an outgoing connection of any process may take a port
+        # while the router is down, which then cannot start again.
+        self._reservations = [reserve_port(HOST) for _ in range(4)]
         self.http, self.ready, self.control, self.metrics = (
-            Address(HOST, port) for port in ports
+            Address(HOST, sock.getsockname()[1]) for sock in self._reservations
         )
         self.caller_proxy = Proxy(lambda: self.http)
         self.store = Proxy(lambda: store)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,8 @@
         (3, 12.0),
         # SIGHUP ended a router that was still starting.
         (9, 12.0),
+        # An outgoing connection held the port of a router that was to start again.
+        (714, 8.0),
     ],
 )
 def test_promises_hold_while_faults_overlap(seed: int, seconds: float) -> None:
