--- a/sequoiamoor/daemon/feeds.py
+++ b/sequoiamoor/daemon/feeds.py
@@ -89,6 +89,9 @@
 class StoreFeeds:
     """Follows tables on a thread and queues the results for the router's loop.
 
+    The two sides share the queue and the sets of tables below, whose single operations
+    are atomic; the clients are used by the thread, and only aborted from outside.
+
     Args:
         schedules: How closely each table is followed, by its name.
         create_client: Creates the client of one feed.
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -196,11 +196,9 @@
         while True:
             self._update_limits()
             table = names.CONFIGURATION_TABLE
-            if self._feeds.find_wait(
-                table
-            ) == CONFIRMED_CONFIGURATION_WAIT_SECONDS and not self._role.is_confirmed(
-                self._role.configuration
-            ):
+            wait = self._feeds.find_wait(table)
+            is_held = wait == CONFIRMED_CONFIGURATION_WAIT_SECONDS
+            if is_held and not self._role.is_confirmed(self._role.configuration):
                 # Recalled at each check until the call ends: a call that is still
                 # connecting has nothing to abort.
                 self._feeds.recall(table)
