--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 
 _LOG_KEYS = (
@@ -31,6 +32,8 @@
     "to_send_ms",
     "view_age_ms",
     "elapsed_ms",
+    "idle_ms",
+    "unread_bytes",
     "events",
     "pause_ms",
     "prompt_tokens",
@@ -51,6 +54,12 @@
 MAX_STATE_BURST_LINES = 400.0
 """Other lines that may be written at once after a time with few of them."""
 
+SUMMARY_INTERVAL_SECONDS = 1.0
+"""Shortest time between two lines that count the lines left out."""
+
+MAX_SUMMARY_EVENTS = 8
+"""Events that such a line names, those with the most lines first."""
+
 MAX_BUFFER_BYTES = 262_144
 """Buffered output above which new lines are left out until it is read."""
 
@@ -96,8 +105,9 @@
     """Writes lines to a non-blocking file descriptor.
 
     Lines above the rate limit of their kind, and lines for which the buffer is full
-    because nobody reads the output, are left out. Their number is logged before the
-    next line. Lines with a request identifier are about requests.
+    because nobody reads the output, are left out. Their number by event is logged
+    before a later line, at most once in ``SUMMARY_INTERVAL_SECONDS``. Lines with a
+    request identifier are about requests.
     """
 
     def __init__(
@@ -118,16 +128,17 @@
         )
         self._buffer = bytearray()
         self._left_out_lines = 0
+        self._left_out_by_event: Counter[str] = Counter()
+        self._summarised_at = float("-inf")
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a record, or leaves it out if a limit is reached."""
         try:
             if not self._may_write(record):
                 self._left_out_lines += 1
+                self._left_out_by_event[record.getMessage()] += 1
                 return
-            if self._left_out_lines:
-                self._append_line(self._build_left_out_record(record))
-                self._left_out_lines = 0
+            self._summarise_left_out(record)
             self._append_line(record)
             self._flush_buffer()
         except Exception:
@@ -143,13 +154,26 @@
         allowance = self._request_lines if is_about_request else self._state_lines
         return allowance.take(self._read_time()) or record.levelno >= logging.WARNING
 
-    def _build_left_out_record(self, record: logging.LogRecord) -> logging.LogRecord:
+    def _summarise_left_out(self, record: logging.LogRecord) -> None:
+        now = self._read_time()
+        if (
+            not self._left_out_lines
+            or now - self._summarised_at < SUMMARY_INTERVAL_SECONDS
+        ):
+            return
+        self._summarised_at = now
         summary = logging.LogRecord(
             __name__, logging.WARNING, "", 0, "lines left out", None, None
         )
         summary.created = record.created
         summary.left_out = self._left_out_lines
-        return summary
+        summary.detail = ", ".join(
+            f"{event}: {count}"
+            for event, count in self._left_out_by_event.most_common(MAX_SUMMARY_EVENTS)
+        )
+        self._left_out_lines = 0
+        self._left_out_by_event.clear()
+        self._append_line(summary)
 
     def _append_line(self, record: logging.LogRecord) -> None:
         self._buffer += self.format(record).encode() + b"\n"
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+from pathlib import Path
 
 from sequoiamoor.logs import (
     MAX_BUFFER_BYTES,
@@ -51,6 +52,26 @@
     os.close(writer)
 
 
+def test_summaries_of_lines_left_out_are_rare_and_name_the_events(
+    tmp_path: Path,
+) -> None:
+    """Guards against a log of a flood in which summaries hide the rare lines."""
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+    handler, now = build_handler(descriptor)
+    for number in range(3_000):
+        now[0] = number / 1_000
+        handler.emit(build_record(request_id="9c41"))
+        handler.emit(build_record(size=2, request_id="9c41"))
+    os.close(descriptor)
+    lines = [json.loads(line) for line in path.read_bytes().splitlines()]
+    summaries = [line for line in lines if line["event"] == "lines left out"]
+    assert 2 <= len(summaries) <= 3
+    counts = dict(item.split(": ") for item in summaries[-1]["detail"].split(", "))
+    assert counts.keys() == {"x", "xx"}
+    assert sum(map(int, counts.values())) == summaries[-1]["left_out"]
+
+
 def test_output_that_nobody_reads_never_blocks_the_event_loop() -> None:
     """Guards against a router that blocks because nobody reads its log."""
     reader, writer = os.pipe()
