Count why connections of callers end, and log those with a request in them

When this side closed a caller's connection, nothing told why, how long it had been idle, or whether a request was in it, so that the three hypotheses on the requests without an answer could not be told apart. Each end is now counted by reason, and a line gives reason, idle time and unread bytes of an end that cuts off a request. No decision is changed.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -5,6 +5,7 @@
 import logging
 import time
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 import curio
@@ -32,6 +33,23 @@
 CROWDED_FRACTION = 0.8
 
 
+class ConnectionEnd(StrEnum):
+    """Why the connection of a caller ended."""
+
+    ANSWERED = "answered"
+    """The last answer said so, or the rest of the connection cannot be read."""
+    IDLE = "idle"
+    PEER_CLOSED = "peer-closed"
+    LOST = "lost"
+    """The connection failed."""
+    REFUSED = "refused"
+    """The caller sent something that cannot be followed by another request."""
+    CONNECTION_LIMIT = "connection-limit"
+    SHUTDOWN = "shutdown"
+    FAULT = "fault"
+    """An exception of this program."""
+
+
 class Listener:
     """Base of the listeners: accepts connections and receives requests in order.
 
@@ -65,22 +83,53 @@
             detects_dead_peer=self._detects_dead_peers,
         )
         self._connections += 1
+        end = ConnectionEnd.FAULT
         try:
             if self._connections > self._limits.connections:
+                end = ConnectionEnd.CONNECTION_LIMIT
                 await self._refuse_connection(connection)
             else:
-                await self._serve_connection(connection)
+                end = await self._serve_connection(connection)
         except OSError as err:
+            end = ConnectionEnd.LOST
             _LOG.debug("connection lost: %s", err)
         except curio.CancelledError:
+            end = ConnectionEnd.SHUTDOWN
             # The router is shutting down: do not wait for the caller to read and close.
             await connection.close()
             raise
         finally:
+            idle_seconds = time.monotonic() - connection.active_at
             try:
                 await connection.close_cleanly()
             finally:
                 self._connections -= 1
+                self._record_end(connection, end, idle_seconds)
+
+    def _record_end(
+        self, connection: ServerConnection, end: ConnectionEnd, idle_seconds: float
+    ) -> None:
+        """Counts the end of a connection; logs one that cuts off its caller.
+
+        Args:
+            connection: The connection, which is closed.
+            end: Why it ended.
+            idle_seconds: Time since the last byte was sent or received.
+        """
+        self._metrics.caller_connections_ended.labels(end).inc()
+        is_unanswered = connection.has_unanswered_request
+        if connection.is_peer_closed or not (is_unanswered or connection.unread_bytes):
+            return
+        self._metrics.caller_connections_cut.labels(end).inc()
+        _LOG.info(
+            "connection closed with a request in it",
+            extra={
+                "reason": end,
+                "detail": "read" if is_unanswered else "unread",
+                "unread_bytes": connection.unread_bytes,
+                "idle_ms": round(idle_seconds * 1000),
+            },
+        )
 
     async def _refuse_connection(self, connection: ServerConnection) -> None:
         error = TooManyConnectionsError(
@@ -93,7 +142,7 @@
             return
         await self._refuse(connection, error)
 
-    async def _serve_connection(self, connection: ServerConnection) -> None:
+    async def _serve_connection(self, connection: ServerConnection) -> ConnectionEnd:
         while True:
             try:
                 request = await connection.receive_request(
@@ -102,12 +151,14 @@
                 )
             except RefusalError as error:
                 await self._refuse(connection, error)
-                return
+                return ConnectionEnd.REFUSED
             if request is None:
-                return
+                if connection.is_peer_closed:
+                    return ConnectionEnd.PEER_CLOSED
+                return ConnectionEnd.IDLE
             await self._serve_request(connection, request)
             if not connection.start_next_cycle():
-                return
+                return ConnectionEnd.ANSWERED
 
     async def _serve_request(
         self, connection: ServerConnection, request: Request
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -45,6 +45,18 @@
             "Calls whose caller closed the connection before the answer was whole.",
             registry=self.registry,
         )
+        self.caller_connections_ended = Counter(
+            "sequoiamoor_caller_connections_ended",
+            "Connections of callers that ended, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.caller_connections_cut = Counter(
+            "sequoiamoor_caller_connections_cut",
+            "Connections that this side closed with a request in them, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.callers_slow = Counter(
             "sequoiamoor_callers_slow",
             "Calls whose caller read nothing for the send timeout.",
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -144,6 +144,17 @@
     return data
 
 
+def peek_unread(sock: Any) -> int:
+    """Returns how many bytes were received on a non-blocking socket and not read.
+
+    Counts at most ``RECEIVE_BYTES``; 0 if the connection is closed or broken.
+    """
+    try:
+        return len(sock.recv(RECEIVE_BYTES, socket.MSG_PEEK))
+    except OSError:
+        return 0
+
+
 def disable_send_delay(sock: Any) -> None:
     """Disables Nagle's algorithm on a TCP socket."""
     # With the algorithm the kernel may delay a small chunk until the previous one is
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from typing import Any
 
 import curio
@@ -23,6 +24,7 @@
     disable_send_delay,
     enable_dead_peer_detection,
     peek,
+    peek_unread,
     to_h11_headers,
     to_header_dict,
 )
@@ -42,6 +44,9 @@
         is_peer_closed: Whether the peer closed its side or the connection failed.
         is_peer_slow: Whether a send failed because the peer read nothing for too long.
         bytes_sent: Number of bytes passed to the socket.
+        active_at: Monotonic time in seconds of the last byte sent or received.
+        unread_bytes: Bytes that the peer had sent and nobody had read when this side
+            closed the connection, and those that were discarded after that.
     """
 
     def __init__(
@@ -67,6 +72,8 @@
         self.is_peer_closed = False
         self.is_peer_slow = False
         self.bytes_sent = 0
+        self.active_at = time.monotonic()
+        self.unread_bytes = 0
         disable_send_delay(self._raw_sock)
         if detects_dead_peer:
             enable_dead_peer_detection(self._raw_sock)
@@ -76,6 +83,7 @@
 
     async def _receive(self) -> None:
         data = await self._sock.recv(RECEIVE_BYTES)
+        self.active_at = time.monotonic()
         self.is_peer_closed = not data
         self._h11.receive_data(data)
 
@@ -182,6 +190,7 @@
         except BlockingIOError:
             sent = 0
         self.bytes_sent += len(data)
+        self.active_at = time.monotonic()
         if sent < len(data):
             await self._write_rest(memoryview(data)[sent:])
 
@@ -277,6 +286,13 @@
         # wait.
         await curio.Event().wait()
 
+    @property
+    def has_unanswered_request(self) -> bool:
+        """Whether a request was received whole and no response has begun."""
+        return self._h11.our_state is h11.SEND_RESPONSE and (
+            self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        )
+
     @property
     def can_refuse(self) -> bool:
         """Whether the head of a response can still be sent."""
@@ -293,6 +309,8 @@
 
     async def close(self) -> None:
         """Closes the connection."""
+        if not self._is_closed:
+            self.unread_bytes += peek_unread(self._raw_sock)
         self._is_closed = True
         await self._sock.close()
 
@@ -320,3 +338,4 @@
         remaining_bytes = CLOSE_LINGER_LIMIT_BYTES
         while remaining_bytes > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
             remaining_bytes -= len(data)
+            self.unread_bytes += len(data)
