Reproduce a connection that is closed as idle with a request in it

A late event loop notices the timer of an idle connection; the request arrives before the connection's task runs. The task closes the connection and discards the request (row whole). The timer of an incomplete request has the same fault (rows head and body: 408 for a request that is there).

--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -306,6 +306,39 @@
     run(session, limits={"receive_timeout": 0.05})
 
 
+@pytest.mark.parametrize("split", [0, 10, 400], ids=["whole", "head", "body"])
+def test_request_that_arrives_as_a_timer_fires_is_answered(split: int) -> None:
+    """Guards against a late event loop that closes a connection with a request in it.
+
+    The timers of the idle connection and of the incomplete request are noticed before
+    the request arrives, but the connection's task runs after that.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(
+            *[lambda received: [complete_response(read_call_id(received), b"{}")]] * 2,
+            service="look",
+        )
+        body = b"x" * 600
+        caller = await harness.connect()
+        await caller.send(request("look", stream=False, body=body))
+        await caller.receive_until(b"{}")
+        await harness.wait_idle()
+        caller.received = b""
+        second = request("look", stream=False, body=body)
+        await caller.send(second[:split])
+        # The connection's task gets to its wait.
+        await curio.sleep(0.01)
+        time.sleep(0.1)
+        await curio.sleep(0)
+        await caller.send(second[split:])
+        await caller.receive_until(b"{}")
+        assert parse(caller.received).status == 200
+        assert harness.counter("caller_connections_ended", reason="idle") == 0
+
+    run(session, limits={"idle_timeout": 0.05, "receive_timeout": 0.05})
+
+
 def test_idle_connection_is_closed() -> None:
     """Guards against idle connections that are kept indefinitely."""
 
