Look at the socket before a connection ends as idle or a request as late

Callers of a flooded router had the connection of a whole request closed with neither an answer nor a refusal, beside a change of the configuration.

Cause: the router acted on a timer without looking at what the timer is about. curio polls the sockets, then the timers, then runs all ready tasks; a pass of a flooded loop takes 0.3 s and more. A request that arrives after the poll and before the connection's task runs was not seen: the task took the connection for idle, shut it down, read the request while it waited for the caller to close, and threw it away. The timer of an incomplete request had the same fault (408).

The socket is looked at once more when the timer fires, and what has come is served. An idle connection is then closed in the same step and not read any more: a request that arrives later is reset unread, so its caller knows that it never ran.

--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -69,6 +69,8 @@
         self._is_head_request = False
         self._is_streaming = False
         self._is_closed = False
+        self._receive_timeout = 0.0
+        self._receive_ends_at = 0.0
         self.is_peer_closed = False
         self.is_peer_slow = False
         self.bytes_sent = 0
@@ -97,23 +99,41 @@
             receive_timeout: Seconds from the first byte to the end of the request.
 
         Returns:
-            The request, or None if the peer closed the connection or was idle.
+            The request, or None if the peer closed the connection or was idle; an idle
+            connection is closed.
 
         Raises:
             RefusalError: If the request is malformed, too large or too slow.
         """
         if self._h11.trailing_data == (b"", False):
-            await curio.ignore_after(idle_timeout, self._receive)
+            if not await self._receive_within(idle_timeout):
+                # Reading on, as a clean close does, would take a request that arrives
+                # now. Left unread, it is reset, so its caller knows that it never ran.
+                await self.close()
+                return None
             if self._h11.trailing_data[0] == b"":
                 return None
-        try:
-            async with curio.timeout_after(receive_timeout):
-                return await self._receive_complete()
-        except curio.TaskTimeout as err:
-            raise RequestTimeoutError(
-                f"the request was not complete after {receive_timeout} s; send it "
-                "faster"
-            ) from err
+        self._receive_timeout = receive_timeout
+        self._receive_ends_at = time.monotonic() + receive_timeout
+        return await self._receive_complete()
+
+    async def _receive_within(self, seconds: float) -> bool:
+        """Receives data, or the peer's close, within a time.
+
+        A late event loop may notice the timer before data that has arrived, so the
+        socket is looked at once more when the timer fires.
+
+        Returns:
+            Whether something was received.
+        """
+        async with curio.ignore_after(seconds) as timer:
+            await self._receive()
+        if not timer.expired:
+            return True
+        if peek(self._raw_sock) is None:
+            return False
+        await self._receive()
+        return True
 
     def _check_head(self) -> None:
         buffered = self._h11.trailing_data[0]
@@ -145,7 +165,12 @@
                 return event
             if self._h11.they_are_waiting_for_100_continue:
                 await self._send(h11.InformationalResponse(status_code=100, headers=[]))
-            await self._receive()
+            seconds_left = max(self._receive_ends_at - time.monotonic(), 0.0)
+            if not await self._receive_within(seconds_left):
+                raise RequestTimeoutError(
+                    f"the request was not complete after {self._receive_timeout} s; "
+                    "send it faster"
+                )
 
     async def _receive_complete(self) -> Request | None:
         event = await self._next_event()
