Do not abort an exchange as silent whose answer has arrived

Callers of a flooded router would get 502, or their request a second run, for an exchange whose answer was there: the periodic check for silent exchanges looked only at the time since the wait began, which grows with the lag of the event loop, and not at the socket.

test_answer_that_has_arrived_is_not_taken_for_silence fails before (the exchange is aborted). A receive is now aborted only if nothing is there to be read.

--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -157,7 +157,12 @@
             silence_limit = (
                 connection.silence_limit or self._options.upstream_idle_timeout
             )
-            if waiting_since is not None and now - waiting_since >= silence_limit:
+            if (
+                waiting_since is not None
+                and now - waiting_since >= silence_limit
+                # A late event loop may not have read what has arrived.
+                and connection.is_quiet
+            ):
                 connection.abort()
         idle_before = now - self._options.pool_idle_time
         for address, idle in list(self._idle.items()):
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import curio
 import pytest
 
+from sequoiamoor.types import Address
 from tests.listener_harness import (
     Answerer,
     Close,
@@ -609,6 +611,38 @@
     run(session, options=options)
 
 
+@pytest.mark.parametrize(
+    "answer", [b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", b""]
+)
+def test_answer_that_has_arrived_is_not_taken_for_silence(answer: bytes) -> None:
+    """Guards against a late event loop that aborts an exchange whose answer is there.
+
+    The check for silence runs before the connection's task has read the answer.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        pool = harness.calls._pool
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = Address(*server.getsockname())
+            connection, _ = await pool.acquire(address, force_new=False)
+            peer = server.accept()[0]
+        with peer:
+            await connection.send_request("POST", "/", {}, b"{}")
+            task = await curio.spawn(connection.receive_response)
+            await harness.wait_for(lambda: connection.waiting_since is not None)
+            peer.sendall(answer)
+            await pool.close_expired(time.monotonic() + 1e6)
+            assert connection.is_aborted == (not answer)
+            if answer:
+                assert (await task.join()).status == 200
+            else:
+                with pytest.raises(curio.TaskError):
+                    await task.join()
+            await pool.discard(connection)
+
+    run(session)
+
+
 def test_address_of_a_dead_upstream_stays_reserved() -> None:
     """Guards against another test that listens at an address that must refuse."""
 
