Use a connection that was made although its timer fired first

A flooded router would take a reachable replica or store for down: the timer of a connect was believed without a look at the socket, which a late event loop had not come to. Attempts then fail as unreachable, and the replica gets no work until its next probe.

test_connection_that_is_made_as_the_timer_fires_is_used fails before (TimeoutError). When the timer fires, the connection is used if it is there.

--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -94,10 +94,12 @@
             async with curio.timeout_after(timeout):
                 await sock.connect((address.host, address.port))
         except curio.TaskTimeout as err:
-            await sock.close()
-            raise TimeoutError(
-                f"connecting to {address} took longer than {timeout} s"
-            ) from err
+            # A late event loop may notice the timer before the connection.
+            if not _is_connected(sock._socket):
+                await sock.close()
+                raise TimeoutError(
+                    f"connecting to {address} took longer than {timeout} s"
+                ) from err
         except BaseException:
             await sock.close()
             raise
@@ -352,6 +354,14 @@
         await self._sock.close()
 
 
+def _is_connected(sock: Any) -> bool:
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 async def exchange(
     address: Address,
     method: str,
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import socket
 from functools import partial
 
 import curio
+import curio.io
 import h11
 import pytest
 
@@ -71,3 +73,30 @@
         curio.run(partial(end_exchange, sent, is_read=is_read, is_aborted=is_aborted))
         == end
     )
+
+
+def test_connection_that_is_made_as_the_timer_fires_is_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a late event loop that takes a reachable replica for down.
+
+    The connection is made, but the task that waits for it gets its timer first.
+    """
+
+    class LateSocket(curio.io.Socket):
+        async def connect(self, address: object) -> None:
+            await super().connect(address)
+            await curio.sleep(10.0)
+
+    async def session() -> None:
+        server = curio.network.tcp_server_socket("127.0.0.1", 0)
+        monkeypatch.setattr(
+            curio.socket, "socket", lambda *kind: LateSocket(socket.socket(*kind))
+        )
+        connection = await ClientConnection.connect(
+            Address(*server.getsockname()[:2]), timeout=0.05
+        )
+        await connection.close()
+        await server.close()
+
+    curio.run(session)
