Let an odd row among the replicas' cost only itself

What callers saw elsewhere, and would see here: routers answered 503 or sent requests to replicas that had left, because one odd row of another writer ended the work on the whole table.

Cause: decode_replica let some values raise other errors than SettingsError (10**400 for coldRemainingMs: OverflowError; a port of 5,000 digits: ValueError) and let others pass that break later (slots of 10**300, hosts that are no address, port 0, lone surrogates, keys with CR LF). apply_received took any such exception as a reason to read the whole table again, where the row was met again, without a pause. An exception in the rows of the routers' table (RecursionError, OverflowError) ended the task that reads it; a row that is no object, a version of 1e999, or a lone surrogate in the last key of a page ended the thread of the feeds. On the own interface one odd VM made the whole list unavailable, an as_of of 1e999 ended the poll, and a load report with huge numbers was passed on to decisions and messages to peers.

Change: the rows and entries are validated models with the bounded types of bounds.py (integers of 62 bits, finite numbers, IP addresses that can be reached, ports 1 to 65535, identifiers that fit a header field, names of at most 200 characters without lone surrogates). An unforeseen exception in one row costs that row; a table whose rows as a whole cannot be applied is read again at most once a second; an unforeseen exception in a call to the store counts as a failed call. Each odd row is logged once, in bounded length, until it is valid or removed. A VM list that is no JSON at all stays unavailable as a whole: its entries cannot be told apart then.

A `born` that is not a whole number made the row usable with incarnation 0 before; it names no replica now, like any other field of another type.

--- a/sequoiamoor/daemon/feeds.py
+++ b/sequoiamoor/daemon/feeds.py
@@ -36,6 +36,9 @@
 MAX_STARVED_CALLS = 2
 """Calls in a row that fail for this reason before they count as an outage."""
 
+FULL_READ_PAUSE_SECONDS = 1.0
+"""Pause before a whole table is read again because its last read was not applied."""
+
 STOP_TIMEOUT_SECONDS = 1.0
 """Longest time for which a stop waits for the thread."""
 
@@ -198,10 +201,13 @@
         client = self._clients[table] = self._create_client()
         version: int | None = None
         failures = starved_calls = 0
+        fully_read_at = float("-inf")
         try:
             while True:
                 if table in self._outdated_tables:
                     self._outdated_tables.discard(table)
+                    pause_ends_at = fully_read_at + FULL_READ_PAUSE_SECONDS
+                    await curio.sleep(max(pause_ends_at - time.monotonic(), 0.0))
                     version = None
                 asked_at, called_at = self._read_time(), time.monotonic()
                 self._waits[table] = 0.0
@@ -209,6 +215,7 @@
                 try:
                     if version is None:
                         rows = await client.read_table(table)
+                        fully_read_at = time.monotonic()
                     else:
                         wait = self._waits[table] = schedule.find_wait()
                         rows = await client.follow_table(
@@ -240,9 +247,15 @@
                         )
                         continue
                     failures += 1
-                    self._failed_tables.add(table)
-                    self._deliver(FeedResult(table, asked_at, error=err), wakeup)
-                    await curio.sleep(draw_retry_delay(failures, self._rng))
+                    await self._fail(table, asked_at, err, failures, wakeup)
+                    continue
+                except Exception as err:
+                    _LOG.exception(
+                        "call to the store ended by an unexpected exception",
+                        extra={"table": table},
+                    )
+                    failures += 1
+                    await self._fail(table, asked_at, err, failures, wakeup)
                     continue
                 failures = starved_calls = 0
                 if table in self._failed_tables:
@@ -257,6 +270,18 @@
         finally:
             await client.close()
 
+    async def _fail(
+        self,
+        table: str,
+        asked_at: float,
+        error: Exception,
+        failures: int,
+        wakeup: Wakeup,
+    ) -> None:
+        self._failed_tables.add(table)
+        self._deliver(FeedResult(table, asked_at, error=error), wakeup)
+        await curio.sleep(draw_retry_delay(failures, self._rng))
+
     async def _pause(self, schedule: Schedule, version: int) -> None:
         pause_seconds = schedule.find_pause()
         if schedule.find_early_end(version) is not None:
--- a/sequoiamoor/daemon/pollers.py
+++ b/sequoiamoor/daemon/pollers.py
@@ -8,7 +8,9 @@
 from random import Random
 
 import curio
+from pydantic import BaseModel, Field
 
+from ..bounds import INTEGER_LIMIT, MAX_SLOTS, Count
 from ..core.blackboard import Blackboard
 from ..core.rendezvous import choose_router
 from ..core.upstreams import ListedUpstream, LoadReport, Replica
@@ -25,6 +27,17 @@
 _CHECK_INTERVAL_SECONDS = 0.25
 
 
+class _LoadDocument(BaseModel):
+    """Load report of an upstream."""
+
+    incarnation: Count
+    slots: int = Field(ge=0, le=MAX_SLOTS)
+    running: Count
+    queued: Count
+    token_rate: float = Field(ge=0, lt=INTEGER_LIMIT, allow_inf_nan=False)
+    leaving: bool
+
+
 class Pollers:
     """Keeps configuration, VM list and load reports on the blackboard up to date."""
 
@@ -165,7 +178,7 @@
         replica_id, address = replica.replica_id, replica.address
         try:
             load = await self._read_load(address)
-        except (OSError, ValueError, KeyError, TypeError) as err:
+        except (OSError, ValueError, RecursionError) as err:
             failures[replica_id] = failures.get(replica_id, 0) + 1
             _LOG.debug("reading the load report of %s failed: %s", replica_id, err)
             return
@@ -186,14 +199,14 @@
         )
         if response.status != 200:
             raise ValueError(f"the upstream answered with status {response.status}")
-        document = json.loads(body)
+        document = _LoadDocument.model_validate(json.loads(body))
         return LoadReport(
-            incarnation=int(document["incarnation"]),
-            slots=int(document["slots"]),
-            running=int(document["running"]),
-            queued=int(document["queued"]),
-            token_rate=float(document["token_rate"]),
-            is_leaving=bool(document["leaving"]),
+            incarnation=document.incarnation,
+            slots=document.slots,
+            running=document.running,
+            queued=document.queued,
+            token_rate=document.token_rate,
+            is_leaving=document.leaving,
         )
 
 
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -28,7 +28,12 @@
 )
 from ..metrics import Metrics
 from ..platform import names
-from ..platform.documents import decode_configuration, decode_replica
+from ..platform.documents import (
+    ReplicaEntry,
+    decode_configuration,
+    decode_replica,
+    decode_router,
+)
 from ..platform.store import Row, Rows, StoreClient
 from ..types import Address, ReplicaId
 from .control import Control
@@ -39,6 +44,7 @@
     StoreFeeds,
     draw_retry_delay,
 )
+from .invalid_rows import InvalidRows
 from .store_role import StoreRole
 
 _LOG = logging.getLogger(__name__)
@@ -131,7 +137,7 @@
             names.CONFIGURATION_TABLE: self._role.configuration,
             names.UPSTREAM_TABLE: self._role.upstreams,
         }
-        self._reported_values: dict[str, bytes] = {}
+        self._invalid_rows = InvalidRows()
 
     def _create_client(self) -> StoreClient:
         return StoreClient(
@@ -267,8 +273,12 @@
         before = self._describe_upstreams()
         removed: list[ReplicaId] = []
         if is_full_table:
-            removed = self._directory.keep_only({row.key for row in rows.rows}, now)
+            keys = {row.key for row in rows.rows}
+            removed = self._directory.keep_only(keys, now)
+            self._invalid_rows.keep_only(names.UPSTREAM_TABLE, keys)
         for row in rows.rows:
+            if row.is_removed:
+                self._invalid_rows.discard(row)
             names_replica = not row.is_removed and self._apply_upstream(row, now)
             if not names_replica and self._directory.remove(row.key, now):
                 removed.append(row.key)
@@ -295,17 +305,28 @@
         }
 
     def _apply_upstream(self, row: Row, now: float) -> bool:
-        """Applies a row; returns whether it names a replica."""
+        """Applies a row; returns whether it names a replica.
+
+        An unforeseen error costs this row only: the others of the table hold.
+        """
         try:
-            entry = decode_replica(row.key, row.value)
+            self._put_upstream(decode_replica(row.key, row.value), now)
         except SettingsError as err:
-            if self._reported_values.get(row.key) != row.value:
-                self._reported_values[row.key] = row.value
+            if self._invalid_rows.add(row):
                 _LOG.warning(
                     "invalid replica entry not used",
                     extra={"upstream": row.key, "detail": str(err)},
                 )
             return False
+        except Exception:
+            if self._invalid_rows.add(row):
+                _LOG.exception("replica entry not applied", extra={"upstream": row.key})
+            self._metrics.task_failures.labels("feeds").inc()
+            return False
+        self._invalid_rows.discard(row)
+        return True
+
+    def _put_upstream(self, entry: ReplicaEntry, now: float) -> None:
         listed = ListedUpstream(
             entry.replica_id,
             entry.service,
@@ -319,7 +340,6 @@
                 [self._board.upstreams.replicas[entry.replica_id]],
                 view_age_ms=self._find_view_age_ms(),
             )
-        return True
 
     def _find_view_age_ms(self) -> int | None:
         """Returns the age of the copy of the table before the answer being applied."""
@@ -391,18 +411,18 @@
 
     def _apply_routers(self, rows: Rows) -> None:
         addresses = []
+        self._invalid_rows.keep_only(ROUTER_TABLE, {row.key for row in rows.rows})
         for row in rows.rows:
             try:
-                document = json.loads(row.value)
-                host, _, port = document["address"].rpartition(":")
-                address = Address(host, int(port))
-                age_ms = rows.time_ms - float(document["written_ms"])
-            except (ValueError, KeyError, TypeError, AttributeError) as err:
-                _LOG.warning(
-                    "invalid router address ignored",
-                    extra={"peer": row.key, "detail": repr(err)},
-                )
+                address, written_ms = decode_router(row.key, row.value)
+            except SettingsError as err:
+                if self._invalid_rows.add(row):
+                    _LOG.warning(
+                        "invalid router address ignored",
+                        extra={"peer": row.key, "detail": str(err)},
+                    )
                 continue
-            if age_ms < ROUTER_LIFETIME_MS:
+            self._invalid_rows.discard(row)
+            if rows.time_ms - written_ms < ROUTER_LIFETIME_MS:
                 addresses.append((row.key, address))
         self._control.membership.apply_router_addresses(addresses)
--- a/sequoiamoor/net/platform.py
+++ b/sequoiamoor/net/platform.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+import logging
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from ..bounds import Host, Identifier, Name, Port, describe_invalid
 from ..errors import PlatformUnavailableError, VersionConflictError
 from ..types import Address, VmRole, VmState
 from .http_client import exchange
 
+_LOG = logging.getLogger(__name__)
+
+MAX_TIME_SECONDS = 1e11
+
 _RESULT_BY_STATUS = {200: "ok", 404: "absent", 409: "conflict", 429: "rate-limited"}
 
 
@@ -30,13 +36,13 @@
 
     model_config = ConfigDict(frozen=True)
 
-    id: str
+    id: Identifier
     role: VmRole
-    zone: str
-    address: str
-    port: int
-    control_port: int | None = None
-    service: str | None = None
+    zone: Name
+    address: Host
+    port: Port
+    control_port: Port | None = None
+    service: Name | None = None
     state: VmState = VmState.LIVE
 
     def to_address(self) -> Address:
@@ -51,6 +57,13 @@
     vms: tuple[Vm, ...]
 
 
+class _RawVmList(BaseModel):
+    """The list before its entries are checked one by one."""
+
+    as_of: float = Field(ge=0, lt=MAX_TIME_SECONDS)
+    vms: list[Any]
+
+
 class PlatformClient:
     """Client of the platform; after every failure the effect is unknown.
 
@@ -78,6 +91,7 @@
         self._observe = observe or (lambda operation, result: None)
         self.reads = 0
         self.writes = 0
+        self._invalid_ids: Collection[str] = ()
 
     async def _send_request(
         self, operation: str, method: str, path: str, body: bytes = b""
@@ -111,7 +125,13 @@
         try:
             document = json.loads(data)
             return TableEntry(int(document["version"]), document["value"])
-        except (ValueError, KeyError, TypeError) as err:
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            OverflowError,
+            RecursionError,
+        ) as err:
             raise PlatformUnavailableError(
                 f"the answer to the read of {key!r} is invalid: {err!r}"
             ) from err
@@ -154,9 +174,33 @@
         status, data = await self._send_request("list-read", "GET", "/vms")
         self._check_status(status, "read of the VM list")
         try:
-            return VmList.model_validate_json(data)
+            raw_list = _RawVmList.model_validate(json.loads(data))
         except ValidationError as err:
-            raise PlatformUnavailableError(f"the VM list is invalid: {err}") from err
+            raise PlatformUnavailableError(
+                f"the VM list is invalid: {describe_invalid(err)}"
+            ) from err
+        except (ValueError, RecursionError) as err:
+            raise PlatformUnavailableError("the VM list is not JSON") from err
+        vms = []
+        invalid: dict[str, str] = {}
+        for entry in raw_list.vms:
+            try:
+                vms.append(Vm.model_validate(entry))
+            except ValidationError as err:
+                key = entry.get("id") if isinstance(entry, dict) else None
+                invalid[f"{key!r:.80}"] = describe_invalid(err)
+        self._report_invalid(invalid)
+        return VmList(as_of=raw_list.as_of, vms=tuple(vms))
+
+    def _report_invalid(self, details: dict[str, str]) -> None:
+        """Logs the first invalid entry when others are invalid than before."""
+        if details and details.keys() != self._invalid_ids:
+            name, detail = next(iter(details.items()))
+            _LOG.warning(
+                "invalid VM entries not used",
+                extra={"upstream": name, "detail": detail, "left_out": len(details)},
+            )
+        self._invalid_ids = details.keys()
 
     def _check_status(self, status: int, description: str) -> None:
         if status != 200:
--- a/sequoiamoor/platform/documents.py
+++ b/sequoiamoor/platform/documents.py
@@ -4,17 +4,29 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
-
+from typing import Any, Literal, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..bounds import (
+    Count,
+    Endpoint,
+    FiniteNumber,
+    Identifier,
+    Name,
+    Slots,
+    describe_invalid,
+)
 from ..errors import SettingsError
-from ..types import Address, ReplicaId, ServiceName, ZoneName
+from ..types import Address, ReplicaId, RouterId, ServiceName, ZoneName
 
 _ROUTE_KINDS = {
     "idempotent": "repeatable",
     "non_idempotent": "once",
     "streaming": "stream",
 }
-_IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
+
+_RowModel = TypeVar("_RowModel", bound=BaseModel)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,54 +51,90 @@
     warm_up_seconds: float
 
 
+class _ReplicaRow(BaseModel):
+    """The fields of a replica's row that are used, as the replica writes them."""
+
+    model_config = ConfigDict(strict=True, frozen=True)
+
+    identifier: Identifier
+    service: Name
+    zone: Name
+    address: Endpoint
+    slots: Slots
+    state: Literal["ready", "draining"]
+    born: Count | None = None
+    warm_up_ms: FiniteNumber | None = Field(None, alias="coldRemainingMs")
+
+
+class _RouterRow(BaseModel):
+    """The fields of a router's row that other routers use."""
+
+    model_config = ConfigDict(strict=True, frozen=True)
+
+    identifier: Identifier
+    address: Endpoint
+    written_ms: FiniteNumber
+
+
 def _require(document: dict[str, Any], name: str, expected_type: type) -> Any:
     value = document.get(name)
     if type(value) is not expected_type:
         raise SettingsError(
-            f"field {name!r} is {value!r}; it must be a {expected_type.__name__}"
+            f"field {name!r} is {value!r:.80}; it must be a {expected_type.__name__}"
         )
     return value
 
 
+def _decode_row(
+    model: type[_RowModel], identifier: str, value: bytes, kind: str
+) -> _RowModel:
+    subject = f"row of {kind} {identifier!r:.80}"
+    try:
+        document = json.loads(value)
+    except (ValueError, RecursionError) as err:
+        raise SettingsError(f"{subject} is not JSON") from err
+    if not isinstance(document, dict):
+        raise SettingsError(f"{subject} is not a JSON object")
+    try:
+        return model.model_validate({**document, "identifier": identifier})
+    except ValidationError as err:
+        raise SettingsError(f"{subject} is invalid: {describe_invalid(err)}") from err
+
+
 def decode_replica(replica_id: ReplicaId, value: bytes) -> ReplicaEntry:
     """Decodes the row that a replica keeps in the store.
 
     Raises:
-        SettingsError: If a field is missing or has the wrong type, so that the row
+        SettingsError: If the identifier or a field cannot be used, so that the row
             does not describe a usable replica.
     """
-    try:
-        document = json.loads(value)
-    except (ValueError, RecursionError) as err:
-        raise SettingsError(f"row of replica {replica_id!r} is not JSON") from err
-    if not isinstance(document, dict):
-        raise SettingsError(f"row of replica {replica_id!r} is not a JSON object")
-    state = _require(document, "state", str)
-    if state not in _IS_LEAVING_BY_STATE:
-        raise SettingsError(
-            f"state {state!r} is unknown; use one of {list(_IS_LEAVING_BY_STATE)}"
-        )
-    host, _, port = _require(document, "address", str).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or int(port) > 65_535:
-        raise SettingsError(f"address {document['address']!r} is not IP:PORT")
-    slots = _require(document, "slots", int)
-    if slots < 1:
-        raise SettingsError(f"field 'slots' is {slots}; it must be at least 1")
-    warm_up_ms = document.get("coldRemainingMs", 0)
+    row = _decode_row(_ReplicaRow, replica_id, value, "replica")
     return ReplicaEntry(
-        replica_id=replica_id,
-        service=_require(document, "service", str),
-        zone=_require(document, "zone", str),
-        address=Address(host, int(port)),
-        slots=slots,
-        is_leaving=_IS_LEAVING_BY_STATE[state],
-        born_ms=born_ms if type(born_ms := document.get("born")) is int else 0,
-        warm_up_seconds=(
-            warm_up_ms / 1000 if isinstance(warm_up_ms, (int, float)) else 0.0
-        ),
+        replica_id=row.identifier,
+        service=row.service,
+        zone=row.zone,
+        address=row.address,
+        slots=row.slots,
+        is_leaving=row.state == "draining",
+        born_ms=row.born or 0,
+        warm_up_seconds=(row.warm_up_ms or 0.0) / 1000,
     )
 
 
+def decode_router(router_id: RouterId, value: bytes) -> tuple[Address, float]:
+    """Decodes the row that a router keeps in the store.
+
+    Returns:
+        Its control address, and when it wrote the row, in milliseconds of the store's
+        clock.
+
+    Raises:
+        SettingsError: If the identifier or a field cannot be used.
+    """
+    row = _decode_row(_RouterRow, router_id, value, "router")
+    return row.address, row.written_ms
+
+
 def decode_configuration(value: bytes) -> tuple[int, dict[str, Any]]:
     """Decodes the operators' configuration.
 
@@ -121,9 +169,16 @@
             },
             "limits": _to_limits(document.get("limits", {})),
         }
-    except (ValueError, RecursionError, KeyError, TypeError, AttributeError) as err:
+    except (
+        ValueError,
+        RecursionError,
+        OverflowError,
+        KeyError,
+        TypeError,
+        AttributeError,
+    ) as err:
         raise SettingsError(
-            f"the configuration cannot be decoded: {type(err).__name__}: {err}"
+            f"the configuration cannot be decoded: {type(err).__name__}: {err!s:.300}"
         ) from err
 
 
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -5,6 +5,8 @@
 import base64
 import binascii
 import json
+import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -13,6 +15,7 @@
 import curio
 import h11
 
+from ..bounds import INTEGER_LIMIT
 from ..errors import (
     HistoryLostError,
     PlatformUnavailableError,
@@ -22,6 +25,8 @@
 from ..net.http_client import ClientConnection
 from ..types import Address
 
+_LOG = logging.getLogger(__name__)
+
 BODY_LIMIT_BYTES = 16_777_216
 
 
@@ -184,7 +189,9 @@
         wait: float = 0.0,
     ) -> dict[str, Any]:
         operation = path.rpartition("/")[2]
-        target = f"{path}?{urlencode(query)}" if query else path
+        # A key of another writer may contain a lone surrogate.
+        encoded_query = urlencode(query, errors="surrogatepass")
+        target = f"{path}?{encoded_query}" if query else path
         body = b"" if document is None else json.dumps(document).encode()
         try:
             async with curio.timeout_after(self.timeout + wait):
@@ -251,33 +258,52 @@
             value=document.get("rows"),
         )
     if status != 200:
-        raise ProtocolError(f"the store refused {operation} with {status}: {document}")
+        raise ProtocolError(
+            f"the store refused {operation} with {status}: {document!s:.300}"
+        )
     return document
 
 
 def _decode_rows(document: dict[str, Any]) -> Rows:
     try:
-        return Rows(
-            tuple(_decode_row(row) for row in document["rows"]),
-            int(document["schemaVersion"]),
-            float(document.get("currentTimeMs", 0)),
-        )
-    except (KeyError, TypeError, ValueError) as err:
+        version = _read_version(document)
+        time_ms = float(document.get("currentTimeMs", 0))
+        if not math.isfinite(time_ms):
+            raise ValueError(f"currentTimeMs is {time_ms}")
+        decoded = [_decode_row(row) for row in list(document["rows"])]
+    except (KeyError, TypeError, ValueError, OverflowError) as err:
         raise PlatformUnavailableError(
-            f"the store's answer cannot be decoded: {err!r}"
+            f"the store's answer cannot be decoded: {err!r:.300}"
         ) from err
+    rows = tuple(row for row in decoded if row is not None)
+    if len(rows) != len(decoded):
+        _LOG.warning(
+            "rows of the store cannot be decoded; skipped",
+            extra={"left_out": len(decoded) - len(rows)},
+        )
+    return Rows(rows, version, time_ms)
 
 
-def _decode_row(row: dict[str, Any]) -> Row:
+def _read_version(document: dict[str, Any]) -> int:
+    version = document["schemaVersion"]
+    if type(version) is not int or not 0 <= version < INTEGER_LIMIT:
+        raise ValueError(f"schemaVersion is {version!r:.80}")
+    return version
+
+
+def _decode_row(row: Any) -> Row | None:
+    """Returns a row, or None if it is not clear which row it is."""
+    try:
+        key, version = row["key"], _read_version(row)
+    except (KeyError, TypeError, ValueError):
+        return None
+    if not isinstance(key, str):
+        return None
     try:
         value = base64.b64decode(row.get("value") or "", validate=True)
     except (binascii.Error, TypeError, ValueError):
         # Another program wrote the row; its reader reports that it cannot be decoded.
         value = b""
     return Row(
-        str(row.get("table", "")),
-        str(row["key"]),
-        value,
-        int(row["schemaVersion"]),
-        bool(row.get("deleted", False)),
+        str(row.get("table", "")), key, value, version, bool(row.get("deleted", False))
     )
--- a/tests/daemon/test_sources.py
+++ b/tests/daemon/test_sources.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
@@ -28,6 +29,7 @@
 from sequoiamoor.settings import RouterSettings
 from sequoiamoor.types import Address, RouterIdentity
 
+from ..platform.odd_rows import ODD_KEYS, ODD_ROWS
 from ..platform.standin import StandInStore
 
 SESSION_SECONDS = 20.0
@@ -160,6 +162,106 @@
     run(session)
 
 
+def list_odd_events(caplog: pytest.LogCaptureFixture) -> list[str]:
+    return [
+        record.getMessage()
+        for record in caplog.records
+        if record.levelno >= logging.WARNING
+    ]
+
+
+@pytest.mark.parametrize("table", ["servers", "routers"])
+def test_odd_rows_leave_the_others_in_force(
+    table: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against an odd row that stops a feed or has its table read in a loop.
+
+    Every odd row is written once more, as a heartbeat would, and each is logged once.
+    """
+    routers = {"address": "10.0.0.7:7400", "zone": "b", "written_ms": 4_000}
+    valid = build_entry() if table == "servers" else json.dumps(routers).encode()
+    odd_rows = [(f"odd-{case}".replace(" ", "-"), ODD_ROWS[case]) for case in ODD_ROWS]
+    odd_rows += [(key, valid) for key in ODD_KEYS]
+
+    async def session(feeds: Feeds) -> None:
+        store = feeds.store
+        feeds.control.bind()
+
+        def find_names() -> set[str]:
+            if table == "servers":
+                return feeds.replicas()
+            return set(feeds.control.membership._listed_addresses) - {"router-0"}
+
+        store.put(table, "i-1", valid)
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(feeds.sources.follow_routers)
+            await feeds.wait_for(lambda: find_names() == {"i-1"})
+            for _ in range(2):
+                for key, value in odd_rows:
+                    store.put(table, key, value)
+                store.put(table, "i-2", valid)
+                await feeds.wait_for(lambda: find_names() == {"i-1", "i-2"})
+                store.drop(table, "i-2")
+                await feeds.wait_for(lambda: find_names() == {"i-1"})
+            await tasks.cancel_remaining()
+
+    with caplog.at_level(logging.WARNING):
+        run(session)
+    assert len(list_odd_events(caplog)) == len(odd_rows)
+    assert all(len(record.__dict__["detail"]) < 500 for record in caplog.records)
+
+
+def test_unforeseen_error_in_a_row_costs_that_row_only(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a row that has the whole table read again and again."""
+    decode_replica = sources.decode_replica
+
+    def fail_for_one(replica_id: str, value: bytes) -> Any:
+        if replica_id == "i-2":
+            raise ZeroDivisionError("unforeseen")
+        return decode_replica(replica_id, value)
+
+    monkeypatch.setattr(sources, "decode_replica", fail_for_one)
+
+    async def session(feeds: Feeds) -> None:
+        store = feeds.store
+        await feeds.wait_for(lambda: feeds.directory.is_known)
+        reads = store.calls.count("/api/rows-get")
+        for key in ("i-1", "i-2", "i-3", "i-2"):
+            store.put("servers", key, build_entry())
+        await feeds.wait_for(lambda: feeds.replicas() == {"i-1", "i-3"})
+        store.drop("servers", "i-1")
+        await feeds.wait_for(lambda: feeds.replicas() == {"i-3"})
+        assert store.calls.count("/api/rows-get") == reads
+
+    run(session)
+    assert list_odd_events(caplog) == ["replica entry not applied"]
+
+
+def test_table_that_cannot_be_applied_is_not_read_in_a_loop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against whole-table reads without a pause after an unforeseen error."""
+
+    async def session(feeds: Feeds) -> None:
+        await feeds.wait_for(lambda: feeds.directory.is_known)
+
+        def fail(directory: UpstreamDirectory) -> None:
+            raise ZeroDivisionError("unforeseen")
+
+        monkeypatch.setattr(UpstreamDirectory, "record_answer", fail)
+        reads = feeds.store.calls.count("/api/rows-get")
+        feeds.store.put("servers", "i-1", build_entry())
+        await curio.sleep(2.5)
+        assert 1 <= feeds.store.calls.count("/api/rows-get") - reads <= 4
+        monkeypatch.undo()
+        feeds.store.put("servers", "i-2", build_entry())
+        await feeds.wait_for(lambda: feeds.replicas() == {"i-1", "i-2"})
+
+    run(session)
+
+
 @pytest.mark.parametrize(
     "value", [build_entry(state="resting"), build_entry(slots=None), b"\xff"]
 )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,27 +2,29 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import math
+import socket
 from typing import Any
 
+import h11
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from sequoiamoor.core.messages import LoadRow, Loads
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.errors import SettingsError
-from sequoiamoor.platform.documents import decode_configuration, decode_replica
+from sequoiamoor.net.encoder import Encoder
+from sequoiamoor.platform.documents import (
+    decode_configuration,
+    decode_replica,
+    decode_router,
+)
 from sequoiamoor.types import Address, RouteKind
 
-ENTRY: dict[str, Any] = {
-    "service": "talk",
-    "address": "10.128.0.9:8080",
-    "zone": "zone-a",
-    "version": "v1",
-    "slots": 24,
-    "state": "ready",
-    "coldRemainingMs": 1500,
-    "sequence": 4,
-    "born": 1_700_000_000_123,
-}
+from .odd_rows import ENTRY, ODD_FIELDS, ODD_KEYS, ODD_ROWS, build_row
 
 CONFIGURATION: dict[str, Any] = {
     "version": 7,
@@ -104,6 +106,76 @@
         decode_replica("i-1", json.dumps({**ENTRY, **change}).encode())
 
 
+@pytest.mark.parametrize("case", ODD_ROWS)
+def test_odd_row_is_refused_with_a_short_reason(case: str) -> None:
+    """Guards against an exception, or an entry that fails later, for an odd row."""
+    with pytest.raises(SettingsError) as refusal:
+        decode_replica("i-1", ODD_ROWS[case])
+    assert len(str(refusal.value)) < 500
+
+
+@pytest.mark.parametrize("key", ODD_KEYS)
+def test_key_that_fits_no_header_field_names_no_replica(key: str) -> None:
+    """Guards against header fields smuggled by the key of a row."""
+    with pytest.raises(SettingsError):
+        decode_replica(key, json.dumps(ENTRY).encode())
+
+
+JSON_TEXTS = (
+    st.recursive(
+        st.none()
+        | st.booleans()
+        | st.integers()
+        | st.floats()
+        | st.text()
+        | st.sampled_from(["10.0.0.9:80", "::1:80", "ready", 1 << 62, 10**300]),
+        lambda inner: (
+            st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3)
+        ),
+        max_leaves=5,
+    )
+    .map(json.dumps)
+    .map(str)
+)
+
+
+@settings(max_examples=300, derandomize=True)
+@given(
+    key=st.just("i-1") | st.text(max_size=5),
+    value=st.binary()
+    | JSON_TEXTS.map(str.encode)
+    | st.builds(build_row, st.sampled_from(sorted(ODD_FIELDS)), JSON_TEXTS),
+)
+def test_any_row_names_a_usable_replica_or_none(key: str, value: bytes) -> None:
+    """Guards against values that pass the border and break requests or messages."""
+    try:
+        entry = decode_replica(key, value)
+    except SettingsError:
+        return
+    assert 0 < entry.address.port < 65_536
+    socket.inet_pton(
+        socket.AF_INET6 if ":" in entry.address.host else socket.AF_INET,
+        entry.address.host,
+    )
+    assert h11.Request(
+        method="GET",
+        target="/",
+        headers=[("host", "x"), ("x-expected-instance", entry.replica_id.encode())],
+    )
+    assert math.isfinite(entry.warm_up_seconds) and math.isfinite(entry.slots * 1.5)
+    message = LoadRow(entry.replica_id, entry.born_ms, entry.slots, 0, 0, 0, False)
+    assert Encoder().encode(Loads((message,)))
+    assert (entry.service + entry.zone).encode()
+
+
+@settings(max_examples=200, derandomize=True)
+@given(key=st.text(max_size=5), value=st.binary() | JSON_TEXTS.map(str.encode))
+def test_any_row_of_a_router_is_decoded_or_refused(key: str, value: bytes) -> None:
+    """Guards against an odd row that ends the task that reads routers' addresses."""
+    with contextlib.suppress(SettingsError):
+        decode_router(key, value)
+
+
 @pytest.mark.parametrize(
     "value",
     [
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -125,3 +125,43 @@
         assert [row.value for row in rows.rows] == [b""]
 
     run(session)
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        None,
+        [],
+        {"key": 7, "schemaVersion": 1},
+        {"key": "i-2"},
+        {"key": "i-2", "schemaVersion": 1e999},
+        {"key": "i-2", "schemaVersion": 1 << 70},
+        {"key": "i-2", "schemaVersion": "1"},
+    ],
+)
+def test_row_that_is_none_costs_only_itself(odd: Any) -> None:
+    """Guards against one odd row that hides the table or ends the feed's thread."""
+
+    async def session(store: StandInStore, client: StoreClient) -> None:
+        store.put("servers", "i-1", b"1")
+        store.put("servers", "i-2", b"2")
+        store.put("servers", "i-3", b"3")
+        store.rows["servers", "i-2"] = odd
+        rows = await client.read_table("servers")
+        assert [row.key for row in rows.rows] == ["i-1", "i-3"]
+
+    run(session)
+
+
+def test_pages_go_on_after_a_key_that_is_no_text() -> None:
+    """Guards against an odd key at the end of a page that ends the feed's thread."""
+
+    async def session(store: StandInStore, client: StoreClient) -> None:
+        store.page_rows = 2
+        keys = ["i-1", "i-\ud800", "i-\uffff"]
+        for key in keys:
+            store.put("servers", key, b"1")
+        rows = await client.read_table("servers")
+        assert [row.key for row in rows.rows] == keys
+
+    run(session)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from ..platform.odd_rows import ODD_KEYS, ODD_ROWS
 from .fleet import SoakFleet
 from .proxy import LinkState, Proxy
 from .replicas import Replica
@@ -198,8 +199,10 @@
 
 
 async def write_unreadable(fleet: SoakFleet, rng: Random) -> None:
-    """Writes a malformed replica entry and configuration, then a valid one."""
-    fleet.store.put("servers", "foreign", rng.choice([b"\xff", b"[]", b'{"state":1}']))
+    """Writes odd rows of replicas and routers and a malformed configuration."""
+    for table in ("servers", "routers"):
+        value = ODD_ROWS[rng.choice(sorted(ODD_ROWS))]
+        fleet.store.put(table, rng.choice(["foreign", *ODD_KEYS]), value)
     fleet.store.put("op", "config", b'{"version": "many"}')
     await curio.sleep(0.2)
     fleet.write_configuration()
