Believe a refusal only if it belongs to no other request

What callers saw elsewhere, and would see here: 503 with `was not run` for requests that a replica had run or was running, or such a request run at a second replica.

Cause: a replica that wrote an earlier refusal once more on a kept connection was believed in two cases. Without an identifier, the refusal was taken for one of the request just sent, also on a reused connection. With the identifier of a request that this replica had refused, it matched when the same request came again on the same connection after its exclusion; the own interface had the same with 429 (503 closes the connection).

Repeats that arrive on an idle connection, together with the first refusal or with the identifier of another request were harmless before; they are rows of the table now.

Change: a refusal without an identifier counts only as the first answer on a new connection; elsewhere it is an answer of unknown origin, and the connection is closed. A connection remembers the requests refused on it; the pool closes it instead of sending one of them on it again. So a repeat can match nothing that is in flight. Connections stay open after refusals as before (test_connections_are_kept_after_refusals); one is closed after 1,000 refusals. A body that begins with the status line of another answer is dropped. An answer whose body is torn apart later by foreign bytes of the same length cannot be told from a whole one by its framing.

The replicas of the soak repeat refusals.

The double of ConnectionPool.acquire in tests/daemon/test_leaving_upstreams.py passes all options on, since acquire takes one more.

--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -41,6 +41,10 @@
 MAX_CHECK_INTERVAL_SECONDS = 0.25
 
 
+# Refusals that a connection remembers; it is closed after so many.
+REFUSED_IDS_LIMIT = 1_000
+
+
 class Sink(Protocol):
     """Receives the validated events of a streamed answer."""
 
@@ -88,13 +92,15 @@
         return self._options.answer_limit_bytes
 
     async def acquire(
-        self, address: Address, *, force_new: bool
+        self, address: Address, *, force_new: bool, request_id: str = ""
     ) -> tuple[ClientConnection, bool]:
         """Returns a connection and whether it was used for an earlier request.
 
         Args:
             address: Address of the upstream.
             force_new: Whether to open a new connection even if one is idle.
+            request_id: Identifier of the request; a connection on which it was refused
+                before is not used.
 
         Raises:
             OSError: If no connection can be made.
@@ -106,6 +112,7 @@
             idle_time = time.monotonic() - idle_since
             if (
                 connection.is_quiet
+                and request_id not in connection.refused_ids
                 and idle_time < connection.idle_limit * REUSE_IDLE_FRACTION
             ):
                 self._in_use.add(connection)
@@ -129,6 +136,7 @@
         idle = self._idle.get(connection.address, ())
         if (
             not connection.is_reusable
+            or len(connection.refused_ids) >= REFUSED_IDS_LIMIT
             or self._idle_count >= self._options.pool_limit
             or len(idle) >= self._options.pool_limit_per_replica
         ):
@@ -325,7 +333,9 @@
     ) -> tuple[ClientConnection, bool]:
         try:
             connection, is_reused = await self._pool.acquire(
-                self._replica.address, force_new=force_new
+                self._replica.address,
+                force_new=force_new,
+                request_id=self._call.call_id,
             )
         except OSError as err:
             raise self._build_refusal(err) from err
@@ -449,6 +459,8 @@
         assert connection is not None
         body = await connection.receive_body(limit=self._options.answer_limit_bytes)
         self._connection = None
+        if response.status == 429:
+            connection.refused_ids.add(self._call.call_id)
         await self._pool.release(connection)
         if response.status == 429:
             self._raise_if_not_run(body)
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -39,6 +40,8 @@
 # Lower bound of both silence limits.
 MIN_SILENCE_LIMIT_SECONDS = 1.0
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9] ")
+
 
 @dataclass(frozen=True, slots=True)
 class WholeAnswer:
@@ -101,6 +104,7 @@
         self._pool = pool
         self._metrics = metrics
         self._connection: ClientConnection | None = None
+        self._is_reused = False
         self.is_sent = False
         self.is_answered = False
 
@@ -172,8 +176,10 @@
 
     async def _acquire_connection(self) -> ClientConnection:
         try:
-            connection, _ = await self._pool.acquire(
-                self._replica.address, force_new=False
+            connection, self._is_reused = await self._pool.acquire(
+                self._replica.address,
+                force_new=False,
+                request_id=self._call.request_id,
             )
             return connection
         except OSError as err:
@@ -185,16 +191,21 @@
         """Receives the head of the answer and skips answers to other requests.
 
         A replica may send a late second answer to an earlier request where the answer
-        to this request is expected.
+        to this request is expected. So a refusal without an identifier is believed
+        only as the first answer on a new connection.
         """
+        is_first_answer = not self._is_reused
         for _ in range(MISMATCHED_RESPONSES_LIMIT + 1):
             response = await connection.receive_response()
             answered_id = self._format.read_request_id(response)
             if answered_id == self._call.request_id or (
-                answered_id is None and self._format.states_not_run(response)
+                answered_id is None
+                and is_first_answer
+                and self._format.states_not_run(response)
             ):
                 await self._check_head(response)
                 return response
+            is_first_answer = False
             self._metrics.mismatches.inc()
             if answered_id is None or not response.is_framed:
                 break
@@ -209,6 +220,8 @@
         self.is_answered = True
         if self._format.states_not_run(response):
             replica_id = self._replica.replica_id
+            assert self._connection is not None
+            self._connection.refused_ids.add(self._call.request_id)
             await self._drain_response(response)
             raise UpstreamRefusedError(
                 f"replica {replica_id!r} did not run the request "
@@ -255,6 +268,11 @@
         connection = self._connection
         assert connection is not None
         body = await connection.receive_body(limit=self._pool.answer_limit_bytes)
+        if _STATUS_LINE.match(body):
+            raise AnswerMismatchError(
+                f"replica {self._replica.replica_id!r} sent another answer where the "
+                "body of this one begins; the answer is dropped"
+            )
         self._connection = None
         await self._release_connection(connection, response)
         return WholeAnswer(
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -45,6 +45,8 @@
         idle_limit: Seconds after which the peer may close the idle connection.
         silence_limit: Seconds without received data after which the exchange is
             aborted, or None for the limit of the pool.
+        refused_ids: Identifiers of the requests that the peer refused here. A faulty
+            peer may write such a refusal once more, so none of them is sent here again.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self._send_task: Any = None
         self.idle_limit = float("inf")
         self.silence_limit: float | None = None
+        self.refused_ids: set[str] = set()
         self.address = address
         self.bytes_sent = 0
         self.bytes_received = 0
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -8,15 +8,18 @@
 import curio.io
 import pytest
 
+from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.net.http_server import ServerConnection
 
-from ..listener_harness import Close, Hang, Repeat, Step, Until, chunk, parse
+from ..listener_harness import Close, Hang, Repeat, Step, Until, UntilNext, chunk, parse
 from ..route_listener_harness import (
+    DECLARATION,
     KEY,
     STREAM_HEAD,
     RouteListenerHarness,
     answer,
+    build_route,
     event,
     read_field,
     route_request,
@@ -25,6 +28,7 @@
 
 FOREIGN = answer(b"other", request_id="7777")
 NOT_RUN = answer(b"", status=503, extra=b"X-Not-Executed: 1\r\n")
+NOT_RUN_UNNAMED = NOT_RUN.replace(b"X-Attempt-Id: 9c41\r\n", b"")
 
 
 async def ask(harness: RouteListenerHarness, request: bytes) -> Any:
@@ -50,6 +54,8 @@
         ("/hold/1", [[b"HTTP/1.1 200", Close()], [answer()]], 502, None, 1),
         ("/hold/1", [[NOT_RUN], [answer()]], 200, b"done", 2),
         ("/hold/1", [[NOT_RUN], [NOT_RUN]], 503, None, 2),
+        ("/hold/1", [[NOT_RUN_UNNAMED], [answer()]], 200, b"done", 2),
+        ("/hold/1", [[FOREIGN, NOT_RUN_UNNAMED], [answer()]], 502, None, 1),
         ("/hold/1", [[NOT_RUN], [Close(is_reset=True)]], 502, None, 2),
         ("/hold/1", [[Close(is_reset=True)], [answer()]], 502, None, 1),
         ("/look/1", [[Close(is_reset=True)], [answer()]], 200, b"done", 2),
@@ -87,6 +93,92 @@
     run(session)
 
 
+def use_one_attempt(harness: RouteListenerHarness) -> None:
+    routes = {"hold": build_route("/hold/", "once", attempts=1)}
+    harness.board.configuration.declaration = parse_declaration(
+        {**DECLARATION, "routes": routes}
+    )
+
+
+@pytest.mark.parametrize(
+    ("first", "repeat", "second", "status"),
+    [
+        # Right after the next request was sent: it belongs to no request, or it is not
+        # clear to which.
+        (NOT_RUN, [UntilNext(), NOT_RUN], [answer(request_id="b")], 200),
+        (NOT_RUN, [UntilNext(), NOT_RUN_UNNAMED], [answer(request_id="b")], 502),
+        (
+            answer(b"", status=421),
+            [UntilNext(), answer(b"", status=421, request_id=None)],
+            [answer(request_id="b")], 502,
+        ),
+        # While the connection is idle.
+        (NOT_RUN, [Until(b" 503 "), NOT_RUN_UNNAMED], [answer(request_id="b")], 200),
+        # Together with the first one.
+        (NOT_RUN, [NOT_RUN_UNNAMED], [answer(request_id="b")], 200),
+        # Between head and body of the next answer, and between chunks.
+        (NOT_RUN, [], [answer(NOT_RUN, request_id="b") + b"done"], 502),
+        (
+            NOT_RUN, [],
+            [STREAM_HEAD.replace(b"9c41", b"b") + chunk(b"do") + NOT_RUN], 502,
+        ),
+    ],
+)  # fmt: skip
+def test_repeated_refusal_is_not_taken_for_that_of_the_next_request(
+    first: bytes, repeat: list[Step], second: list[Step], status: int
+) -> None:
+    """Guards against `not run, try again` for a request that a replica is running."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        use_one_attempt(harness)
+        upstream = await harness.add_upstream(
+            lambda _: [first, *repeat], lambda _: second
+        )
+        response = await ask(harness, route_request("/hold/1"))
+        assert response.status == 503
+        await curio.sleep(0.02)
+        response = await ask(harness, route_request("/hold/1", request_id="b"))
+        assert response.status == status
+        assert response.body == b"done" or status != 200
+        assert len(upstream.requests) == 2
+
+    run(session)
+
+
+def test_request_is_not_sent_again_where_its_refusal_may_be_repeated() -> None:
+    """Guards against a repeated refusal that has the identifier of the request.
+
+    The only replica refuses the request and runs it when it comes again.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        upstream = await harness.add_upstream(
+            lambda _: [NOT_RUN, UntilNext(), NOT_RUN], lambda _: [answer()]
+        )
+        response = await ask(harness, route_request("/hold/1"))
+        assert (response.status, response.body) == (200, b"done")
+        assert (len(upstream.requests), upstream.connections) == (2, 2)
+
+    run(session, options={"exclusion_time": 0.01})
+
+
+def test_connections_are_kept_after_refusals() -> None:
+    """Guards against a new connection to the replica for each refusal."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        use_one_attempt(harness)
+        names = [f"r{number}" for number in range(4)]
+        answers = [NOT_RUN.replace(b"9c41", name.encode()) for name in names]
+        upstream = await harness.add_upstream(
+            *[lambda _, data=data: [data] for data in answers]  # type: ignore[misc]
+        )
+        for name in names:
+            await ask(harness, route_request("/hold/1", request_id=name))
+        assert (len(upstream.requests), upstream.connections) == (4, 1)
+
+    run(session)
+
+
 def test_replica_receives_only_permitted_header_fields() -> None:
     """Guards against forged header fields and requests altered in transit."""
 
--- a/tests/daemon/test_leaving_upstreams.py
+++ b/tests/daemon/test_leaving_upstreams.py
@@ -76,9 +76,9 @@
     acquire = ConnectionPool.acquire
 
     async def acquire_late(
-        pool: ConnectionPool, address: Address, *, force_new: bool
+        pool: ConnectionPool, address: Address, **options: Any
     ) -> tuple[ClientConnection, bool]:
-        connection = await acquire(pool, address, force_new=force_new)
+        connection = await acquire(pool, address, **options)
         await act(address)
         return connection
 
--- a/tests/listener_harness.py
+++ b/tests/listener_harness.py
@@ -22,6 +22,7 @@
 from sequoiamoor.daemon.pages import Pages
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.metrics import Metrics
+from sequoiamoor.net.http import peek
 from sequoiamoor.net.http_client import RESET_ON_CLOSE
 from sequoiamoor.options import Options
 from sequoiamoor.policies.round_robin import RoundRobinPolicy
@@ -73,7 +74,12 @@
     pause_seconds: float = 0.02
 
 
-Step = bytes | Until | Hang | Close | Repeat
+@dataclass(frozen=True)
+class UntilNext:
+    """Script step: waits until another request has arrived, here or elsewhere."""
+
+
+Step = bytes | Until | UntilNext | Hang | Close | Repeat
 Answerer = Callable[[bytes], Sequence[Step]]
 
 
@@ -194,6 +200,10 @@
             await sock.sendall(step)
         elif isinstance(step, Until):
             await self.harness.wait_received(step.marker)
+        elif isinstance(step, UntilNext):
+            count = len(self.requests)
+            while len(self.requests) == count and peek(sock._socket) is None:
+                await curio.sleep(0.002)
         elif isinstance(step, Repeat):
             while True:
                 await sock.sendall(step.data)
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -16,6 +16,7 @@
     ListenerHarness,
     Step,
     Until,
+    UntilNext,
     chunk,
     complete_response,
     events,
@@ -555,6 +556,22 @@
     run(session)
 
 
+@pytest.mark.parametrize("status", [429, 503])
+def test_call_is_not_sent_again_where_its_refusal_may_be_repeated(status: int) -> None:
+    """Guards against `was not run` for a call that the upstream is running."""
+
+    async def session(harness: ListenerHarness) -> None:
+        refusal = complete_response("call-1", NOT_RUN, status=status)
+        upstream = await harness.add_upstream(
+            script(refusal, UntilNext(), refusal), answer_call, service="look"
+        )
+        response = parse(await _ask(harness, request("look", stream=False), b"}"))
+        assert (response.status, response.body) == (200, b"{}")
+        assert (len(upstream.requests), upstream.connections) == (2, 2)
+
+    run(session, options={"max_attempts": 2})
+
+
 def test_idle_connection_closed_during_the_request_is_replaced() -> None:
     """Guards against counting a race on an idle connection as a failed attempt."""
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -167,9 +167,9 @@
 
 
 async def spoil_replica(fleet: SoakFleet, rng: Random) -> None:
-    """Makes a replica fail, hang, cut answers off or refuse requests."""
+    """Makes a replica fail, hang, cut answers off, refuse or refuse twice."""
     replica = _choose_replica(fleet, rng)
-    replica.fault = rng.choice(["error", "hang", "cut", "refuse"])
+    replica.fault = rng.choice(["error", "hang", "cut", "refuse", "repeat"])
     await curio.sleep(_draw_seconds(rng, FAULT_DURATION_SECONDS))
     replica.fault = None
 
@@ -199,7 +199,7 @@
 
 
 async def write_unreadable(fleet: SoakFleet, rng: Random) -> None:
-    """Writes odd rows of replicas and routers and a malformed configuration."""
+    """Writes odd rows of replicas and routers; replaces the configuration twice."""
     for table in ("servers", "routers"):
         value = ODD_ROWS[rng.choice(sorted(ODD_ROWS))]
         fleet.store.put(table, rng.choice(["foreign", *ODD_KEYS]), value)
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -67,7 +67,9 @@
     """One replica with its entry in the store and the proxy that routers connect to.
 
     Attributes:
-        fault: Fault of its answers: None, "error", "hang", "cut" or "refuse".
+        fault: Fault of its answers: None, "error", "hang", "cut", "refuse" or
+            "repeat" (it refuses, and writes the refusal once more after the next
+            request on the connection).
         drain_acknowledged_at: Monotonic time, in seconds, at which the store
             acknowledged that it drains or is gone.
         is_listed: Whether heartbeats renew its entry as ready.
@@ -97,6 +99,7 @@
         self.fault: str | None = None
         self.drain_acknowledged_at: float | None = None
         self.is_listed = False
+        self._refusals: dict[ServerConnection, bytes] = {}
 
     async def start(self) -> None:
         """Starts to listen and to renew its entry."""
@@ -175,16 +178,25 @@
         except (OSError, RefusalError):
             return
         finally:
+            self._refusals.pop(connection, None)
             await connection.close()
 
     async def _answer(self, connection: ServerConnection, request: Request) -> bool:
         request_id = request.headers.get("x-attempt-id", "")
         expected = request.headers.get("x-expected-instance")
         id_headers = {"X-Attempt-Id": request_id}
+        await connection._write(self._refusals.pop(connection, b""))
         if expected != self.name:
             await connection.send_response(421, id_headers, b"")
             return True
-        if self.fault == "refuse":
+        if self.fault in ("refuse", "repeat"):
+            if self.fault == "repeat":
+                id_line = b"X-Attempt-Id: %b\r\n" % request_id.encode()
+                self._refusals[connection] = (
+                    b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                    + self._rng.choice([b"", id_line])
+                    + b"\r\n"
+                )
             refusal_headers = {**id_headers, "X-Not-Executed": "1"}
             await connection.send_response(503, refusal_headers, b"")
             return True
