Add nothing to a begun stream but the next events of its run

What callers saw elsewhere, and would see here: a stream that broke off went on with the text of another replica's error, or ended as if it were complete.

Cause: the answer to a resumed attempt was taken for the rest of the stream whenever its status was 200. Neither its media type was looked at nor whether the bytes between two blank lines were an event, and an answer without any event that ended in order ended the caller's stream as complete. Error statuses did not get through: they broke the stream off before, and do so now.

Comments of the second replica got into the stream. Text without an identifier that the first replica had sent came a second time from the next one. Found beside it: a stream without any event closed the caller's connection without an answer, since its head was sent only with its first event.

Change: once data was passed on, a further attempt must be an event stream if it states a type, adds only blocks with one identifier, the next one, whose lines are fields or comments, and leaves out comments and reconnection times. Anything else drops the answer. The first attempt is passed on unchanged, as its signature covers it; if it sent text without an identifier, the stream is not resumed. An empty stream and a document of stated length and another type are passed on as whole answers if nothing was sent before.

An empty 200 to a resumed attempt does not complete the stream, even if it is an event stream and the first run broke off right after an event. It is what a replica sends that has nothing left to send, but also what a failing one sends, and nothing in it tells which. Taken for the end, it would make a truncated stream look whole; refused, it costs the few streams that break between their last event and the last chunk. Their callers can resume on a new connection, where the empty stream reaches them as the replica's own answer.

On the own interface this cannot happen: the end event counts the tokens, and each event carries the call's identifier.

The replicas of the soak answer the rest of streams with errors, and its check of a broken stream covers all bytes, not only those up to the last blank line.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -306,6 +306,9 @@
             )
             if error is None and (answer is None or not answer.is_failure):
                 break
+            if error is not None and event_sequence.has_unnumbered:
+                # Another run would repeat the text that has no identifier.
+                raise error
             failed_answer = answer or failed_answer
             give_up = decide_repeat(
                 call,
--- a/sequoiamoor/net/events.py
+++ b/sequoiamoor/net/events.py
@@ -10,6 +10,8 @@
 EVENT_LIMIT_BYTES = 1_048_576
 
 _EVENT_ID = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
+_BLOCK_END = re.compile(rb"(\r?\n\r?\n)")
+_FIELD = re.compile(rb"[A-Za-z][A-Za-z0-9_-]*:|(?:data|event|id|retry)$")
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,17 +30,29 @@
 class EventSequence:
     """Tracks one stream, over several attempts, and accepts only its next event.
 
+    The first attempt with data is passed on as it is. Later ones add whole events with
+    an identifier and nothing else.
+
     Attributes:
         last_id: Identifier of the last event that was returned, or None.
+        is_begun: Whether data of the stream was returned.
+        is_resumed: Whether that was in an earlier attempt.
+        has_unnumbered: Whether text without an identifier was returned, which another
+            attempt could repeat.
+        attempt_count: Number of events with an identifier in this attempt.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
+        self.is_begun = self.is_resumed = self.has_unnumbered = False
+        self.attempt_count = 0
         self._buffer = b""
 
     def start_attempt(self) -> None:
         """Discards an incomplete event of an earlier attempt."""
         self._buffer = b""
+        self.is_resumed = self.is_begun
+        self.attempt_count = 0
 
     @property
     def is_between_events(self) -> bool:
@@ -49,7 +63,8 @@
         """Adds received bytes and returns the events that are now complete.
 
         Raises:
-            AnswerMismatchError: If an event is not the next one.
+            AnswerMismatchError: If an event is not the next one, or if a resumed
+                stream has text that is no event with an identifier.
         """
         buffer = self._buffer + data if self._buffer else data
         end = buffer.rfind(b"\n\n") + 2
@@ -74,5 +89,43 @@
                 )
             last_id = event_id
             count += 1
+        if self.is_resumed:
+            complete = _select_events(complete)
+        elif count != complete.count(b"\n\n") + complete.count(b"\r\n\r\n"):
+            self.has_unnumbered |= any(
+                not _EVENT_ID.search(block) and not _is_comment(block)
+                for block in _BLOCK_END.split(complete)
+            )
         self.last_id = last_id
+        self.attempt_count += count
+        self.is_begun |= bool(complete)
         return Events(complete, count)
+
+
+def _is_comment(block: bytes) -> bool:
+    """Returns whether a part of a stream has only comments and reconnection times."""
+    return all(
+        not line or line.startswith((b":", b"retry:")) for line in block.splitlines()
+    )
+
+
+def _select_events(complete: bytes) -> bytes:
+    """Returns the events of a resumed stream without comments between them.
+
+    Raises:
+        AnswerMismatchError: If a part is no event with an identifier.
+    """
+    parts = _BLOCK_END.split(complete)
+    selected = []
+    for block, end in zip(parts[::2], [*parts[1::2], b""], strict=True):
+        if _is_comment(block):
+            continue
+        lines = block.splitlines()
+        if len(_EVENT_ID.findall(block)) != 1 or not all(
+            line.startswith(b":") or _FIELD.match(line) for line in lines if line
+        ):
+            raise AnswerMismatchError(
+                f"{block[:80]!r} is no event of the rest of the stream; it is dropped"
+            )
+        selected += [block, end]
+    return b"".join(selected)
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -129,8 +129,15 @@
             is_stream = self._call.route.kind is RouteKind.STREAM
             if not is_stream or response.status != 200:
                 return await self._read_answer(response)
-            await self._copy_stream(response, event_order, send_events)
-            return None
+            if _is_other_document(response):
+                if event_order.is_begun:
+                    raise AnswerMismatchError(
+                        f"replica {self._replica.replica_id!r} answered the rest of "
+                        "the stream with another document; it is dropped"
+                    )
+                if "content-length" in response.headers:
+                    return await self._read_answer(response)
+            return await self._copy_stream(response, event_order, send_events)
         except AnswerMismatchError:
             self._metrics.mismatches.inc()
             raise
@@ -281,7 +288,8 @@
 
     async def _copy_stream(
         self, response: Response, event_order: EventSequence, send_events: SendEvents
-    ) -> None:
+    ) -> WholeAnswer | None:
+        """Forwards a stream; one without any data is returned as a whole answer."""
         connection = self._connection
         assert connection is not None
         route = self._call.route
@@ -306,8 +314,15 @@
                 f"replica {self._replica.replica_id!r} ended the stream in the "
                 "middle of an event"
             )
+        if event_order.is_resumed and not event_order.attempt_count:
+            # The rest may be empty, but a failing replica may answer like this too.
+            raise AnswerIncompleteError(
+                f"replica {self._replica.replica_id!r} sent no event of the rest of "
+                "the stream, so its end is not known"
+            )
         self._connection = None
         await self._release_connection(connection, response)
+        return None if event_order.is_begun else WholeAnswer(200, head.fields, b"")
 
     def _check_progress(
         self, connection: ClientConnection, seconds_without_event: float
@@ -335,3 +350,9 @@
             f"the exchange with replica {replica_id!r} failed before the answer began: "
             f"{error!r}"
         )
+
+
+def _is_other_document(response: Response) -> bool:
+    """Returns whether the answer states that it is no stream of events."""
+    media_type = response.headers.get("content-type", "").partition(";")[0]
+    return media_type.strip().lower() not in ("", "text/event-stream")
--- a/tests/net/test_events.py
+++ b/tests/net/test_events.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
+import re
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sequoiamoor.errors import AnswerMismatchError
 from sequoiamoor.net.events import EventSequence
@@ -47,3 +52,40 @@
     sequence.start_attempt()
     assert sequence.last_id == 2
     assert sequence.feed(build_events(3)).data == build_events(3)
+
+
+PARTS = st.sampled_from(
+    [
+        b"id: 3\ndata: x\n\n",
+        b"id: 4\ndata: y\n\n",
+        b"id: 3\r\ndata: x\r\n\r\n",
+        b": comment\n\n",
+        b"data: x\n\n",
+        b"failed\n",
+        b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+        b"\n",
+        b"\r\n\r\n",
+    ]
+)
+
+
+@settings(max_examples=300, derandomize=True)
+@given(
+    parts=st.lists(PARTS | st.binary(max_size=8), max_size=6), size=st.integers(1, 9)
+)
+def test_resumed_stream_adds_nothing_but_the_next_events(
+    parts: list[bytes], size: int
+) -> None:
+    """Guards against an error's text in the middle of a stream."""
+    sequence = EventSequence()
+    sequence.feed(build_events(1, 2))
+    sequence.start_attempt()
+    data, added = b"".join(parts), b""
+    with contextlib.suppress(AnswerMismatchError):
+        for start in range(0, len(data), size):
+            added += sequence.feed(data[start : start + size]).data
+    blocks = [block for block in re.split(rb"\r?\n\r?\n", added) if block]
+    assert len(blocks) == sequence.attempt_count
+    ids = [re.findall(rb"(?m)^id: ?(\d+)\r?$", block) for block in blocks]
+    assert ids == [[b"%d" % number] for number in range(3, 3 + len(blocks))]
+    assert b"HTTP/" not in added and b"failed" not in added
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -436,8 +436,24 @@
     run(session)
 
 
-def test_rest_of_stream_refused_with_4xx_is_incomplete() -> None:
-    """Guards against a second response head inside a stream."""
+@pytest.mark.parametrize(
+    "rest",
+    [
+        complete_response("call-1", b"{}", status=400),
+        complete_response("call-1", b"{}", status=429),
+        complete_response("call-1", NOT_RUN, status=429),
+        complete_response("call-1", NOT_RUN, status=503),
+        complete_response("call-1", b"failed", status=500),
+        complete_response("call-1", b"failed"),
+        complete_response("call-1", b""),
+        stream_head("call-1") + b"0\r\n\r\n",
+        stream_head("call-1") + chunk(b"failed\n\n") + b"0\r\n\r\n",
+        stream_head("call-1") + chunk(b": failed\n\n") + b"0\r\n\r\n",
+        stream_head("call-1") + chunk(events("call-1", 0)[-1]) + b"0\r\n\r\n",
+    ],
+)
+def test_error_of_the_next_upstream_is_no_part_of_a_stream(rest: bytes) -> None:
+    """Guards against a second response head or an error's text inside a stream."""
 
     async def session(harness: ListenerHarness) -> None:
         received_requests: list[bytes] = []
@@ -446,15 +462,16 @@
             received_requests.append(received)
             if len(received_requests) == 1:
                 return [stream_head("call-1") + chunk(START + T0), Until(T0), Close()]
-            return [complete_response("call-1", b"{}", status=400)]
+            return [rest]
 
         for _ in range(2):
-            await harness.add_upstream(answer)
+            await harness.add_upstream(answer, answer)
         caller = await harness.connect()
         await caller.send(request())
         response = parse(await caller.receive_all())
-        assert b"event: incomplete" in response.body and not response.is_whole
-        assert response.status == 200 and b"HTTP/1.1" not in response.body
+        assert response.body.startswith(START + T0 + b"event: incomplete\n")
+        assert response.status == 200 and not response.is_whole
+        assert b"HTTP/1.1" not in response.body and b"failed\n" not in response.body
 
     run(session)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import time
 from dataclasses import dataclass, field
 from random import Random
@@ -20,7 +19,6 @@
 MAX_PAUSE_SECONDS = 0.15
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 HOST = "soak.example"
-_COMPLETE_EVENTS = re.compile(rb"(?s).*\n\n")
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,13 +97,8 @@
     )
     if record.is_complete and record.body != expected:
         return f"ORDER: {label}: ended as complete with {record.body[-60:]!r}"
-    match = _COMPLETE_EVENTS.match(record.body)
-    complete_events = match[0] if match else b""
-    if not expected.startswith(complete_events):
-        return (
-            f"ORDER: {label}: events {complete_events[-80:]!r} are not the expected "
-            "ones"
-        )
+    if not expected.startswith(record.body):
+        return f"ORDER: {label}: {record.body[-80:]!r} is not the expected stream"
     return None
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -167,11 +167,24 @@
 
 
 async def spoil_replica(fleet: SoakFleet, rng: Random) -> None:
-    """Makes a replica fail, hang, cut answers off, refuse or refuse twice."""
+    """Makes a replica fail, hang, cut answers off, refuse or refuse twice.
+
+    Or it cuts answers off and the others of its service answer the rest with errors.
+    """
     replica = _choose_replica(fleet, rng)
-    replica.fault = rng.choice(["error", "hang", "cut", "refuse", "repeat"])
+    fault = rng.choice(["error", "hang", "cut", "refuse", "repeat", "odd"])
+    spoiled = {replica: "cut" if fault == "odd" else fault}
+    if fault == "odd":
+        spoiled |= {
+            other: fault
+            for other in fleet.replicas
+            if other.service == replica.service and other is not replica
+        }
+    for one, its_fault in spoiled.items():
+        one.fault = its_fault
     await curio.sleep(_draw_seconds(rng, FAULT_DURATION_SECONDS))
-    replica.fault = None
+    for one in spoiled:
+        one.fault = None
 
 
 async def cut_replica(fleet: SoakFleet, rng: Random) -> None:
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -69,7 +69,8 @@
     Attributes:
         fault: Fault of its answers: None, "error", "hang", "cut", "refuse" or
             "repeat" (it refuses, and writes the refusal once more after the next
-            request on the connection).
+            request on the connection) or "odd" (it answers the rest of a stream with
+            an error document or nothing).
         drain_acknowledged_at: Monotonic time, in seconds, at which the store
             acknowledged that it drains or is gone.
         is_listed: Whether heartbeats renew its entry as ready.
@@ -254,6 +255,12 @@
     ) -> bool:
         event_count = int(parse_qs(request.query)["events"][0])
         first_event = int(request.headers.get("last-event-id", -1)) + 1
+        if self.fault == "odd" and first_event:
+            media_type = self._rng.choice(["text/event-stream", "application/json"])
+            body = self._rng.choice([b"", b"failed\n\n", b": failed\n\n"])
+            odd_headers = {**signed_headers, "Content-Type": media_type}
+            await connection.send_response(200, odd_headers, body)
+            return True
         cut_event = (
             self._rng.randrange(first_event, event_count + 1)
             if self.fault == "cut"
