--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -8,15 +8,18 @@
 import curio.io
 import pytest
 
+from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.net.http_server import ServerConnection
 
-from ..listener_harness import Close, Hang, Repeat, Step, Until, chunk, parse
+from ..listener_harness import Close, Hang, Repeat, Step, Until, UntilNext, chunk, parse
 from ..route_listener_harness import (
+    DECLARATION,
     KEY,
     STREAM_HEAD,
     RouteListenerHarness,
     answer,
+    build_route,
     event,
     read_field,
     route_request,
@@ -25,6 +28,7 @@
 
 FOREIGN = answer(b"other", request_id="7777")
 NOT_RUN = answer(b"", status=503, extra=b"X-Not-Executed: 1\r\n")
+NOT_RUN_UNNAMED = NOT_RUN.replace(b"X-Attempt-Id: 9c41\r\n", b"")
 
 
 async def ask(harness: RouteListenerHarness, request: bytes) -> Any:
@@ -50,6 +54,8 @@
         ("/hold/1", [[b"HTTP/1.1 200", Close()], [answer()]], 502, None, 1),
         ("/hold/1", [[NOT_RUN], [answer()]], 200, b"done", 2),
         ("/hold/1", [[NOT_RUN], [NOT_RUN]], 503, None, 2),
+        ("/hold/1", [[NOT_RUN_UNNAMED], [answer()]], 200, b"done", 2),
+        ("/hold/1", [[FOREIGN, NOT_RUN_UNNAMED], [answer()]], 502, None, 1),
         ("/hold/1", [[NOT_RUN], [Close(is_reset=True)]], 502, None, 2),
         ("/hold/1", [[Close(is_reset=True)], [answer()]], 502, None, 1),
         ("/look/1", [[Close(is_reset=True)], [answer()]], 200, b"done", 2),
@@ -87,6 +93,92 @@
     run(session)
 
 
+def use_one_attempt(harness: RouteListenerHarness) -> None:
+    routes = {"hold": build_route("/hold/", "once", attempts=1)}
+    harness.board.configuration.declaration = parse_declaration(
+        {**DECLARATION, "routes": routes}
+    )
+
+
+@pytest.mark.parametrize(
+    ("first", "repeat", "second", "status"),
+    [
+        # Right after the next request was sent: it belongs to no request, or it is not
+        # clear to which.
+        (NOT_RUN, [UntilNext(), NOT_RUN], [answer(request_id="b")], 200),
+        (NOT_RUN, [UntilNext(), NOT_RUN_UNNAMED], [answer(request_id="b")], 502),
+        (
+            answer(b"", status=421),
+            [UntilNext(), answer(b"", status=421, request_id=None)],
+            [answer(request_id="b")], 502,
+        ),
+        # While the connection is idle.
+        (NOT_RUN, [Until(b" 503 "), NOT_RUN_UNNAMED], [answer(request_id="b")], 200),
+        # Together with the first one.
+        (NOT_RUN, [NOT_RUN_UNNAMED], [answer(request_id="b")], 200),
+        # Between head and body of the next answer, and between chunks.
+        (NOT_RUN, [], [answer(NOT_RUN, request_id="b") + b"done"], 502),
+        (
+            NOT_RUN, [],
+            [STREAM_HEAD.replace(b"9c41", b"b") + chunk(b"do") + NOT_RUN], 502,
+        ),
+    ],
+)  # fmt: skip
+def test_repeated_refusal_is_not_taken_for_that_of_the_next_request(
+    first: bytes, repeat: list[Step], second: list[Step], status: int
+) -> None:
+    """Guards against `not run, try again` for a request that a replica is running."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        use_one_attempt(harness)
+        upstream = await harness.add_upstream(
+            lambda _: [first, *repeat], lambda _: second
+        )
+        response = await ask(harness, route_request("/hold/1"))
+        assert response.status == 503
+        await curio.sleep(0.02)
+        response = await ask(harness, route_request("/hold/1", request_id="b"))
+        assert response.status == status
+        assert response.body == b"done" or status != 200
+        assert len(upstream.requests) == 2
+
+    run(session)
+
+
+def test_request_is_not_sent_again_where_its_refusal_may_be_repeated() -> None:
+    """Guards against a repeated refusal that has the identifier of the request.
+
+    The only replica refuses the request and runs it when it comes again.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        upstream = await harness.add_upstream(
+            lambda _: [NOT_RUN, UntilNext(), NOT_RUN], lambda _: [answer()]
+        )
+        response = await ask(harness, route_request("/hold/1"))
+        assert (response.status, response.body) == (200, b"done")
+        assert (len(upstream.requests), upstream.connections) == (2, 2)
+
+    run(session, options={"exclusion_time": 0.01})
+
+
+def test_connections_are_kept_after_refusals() -> None:
+    """Guards against a new connection to the replica for each refusal."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        use_one_attempt(harness)
+        names = [f"r{number}" for number in range(4)]
+        answers = [NOT_RUN.replace(b"9c41", name.encode()) for name in names]
+        upstream = await harness.add_upstream(
+            *[lambda _, data=data: [data] for data in answers]  # type: ignore[misc]
+        )
+        for name in names:
+            await ask(harness, route_request("/hold/1", request_id=name))
+        assert (len(upstream.requests), upstream.connections) == (4, 1)
+
+    run(session)
+
+
 def test_replica_receives_only_permitted_header_fields() -> None:
     """Guards against forged header fields and requests altered in transit."""
 
@@ -270,6 +362,111 @@
     run(session)
 
 
+UNSIGNED_HEAD = STREAM_HEAD.replace(b"X-Server-Signature: 3e1b\r\n", b"")
+JSON_HEAD = STREAM_HEAD.replace(b"text/event-stream", b"application/json")
+EMPTY_HEAD = STREAM_HEAD.replace(b"Transfer-Encoding: chunked", b"Content-Length: 0")
+UNTYPED_HEAD = STREAM_HEAD.replace(b"Content-Type: text/event-stream\r\n", b"")
+HTML = b"Content-Type: text/html\r\nX-Server-Signature: 3e1b\r\n"
+STREAM_END = b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        *[[answer(event(3), status=status)] for status in (201, 400, 404, 500)],
+        [answer(status=503)],
+        [NOT_RUN],
+        [Close(is_reset=True)],
+        [answer(event(3), extra=HTML)],
+        [JSON_HEAD, chunk(b'{"error": "x"}\n\n'), STREAM_END],
+        [UNTYPED_HEAD, chunk(b'{"error": "x"}\n\n'), STREAM_END],
+        [UNSIGNED_HEAD, chunk(event(3)), STREAM_END],
+        [STREAM_HEAD, STREAM_END],
+        [EMPTY_HEAD],
+        [STREAM_HEAD, chunk(b"failed"), STREAM_END],
+        [STREAM_HEAD, chunk(b"failed\n\n"), STREAM_END],
+        [STREAM_HEAD, chunk(b"error: failed\n\n"), STREAM_END],
+        [STREAM_HEAD, chunk(b'data: {"error": "x"}\n\n'), STREAM_END],
+        [STREAM_HEAD, chunk(b": failed\n\n"), STREAM_END],
+        [STREAM_HEAD, chunk(NOT_RUN), STREAM_END],
+        [STREAM_HEAD, NOT_RUN],
+        [STREAM_HEAD, chunk(event(3) + b"event: error\ndata: x\n\n"), STREAM_END],
+        [STREAM_HEAD, chunk(b"id: 3\nfailed\n\n"), STREAM_END],
+        [STREAM_HEAD, chunk(b"failed\n" + event(3)), STREAM_END],
+    ],
+)  # fmt: skip
+def test_error_of_the_next_replica_is_no_part_of_a_stream(rest: list[Step]) -> None:
+    """Guards against an error's text in a stream, or its end as if it were whole."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        first = [STREAM_HEAD, chunk(event(1) + event(2)), Until(event(2)), Close()]
+        replicas = await harness.add_replicas(2, first, rest)
+        caller = await harness.connect()
+        await caller.send(route_request("/summary/1") + route_request("/look/1"))
+        response = parse(await caller.receive_all())
+        assert (response.status, response.is_whole) == (200, False)
+        assert response.body == event(1) + event(2)
+        assert sum(len(replica.requests) for replica in replicas) == 2
+
+    run(session)
+
+
+@pytest.mark.parametrize(
+    ("scripts", "body"),
+    [
+        ([[STREAM_HEAD, STREAM_END]], b""),
+        ([[EMPTY_HEAD]], b""),
+        ([[Close()], [STREAM_HEAD, STREAM_END]], b""),
+        ([[answer(b"<p>", extra=HTML)]], b"<p>"),
+        (
+            [[STREAM_HEAD, chunk(b": a\n\ndata: x\n\n" + event(1)), STREAM_END]],
+            b": a\n\ndata: x\n\n" + event(1),
+        ),
+        (
+            [
+                [STREAM_HEAD, chunk(event(1)), Until(event(1)), Close()],
+                [UNTYPED_HEAD, chunk(b"retry: 1\n\n:\n\n" + event(2)), STREAM_END],
+            ],
+            event(1) + event(2),
+        ),
+        (
+            [
+                [STREAM_HEAD, chunk(b": a\n\n"), Until(b": a"), Close()],
+                [STREAM_HEAD, chunk(b"x-weight-versions: 4\n" + event(1)), STREAM_END],
+            ],
+            b": a\n\nx-weight-versions: 4\n" + event(1),
+        ),
+    ],
+)  # fmt: skip
+def test_whole_stream_of_a_replica_reaches_the_caller(
+    scripts: list[list[Step]], body: bytes
+) -> None:
+    """Guards against a whole answer that is held back, changed or broken off."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_replicas(2, *scripts)
+        response = await ask(harness, route_request("/summary/1"))
+        assert (response.status, response.is_whole) == (200, True)
+        assert response.body == body
+
+    run(session)
+
+
+def test_stream_with_text_outside_its_events_is_not_resumed() -> None:
+    """Guards against text that comes twice, since no identifier tells its place."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        text = b"data: x\n\n"
+        first = [STREAM_HEAD, chunk(text), Until(text), Close()]
+        second = [STREAM_HEAD, chunk(text + event(1)), STREAM_END]
+        replicas = await harness.add_replicas(2, first, second)
+        response = await ask(harness, route_request("/summary/1"))
+        assert (response.body, response.is_whole) == (text, False)
+        assert sum(len(replica.requests) for replica in replicas) == 1
+
+    run(session)
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 def test_answer_without_length_is_valid_only_after_an_orderly_close(
     is_reset: bool,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from ..platform.odd_rows import ODD_KEYS, ODD_ROWS
 from .fleet import SoakFleet
 from .proxy import LinkState, Proxy
 from .replicas import Replica
@@ -166,11 +167,24 @@
 
 
 async def spoil_replica(fleet: SoakFleet, rng: Random) -> None:
-    """Makes a replica fail, hang, cut answers off or refuse requests."""
+    """Makes a replica fail, hang, cut answers off, refuse or refuse twice.
+
+    Or it cuts answers off and the others of its service answer the rest with errors.
+    """
     replica = _choose_replica(fleet, rng)
-    replica.fault = rng.choice(["error", "hang", "cut", "refuse"])
+    fault = rng.choice(["error", "hang", "cut", "refuse", "repeat", "odd"])
+    spoiled = {replica: "cut" if fault == "odd" else fault}
+    if fault == "odd":
+        spoiled |= {
+            other: fault
+            for other in fleet.replicas
+            if other.service == replica.service and other is not replica
+        }
+    for one, its_fault in spoiled.items():
+        one.fault = its_fault
     await curio.sleep(_draw_seconds(rng, FAULT_DURATION_SECONDS))
-    replica.fault = None
+    for one in spoiled:
+        one.fault = None
 
 
 async def cut_replica(fleet: SoakFleet, rng: Random) -> None:
@@ -198,8 +212,10 @@
 
 
 async def write_unreadable(fleet: SoakFleet, rng: Random) -> None:
-    """Writes a malformed replica entry and configuration, then a valid one."""
-    fleet.store.put("servers", "foreign", rng.choice([b"\xff", b"[]", b'{"state":1}']))
+    """Writes odd rows of replicas and routers; replaces the configuration twice."""
+    for table in ("servers", "routers"):
+        value = ODD_ROWS[rng.choice(sorted(ODD_ROWS))]
+        fleet.store.put(table, rng.choice(["foreign", *ODD_KEYS]), value)
     fleet.store.put("op", "config", b'{"version": "many"}')
     await curio.sleep(0.2)
     fleet.write_configuration()
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -67,7 +67,10 @@
     """One replica with its entry in the store and the proxy that routers connect to.
 
     Attributes:
-        fault: Fault of its answers: None, "error", "hang", "cut" or "refuse".
+        fault: Fault of its answers: None, "error", "hang", "cut", "refuse" or
+            "repeat" (it refuses, and writes the refusal once more after the next
+            request on the connection) or "odd" (it answers the rest of a stream with
+            an error document or nothing).
         drain_acknowledged_at: Monotonic time, in seconds, at which the store
             acknowledged that it drains or is gone.
         is_listed: Whether heartbeats renew its entry as ready.
@@ -97,6 +100,7 @@
         self.fault: str | None = None
         self.drain_acknowledged_at: float | None = None
         self.is_listed = False
+        self._refusals: dict[ServerConnection, bytes] = {}
 
     async def start(self) -> None:
         """Starts to listen and to renew its entry."""
@@ -175,16 +179,25 @@
         except (OSError, RefusalError):
             return
         finally:
+            self._refusals.pop(connection, None)
             await connection.close()
 
     async def _answer(self, connection: ServerConnection, request: Request) -> bool:
         request_id = request.headers.get("x-attempt-id", "")
         expected = request.headers.get("x-expected-instance")
         id_headers = {"X-Attempt-Id": request_id}
+        await connection._write(self._refusals.pop(connection, b""))
         if expected != self.name:
             await connection.send_response(421, id_headers, b"")
             return True
-        if self.fault == "refuse":
+        if self.fault in ("refuse", "repeat"):
+            if self.fault == "repeat":
+                id_line = b"X-Attempt-Id: %b\r\n" % request_id.encode()
+                self._refusals[connection] = (
+                    b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                    + self._rng.choice([b"", id_line])
+                    + b"\r\n"
+                )
             refusal_headers = {**id_headers, "X-Not-Executed": "1"}
             await connection.send_response(503, refusal_headers, b"")
             return True
@@ -242,6 +255,12 @@
     ) -> bool:
         event_count = int(parse_qs(request.query)["events"][0])
         first_event = int(request.headers.get("last-event-id", -1)) + 1
+        if self.fault == "odd" and first_event:
+            media_type = self._rng.choice(["text/event-stream", "application/json"])
+            body = self._rng.choice([b"", b"failed\n\n", b": failed\n\n"])
+            odd_headers = {**signed_headers, "Content-Type": media_type}
+            await connection.send_response(200, odd_headers, body)
+            return True
         cut_event = (
             self._rng.randrange(first_event, event_count + 1)
             if self.fault == "cut"
