Answer a request that an unexpected exception ends before its attempts

An exception in parsing, in the wait limit or in queueing a request on a route closed the caller's connection without an answer: only the attempts were guarded.

test_unexpected_exception_is_answered fails before in three of four rows ("incomplete response head"). The listener answers with 500, which promises nothing about the execution, logs the exception and closes the connection.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -11,12 +11,18 @@
 import curio
 
 from ..core.blackboard import Blackboard
-from ..errors import RefusalError, RouterShuttingDownError, TooManyConnectionsError
+from ..errors import (
+    InternalError,
+    RefusalError,
+    RouterShuttingDownError,
+    TooManyConnectionsError,
+)
 from ..metrics import Metrics
 from ..net.caller import parse_call, read_request_id, send_refusal
 from ..net.http import Request
 from ..net.http_server import ServerConnection
 from ..settings import LimitSettings
+from ..types import Execution
 from .calls import CallServer
 from .debug import DebugPages
 from .pages import Pages
@@ -156,7 +162,15 @@
                 if connection.is_peer_closed:
                     return ConnectionEnd.PEER_CLOSED
                 return ConnectionEnd.IDLE
-            await self._serve_request(connection, request)
+            try:
+                await self._serve_request(connection, request)
+            except OSError:
+                raise
+            except Exception:
+                # Without an answer, the caller could not tell this from a lost request.
+                _LOG.exception("request ended by an unexpected exception")
+                await self._refuse(connection, _build_internal_error())
+                return ConnectionEnd.FAULT
             if not connection.start_next_cycle():
                 return ConnectionEnd.ANSWERED
 
@@ -222,3 +236,10 @@
             await self._refuse(connection, error, read_request_id(request))
             return
         await self._calls.serve(connection, call)
+
+
+def _build_internal_error() -> InternalError:
+    return InternalError(
+        "an internal error of the router ended the request; see its log",
+        execution=Execution.MAY_HAVE_RUN,
+    )
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -179,6 +179,33 @@
     run(session)
 
 
+@pytest.mark.parametrize("method", ["parse", "find_wait_limit", "accept", "forget"])
+def test_unexpected_exception_is_answered(
+    method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a connection that a fault of the router ends without an answer."""
+
+    def fail(*arguments: object) -> None:
+        raise LookupError("the organisation was removed")
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_upstream(lambda _: [answer()])
+        target = (
+            harness.forwarder._calls
+            if method == "parse"
+            else harness.forwarder._dispatcher
+        )
+        monkeypatch.setattr(target, method, fail)
+        caller = await harness.connect()
+        await caller.send(route_request("/look/1"))
+        response = parse(await caller.receive_all())
+        # The request was answered before it is forgotten.
+        assert response.status == (200 if method == "forget" else 500)
+        assert harness.crashes == []
+
+    run(session)
+
+
 def test_replica_receives_only_permitted_header_fields() -> None:
     """Guards against forged header fields and requests altered in transit."""
 
