--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -19,7 +19,13 @@
 from sequoiamoor.policies.round_robin import RoundRobinPolicy
 from sequoiamoor.settings import LimitSettings
 
-from .listener_harness import ListenerHarness, ScriptedUpstream, Step, run_harness
+from .listener_harness import (
+    ListenerHarness,
+    ScriptedUpstream,
+    Step,
+    parse,
+    run_harness,
+)
 
 KEY = "key-1"
 
@@ -95,6 +101,8 @@
     )
 
 
+NOT_RUN = answer(b"", status=503, extra=b"X-Not-Executed: 1\r\n")
+
 STREAM_HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: 9c41\r\n"
     b"X-Server-Signature: 3e1b\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -166,6 +174,16 @@
         ]
 
 
+async def ask(harness: RouteListenerHarness, request: bytes) -> Any:
+    """Sends one request on a connection of its own and returns its answer."""
+    caller = await harness.connect()
+    await caller.send(request)
+    await caller.receive_until(b"\r\n\r\n")
+    await harness.wait_for(lambda: harness.is_idle())
+    await caller.sock.shutdown(1)
+    return parse(await caller.receive_all())
+
+
 def run(
     session: Callable[[RouteListenerHarness], Awaitable[Any]], **changes: Any
 ) -> Any:
