Let no failed accept end a listener

Callers of a router that had run out of file descriptors once got no connection from it any more, although it went on to say that it was ready ("took none of 543 new connections in 5989 ms"). The accept loop of the library ends at the first OSError of accept, whatever it is, and takes the task of the listener with it; every listener of the project used it: callers, readiness, metrics, control between routers, stand-ins.

The new acceptor takes any error of one accept for that: it counts it by name, writes a line at most once in 5 s and goes on, after 20 ms if descriptors or memory are lacking, so that it accepts again as soon as one is free. Only a socket that does not listen at all (EBADF, EINVAL, ENOTSOCK) ends it. Connections are tasks of their own: an exception in one is logged and counted, and a failure of the acceptor does not cut the others. A limit makes it leave further connections in the queue of the kernel instead of closing them, and a probe can be accepted without being served.

The table of errors in tests/net/test_acceptor.py, run with the library's loop in place of the acceptor: 14 failed (13 errors, and EMFILE brought about with a low limit), "OSError: [Errno 24] Too many open files" in accept. With the acceptor: 20 passed; tests/net, tests/daemon, tests/standin and tests/test_upstream_processes.py: 519 passed.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -16,6 +16,7 @@
 from ..core.loop_lag import LoopLag
 from ..core.poll_intervals import PollIntervals
 from ..core.repeats import RepeatBudget, RepeatLimits
+from ..net.acceptor import Acceptor, Serve
 from ..net.http_server import ServerConnection
 from ..net.signals import SignalWatch
 from ..platform import callers, names, replicas
@@ -150,28 +151,27 @@
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         # Listening first lets callers queue in the kernel until the tasks run.
-        sockets = [
-            (_listen(self._settings.http), self._listener.accept),
-            (_listen(self._gateway.ready), self._answer_readiness),
-            (_listen(self._gateway.metrics), self._serve_pages),
+        acceptors = [
+            self._listen("callers", self._settings.http, self._listener.accept),
+            self._listen("readiness", self._gateway.ready, self._answer_readiness),
+            self._listen("metrics", self._gateway.metrics, self._serve_pages),
         ]
         self._control.bind()
         _LOG.info("router started", extra={"router_id": self.board.identity.router_id})
         with signals:
-            end = await self._serve_until_drained(signals, sockets)
+            end = await self._serve_until_drained(signals, acceptors)
         await self._forwarder.close()
         _LOG.info("router stopped", extra={"router_id": self.board.identity.router_id})
         return end
 
     async def _serve_until_drained(
-        self, signals: SignalWatch, sockets: list[tuple[Any, Any]]
+        self, signals: SignalWatch, acceptors: list[Acceptor]
     ) -> DrainEndReason:
         async with curio.TaskGroup() as tasks:
-            for sock, serve_connection in sockets:
-                await tasks.spawn(curio.network.run_server, sock, serve_connection)
             await self._spawn_all(
                 tasks,
                 {
+                    **{acceptor.name: acceptor.run for acceptor in acceptors},
                     "pool": self._forwarder.watch,
                     "feeds": self._sources.follow,
                     "routers": self._sources.follow_routers,
@@ -190,6 +190,12 @@
             await tasks.cancel_remaining()
         return end
 
+    def _listen(self, name: str, address: AddressSettings, serve: Serve) -> Acceptor:
+        sock = curio.network.tcp_server_socket(
+            address.host, address.port, backlog=BACKLOG_CONNECTIONS
+        )
+        return Acceptor(sock, serve, name=name, observer=self.metrics)
+
     async def _watch_lag(self) -> None:
         """Measures the lag of the event loop; an overloaded router is not ready."""
         while True:
@@ -321,9 +327,3 @@
         }
     )
     return settings.model_copy(update={"options": options})
-
-
-def _listen(address: AddressSettings) -> Any:
-    return curio.network.tcp_server_socket(
-        address.host, address.port, backlog=BACKLOG_CONNECTIONS
-    )
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -9,13 +9,13 @@
 import sys
 from functools import partial
 from pathlib import Path
-from typing import Any
 
 import curio
 
 from ..core.drain import DrainEndReason
 from ..core.retries import Retries
 from ..logs import configure_logs
+from ..net.acceptor import Acceptor
 from ..net.platform import PlatformClient
 from ..net.signals import SignalWatch
 from ..settings import RouterSettings, read_settings
@@ -89,20 +89,25 @@
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT)
         http = self._settings.http
-        sock = curio.network.tcp_server_socket(http.host, http.port, backlog=1024)
+        acceptor = Acceptor(
+            curio.network.tcp_server_socket(http.host, http.port, backlog=1024),
+            self._listener.accept,
+            name="callers",
+            observer=self.metrics,
+        )
         self._control.bind()
         _LOG.info("listening", extra={"router_id": self.board.identity.router_id})
         with signals:
-            end = await self._serve_until_drained(signals, sock)
+            end = await self._serve_until_drained(signals, acceptor)
         await self._calls.close()
         return end
 
     async def _serve_until_drained(
-        self, signals: SignalWatch, sock: Any
+        self, signals: SignalWatch, acceptor: Acceptor
     ) -> DrainEndReason:
         async with curio.TaskGroup() as tasks:
             listener_task = await tasks.spawn(
-                curio.network.run_server, sock, self._listener.accept
+                self._supervise, acceptor.name, acceptor.run
             )
             await self._spawn_all(
                 tasks,
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -161,6 +161,24 @@
             ["task"],
             registry=self.registry,
         )
+        self.accept_errors = Counter(
+            "sequoiamoor_accept_errors",
+            "Connections that could not be accepted, by error.",
+            ["listener", "error"],
+            registry=self.registry,
+        )
+        self.accept_pauses = Counter(
+            "sequoiamoor_accept_pauses",
+            "Times at which a listener accepted nothing because it was full.",
+            ["listener"],
+            registry=self.registry,
+        )
+        self.connection_failures = Counter(
+            "sequoiamoor_connection_failures",
+            "Accepted connections that an unexpected exception ended.",
+            ["listener"],
+            registry=self.registry,
+        )
         self.fairness_gap_units = Gauge(
             "sequoiamoor_fairness_gap_units",
             "Largest difference in service between two backlogged organisations.",
@@ -201,6 +219,18 @@
             registry=self.registry,
         )
 
+    def count_accept_error(self, listener: str, error: str) -> None:
+        """Counts a failed accept by its error name."""
+        self.accept_errors.labels(listener, error).inc()
+
+    def count_connection_failure(self, listener: str) -> None:
+        """Counts a connection whose task ended with an unexpected exception."""
+        self.connection_failures.labels(listener).inc()
+
+    def count_accept_pause(self, listener: str) -> None:
+        """Counts a time for which a listener accepted nothing because it was full."""
+        self.accept_pauses.labels(listener).inc()
+
     def count_platform_operation(self, operation: str, result: str) -> None:
         """Counts an operation at the platform."""
         self.platform_operations.labels(operation, result).inc()
--- /dev/null
+++ b/sequoiamoor/net/acceptor.py
@@ -0,0 +1,215 @@
+"""Acceptance of connections on a listening socket, whatever a single accept returns."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import curio
+
+_LOG = logging.getLogger(__name__)
+
+EXHAUSTION_PAUSE_SECONDS = 0.02
+"""Pause after an accept for which descriptors or memory were lacking. The queue of the
+kernel holds the connections meanwhile."""
+
+REPEATED_ERROR_PAUSE_SECONDS = 0.001
+"""Pause after any other error, so that one that returns does not occupy the loop."""
+
+MAX_ACCEPTS_PER_TURN = 64
+"""Connections that are accepted before the other tasks run again."""
+
+LOG_INTERVAL_SECONDS = 5.0
+"""Shortest time between two lines about errors of one acceptor."""
+
+EXHAUSTION_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Errors after which the next accept fails as well until something is freed."""
+
+BROKEN_SOCKET_ERRNOS = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK})
+"""Errors that say that the socket does not listen: no further accept can succeed."""
+
+Serve = Callable[[Any, Any], Awaitable[None]]
+
+
+class AcceptObserver(Protocol):
+    """Counts what happens at the listening sockets."""
+
+    def count_accept_error(self, listener: str, error: str) -> None:
+        """Counts a failed accept by its error name."""
+
+    def count_connection_failure(self, listener: str) -> None:
+        """Counts a connection whose task ended with an unexpected exception."""
+
+    def count_accept_pause(self, listener: str) -> None:
+        """Counts a time for which a listener accepted nothing because it was full."""
+
+
+class _NoObserver:
+    def count_accept_error(self, listener: str, error: str) -> None:
+        """Does nothing."""
+
+    def count_connection_failure(self, listener: str) -> None:
+        """Does nothing."""
+
+    def count_accept_pause(self, listener: str) -> None:
+        """Does nothing."""
+
+
+class Acceptor:
+    """Accepts connections on one socket and runs a task for each.
+
+    Connections that were accepted go on when accepting fails; they end when ``run`` is
+    cancelled.
+
+    Attributes:
+        name: Name of the listener in the log and the metrics.
+        limit: Connections that may be open at the same time. At the limit nothing is
+            accepted until one ends, and the kernel's queue holds the others.
+    """
+
+    def __init__(
+        self,
+        sock: Any,
+        serve: Serve,
+        *,
+        name: str,
+        limit: int | None = None,
+        observer: AcceptObserver | None = None,
+    ) -> None:
+        """Initialises the acceptor.
+
+        Args:
+            sock: Listening curio socket.
+            serve: Serves one connection until it ends; the socket is closed after it.
+            name: Name of the listener in the log and the metrics.
+            limit: Connections that may be open at the same time; None for any number.
+            observer: Counts errors and pauses.
+        """
+        self._sock = sock
+        self._serve = serve
+        self.name = name
+        self._observer = observer or _NoObserver()
+        self._tasks: set[Any] = set()
+        self._has_ended = curio.Event()
+        self._probes: set[Any] = set()
+        self._logged_at = float("-inf")
+        self._unlogged_errors = 0
+        self.limit = limit
+
+    def __len__(self) -> int:
+        """Returns the number of open connections."""
+        return len(self._tasks)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port on which the socket listens."""
+        host, port = self._sock.getsockname()[:2]
+        return host, port
+
+    def expect_probe(self, address: Any) -> None:
+        """Makes a connection from this address end as soon as it is accepted."""
+        self._probes.add(address)
+
+    def forget_probe(self, address: Any) -> None:
+        """Serves connections from this address like any other."""
+        self._probes.discard(address)
+
+    async def run(self) -> None:
+        """Accepts connections until cancelled.
+
+        Raises:
+            OSError: If the socket does not listen.
+        """
+        try:
+            while True:
+                await self._wait_for_room()
+                for _ in range(MAX_ACCEPTS_PER_TURN):
+                    if self._is_full:
+                        break
+                    await self._accept_next()
+                else:
+                    await curio.sleep(0)
+        except curio.CancelledError:
+            await self._end_all()
+            raise
+
+    @property
+    def _is_full(self) -> bool:
+        return self.limit is not None and len(self._tasks) >= self.limit
+
+    async def _wait_for_room(self) -> None:
+        if not self._is_full:
+            return
+        self._observer.count_accept_pause(self.name)
+        while self._is_full:
+            self._has_ended.clear()
+            await self._has_ended.wait()
+
+    async def _accept_next(self) -> None:
+        try:
+            sock, peer = await self._sock.accept()
+        except OSError as err:
+            if err.errno in BROKEN_SOCKET_ERRNOS:
+                raise
+            await self._pause_after(err)
+            return
+        if peer in self._probes:
+            self._probes.discard(peer)
+            await sock.close()
+            return
+        # The new task runs only after this one waits.
+        self._tasks.add(
+            await curio.spawn(self._serve_connection, sock, peer, daemon=True)
+        )
+
+    async def _pause_after(self, err: OSError) -> None:
+        error = errno.errorcode.get(err.errno or 0, "unknown")
+        self._observer.count_accept_error(self.name, error)
+        self._unlogged_errors += 1
+        now = time.monotonic()
+        if now - self._logged_at >= LOG_INTERVAL_SECONDS:
+            _LOG.warning(
+                "connection not accepted; accepting goes on",
+                extra={
+                    "reason": error,
+                    "detail": f"{self.name}: {self._unlogged_errors} errors since "
+                    f"the last such line, {len(self._tasks)} connections are open",
+                },
+            )
+            self._logged_at, self._unlogged_errors = now, 0
+        if err.errno in EXHAUSTION_ERRNOS:
+            await curio.sleep(EXHAUSTION_PAUSE_SECONDS)
+        else:
+            await curio.sleep(REPEATED_ERROR_PAUSE_SECONDS)
+
+    async def _serve_connection(self, sock: Any, peer: Any) -> None:
+        try:
+            try:
+                await self._serve(sock, peer)
+            finally:
+                await sock.close()
+        except OSError as err:
+            _LOG.debug("connection of %s lost: %s", self.name, err)
+        except (Exception, curio.TaskTimeout):
+            self._observer.count_connection_failure(self.name)
+            _LOG.exception(
+                "connection ended by an unexpected exception",
+                extra={"reason": self.name},
+            )
+        finally:
+            was_full = self._is_full
+            self._tasks.discard(await curio.current_task())
+            if was_full:
+                await self._has_ended.set()
+
+    async def _end_all(self) -> None:
+        """Closes the socket, cancels the open connections and waits for their end."""
+        await self._sock.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            await task.cancel(blocking=False)
+        for task in tasks:
+            await task.wait()
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -40,6 +40,7 @@
 from ..metrics import Metrics
 from ..options import Options
 from ..types import Address, ReplicaId, RouterIdentity, ZoneName
+from .acceptor import Acceptor
 from .decoder import Decoder
 from .encoder import Encoder
 from .reachability import REACHABILITY
@@ -402,7 +403,7 @@
         self._options = options
         self._metrics = metrics
         self._rng = rng
-        self._sock: Any = None
+        self._acceptor: Acceptor | None = None
         self._links: dict[Address, Link] = {}
         self._last_received_at: dict[Any, float] = {}
 
@@ -412,16 +413,19 @@
         Raises:
             OSError: If the address cannot be used.
         """
-        self._sock = curio.network.tcp_server_socket(
+        sock = curio.network.tcp_server_socket(
             self._listen.host, self._listen.port, backlog=1024
         )
-        host, port = self._sock.getsockname()[:2]
-        return Address(host, port)
+        self._acceptor = Acceptor(
+            sock, self._accept, name="control", observer=self._metrics
+        )
+        return Address(*self._acceptor.address)
 
     async def run(self) -> None:
         """Accepts connections until cancelled."""
+        assert self._acceptor is not None, "bind was not called"
         try:
-            await curio.network.run_server(self._sock, self._accept)
+            await self._acceptor.run()
         finally:
             for link in self._links.values():
                 link.stop()
--- a/sequoiamoor/standin/server.py
+++ b/sequoiamoor/standin/server.py
@@ -12,6 +12,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..errors import RefusalError
+from ..net.acceptor import Acceptor
 from ..net.http import Request
 from ..net.http_server import ServerConnection
 from ..settings import describe_errors
@@ -191,7 +192,7 @@
         finally:
             await connection.close()
 
-    await curio.network.run_server(sock, accept)
+    await Acceptor(sock, accept, name="stand-in").run()
 
 
 def listen(address: Address) -> tuple[Any, Address]:
--- /dev/null
+++ b/tests/net/test_acceptor.py
@@ -0,0 +1,213 @@
+"""Tests of the acceptance of connections: errors of accept, limits, failing tasks."""
+
+from __future__ import annotations
+
+import errno
+import os
+import resource
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import curio.io
+import pytest
+
+from sequoiamoor.net.acceptor import BROKEN_SOCKET_ERRNOS, Acceptor
+
+TIMEOUT_SECONDS = 10.0
+
+
+class FaultySocket:
+    """A listening socket whose next accepts fail with the given errors."""
+
+    def __init__(self, errors: list[int]) -> None:
+        self._sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+        self.errors = errors
+
+    def getsockname(self) -> Any:
+        return self._sock.getsockname()
+
+    async def accept(self) -> Any:
+        if self.errors:
+            number = self.errors.pop(0)
+            raise OSError(number, os.strerror(number))
+        return await self._sock.accept()
+
+    async def close(self) -> None:
+        await self._sock.close()
+
+
+class Observer:
+    """Records what an acceptor counts."""
+
+    def __init__(self) -> None:
+        self.errors: list[str] = []
+        self.failures = self.pauses = 0
+
+    def count_accept_error(self, listener: str, error: str) -> None:
+        self.errors.append(error)
+
+    def count_connection_failure(self, listener: str) -> None:
+        self.failures += 1
+
+    def count_accept_pause(self, listener: str) -> None:
+        self.pauses += 1
+
+
+async def echo(sock: Any, peer: Any) -> None:
+    while data := await sock.recv(100):
+        if data == b"fail":
+            raise RuntimeError("a fault of the task")
+        await sock.sendall(data)
+
+
+def run(
+    session: Callable[[Acceptor, Observer, FaultySocket], Awaitable[None]],
+    errors: list[int] | None = None,
+    *,
+    limit: int | None = None,
+) -> None:
+    """Runs a session beside an acceptor that echoes."""
+
+    async def main() -> None:
+        sock, observer = FaultySocket(errors or []), Observer()
+        acceptor = Acceptor(sock, echo, name="test", limit=limit, observer=observer)
+        task = await curio.spawn(acceptor.run, daemon=True)
+        async with curio.timeout_after(TIMEOUT_SECONDS):
+            await session(acceptor, observer, sock)
+        await task.cancel()
+        assert not len(acceptor)
+
+    curio.run(main)
+
+
+async def ask(acceptor: Acceptor, data: bytes = b"x") -> bytes:
+    """Sends data on a new connection and returns what comes back."""
+    sock = await curio.open_connection(*acceptor.address)
+    async with sock:
+        await sock.sendall(data)
+        answer: bytes = await sock.recv(100)
+    return answer
+
+
+NAMES = [
+    "EMFILE",
+    "ENFILE",
+    "ENOBUFS",
+    "ENOMEM",
+    "ECONNABORTED",
+    "EPERM",
+    "EINTR",
+    "ECONNRESET",
+    "EPROTO",
+    "ETIMEDOUT",
+    "ENETDOWN",
+    "EHOSTUNREACH",
+    "EIO",
+]
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_error_of_accept_does_not_end_the_acceptor(name: str) -> None:
+    """Guards against a listener that accepts nothing more after one failed accept."""
+
+    async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
+        first = await curio.open_connection(*acceptor.address)
+        async with first:
+            await first.sendall(b"a")
+            assert await first.recv(1) == b"a"
+            sock.errors += [getattr(errno, name)] * 3
+            # The accept that waits since before the errors takes one connection.
+            for _ in range(4):
+                assert await ask(acceptor) == b"x"
+            await first.sendall(b"b")
+            assert await first.recv(1) == b"b"
+        assert set(observer.errors) == {name}
+
+    run(session, [getattr(errno, name)] * 5)
+
+
+@pytest.mark.parametrize("number", sorted(BROKEN_SOCKET_ERRNOS))
+def test_socket_that_does_not_listen_ends_the_acceptor(number: int) -> None:
+    """Guards against a loop of errors that no one is told of."""
+
+    async def main() -> None:
+        sock = FaultySocket([number])
+        with pytest.raises(OSError, match=os.strerror(number)):
+            await Acceptor(sock, echo, name="test").run()
+        await sock.close()
+
+    curio.run(main)
+
+
+def test_accepting_goes_on_when_descriptors_are_free_again() -> None:
+    """Guards against a listener that ends when the process has no descriptor left."""
+
+    async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
+        caller = curio.socket.socket()
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (256, hard))
+        fillers = []
+        try:
+            while True:
+                fillers.append(os.dup(0))
+        except OSError as err:
+            assert err.errno == errno.EMFILE
+        try:
+            await caller.connect(acceptor.address)
+            await caller.sendall(b"x")
+            while len(observer.errors) < 3:
+                await curio.sleep(0.001)
+            os.close(fillers.pop())
+            assert await caller.recv(1) == b"x"
+        finally:
+            for filler in fillers:
+                os.close(filler)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            await caller.close()
+        assert set(observer.errors) == {"EMFILE"}
+
+    run(session)
+
+
+def test_failing_connection_does_not_end_the_acceptor() -> None:
+    """Guards against one connection's exception that ends a listener unseen."""
+
+    async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
+        assert await ask(acceptor, b"fail") == b""
+        assert await ask(acceptor) == b"x"
+        assert observer.failures == 1
+
+    run(session)
+
+
+def test_connections_over_the_limit_wait_until_one_ends() -> None:
+    """Guards against connections that are closed only because there are many."""
+
+    async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
+        held = [await curio.open_connection(*acceptor.address) for _ in range(2)]
+        waiting = await curio.spawn(ask, acceptor)
+        while not observer.pauses:
+            await curio.sleep(0.001)
+        assert len(acceptor) == 2
+        await held.pop().close()
+        assert await waiting.join() == b"x"
+        await held.pop().close()
+
+    run(session, limit=2)
+
+
+def test_probe_is_accepted_and_not_served() -> None:
+    """Guards against a check of readiness that counts as a caller."""
+
+    async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
+        probe = socket.socket()
+        probe.bind(("127.0.0.1", 0))
+        acceptor.expect_probe(probe.getsockname())
+        async with curio.io.Socket(probe) as connection:
+            await connection.connect(acceptor.address)
+            assert await connection.recv(1) == b""
+            assert not len(acceptor)
+
+    run(session)
