Supervise listeners, and end a router whose task keeps failing

A listener whose task ended was started by nobody, and the router went on as if it accepted: callers got no connection for as long as the process ran. The supervisor of the other tasks did not see a timeout either, since curio's TaskTimeout is no Exception, and a task that failed at each start was started for ever while the router said that it was ready. Three tasks without a supervisor ended unseen by any exception but the expected ones: the link to a router (no reports to that peer any more), the read of a load report, and the write of a record.

The listeners of both kinds of router run under the supervisor, which takes timeouts for failures as well. An unexpected exception of a link, a load report or a record is logged; links connect again.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -29,7 +29,7 @@
 from .dispatcher import Dispatcher
 from .forwarder import Forwarder
 from .pages import Pages
-from .process import RouterProcess
+from .process import RouterProcess, TaskFunction
 from .reloading import SettingsFile
 from .route_listener import RouteListener
 from .sources import LOST_ANSWER_RETRY_SECONDS, Sources
@@ -168,20 +168,8 @@
         self, signals: SignalWatch, acceptors: list[Acceptor]
     ) -> DrainEndReason:
         async with curio.TaskGroup() as tasks:
-            await self._spawn_all(
-                tasks,
-                {
-                    **{acceptor.name: acceptor.run for acceptor in acceptors},
-                    "pool": self._forwarder.watch,
-                    "feeds": self._sources.follow,
-                    "routers": self._sources.follow_routers,
-                    "readers": self._sources.watch_readers,
-                    "directory": self._step_directory,
-                    "control": partial(self._control.run, self._forwarder.dispatch),
-                    "settings": self._watch_settings,
-                    "lag": self._watch_lag,
-                },
-            )
+            listeners = {acceptor.name: acceptor.run for acceptor in acceptors}
+            await self._spawn_all(tasks, listeners | self._list_tasks())
             while await signals.wait() == signal.SIGHUP:
                 self._reload_settings("SIGHUP")
             await tasks.spawn(self._refuse_after_delay)
@@ -196,6 +184,18 @@
         )
         return Acceptor(sock, serve, name=name, observer=self.metrics)
 
+    def _list_tasks(self) -> dict[str, TaskFunction]:
+        return {
+            "pool": self._forwarder.watch,
+            "feeds": self._sources.follow,
+            "routers": self._sources.follow_routers,
+            "readers": self._sources.watch_readers,
+            "directory": self._step_directory,
+            "control": partial(self._control.run, self._forwarder.dispatch),
+            "settings": self._watch_settings,
+            "lag": self._watch_lag,
+        }
+
     async def _watch_lag(self) -> None:
         """Measures the lag of the event loop; an overloaded router is not ready."""
         while True:
--- a/sequoiamoor/daemon/pollers.py
+++ b/sequoiamoor/daemon/pollers.py
@@ -169,6 +169,10 @@
             failures[replica_id] = failures.get(replica_id, 0) + 1
             _LOG.debug("reading the load report of %s failed: %s", replica_id, err)
             return
+        except Exception:
+            failures[replica_id] = failures.get(replica_id, 0) + 1
+            _LOG.exception("load report not read", extra={"upstream": replica_id})
+            return
         finally:
             self._active_polls.discard(replica_id)
         failures.pop(replica_id, None)
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -14,6 +14,7 @@
 
 from ..core.blackboard import create_blackboard
 from ..core.drain import Drain, DrainEndReason
+from ..core.restarts import RestartRecord
 from ..metrics import Metrics
 from ..net.signals import SignalWatch
 from ..policies import create_policy
@@ -39,6 +40,8 @@
         board: State of the router.
         metrics: Prometheus metrics of the process.
         usage: CPU time of the control tasks.
+        broken_task: Name of the background task that made the router stop because it
+            failed repeatedly, or None.
     """
 
     def __init__(self, settings: RouterSettings) -> None:
@@ -51,6 +54,7 @@
         self.board = create_blackboard(identity, settings.options)
         self.metrics = Metrics()
         self.usage = ControlUsage(self.metrics.control_cpu.inc)
+        self.broken_task: str | None = None
         self._policy = create_policy(settings.policy, rng=self._rng)
         self._control = Control(
             self.board,
@@ -65,7 +69,8 @@
         """Runs a task until cancelled and restarts it when it fails or returns.
 
         A curio task group does not raise the exception of a failed task, so the router
-        would continue without polls or reports.
+        would continue without polls or reports. If the task fails repeatedly, the
+        router is asked to stop; the task is restarted during the drain, too.
 
         Args:
             name: Name of the task in the log and the metrics.
@@ -73,6 +78,7 @@
         """
         if name in CONTROL_TASKS:
             self.usage.include(await curio.current_task())
+        record = RestartRecord()
         while True:
             try:
                 await task_function()
@@ -80,13 +86,26 @@
                     "background task failed; restarting it",
                     extra={"reason": f"{name} ended"},
                 )
-            except Exception:
+            except (Exception, curio.TaskTimeout, curio.TimeoutCancellationError):
+                # The last two are no subclasses of Exception.
                 _LOG.exception(
                     "background task failed; restarting it", extra={"reason": name}
                 )
             self.metrics.task_failures.labels(name).inc()
+            record.record_failure(time.monotonic())
+            if record.is_broken and self.broken_task is None:
+                self.broken_task = name
+                self._stop_because_broken(name)
             await curio.sleep(TASK_RESTART_DELAY_SECONDS)
 
+    def _stop_because_broken(self, name: str) -> None:
+        _LOG.error(
+            "background task keeps failing; router stops", extra={"reason": name}
+        )
+        # A second signal would cut a drain short.
+        if not self.board.is_leaving:
+            signal.raise_signal(signal.SIGTERM)
+
     async def _spawn_all(
         self, tasks: Any, task_functions: dict[str, TaskFunction]
     ) -> None:
--- a/sequoiamoor/daemon/records.py
+++ b/sequoiamoor/daemon/records.py
@@ -134,6 +134,12 @@
                         outcome = f"{state}-rejected"
         except curio.TaskTimeout:
             outcome = f"{state}-given-up"
+        except Exception as err:
+            outcome = f"{state}-given-up"
+            _LOG.exception(
+                "final state of a call not recorded",
+                extra={"reason": repr(err), "request_id": claim.key},
+            )
         finally:
             self._background_writes.discard(await curio.current_task())
         self._metrics.record_ends.labels(outcome).inc()
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -25,12 +25,15 @@
 from .listener import CallListener
 from .pages import Pages
 from .pollers import Pollers
-from .process import RouterProcess
+from .process import RouterProcess, TaskFunction
 from .records import Records
 from .reloading import SettingsFile
 
 _LOG = logging.getLogger(__name__)
 
+BROKEN_EXIT_CODE = 3
+"""Exit code after a background task failed repeatedly."""
+
 
 class Router(RouterProcess):
     """A router that serves the project's own interface."""
@@ -109,21 +112,21 @@
             listener_task = await tasks.spawn(
                 self._supervise, acceptor.name, acceptor.run
             )
-            await self._spawn_all(
-                tasks,
-                {
-                    "pool": self._calls.watch,
-                    "platform": self._pollers.poll_platform,
-                    "loads": self._pollers.poll_loads,
-                    "control": partial(self._control.run, self._calls.dispatch),
-                },
-            )
+            await self._spawn_all(tasks, self._list_tasks())
             await signals.wait()
             end = await self._drain(signals)
             await listener_task.cancel()
             await tasks.cancel_remaining()
         return end
 
+    def _list_tasks(self) -> dict[str, TaskFunction]:
+        return {
+            "pool": self._calls.watch,
+            "platform": self._pollers.poll_platform,
+            "loads": self._pollers.poll_loads,
+            "control": partial(self._control.run, self._calls.dispatch),
+        }
+
     def _count_in_service(self) -> int:
         return self._calls.in_service
 
@@ -142,8 +145,8 @@
 
     Raises:
         SettingsError: If the file cannot be read or a field is wrong.
-        SystemExit: With code 1 if the drain limit or a second signal cut the drain
-            short.
+        SystemExit: With ``BROKEN_EXIT_CODE`` if a background task failed repeatedly,
+            else with code 1 if the drain limit or a second signal cut the drain short.
     """
     settings = read_settings(path)
     configure_logs(settings.log_level)
@@ -158,5 +161,13 @@
     gc.collect()
     gc.freeze()
     end = curio.run(router.serve, activations=[router.usage])
-    if end is not DrainEndReason.IDLE:
-        sys.exit(1)
+    exit_code = find_exit_code(end, router.broken_task)
+    if exit_code:
+        sys.exit(exit_code)
+
+
+def find_exit_code(end: DrainEndReason, broken_task: str | None) -> int:
+    """Returns the exit code of a router whose drain ended."""
+    if broken_task is not None:
+        return BROKEN_EXIT_CODE
+    return 0 if end is DrainEndReason.IDLE else 1
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -209,6 +209,7 @@
         self.address = address
         self._source_host = source
         self._options = options
+        self._metrics = metrics
         self._sent_bytes_metric = metrics.control_bytes.labels("out")
         self._sent_messages_metric = metrics.control_messages.labels("out")
         self._outbox = Outbox()
@@ -329,6 +330,12 @@
             except (OSError, ProtocolError, curio.TaskTimeout) as err:
                 _LOG.debug("connection to router at %s failed: %s", self.address, err)
                 self._connection_error = err
+            except Exception:
+                _LOG.exception(
+                    "connection to router ended by an unexpected exception",
+                    extra={"peer": str(self.address)},
+                )
+                self._metrics.task_failures.labels("link").inc()
             state = classify_failure(self._connection_error)
             if state is not None:
                 handler.record_link_state(self.address, state)
