Answer every connection over the limit, and let idle ones make room

The listener answered the first 64 excess connections and closed each further one silently, with no line in the log; closing with unread bytes resets the connection. It refused newcomers also while other callers kept connections that they did not use.

A connection over the limit goes to a refusal lane: what has come is read, prebuilt bytes of a 503 (was not run) are sent, and the connection is closed when the request was whole or the caller has read, after 1.2 s at most. 256 connections can be there; beyond them the acceptor takes no further connection until one ends, so the kernel's queue holds them. Before a refusal the longest idle connection of the organisation that holds the most is closed, unless something of a request has arrived on it; a request that crosses this close is refused with an answer. For a second after a refusal, an organisation that holds more than an even share of the connections gets its further requests refused, so that its connections become idle and make room. The ports for operators take 32 connections each.

test_each_connection_over_the_limit_is_told opens 100 connections over a limit of 1, of six kinds. With the listener as before: 6 failed, "incomplete response head: b''" and "Broken pipe". Now: 19 passed with the other cases of that module; tests/daemon, tests/golden, tests/core/test_connections.py and the operators' page: 285 passed.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -124,6 +124,10 @@
         """Starts waiting requests of a service until the policy starts no more."""
         await self._dispatcher.dispatch(service)
 
+    def find_organisation(self, request: Request) -> str | None:
+        """Returns the organisation whose key a request carries; None if unknown."""
+        return self._calls.find_organisation(request)
+
     async def serve(self, connection: ServerConnection, request: Request) -> None:
         """Serves one request until it is answered or its caller disconnects."""
         self._apply_received()
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -47,6 +47,8 @@
 """Time between checks of the settings file, which may change without a signal."""
 
 BACKLOG_CONNECTIONS = 1_024
+PAGE_CONNECTIONS = 32
+"""Connections that each of the ports for operators takes at a time."""
 PAGE_TIMEOUT_SECONDS = 5.0
 """Timeout of an idle connection and of a request, on the ports for operators."""
 PAGE_HEADER_LIMIT_BYTES = 4_096
@@ -152,9 +154,24 @@
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         # Listening first lets callers queue in the kernel until the tasks run.
         acceptors = [
-            self._listen("callers", self._settings.http, self._listener.accept),
-            self._listen("readiness", self._gateway.ready, self._answer_readiness),
-            self._listen("metrics", self._gateway.metrics, self._serve_pages),
+            self._listen(
+                "callers",
+                self._settings.http,
+                self._listener.accept,
+                limit=self._listener.connection_limit,
+            ),
+            self._listen(
+                "readiness",
+                self._gateway.ready,
+                self._answer_readiness,
+                limit=PAGE_CONNECTIONS,
+            ),
+            self._listen(
+                "metrics",
+                self._gateway.metrics,
+                self._serve_pages,
+                limit=PAGE_CONNECTIONS,
+            ),
         ]
         self._control.bind()
         _LOG.info("router started", extra={"router_id": self.board.identity.router_id})
@@ -178,11 +195,13 @@
             await tasks.cancel_remaining()
         return end
 
-    def _listen(self, name: str, address: AddressSettings, serve: Serve) -> Acceptor:
+    def _listen(
+        self, name: str, address: AddressSettings, serve: Serve, *, limit: int
+    ) -> Acceptor:
         sock = curio.network.tcp_server_socket(
             address.host, address.port, backlog=BACKLOG_CONNECTIONS
         )
-        return Acceptor(sock, serve, name=name, observer=self.metrics)
+        return Acceptor(sock, serve, name=name, limit=limit, observer=self.metrics)
 
     def _list_tasks(self) -> dict[str, TaskFunction]:
         return {
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import time
 from collections.abc import Callable
@@ -10,8 +11,10 @@
 import curio
 
 from ..core.blackboard import Blackboard
+from ..core.connections import CallerConnections
 from ..errors import RefusalError, RouterShuttingDownError, TooManyConnectionsError
 from ..metrics import Metrics
+from ..net import refusal_lane
 from ..net.caller import parse_call, read_request_id, send_refusal
 from ..net.http import Request
 from ..net.http_server import ServerConnection
@@ -22,9 +25,20 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Connections over the limit that get a refusal at the same time. Further ones are
-# closed without a response, so that refusals use a bounded number of descriptors.
-MAX_EXCESS_CONNECTIONS = 64
+REFUSAL_CONNECTIONS = 256
+"""Connections over the limit that are refused, or closed to make room, at a time. When
+there are as many, no further one is accepted until one of them ends."""
+
+MAX_EXAMINED_CONNECTIONS = 16
+"""Idle connections that are examined to make room for a new one. On some of them the
+next request may have begun to arrive."""
+
+SCARCITY_SECONDS = 1.0
+"""Time after a refused connection in which an organisation that holds more than its
+share of the connections gets no further request served on them."""
+
+REFUSAL_LOG_INTERVAL_SECONDS = 1.0
+"""Shortest time between two lines about connections over the limit."""
 
 # Fraction of the connection limit above which the router is not ready. The load
 # balancer takes about two seconds to notice; the rest of the limit is for connections
@@ -45,6 +59,9 @@
         self._metrics = metrics
         self._limits = limits
         self._connections = 0
+        self._served: CallerConnections[ServerConnection] = CallerConnections()
+        self._refused_since_log = 0
+        self._refusals_logged_at = self._refused_at = float("-inf")
         self._detects_dead_peers = False
 
     @property
@@ -55,8 +72,60 @@
         """
         return self._connections > CROWDED_FRACTION * self._limits.connections
 
+    @property
+    def connection_limit(self) -> int:
+        """Connections that may be open at a time, with those that are refused."""
+        return self._limits.connections + REFUSAL_CONNECTIONS
+
+    @property
+    def served_connections(self) -> int:
+        """Connections that are served."""
+        return len(self._served)
+
+    @property
+    def excess_connections(self) -> int:
+        """Connections that are refused, or that are closed to make room."""
+        return self._connections - len(self._served)
+
     async def accept(self, sock: Any, peer: Any) -> None:
-        """Serves one connection until it ends."""
+        """Serves one connection until it ends, or refuses it."""
+        self._connections += 1
+        try:
+            if self._make_room():
+                await self._accept_served(sock)
+            else:
+                await self._refuse_connection(sock)
+        except OSError as err:
+            _LOG.debug("connection lost: %s", err)
+        finally:
+            self._connections -= 1
+
+    def _make_room(self) -> bool:
+        """Returns whether a connection can be served, after closing an idle one if not.
+
+        A connection on which a request has begun to arrive is never closed.
+        """
+        if not self._is_full:
+            return True
+        examined = itertools.islice(self._served.list_idle(), MAX_EXAMINED_CONNECTIONS)
+        for connection in list(examined):
+            if connection.is_idle:
+                connection.end_idle()
+                self._served.remove(connection)
+                self._metrics.connections_displaced.inc()
+                return True
+        return False
+
+    @property
+    def _is_full(self) -> bool:
+        return len(self._served) >= self._limits.connections
+
+    @property
+    def _is_scarce(self) -> bool:
+        """Whether connections were refused a moment ago for lack of room."""
+        return time.monotonic() - self._refused_at < SCARCITY_SECONDS
+
+    async def _accept_served(self, sock: Any) -> None:
         connection = ServerConnection(
             sock,
             header_limit=self._limits.header_bytes,
@@ -64,12 +133,9 @@
             send_timeout=self._limits.send_timeout,
             detects_dead_peer=self._detects_dead_peers,
         )
-        self._connections += 1
+        self._served.add(connection)
         try:
-            if self._connections > self._limits.connections:
-                await self._refuse_connection(connection)
-            else:
-                await self._serve_connection(connection)
+            await self._serve_connection(connection)
         except OSError as err:
             _LOG.debug("connection lost: %s", err)
         except curio.CancelledError:
@@ -80,18 +146,31 @@
             try:
                 await connection.close_cleanly()
             finally:
-                self._connections -= 1
+                self._served.remove(connection)
 
-    async def _refuse_connection(self, connection: ServerConnection) -> None:
-        error = TooManyConnectionsError(
+    async def _refuse_connection(self, sock: Any) -> None:
+        error = self._build_refusal()
+        self._metrics.refusals.labels(error.code).inc()
+        self._refused_since_log += 1
+        self._refused_at = now = time.monotonic()
+        if now - self._refusals_logged_at >= REFUSAL_LOG_INTERVAL_SECONDS:
+            _LOG.warning(
+                "connections refused at the limit",
+                extra={
+                    "reason": error.code,
+                    "detail": f"{self._refused_since_log} since the last such line; "
+                    f"{error}",
+                },
+            )
+            self._refusals_logged_at, self._refused_since_log = now, 0
+        await refusal_lane.refuse(sock, refusal_lane.build_response(error))
+
+    def _build_refusal(self) -> TooManyConnectionsError:
+        return TooManyConnectionsError(
             f"this router has {self._limits.connections} connections, its limit; "
             "try another one",
             retry_after=1.0,
         )
-        if self._connections > self._limits.connections + MAX_EXCESS_CONNECTIONS:
-            self._metrics.refusals.labels(error.code).inc()
-            return
-        await self._refuse(connection, error)
 
     async def _serve_connection(self, connection: ServerConnection) -> None:
         while True:
@@ -111,6 +190,32 @@
 
     async def _serve_request(
         self, connection: ServerConnection, request: Request
+    ) -> None:
+        """Serves a request, or refuses one that holds a connection others need."""
+        if connection not in self._served:
+            # It was closed to make room while the request was on its way.
+            await self._refuse(connection, self._build_refusal())
+            return
+        self._served.start_request(connection)
+        try:
+            if self._served.find_organisation(connection) is None:
+                organisation = self._find_organisation(request)
+                if organisation is not None:
+                    self._served.set_organisation(connection, organisation)
+            limit = self._limits.connections
+            if self._is_scarce and self._served.is_over_share(connection, limit):
+                await self._refuse(connection, self._build_refusal())
+            else:
+                await self._answer_request(connection, request)
+        finally:
+            self._served.end_request(connection)
+
+    def _find_organisation(self, request: Request) -> str | None:
+        """Returns the organisation that a request names; None if it is unknown."""
+        raise NotImplementedError
+
+    async def _answer_request(
+        self, connection: ServerConnection, request: Request
     ) -> None:
         raise NotImplementedError
 
@@ -145,7 +250,13 @@
         self._debug = debug
         self._make_call_id = make_call_id
 
-    async def _serve_request(
+    def _find_organisation(self, request: Request) -> str | None:
+        name = request.headers.get("x-organisation")
+        declaration = self._board.configuration.declaration
+        is_known = declaration is not None and name in declaration.organisations
+        return name if is_known else None
+
+    async def _answer_request(
         self, connection: ServerConnection, request: Request
     ) -> None:
         if request.method in ("GET", "HEAD") and request.path in self._pages:
--- a/sequoiamoor/daemon/route_calls.py
+++ b/sequoiamoor/daemon/route_calls.py
@@ -65,6 +65,16 @@
             self._versioned_table = (state.version, build_routes(state.declaration))
         return self._versioned_table[1]
 
+    def find_organisation(self, request: Request) -> str | None:
+        """Returns the organisation whose key a request carries; None if unknown.
+
+        This tells to whom a connection belongs and gives no right.
+        """
+        key = self._caller_format.read_key(request)
+        if key is None or self._board.configuration.declaration is None:
+            return None
+        return self._get_route_table().find_organisation(key)
+
     def parse(self, request: Request, request_id: str, now: float) -> RoutedCall:
         """Converts a request into a call.
 
--- a/sequoiamoor/daemon/route_listener.py
+++ b/sequoiamoor/daemon/route_listener.py
@@ -54,7 +54,10 @@
             }
         )
 
-    async def _serve_request(
+    def _find_organisation(self, request: Request) -> str | None:
+        return self._forwarder.find_organisation(request)
+
+    async def _answer_request(
         self, connection: ServerConnection, request: Request
     ) -> None:
         await self._forwarder.serve(connection, request)
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -96,6 +96,7 @@
             curio.network.tcp_server_socket(http.host, http.port, backlog=1024),
             self._listener.accept,
             name="callers",
+            limit=self._listener.connection_limit,
             observer=self.metrics,
         )
         self._control.bind()
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -173,6 +173,11 @@
             ["listener"],
             registry=self.registry,
         )
+        self.connections_displaced = Counter(
+            "sequoiamoor_connections_displaced",
+            "Idle connections of callers that were closed to make room for new ones.",
+            registry=self.registry,
+        )
         self.connection_failures = Counter(
             "sequoiamoor_connection_failures",
             "Accepted connections that an unexpected exception ended.",
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from typing import Any
 
@@ -263,6 +264,23 @@
         """Whether the peer closed the connection, even if that was not read yet."""
         return peek(self._raw_sock) == b""
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of a further request has arrived, nor a close."""
+        return (
+            self._h11.their_state is h11.IDLE
+            and self._h11.trailing_data == (b"", False)
+            and peek(self._raw_sock) is None
+        )
+
+    def end_idle(self) -> None:
+        """Makes the task that waits for the next request see a close.
+
+        A request that arrives before that is still received.
+        """
+        with contextlib.suppress(OSError):
+            self._raw_sock.shutdown(socket.SHUT_RD)
+
     async def wait_closed(self) -> None:
         """Waits until the peer closes its side; buffers data received before that."""
         while len(self._h11.trailing_data[0]) <= self._header_limit:
--- /dev/null
+++ b/sequoiamoor/net/refusal_lane.py
@@ -0,0 +1,74 @@
+"""Refusals of connections over the limit, with few descriptors and little work each."""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import socket
+from typing import Any
+
+import curio
+
+from ..errors import RefusalError
+from .caller import to_refusal_body
+from .http import HEAD_END_PATTERN, RECEIVE_BYTES
+
+FIRST_BYTES_TIMEOUT_SECONDS = 0.2
+"""Wait for the request before the refusal is sent. Some clients take a response that
+precedes their request for a fault of the connection."""
+
+LINGER_SECONDS = 1.0
+"""Time for the caller to read the refusal and close. The kernel resets a connection
+that is closed with unread data, and a reset discards what was not read yet."""
+
+_LENGTH = re.compile(rb"(?im)^content-length:[ \t]*(\d{1,9})[ \t]*\r$")
+_HAS_CHUNKS = re.compile(rb"(?im)^transfer-encoding:")
+
+
+def build_response(error: RefusalError) -> bytes:
+    """Returns the bytes of a refusal that closes its connection."""
+    body = to_refusal_body(error, None)
+    retry_after = b""
+    if error.retry_after is not None:
+        retry_after = b"Retry-After: %.2g\r\n" % error.retry_after
+    return (
+        b"HTTP/1.1 %d Refused\r\nContent-Type: application/json\r\n%b"
+        b"Connection: close\r\nContent-Length: %d\r\n\r\n%b"
+        % (error.status, retry_after, len(body), body)
+    )
+
+
+def is_whole_request(data: bytes) -> bool:
+    """Returns whether the data is one whole request, so that no more will come."""
+    match = HEAD_END_PATTERN.search(data)
+    if match is None or _HAS_CHUNKS.search(data, 0, match.end()):
+        return False
+    length = _LENGTH.search(data, 0, match.end())
+    return len(data) - match.end() == (int(length[1]) if length else 0)
+
+
+async def refuse(sock: Any, response: bytes) -> None:
+    """Refuses what comes on a connection and returns when it can be closed.
+
+    This takes at most ``FIRST_BYTES_TIMEOUT_SECONDS`` and ``LINGER_SECONDS`` together.
+
+    Raises:
+        OSError: If the connection fails.
+    """
+    data = await curio.ignore_after(
+        FIRST_BYTES_TIMEOUT_SECONDS, sock.recv, RECEIVE_BYTES
+    )
+    if data == b"":
+        return
+    # A few hundred bytes always fit into the send buffer of a new connection.
+    sock._socket.send(response)
+    if is_whole_request(data or b""):
+        return
+    with contextlib.suppress(OSError):
+        sock._socket.shutdown(socket.SHUT_WR)
+    await curio.ignore_after(LINGER_SECONDS, _discard_received, sock)
+
+
+async def _discard_received(sock: Any) -> None:
+    while await sock.recv(RECEIVE_BYTES):
+        pass
--- /dev/null
+++ b/tests/daemon/test_connection_limit.py
@@ -0,0 +1,244 @@
+"""Tests of a listener with more callers than it may have connections."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import curio
+import pytest
+
+from sequoiamoor.daemon import listener
+from sequoiamoor.net import refusal_lane
+from sequoiamoor.net.acceptor import Acceptor
+
+from ..listener_harness import (
+    Caller,
+    ListenerHarness,
+    Step,
+    Until,
+    complete_response,
+    parse,
+    read_call_id,
+    request,
+    run,
+)
+
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: r\r\n\r\n"
+
+
+def answer_whole(received: bytes) -> list[Step]:
+    return [complete_response(read_call_id(received), b"{}")]
+
+
+def wait_for_last(received: bytes) -> list[Step]:
+    return [Until(b"too-many-connections"), *answer_whole(received)]
+
+
+async def connect_kept(harness: ListenerHarness, organisation: str) -> Caller:
+    """Returns a connection on which one request was answered."""
+    caller = await harness.connect()
+    idle_count = count_idle(harness)
+    await caller.send(request("look", stream=False, organisation=organisation))
+    await caller.receive_until(b"\r\n\r\n{}")
+    caller.received = b""
+    displaced = harness.counter("connections_displaced")
+    await harness.wait_for(lambda: count_idle(harness) > idle_count - displaced)
+    return caller
+
+
+def count_idle(harness: ListenerHarness) -> int:
+    idle = harness.listener._served.list_idle()
+    return sum(connection.is_idle for connection in idle)
+
+
+async def check_refused(caller: Caller) -> None:
+    response = parse(await caller.receive_all())
+    assert (response.status, response.refusal["code"]) == (503, "too-many-connections")
+    assert response.refusal["execution"] == "was not run"
+    assert response.headers["connection"] == "close"
+    assert not caller.is_reset
+
+
+def run_limited(session: Any, connections: int) -> None:
+    run(session, limits={"connections": connections})
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (request(),),
+        (HEALTH,),
+        (request(body=b"x" * 1_000_000),),
+        (request(extra=b"Transfer-Encoding: chunked\r\n"), b"5\r\nabc"),
+        (b"POST /v1", b" HTTP/1.1\r\n"),
+        (),
+    ],
+    ids=["whole", "without body", "long body", "chunks", "part of a head", "nothing"],
+)
+def test_each_connection_over_the_limit_is_told(parts: tuple[bytes, ...]) -> None:
+    """Guards against callers that get a reset or a close and cannot know what ran."""
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.connect()
+        await curio.sleep(0)
+        callers = [await harness.connect() for _ in range(100)]
+        async with curio.TaskGroup() as tasks:
+            for caller in callers:
+                await tasks.spawn(ask, caller)
+        for task in tasks.tasks:
+            assert task.exception is None
+        assert harness.counter("refusals", code="too-many-connections") == 100
+
+    async def ask(caller: Caller) -> None:
+        for part in parts:
+            await caller.send(part)
+        await check_refused(caller)
+        await caller.close()
+
+    run_limited(session, 1)
+
+
+def test_more_callers_than_lane_and_limit_hold_are_answered_or_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections that are closed only because there are many."""
+    monkeypatch.setattr(listener, "REFUSAL_CONNECTIONS", 3)
+
+    async def session(harness: ListenerHarness) -> None:
+        sock = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=256)
+        limit = harness.listener.connection_limit
+        acceptor = Acceptor(sock, harness.listener.accept, name="callers", limit=limit)
+        accept_task = await curio.spawn(acceptor.run, daemon=True)
+        answers = []
+
+        async def ask() -> None:
+            caller = Caller(harness, await curio.open_connection(*acceptor.address))
+            await caller.send(HEALTH + b"partial")
+            await caller.receive_until(b"\r\n\r\n")
+            assert not caller.is_reset
+            answers.append(parse(caller.received).status)
+            await caller.close()
+
+        most = 0
+        async with curio.TaskGroup() as tasks:
+            for _ in range(200):
+                await tasks.spawn(ask)
+            while len(answers) < 200:
+                most = max(most, len(acceptor))
+                await curio.sleep(0.001)
+        assert set(answers) == {200, 503}
+        assert most <= limit == 5
+        await harness.wait_for(lambda: harness.listener._connections == 0)
+        await accept_task.cancel()
+
+    run_limited(session, 2)
+
+
+def test_idle_connection_of_the_largest_holder_makes_room() -> None:
+    """Guards against newcomers refused, or small holders closed, for idle callers."""
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(*[answer_whole] * 4, service="look")
+        small = await connect_kept(harness, "b")
+        first = await connect_kept(harness, "a")
+        second = await connect_kept(harness, "a")
+        newcomer = await connect_kept(harness, "b")
+        assert await first.receive_all() == b""
+        assert not first.is_reset
+        for caller in (small, second, newcomer):
+            await caller.send(HEALTH)
+            assert b"200" in await caller.receive_until(b"ok\n")
+        assert harness.counter("connections_displaced") == 1
+        assert harness.counter("refusals", code="too-many-connections") == 0
+
+    run_limited(session, 3)
+
+
+def test_connection_with_a_request_is_not_closed_for_room() -> None:
+    """Guards against a request that is cut because others connect."""
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(answer_whole, wait_for_last, service="look")
+        arriving = await connect_kept(harness, "a")
+        serving = await harness.connect()
+        await serving.send(request("look", stream=False))
+        await harness.wait_for(lambda: harness.calls.in_service == 1)
+        await arriving.send(HEALTH[:10])
+        refused = await harness.connect()
+        await refused.send(HEALTH)
+        await check_refused(refused)
+        await arriving.send(HEALTH[10:])
+        assert b"200" in await arriving.receive_until(b"ok\n")
+        assert parse(await serving.receive_until(b"{}")).status == 200
+
+    run_limited(session, 2)
+
+
+def test_request_that_crosses_the_close_of_its_connection_is_refused() -> None:
+    """Guards against a request without an answer on a connection that made room."""
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(answer_whole, service="look")
+        kept = await connect_kept(harness, "a")
+        # Nothing else runs between these two lines.
+        assert harness.listener._make_room()
+        kept.sock._socket.send(request("look", stream=False))
+        response = parse(await kept.receive_until(b"}\n"))
+        assert response.refusal["execution"] == "was not run"
+        assert await kept.receive_all() == kept.received
+
+    run_limited(session, 1)
+
+
+def test_organisation_over_its_share_is_refused_only_when_no_room_is_left() -> None:
+    """Guards against one organisation that holds the connections of the others."""
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(*[answer_whole] * 5, service="look")
+        kept = [await connect_kept(harness, "a") for _ in range(3)]
+        other = await connect_kept(harness, "b")
+        call = request("look", stream=False)
+        for caller in (*kept, other):
+            await caller.send(HEALTH[:10])
+        refused = await harness.connect()
+        await check_refused(refused)
+        for caller in (kept[0], other):
+            await caller.send(HEALTH[10:] + call)
+            await caller.receive_until(b"}")
+        assert b"too-many-connections" in kept[0].received
+        assert b"{}" in other.received
+        newcomer = await harness.connect()
+        await newcomer.send(HEALTH)
+        assert b"200" in await newcomer.receive_until(b"ok\n")
+        assert harness.counter("connections_displaced") == 1
+
+    run_limited(session, 4)
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (HEALTH, True),
+        (HEALTH[:-1], False),
+        (request(body=b"abc"), True),
+        (request(body=b"abc")[:-1], False),
+        (HEALTH * 2, False),
+        (request(extra=b"Transfer-Encoding: chunked\r\n"), False),
+        (b"", False),
+    ],
+)
+def test_whole_request_is_recognised(data: bytes, expected: bool) -> None:
+    """Guards against a close before a caller has sent all, which resets it."""
+    assert refusal_lane.is_whole_request(data) == expected
+
+
+def test_refusal_fits_into_the_smallest_send_buffer() -> None:
+    """Guards against a refusal that is sent in part."""
+    left, right = socket.socketpair()
+    with left, right:
+        left.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+        left.setblocking(False)
+        refusal = listener.TooManyConnectionsError("x" * 200, retry_after=1.0)
+        response = refusal_lane.build_response(refusal)
+        assert left.send(response) == len(response)
