Give each use of file descriptors a part of the limit, checked at the start

A flood of callers could take the descriptors that a router needs for readiness, peers, the store and upstreams. Connections of callers were limited, but connections in use to upstreams and those of peers and pages were not, and nothing compared their sum with the limit of the process: 4,100 on the operators' platform, 200 of them for files.

The budget names the parts (callers, refusals, upstreams, peers, store, pages, files, own). A lower limit reduces the connections of callers, to upstreams and to peers in proportion, with a warning that has the sum and the remedy; with too little left the router does not start. Listener, control port and pool of upstream connections keep their parts: at its limit the pool closes the longest idle connection or waits for one. sequoiamoor check prints the sum, two metrics show use and budget by part.

--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -56,12 +56,16 @@
 ) -> None:
     """Checks router settings or a declaration.
 
-    Prints one line per wrong field with its value, the valid values and the remedy.
+    Prints one line per wrong field with its value, the valid values and the remedy, or
+    for valid settings the file descriptors by use with their sum and limit.
     The exit code is 0 if the file is valid and 2 if it is not or cannot be read.
     """
     from .commands.checks import check_file
 
-    typer.echo(f"{file}: valid {check_file(file)}")
+    kind, note = check_file(file)
+    typer.echo(f"{file}: valid {kind}")
+    if note is not None:
+        typer.echo(note)
 
 
 @app.command()
--- a/sequoiamoor/commands/checks.py
+++ b/sequoiamoor/commands/checks.py
@@ -6,19 +6,21 @@
 from pathlib import Path
 from typing import Any
 
+from ..daemon.budget import describe_budget
 from ..declaration import read_declaration
 from ..errors import SettingsError
 from ..settings import RouterSettings, read_settings
 
 
-def check_file(path: Path) -> str:
+def check_file(path: Path) -> tuple[str, str | None]:
     """Validates a file with router settings or a declaration.
 
     A JSON object with a field of the router settings counts as settings, everything
     else as a declaration.
 
     Returns:
-        The kind of the file, ``"settings"`` or ``"declaration"``.
+        The kind of the file, ``"settings"`` or ``"declaration"``, and for settings the
+        sum of the file descriptors that the router uses.
 
     Raises:
         SettingsError: If the file cannot be read, is not JSON or has invalid fields.
@@ -27,10 +29,9 @@
     if isinstance(document, dict) and not document.keys().isdisjoint(
         RouterSettings.model_fields
     ):
-        read_settings(path)
-        return "settings"
+        return "settings", describe_budget(read_settings(path))
     read_declaration(path)
-    return "declaration"
+    return "declaration", None
 
 
 def read_json(path: Path) -> Any:
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -73,6 +73,11 @@
             self._records.check_available(call, time.monotonic())
         self._dispatcher.accept(call)
 
+    @property
+    def upstream_connections(self) -> int:
+        """Number of connections to upstreams, idle and in use."""
+        return self._pool.open_count
+
     @property
     def in_service(self) -> int:
         """Number of accepted calls that have not been answered completely."""
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -79,6 +79,7 @@
         settings: RouterSettings,
         rng: Random,
         usage: ControlUsage | None = None,
+        connection_limit: int | None = None,
     ) -> None:
         self._usage = usage or ControlUsage(metrics.control_cpu.inc)
         self._board = board
@@ -97,6 +98,7 @@
             options=board.options,
             metrics=metrics,
             rng=rng,
+            connection_limit=connection_limit,
         )
         self._sums = ReportSums(board.identity, board.ledger)
         self._counter_message_count = 0
@@ -142,6 +144,11 @@
 
     # Called by the rest of the router.
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections from and to other routers."""
+        return self._peers.open_count
+
     @property
     def unsent_bytes(self) -> int:
         """Encoded bytes that are not yet written to the sockets of the peers."""
--- a/sequoiamoor/daemon/feeds.py
+++ b/sequoiamoor/daemon/feeds.py
@@ -156,6 +156,11 @@
         """Returns for how many seconds the store may hold the last call."""
         return self._waits.get(table, 0.0)
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections to the store."""
+        return sum(client.is_connected for client in list(self._clients.values()))
+
     def recall(self, table: str) -> None:
         """Aborts a held call of a table, which is then made again at once."""
         self._recalled_tables.add(table)
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -115,6 +115,11 @@
         """Closes the idle connections to replicas."""
         await self._pool.close()
 
+    @property
+    def upstream_connections(self) -> int:
+        """Number of connections to replicas, idle and in use."""
+        return self._pool.open_count
+
     @property
     def in_service(self) -> int:
         """Number of accepted requests that have not been answered completely."""
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from ..core.descriptors import PAGES_PER_PORT
 from ..core.directory import UpstreamDirectory
 from ..core.drain import DrainEndReason
 from ..core.freshness import KeyFreshness
@@ -47,8 +48,6 @@
 """Time between checks of the settings file, which may change without a signal."""
 
 BACKLOG_CONNECTIONS = 1_024
-PAGE_CONNECTIONS = 32
-"""Connections that each of the ports for operators takes at a time."""
 PAGE_TIMEOUT_SECONDS = 5.0
 """Timeout of an idle connection and of a request, on the ports for operators."""
 PAGE_HEADER_LIMIT_BYTES = 4_096
@@ -98,6 +97,7 @@
     ) -> None:
         super().__init__(_adapt_options(settings, gateway))
         self._gateway = gateway
+        self._acceptors: list[Acceptor] = []
         self._settings_file = settings_file
         self._freshness = KeyFreshness(_find_key_age_limit(gateway))
         self._repeat_budget = RepeatBudget(_build_repeat_limits(gateway))
@@ -134,9 +134,15 @@
             self.board,
             self._forwarder,
             self.metrics,
-            limits=_build_caller_limits(settings, gateway),
+            limits=self._build_caller_limits(settings),
+        )
+        self._listener.refusal_connections = self.budget.refusals
+        self._pages = Pages(
+            self.board,
+            self.metrics,
+            policy=self._policy,
+            count_descriptors=self._count_descriptors,
         )
-        self._pages = Pages(self.board, self.metrics, policy=self._policy)
 
     @property
     def is_ready(self) -> bool:
@@ -153,7 +159,7 @@
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         # Listening first lets callers queue in the kernel until the tasks run.
-        acceptors = [
+        self._acceptors = [
             self._listen(
                 "callers",
                 self._settings.http,
@@ -164,28 +170,26 @@
                 "readiness",
                 self._gateway.ready,
                 self._answer_readiness,
-                limit=PAGE_CONNECTIONS,
+                limit=PAGES_PER_PORT,
             ),
             self._listen(
                 "metrics",
                 self._gateway.metrics,
                 self._serve_pages,
-                limit=PAGE_CONNECTIONS,
+                limit=PAGES_PER_PORT,
             ),
         ]
         self._control.bind()
         _LOG.info("router started", extra={"router_id": self.board.identity.router_id})
         with signals:
-            end = await self._serve_until_drained(signals, acceptors)
+            end = await self._serve_until_drained(signals)
         await self._forwarder.close()
         _LOG.info("router stopped", extra={"router_id": self.board.identity.router_id})
         return end
 
-    async def _serve_until_drained(
-        self, signals: SignalWatch, acceptors: list[Acceptor]
-    ) -> DrainEndReason:
+    async def _serve_until_drained(self, signals: SignalWatch) -> DrainEndReason:
         async with curio.TaskGroup() as tasks:
-            listeners = {acceptor.name: acceptor.run for acceptor in acceptors}
+            listeners = {acceptor.name: acceptor.run for acceptor in self._acceptors}
             await self._spawn_all(tasks, listeners | self._list_tasks())
             while await signals.wait() == signal.SIGHUP:
                 self._reload_settings("SIGHUP")
@@ -251,7 +255,7 @@
         self._freshness.limit = _find_key_age_limit(settings.gateway)
         self._sources.poll_intervals = _build_poll_intervals(settings.gateway)
         self._repeat_budget.limits = _build_repeat_limits(settings.gateway)
-        self._listener.base_limits = _build_caller_limits(settings, settings.gateway)
+        self._listener.base_limits = self._build_caller_limits(settings)
         logging.getLogger().setLevel(settings.log_level.upper())
 
     async def _refuse_after_delay(self) -> None:
@@ -264,6 +268,18 @@
                 _LOG.info("upstream removed", extra={"upstream": replica_id})
             await curio.sleep(STEP_INTERVAL_SECONDS)
 
+    def _build_caller_limits(self, settings: RouterSettings) -> LimitSettings:
+        return settings.limits.model_copy(update={"connections": self.budget.callers})
+
+    def _count_descriptors(self) -> dict[str, int]:
+        return super()._count_descriptors() | {
+            "callers": self._listener.served_connections,
+            "refusals": self._listener.excess_connections,
+            "upstreams": self._forwarder.upstream_connections,
+            "store": self._sources.open_count,
+            "pages": sum(len(acceptor) for acceptor in self._acceptors[1:]),
+        }
+
     def _count_in_service(self) -> int:
         return self._forwarder.in_service
 
@@ -322,12 +338,6 @@
     )
 
 
-def _build_caller_limits(
-    settings: RouterSettings, gateway: GatewaySettings
-) -> LimitSettings:
-    return settings.limits.model_copy(update={"connections": gateway.connections})
-
-
 def _adapt_options(
     settings: RouterSettings, gateway: GatewaySettings
 ) -> RouterSettings:
@@ -345,4 +355,4 @@
             "longest_report_interval": LONGEST_REPORT_INTERVAL_SECONDS,
         }
     )
-    return settings.model_copy(update={"options": options})
+    return settings.model_copy(update={"options": options, "gateway": gateway})
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -12,6 +12,7 @@
 
 from ..core.blackboard import Blackboard
 from ..core.connections import CallerConnections
+from ..core.descriptors import REFUSALS
 from ..errors import RefusalError, RouterShuttingDownError, TooManyConnectionsError
 from ..metrics import Metrics
 from ..net import refusal_lane
@@ -25,10 +26,6 @@
 
 _LOG = logging.getLogger(__name__)
 
-REFUSAL_CONNECTIONS = 256
-"""Connections over the limit that are refused, or closed to make room, at a time. When
-there are as many, no further one is accepted until one of them ends."""
-
 MAX_EXAMINED_CONNECTIONS = 16
 """Idle connections that are examined to make room for a new one. On some of them the
 next request may have begun to arrive."""
@@ -50,6 +47,11 @@
     """Base of the listeners: accepts connections and receives requests in order.
 
     A subclass serves the requests.
+
+    Attributes:
+        refusal_connections: Connections over the limit that are refused, or closed to
+            make room, at a time. When there are as many, no further one is accepted
+            until one of them ends.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self._limits = limits
         self._connections = 0
         self._served: CallerConnections[ServerConnection] = CallerConnections()
+        self.refusal_connections = REFUSALS
         self._refused_since_log = 0
         self._refusals_logged_at = self._refused_at = float("-inf")
         self._detects_dead_peers = False
@@ -75,7 +78,7 @@
     @property
     def connection_limit(self) -> int:
         """Connections that may be open at a time, with those that are refused."""
-        return self._limits.connections + REFUSAL_CONNECTIONS
+        return self._limits.connections + self.refusal_connections
 
     @property
     def served_connections(self) -> int:
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -26,11 +27,13 @@
         *,
         records: Records | None = None,
         policy: Policy | None = None,
+        count_descriptors: Callable[[], dict[str, int]] = dict,
     ) -> None:
         self._board = board
         self._policy = policy
         self._metrics = metrics
         self._records = records
+        self._count_descriptors = count_descriptors
         self._pages = {
             "/healthz": self._send_health,
             "/readyz": self._send_readiness,
@@ -69,6 +72,8 @@
                     figures.gap_seconds
                 )
                 self._metrics.utilisation.labels(service).set(figures.utilisation)
+        for use, count in self._count_descriptors().items():
+            self._metrics.descriptors.labels(use).set(count)
         body = generate_latest(self._metrics.registry)
         await connection.send_response(200, {"content-type": CONTENT_TYPE_LATEST}, body)
 
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -20,6 +20,7 @@
 from ..policies import create_policy
 from ..settings import RouterSettings
 from ..types import RouterIdentity
+from .budget import fit_settings
 from .control import Control
 from .usage import ControlUsage
 
@@ -40,11 +41,13 @@
         board: State of the router.
         metrics: Prometheus metrics of the process.
         usage: CPU time of the control tasks.
+        budget: File descriptors by use.
         broken_task: Name of the background task that made the router stop because it
             failed repeatedly, or None.
     """
 
     def __init__(self, settings: RouterSettings) -> None:
+        settings, self.budget = fit_settings(settings)
         self._settings = settings
         self._options = settings.options
         self._rng = Random(settings.seed)
@@ -53,6 +56,8 @@
         )
         self.board = create_blackboard(identity, settings.options)
         self.metrics = Metrics()
+        for use, count in self.budget.to_parts().items():
+            self.metrics.descriptor_budget.labels(use).set(count)
         self.usage = ControlUsage(self.metrics.control_cpu.inc)
         self.broken_task: str | None = None
         self._policy = create_policy(settings.policy, rng=self._rng)
@@ -63,6 +68,7 @@
             settings=settings,
             rng=self._rng,
             usage=self.usage,
+            connection_limit=self.budget.peers,
         )
 
     async def _supervise(self, name: str, task_function: TaskFunction) -> None:
@@ -112,6 +118,10 @@
         for name, task_function in task_functions.items():
             await tasks.spawn(partial(self._supervise, name, task_function))
 
+    def _count_descriptors(self) -> dict[str, int]:
+        """Returns the descriptors in use, by the names of the budget's parts."""
+        return {"peers": self._control.open_count}
+
     def _count_in_service(self) -> int:
         """Returns the number of accepted requests that are not answered completely."""
         raise NotImplementedError
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -66,7 +66,11 @@
             retries=Retries(self._options, rng=self._rng),
         )
         self._pages = Pages(
-            self.board, self.metrics, records=self._records, policy=policy
+            self.board,
+            self.metrics,
+            records=self._records,
+            policy=policy,
+            count_descriptors=self._count_descriptors,
         )
         self._pollers = Pollers(
             self.board, self._platform, self._control, rng=self._rng
@@ -78,10 +82,11 @@
             self._calls,
             self._pages,
             self.metrics,
-            limits=settings.limits,
+            limits=self._settings.limits,
             make_call_id=self._make_call_id,
             debug=self._debug,
         )
+        self._listener.refusal_connections = self.budget.refusals
 
     def _make_call_id(self) -> str:
         identity = self.board.identity
@@ -128,6 +133,13 @@
             "control": partial(self._control.run, self._calls.dispatch),
         }
 
+    def _count_descriptors(self) -> dict[str, int]:
+        return super()._count_descriptors() | {
+            "callers": self._listener.served_connections,
+            "refusals": self._listener.excess_connections,
+            "upstreams": self._calls.upstream_connections,
+        }
+
     def _count_in_service(self) -> int:
         return self._calls.in_service
 
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -140,6 +140,11 @@
             observe=self._metrics.count_platform_operation,
         )
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections to the store that follow its tables."""
+        return self._feeds.open_count
+
     async def follow(self) -> None:
         """Follows the configuration and the upstreams until cancelled.
 
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -161,6 +161,18 @@
             ["task"],
             registry=self.registry,
         )
+        self.descriptors = Gauge(
+            "sequoiamoor_descriptors",
+            "Connections in use, by part of the descriptor budget.",
+            ["use"],
+            registry=self.registry,
+        )
+        self.descriptor_budget = Gauge(
+            "sequoiamoor_descriptor_budget",
+            "File descriptors that each use may take.",
+            ["use"],
+            registry=self.registry,
+        )
         self.accept_errors = Counter(
             "sequoiamoor_accept_errors",
             "Connections that could not be accepted, by error.",
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -41,6 +41,10 @@
 MAX_CHECK_INTERVAL_SECONDS = 0.25
 
 
+ROOM_CHECK_INTERVAL_SECONDS = 0.02
+"""Interval between checks for a free connection while all are in use."""
+
+
 class Sink(Protocol):
     """Receives the validated events of a streamed answer."""
 
@@ -76,12 +80,17 @@
         self._metrics = metrics
         self._idle: dict[Address, deque[tuple[float, ClientConnection]]] = {}
         self._in_use: set[ClientConnection] = set()
-        self._idle_count = 0
+        self._idle_count = self._opening_count = 0
 
     def __len__(self) -> int:
         """Returns the number of idle connections."""
         return self._idle_count
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections that are idle, in use or being opened."""
+        return self._idle_count + len(self._in_use) + self._opening_count
+
     @property
     def answer_limit_bytes(self) -> int:
         """The largest answer, in bytes, that is buffered as a whole."""
@@ -112,14 +121,41 @@
                 return connection, True
             self._metrics.pool_stale.inc()
             await connection.close()
-        connection = await ClientConnection.connect(
-            address,
-            timeout=self._options.connect_timeout,
-            detects_dead_peer=self._detects_dead_peers,
-        )
+        await self._make_room(address)
+        self._opening_count += 1
+        try:
+            connection = await ClientConnection.connect(
+                address,
+                timeout=self._options.connect_timeout,
+                detects_dead_peer=self._detects_dead_peers,
+            )
+        finally:
+            self._opening_count -= 1
         self._in_use.add(connection)
         return connection, False
 
+    async def _make_room(self, address: Address) -> None:
+        """Closes the oldest idle connection, or waits for one in use, at the limit.
+
+        Raises:
+            TimeoutError: If all connections stay in use for ``connect_timeout``.
+        """
+        ends_at = time.monotonic() + self._options.connect_timeout
+        while self.open_count >= self._options.upstream_connections:
+            if self._idle_count:
+                oldest = min(
+                    filter(None, self._idle.values()), key=lambda idle: idle[0][0]
+                )
+                self._idle_count -= 1
+                await oldest.popleft()[1].close()
+            elif time.monotonic() >= ends_at:
+                raise TimeoutError(
+                    f"all {self._options.upstream_connections} connections to "
+                    f"upstreams are in use; none became free for {address}"
+                )
+            else:
+                await curio.sleep(ROOM_CHECK_INTERVAL_SECONDS)
+
     async def release(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool, or closes it if it cannot be used again.
 
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -223,6 +223,11 @@
         self._is_stopped = False
         self._connection_error: Exception | None = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is open."""
+        return self._sock is not None
+
     @property
     def unsent_bytes(self) -> int:
         """Number of encoded bytes that were not yet handed to the kernel."""
@@ -404,7 +409,9 @@
         options: Options,
         metrics: Metrics,
         rng: Random,
+        connection_limit: int | None = None,
     ) -> None:
+        self._connection_limit = connection_limit
         self._listen = listen
         self._handler = handler
         self._options = options
@@ -424,7 +431,11 @@
             self._listen.host, self._listen.port, backlog=1024
         )
         self._acceptor = Acceptor(
-            sock, self._accept, name="control", observer=self._metrics
+            sock,
+            self._accept,
+            name="control",
+            limit=self._connection_limit,
+            observer=self._metrics,
         )
         return Address(*self._acceptor.address)
 
@@ -514,6 +525,12 @@
                 with contextlib.suppress(OSError):
                     sock._socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections from and to other routers."""
+        opened = sum(link.is_connected for link in self._links.values())
+        return opened + (0 if self._acceptor is None else len(self._acceptor))
+
     @property
     def unsent_bytes(self) -> int:
         """Number of encoded bytes that were not yet handed to the kernel."""
--- a/sequoiamoor/options.py
+++ b/sequoiamoor/options.py
@@ -110,6 +110,9 @@
     answer_limit_bytes: int = Field(
         16_777_216, ge=1, description="largest answer that is buffered as a whole"
     )
+    upstream_connections: int = Field(
+        800, ge=1, description="connections to upstreams, idle and in use"
+    )
     pool_limit: int = Field(1_024, ge=0, description="idle connections to upstreams")
     pool_limit_per_replica: int = Field(64, ge=0)
     pool_idle_time: float = Field(30.0, gt=0)
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -75,6 +75,11 @@
         self._observe = observe
         self._connection: ClientConnection | None = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is open."""
+        return self._connection is not None
+
     async def read_table(self, table: str) -> Rows:
         """Reads all rows of a table; each page is a consistent snapshot.
 
--- a/sequoiamoor/settings.py
+++ b/sequoiamoor/settings.py
@@ -116,6 +116,9 @@
     seed: int | None = None
     fault_injection: bool = False
     log_level: Literal["debug", "info", "warning", "error"] = "info"
+    descriptors: int | None = Field(
+        None, ge=1, description="file descriptors that the process may open"
+    )
     limits: LimitSettings = LimitSettings.model_validate({})
     options: Options = Options.model_validate({})
     gateway: GatewaySettings | None = None
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -99,13 +99,11 @@
     run_limited(session, 1)
 
 
-def test_more_callers_than_lane_and_limit_hold_are_answered_or_refused(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_more_callers_than_lane_and_limit_hold_are_answered_or_refused() -> None:
     """Guards against connections that are closed only because there are many."""
-    monkeypatch.setattr(listener, "REFUSAL_CONNECTIONS", 3)
 
     async def session(harness: ListenerHarness) -> None:
+        harness.listener.refusal_connections = 3
         sock = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=256)
         limit = harness.listener.connection_limit
         acceptor = Acceptor(sock, harness.listener.accept, name="callers", limit=limit)
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any
 
 import curio
@@ -609,6 +610,37 @@
     run(session, options=options)
 
 
+def test_connections_to_upstreams_are_bounded() -> None:
+    """Guards against upstreams that take the descriptors of callers and control."""
+
+    async def session(harness: ListenerHarness) -> None:
+        def answer(received: bytes) -> list[Step]:
+            return [complete_response(read_call_id(received), b"{}")]
+
+        upstreams = [await harness.add_upstream(answer) for _ in range(2)]
+        pool = harness.calls._pool
+        first, second = (upstream.address for upstream in upstreams)
+        assert first is not None
+        assert second is not None
+        held, _ = await pool.acquire(first, force_new=False)
+        kept, _ = await pool.acquire(first, force_new=False)
+        with pytest.raises(TimeoutError, match="all 2 connections to upstreams"):
+            await pool.acquire(second, force_new=False)
+        waiting = await curio.spawn(partial(pool.acquire, second, force_new=False))
+        headers = {"x-call-id": "x"}
+        await kept.send_request("POST", "/v1/call", headers, b"")
+        await kept.receive_response()
+        await kept.receive_body()
+        await pool.release(kept)
+        connection, is_reused = await waiting.join()
+        assert (pool.open_count, len(pool), is_reused) == (2, 0, False)
+        for used in (held, connection):
+            await pool.discard(used)
+        assert pool.open_count == 0
+
+    run(session, options={"upstream_connections": 2, "connect_timeout": 0.1})
+
+
 def test_address_of_a_dead_upstream_stays_reserved() -> None:
     """Guards against another test that listens at an address that must refuse."""
 
