Be ready only while connections of callers are accepted

A router whose listener had ended said for the rest of its life that it was ready, so the load balancer went on to send callers to it: readiness asked for the configuration, the upstreams, the lag of the loop and the number of connections, and for nothing that a caller meets first.

Every 0.5 s the router connects to its own port for callers. The connection goes through the kernel's queue and the accept loop; the acceptor knows its source address and ends it at once, so that it is neither served nor counted as a caller. The router is not ready if a probe is not accepted within 1 s, or if the last accepted one is over 3 s old. The same holds for /readyz of a router with the project's own interface.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -27,6 +27,7 @@
     LimitSettings,
     RouterSettings,
 )
+from .accept_probe import AcceptProbe
 from .dispatcher import Dispatcher
 from .forwarder import Forwarder
 from .pages import Pages
@@ -98,6 +99,7 @@
         super().__init__(_adapt_options(settings, gateway))
         self._gateway = gateway
         self._acceptors: list[Acceptor] = []
+        self._probe = AcceptProbe()
         self._settings_file = settings_file
         self._freshness = KeyFreshness(_find_key_age_limit(gateway))
         self._repeat_budget = RepeatBudget(_build_repeat_limits(gateway))
@@ -153,6 +155,7 @@
             and self._directory.is_known
             and not self._lag.is_overloaded
             and not self._listener.is_crowded
+            and self._probe.is_accepting
         )
 
     async def serve(self) -> DrainEndReason:
@@ -217,6 +220,7 @@
             "control": partial(self._control.run, self._forwarder.dispatch),
             "settings": self._watch_settings,
             "lag": self._watch_lag,
+            "probe": self._probe_listener,
         }
 
     async def _watch_lag(self) -> None:
@@ -236,6 +240,9 @@
             elif is_changed:
                 _LOG.info("event loop recovered from overload")
 
+    async def _probe_listener(self) -> None:
+        await self._probe.run(self._acceptors[0])
+
     async def _watch_settings(self) -> None:
         """Reloads the settings file when it changes without a signal."""
         while True:
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -28,12 +28,14 @@
         records: Records | None = None,
         policy: Policy | None = None,
         count_descriptors: Callable[[], dict[str, int]] = dict,
+        is_accepting: Callable[[], bool] = lambda: True,
     ) -> None:
         self._board = board
         self._policy = policy
         self._metrics = metrics
         self._records = records
         self._count_descriptors = count_descriptors
+        self._is_accepting = is_accepting
         self._pages = {
             "/healthz": self._send_health,
             "/readyz": self._send_readiness,
@@ -56,6 +58,8 @@
             status, text = 503, b"leaving\n"
         elif self._board.configuration.declaration is None:
             status, text = 503, b"no configuration\n"
+        elif not self._is_accepting():
+            status, text = 503, b"not accepting\n"
         else:
             status, text = 200, b"ready\n"
         await connection.send_response(status, {"content-type": "text/plain"}, text)
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -19,6 +19,7 @@
 from ..net.platform import PlatformClient
 from ..net.signals import SignalWatch
 from ..settings import RouterSettings, read_settings
+from .accept_probe import AcceptProbe
 from .calls import CallServer
 from .debug import DebugPages
 from .gateway import Gateway
@@ -71,7 +72,10 @@
             records=self._records,
             policy=policy,
             count_descriptors=self._count_descriptors,
+            is_accepting=lambda: self._probe.is_accepting,
         )
+        self._probe = AcceptProbe()
+        self._acceptor: Acceptor | None = None
         self._pollers = Pollers(
             self.board, self._platform, self._control, rng=self._rng
         )
@@ -97,7 +101,7 @@
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT)
         http = self._settings.http
-        acceptor = Acceptor(
+        self._acceptor = Acceptor(
             curio.network.tcp_server_socket(http.host, http.port, backlog=1024),
             self._listener.accept,
             name="callers",
@@ -107,7 +111,7 @@
         self._control.bind()
         _LOG.info("listening", extra={"router_id": self.board.identity.router_id})
         with signals:
-            end = await self._serve_until_drained(signals, acceptor)
+            end = await self._serve_until_drained(signals, self._acceptor)
         await self._calls.close()
         return end
 
@@ -131,8 +135,13 @@
             "platform": self._pollers.poll_platform,
             "loads": self._pollers.poll_loads,
             "control": partial(self._control.run, self._calls.dispatch),
+            "probe": self._probe_listener,
         }
 
+    async def _probe_listener(self) -> None:
+        assert self._acceptor is not None
+        await self._probe.run(self._acceptor)
+
     def _count_descriptors(self) -> dict[str, int]:
         return super()._count_descriptors() | {
             "callers": self._listener.served_connections,
--- a/tests/daemon/test_supervision.py
+++ b/tests/daemon/test_supervision.py
@@ -25,9 +25,9 @@
 ANY_PORT = "127.0.0.1:0"
 GATEWAY_TASKS = [
     *("callers", "readiness", "metrics", "pool", "feeds", "routers", "readers"),
-    *("directory", "control", "settings", "lag"),
+    *("directory", "control", "settings", "lag", "probe"),
 ]
-ROUTER_TASKS = ["callers", "pool", "platform", "loads", "control"]
+ROUTER_TASKS = ["callers", "pool", "platform", "loads", "control", "probe"]
 TASKS = [(Gateway, name) for name in GATEWAY_TASKS]
 TASKS += [(Router, name) for name in ROUTER_TASKS]
 
