--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -115,6 +115,11 @@
         """Closes the idle connections to replicas."""
         await self._pool.close()
 
+    @property
+    def upstream_connections(self) -> int:
+        """Number of connections to replicas, idle and in use."""
+        return self._pool.open_count
+
     @property
     def in_service(self) -> int:
         """Number of accepted requests that have not been answered completely."""
@@ -124,6 +129,10 @@
         """Starts waiting requests of a service until the policy starts no more."""
         await self._dispatcher.dispatch(service)
 
+    def find_organisation(self, request: Request) -> str | None:
+        """Returns the organisation whose key a request carries; None if unknown."""
+        return self._calls.find_organisation(request)
+
     async def serve(self, connection: ServerConnection, request: Request) -> None:
         """Serves one request until it is answered or its caller disconnects."""
         self._apply_received()
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -10,12 +10,14 @@
 
 import curio
 
+from ..core.descriptors import PAGES_PER_PORT
 from ..core.directory import UpstreamDirectory
 from ..core.drain import DrainEndReason
 from ..core.freshness import KeyFreshness
 from ..core.loop_lag import LoopLag
 from ..core.poll_intervals import PollIntervals
 from ..core.repeats import RepeatBudget, RepeatLimits
+from ..net.acceptor import Acceptor, Serve
 from ..net.http_server import ServerConnection
 from ..net.signals import SignalWatch
 from ..platform import callers, names, replicas
@@ -25,10 +27,11 @@
     LimitSettings,
     RouterSettings,
 )
+from .accept_probe import AcceptProbe
 from .dispatcher import Dispatcher
 from .forwarder import Forwarder
 from .pages import Pages
-from .process import RouterProcess
+from .process import RouterProcess, TaskFunction
 from .reloading import SettingsFile
 from .route_listener import RouteListener
 from .sources import LOST_ANSWER_RETRY_SECONDS, Sources
@@ -95,6 +98,8 @@
     ) -> None:
         super().__init__(_adapt_options(settings, gateway))
         self._gateway = gateway
+        self._acceptors: list[Acceptor] = []
+        self._probe = AcceptProbe()
         self._settings_file = settings_file
         self._freshness = KeyFreshness(_find_key_age_limit(gateway))
         self._repeat_budget = RepeatBudget(_build_repeat_limits(gateway))
@@ -131,9 +136,15 @@
             self.board,
             self._forwarder,
             self.metrics,
-            limits=_build_caller_limits(settings, gateway),
+            limits=self._build_caller_limits(settings),
+        )
+        self._listener.refusal_connections = self.budget.refusals
+        self._pages = Pages(
+            self.board,
+            self.metrics,
+            policy=self._policy,
+            count_descriptors=self._count_descriptors,
         )
-        self._pages = Pages(self.board, self.metrics, policy=self._policy)
 
     @property
     def is_ready(self) -> bool:
@@ -144,44 +155,45 @@
             and self._directory.is_known
             and not self._lag.is_overloaded
             and not self._listener.is_crowded
+            and self._probe.is_accepting
         )
 
     async def serve(self) -> DrainEndReason:
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         # Listening first lets callers queue in the kernel until the tasks run.
-        sockets = [
-            (_listen(self._settings.http), self._listener.accept),
-            (_listen(self._gateway.ready), self._answer_readiness),
-            (_listen(self._gateway.metrics), self._serve_pages),
+        self._acceptors = [
+            self._listen(
+                "callers",
+                self._settings.http,
+                self._listener.accept,
+                limit=self._listener.connection_limit,
+            ),
+            self._listen(
+                "readiness",
+                self._gateway.ready,
+                self._answer_readiness,
+                limit=PAGES_PER_PORT,
+            ),
+            self._listen(
+                "metrics",
+                self._gateway.metrics,
+                self._serve_pages,
+                limit=PAGES_PER_PORT,
+            ),
         ]
         self._control.bind()
         _LOG.info("router started", extra={"router_id": self.board.identity.router_id})
         with signals:
-            end = await self._serve_until_drained(signals, sockets)
+            end = await self._serve_until_drained(signals)
         await self._forwarder.close()
         _LOG.info("router stopped", extra={"router_id": self.board.identity.router_id})
         return end
 
-    async def _serve_until_drained(
-        self, signals: SignalWatch, sockets: list[tuple[Any, Any]]
-    ) -> DrainEndReason:
+    async def _serve_until_drained(self, signals: SignalWatch) -> DrainEndReason:
         async with curio.TaskGroup() as tasks:
-            for sock, serve_connection in sockets:
-                await tasks.spawn(curio.network.run_server, sock, serve_connection)
-            await self._spawn_all(
-                tasks,
-                {
-                    "pool": self._forwarder.watch,
-                    "feeds": self._sources.follow,
-                    "routers": self._sources.follow_routers,
-                    "readers": self._sources.watch_readers,
-                    "directory": self._step_directory,
-                    "control": partial(self._control.run, self._forwarder.dispatch),
-                    "settings": self._watch_settings,
-                    "lag": self._watch_lag,
-                },
-            )
+            listeners = {acceptor.name: acceptor.run for acceptor in self._acceptors}
+            await self._spawn_all(tasks, listeners | self._list_tasks())
             while await signals.wait() == signal.SIGHUP:
                 self._reload_settings("SIGHUP")
             await tasks.spawn(self._refuse_after_delay)
@@ -190,6 +202,27 @@
             await tasks.cancel_remaining()
         return end
 
+    def _listen(
+        self, name: str, address: AddressSettings, serve: Serve, *, limit: int
+    ) -> Acceptor:
+        sock = curio.network.tcp_server_socket(
+            address.host, address.port, backlog=BACKLOG_CONNECTIONS
+        )
+        return Acceptor(sock, serve, name=name, limit=limit, observer=self.metrics)
+
+    def _list_tasks(self) -> dict[str, TaskFunction]:
+        return {
+            "pool": self._forwarder.watch,
+            "feeds": self._sources.follow,
+            "routers": self._sources.follow_routers,
+            "readers": self._sources.watch_readers,
+            "directory": self._step_directory,
+            "control": partial(self._control.run, self._forwarder.dispatch),
+            "settings": self._watch_settings,
+            "lag": self._watch_lag,
+            "probe": self._probe_listener,
+        }
+
     async def _watch_lag(self) -> None:
         """Measures the lag of the event loop; an overloaded router is not ready."""
         while True:
@@ -207,6 +240,9 @@
             elif is_changed:
                 _LOG.info("event loop recovered from overload")
 
+    async def _probe_listener(self) -> None:
+        await self._probe.run(self._acceptors[0])
+
     async def _watch_settings(self) -> None:
         """Reloads the settings file when it changes without a signal."""
         while True:
@@ -226,7 +262,7 @@
         self._freshness.limit = _find_key_age_limit(settings.gateway)
         self._sources.poll_intervals = _build_poll_intervals(settings.gateway)
         self._repeat_budget.limits = _build_repeat_limits(settings.gateway)
-        self._listener.base_limits = _build_caller_limits(settings, settings.gateway)
+        self._listener.base_limits = self._build_caller_limits(settings)
         logging.getLogger().setLevel(settings.log_level.upper())
 
     async def _refuse_after_delay(self) -> None:
@@ -239,6 +275,18 @@
                 _LOG.info("upstream removed", extra={"upstream": replica_id})
             await curio.sleep(STEP_INTERVAL_SECONDS)
 
+    def _build_caller_limits(self, settings: RouterSettings) -> LimitSettings:
+        return settings.limits.model_copy(update={"connections": self.budget.callers})
+
+    def _count_descriptors(self) -> dict[str, int]:
+        return super()._count_descriptors() | {
+            "callers": self._listener.served_connections,
+            "refusals": self._listener.excess_connections,
+            "upstreams": self._forwarder.upstream_connections,
+            "store": self._sources.open_count,
+            "pages": sum(len(acceptor) for acceptor in self._acceptors[1:]),
+        }
+
     def _count_in_service(self) -> int:
         return self._forwarder.in_service
 
@@ -297,12 +345,6 @@
     )
 
 
-def _build_caller_limits(
-    settings: RouterSettings, gateway: GatewaySettings
-) -> LimitSettings:
-    return settings.limits.model_copy(update={"connections": gateway.connections})
-
-
 def _adapt_options(
     settings: RouterSettings, gateway: GatewaySettings
 ) -> RouterSettings:
@@ -320,10 +362,4 @@
             "longest_report_interval": LONGEST_REPORT_INTERVAL_SECONDS,
         }
     )
-    return settings.model_copy(update={"options": options})
-
-
-def _listen(address: AddressSettings) -> Any:
-    return curio.network.tcp_server_socket(
-        address.host, address.port, backlog=BACKLOG_CONNECTIONS
-    )
+    return settings.model_copy(update={"options": options, "gateway": gateway})
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -14,11 +14,13 @@
 
 from ..core.blackboard import create_blackboard
 from ..core.drain import Drain, DrainEndReason
+from ..core.restarts import RestartRecord
 from ..metrics import Metrics
 from ..net.signals import SignalWatch
 from ..policies import create_policy
 from ..settings import RouterSettings
 from ..types import RouterIdentity
+from .budget import fit_settings
 from .control import Control
 from .usage import ControlUsage
 
@@ -39,9 +41,13 @@
         board: State of the router.
         metrics: Prometheus metrics of the process.
         usage: CPU time of the control tasks.
+        budget: File descriptors by use.
+        broken_task: Name of the background task that made the router stop because it
+            failed repeatedly, or None.
     """
 
     def __init__(self, settings: RouterSettings) -> None:
+        settings, self.budget = fit_settings(settings)
         self._settings = settings
         self._options = settings.options
         self._rng = Random(settings.seed)
@@ -50,7 +56,10 @@
         )
         self.board = create_blackboard(identity, settings.options)
         self.metrics = Metrics()
+        for use, count in self.budget.to_parts().items():
+            self.metrics.descriptor_budget.labels(use).set(count)
         self.usage = ControlUsage(self.metrics.control_cpu.inc)
+        self.broken_task: str | None = None
         self._policy = create_policy(settings.policy, rng=self._rng)
         self._control = Control(
             self.board,
@@ -59,13 +68,15 @@
             settings=settings,
             rng=self._rng,
             usage=self.usage,
+            connection_limit=self.budget.peers,
         )
 
     async def _supervise(self, name: str, task_function: TaskFunction) -> None:
         """Runs a task until cancelled and restarts it when it fails or returns.
 
         A curio task group does not raise the exception of a failed task, so the router
-        would continue without polls or reports.
+        would continue without polls or reports. If the task fails repeatedly, the
+        router is asked to stop; the task is restarted during the drain, too.
 
         Args:
             name: Name of the task in the log and the metrics.
@@ -73,6 +84,7 @@
         """
         if name in CONTROL_TASKS:
             self.usage.include(await curio.current_task())
+        record = RestartRecord()
         while True:
             try:
                 await task_function()
@@ -80,19 +92,36 @@
                     "background task failed; restarting it",
                     extra={"reason": f"{name} ended"},
                 )
-            except Exception:
+            except (Exception, curio.TaskTimeout, curio.TimeoutCancellationError):
+                # The last two are no subclasses of Exception.
                 _LOG.exception(
                     "background task failed; restarting it", extra={"reason": name}
                 )
             self.metrics.task_failures.labels(name).inc()
+            record.record_failure(time.monotonic())
+            if record.is_broken and self.broken_task is None:
+                self.broken_task = name
+                self._stop_because_broken(name)
             await curio.sleep(TASK_RESTART_DELAY_SECONDS)
 
+    def _stop_because_broken(self, name: str) -> None:
+        _LOG.error(
+            "background task keeps failing; router stops", extra={"reason": name}
+        )
+        # A second signal would cut a drain short.
+        if not self.board.is_leaving:
+            signal.raise_signal(signal.SIGTERM)
+
     async def _spawn_all(
         self, tasks: Any, task_functions: dict[str, TaskFunction]
     ) -> None:
         for name, task_function in task_functions.items():
             await tasks.spawn(partial(self._supervise, name, task_function))
 
+    def _count_descriptors(self) -> dict[str, int]:
+        """Returns the descriptors in use, by the names of the budget's parts."""
+        return {"peers": self._control.open_count}
+
     def _count_in_service(self) -> int:
         """Returns the number of accepted requests that are not answered completely."""
         raise NotImplementedError
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -9,28 +9,32 @@
 import sys
 from functools import partial
 from pathlib import Path
-from typing import Any
 
 import curio
 
 from ..core.drain import DrainEndReason
 from ..core.retries import Retries
 from ..logs import configure_logs
+from ..net.acceptor import Acceptor
 from ..net.platform import PlatformClient
 from ..net.signals import SignalWatch
 from ..settings import RouterSettings, read_settings
+from .accept_probe import AcceptProbe
 from .calls import CallServer
 from .debug import DebugPages
 from .gateway import Gateway
 from .listener import CallListener
 from .pages import Pages
 from .pollers import Pollers
-from .process import RouterProcess
+from .process import RouterProcess, TaskFunction
 from .records import Records
 from .reloading import SettingsFile
 
 _LOG = logging.getLogger(__name__)
 
+BROKEN_EXIT_CODE = 3
+"""Exit code after a background task failed repeatedly."""
+
 
 class Router(RouterProcess):
     """A router that serves the project's own interface."""
@@ -63,8 +67,15 @@
             retries=Retries(self._options, rng=self._rng),
         )
         self._pages = Pages(
-            self.board, self.metrics, records=self._records, policy=policy
+            self.board,
+            self.metrics,
+            records=self._records,
+            policy=policy,
+            count_descriptors=self._count_descriptors,
+            is_accepting=lambda: self._probe.is_accepting,
         )
+        self._probe = AcceptProbe()
+        self._acceptor: Acceptor | None = None
         self._pollers = Pollers(
             self.board, self._platform, self._control, rng=self._rng
         )
@@ -75,10 +86,11 @@
             self._calls,
             self._pages,
             self.metrics,
-            limits=settings.limits,
+            limits=self._settings.limits,
             make_call_id=self._make_call_id,
             debug=self._debug,
         )
+        self._listener.refusal_connections = self.budget.refusals
 
     def _make_call_id(self) -> str:
         identity = self.board.identity
@@ -89,36 +101,54 @@
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT)
         http = self._settings.http
-        sock = curio.network.tcp_server_socket(http.host, http.port, backlog=1024)
+        self._acceptor = Acceptor(
+            curio.network.tcp_server_socket(http.host, http.port, backlog=1024),
+            self._listener.accept,
+            name="callers",
+            limit=self._listener.connection_limit,
+            observer=self.metrics,
+        )
         self._control.bind()
         _LOG.info("listening", extra={"router_id": self.board.identity.router_id})
         with signals:
-            end = await self._serve_until_drained(signals, sock)
+            end = await self._serve_until_drained(signals, self._acceptor)
         await self._calls.close()
         return end
 
     async def _serve_until_drained(
-        self, signals: SignalWatch, sock: Any
+        self, signals: SignalWatch, acceptor: Acceptor
     ) -> DrainEndReason:
         async with curio.TaskGroup() as tasks:
             listener_task = await tasks.spawn(
-                curio.network.run_server, sock, self._listener.accept
-            )
-            await self._spawn_all(
-                tasks,
-                {
-                    "pool": self._calls.watch,
-                    "platform": self._pollers.poll_platform,
-                    "loads": self._pollers.poll_loads,
-                    "control": partial(self._control.run, self._calls.dispatch),
-                },
+                self._supervise, acceptor.name, acceptor.run
             )
+            await self._spawn_all(tasks, self._list_tasks())
             await signals.wait()
             end = await self._drain(signals)
             await listener_task.cancel()
             await tasks.cancel_remaining()
         return end
 
+    def _list_tasks(self) -> dict[str, TaskFunction]:
+        return {
+            "pool": self._calls.watch,
+            "platform": self._pollers.poll_platform,
+            "loads": self._pollers.poll_loads,
+            "control": partial(self._control.run, self._calls.dispatch),
+            "probe": self._probe_listener,
+        }
+
+    async def _probe_listener(self) -> None:
+        assert self._acceptor is not None
+        await self._probe.run(self._acceptor)
+
+    def _count_descriptors(self) -> dict[str, int]:
+        return super()._count_descriptors() | {
+            "callers": self._listener.served_connections,
+            "refusals": self._listener.excess_connections,
+            "upstreams": self._calls.upstream_connections,
+        }
+
     def _count_in_service(self) -> int:
         return self._calls.in_service
 
@@ -137,8 +167,8 @@
 
     Raises:
         SettingsError: If the file cannot be read or a field is wrong.
-        SystemExit: With code 1 if the drain limit or a second signal cut the drain
-            short.
+        SystemExit: With ``BROKEN_EXIT_CODE`` if a background task failed repeatedly,
+            else with code 1 if the drain limit or a second signal cut the drain short.
     """
     settings = read_settings(path)
     configure_logs(settings.log_level)
@@ -153,5 +183,13 @@
     gc.collect()
     gc.freeze()
     end = curio.run(router.serve, activations=[router.usage])
-    if end is not DrainEndReason.IDLE:
-        sys.exit(1)
+    exit_code = find_exit_code(end, router.broken_task)
+    if exit_code:
+        sys.exit(exit_code)
+
+
+def find_exit_code(end: DrainEndReason, broken_task: str | None) -> int:
+    """Returns the exit code of a router whose drain ended."""
+    if broken_task is not None:
+        return BROKEN_EXIT_CODE
+    return 0 if end is DrainEndReason.IDLE else 1
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -40,6 +40,7 @@
 from ..metrics import Metrics
 from ..options import Options
 from ..types import Address, ReplicaId, RouterIdentity, ZoneName
+from .acceptor import Acceptor
 from .decoder import Decoder
 from .encoder import Encoder
 from .reachability import REACHABILITY
@@ -208,6 +209,7 @@
         self.address = address
         self._source_host = source
         self._options = options
+        self._metrics = metrics
         self._sent_bytes_metric = metrics.control_bytes.labels("out")
         self._sent_messages_metric = metrics.control_messages.labels("out")
         self._outbox = Outbox()
@@ -221,6 +223,11 @@
         self._is_stopped = False
         self._connection_error: Exception | None = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is open."""
+        return self._sock is not None
+
     @property
     def unsent_bytes(self) -> int:
         """Number of encoded bytes that were not yet handed to the kernel."""
@@ -328,6 +335,12 @@
             except (OSError, ProtocolError, curio.TaskTimeout) as err:
                 _LOG.debug("connection to router at %s failed: %s", self.address, err)
                 self._connection_error = err
+            except Exception:
+                _LOG.exception(
+                    "connection to router ended by an unexpected exception",
+                    extra={"peer": str(self.address)},
+                )
+                self._metrics.task_failures.labels("link").inc()
             state = classify_failure(self._connection_error)
             if state is not None:
                 handler.record_link_state(self.address, state)
@@ -396,13 +409,15 @@
         options: Options,
         metrics: Metrics,
         rng: Random,
+        connection_limit: int | None = None,
     ) -> None:
+        self._connection_limit = connection_limit
         self._listen = listen
         self._handler = handler
         self._options = options
         self._metrics = metrics
         self._rng = rng
-        self._sock: Any = None
+        self._acceptor: Acceptor | None = None
         self._links: dict[Address, Link] = {}
         self._last_received_at: dict[Any, float] = {}
 
@@ -412,16 +427,23 @@
         Raises:
             OSError: If the address cannot be used.
         """
-        self._sock = curio.network.tcp_server_socket(
+        sock = curio.network.tcp_server_socket(
             self._listen.host, self._listen.port, backlog=1024
         )
-        host, port = self._sock.getsockname()[:2]
-        return Address(host, port)
+        self._acceptor = Acceptor(
+            sock,
+            self._accept,
+            name="control",
+            limit=self._connection_limit,
+            observer=self._metrics,
+        )
+        return Address(*self._acceptor.address)
 
     async def run(self) -> None:
         """Accepts connections until cancelled."""
+        assert self._acceptor is not None, "bind was not called"
         try:
-            await curio.network.run_server(self._sock, self._accept)
+            await self._acceptor.run()
         finally:
             for link in self._links.values():
                 link.stop()
@@ -503,6 +525,12 @@
                 with contextlib.suppress(OSError):
                     sock._socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections from and to other routers."""
+        opened = sum(link.is_connected for link in self._links.values())
+        return opened + (0 if self._acceptor is None else len(self._acceptor))
+
     @property
     def unsent_bytes(self) -> int:
         """Number of encoded bytes that were not yet handed to the kernel."""
