Refuse what lies unread in sockets before a drained router ends

In a play of a flood beside restarts two callers had whole requests (3,388 and 1,056 bytes) in the sockets of a router when it ended: the drain was over, the event loop late, and nothing looked for what had arrived since its last pass. The connections were reset without an answer (reason shutdown, detail unread).

The test cannot run on the code before, which has no such wait; without a pass of the event loop the answer is not there.

--- a/sequoiamoor/core/connections.py
+++ b/sequoiamoor/core/connections.py
@@ -26,6 +26,10 @@
         """Returns the number of connections."""
         return len(self._organisations)
 
+    def __iter__(self) -> Iterator[ConnectionT]:
+        """Yields the connections."""
+        return iter(self._organisations)
+
     def __contains__(self, connection: object) -> bool:
         return connection in self._organisations
 
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -31,7 +31,7 @@
 from .dispatcher import Dispatcher
 from .forwarder import Forwarder
 from .pages import Pages
-from .process import RouterProcess, TaskFunction
+from .process import READ_BEFORE_EXIT_SECONDS, RouterProcess, TaskFunction
 from .reloading import SettingsFile
 from .route_listener import RouteListener
 from .sources import LOST_ANSWER_RETRY_SECONDS, Sources
@@ -199,6 +199,8 @@
             await tasks.spawn(self._refuse_after_delay)
             end = await self._drain(signals)
             await self._sources.remove_own_address()
+            if end is DrainEndReason.IDLE:
+                await self._listener.wait_until_read(READ_BEFORE_EXIT_SECONDS)
             await tasks.cancel_remaining()
         return end
 
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -44,6 +44,8 @@
 REFUSAL_LOG_INTERVAL_SECONDS = 1.0
 """Shortest time between two lines about connections over the limit."""
 
+READ_CHECK_INTERVAL_SECONDS = 0.01
+
 # Fraction of the connection limit above which the router is not ready. The load
 # balancer takes about two seconds to notice; the rest of the limit is for connections
 # that arrive until then.
@@ -116,6 +118,18 @@
         """Connections that are refused, or that are closed to make room."""
         return self._connections - len(self._served)
 
+    async def wait_until_read(self, seconds: float) -> None:
+        """Waits until nothing lies unread in the sockets of callers.
+
+        Args:
+            seconds: Longest time to wait.
+        """
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at and any(
+            connection.has_unread for connection in self._served
+        ):
+            await curio.sleep(READ_CHECK_INTERVAL_SECONDS)
+
     async def accept(self, sock: Any, peer: Any) -> None:
         """Serves one connection until it ends, or refuses it."""
         self._connections += 1
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -26,7 +26,7 @@
 from .listener import CallListener
 from .pages import Pages
 from .pollers import Pollers
-from .process import RouterProcess, TaskFunction
+from .process import READ_BEFORE_EXIT_SECONDS, RouterProcess, TaskFunction
 from .records import Records
 from .reloading import SettingsFile
 
@@ -125,6 +125,8 @@
             await self._spawn_all(tasks, self._list_tasks())
             await signals.wait()
             end = await self._drain(signals)
+            if end is DrainEndReason.IDLE:
+                await self._listener.wait_until_read(READ_BEFORE_EXIT_SECONDS)
             await listener_task.cancel()
             await tasks.cancel_remaining()
         return end
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -315,6 +315,11 @@
         with contextlib.suppress(OSError):
             self._raw_sock.shutdown(socket.SHUT_RD)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether data of the peer is in the socket."""
+        return bool(peek(self._raw_sock))
+
     async def wait_closed(self) -> None:
         """Waits until the peer closes its side; buffers data received before that."""
         while len(self._h11.trailing_data[0]) <= self._header_limit:
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -339,6 +339,33 @@
     run(session, limits={"idle_timeout": 0.05, "receive_timeout": 0.05})
 
 
+def test_request_that_lies_unread_at_the_end_of_a_drain_is_answered() -> None:
+    """Guards against a router that ends with requests in the sockets of its callers.
+
+    The event loop is late, so nothing has read the request when the drain is over.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(
+            lambda received: [complete_response(read_call_id(received), b"{}")],
+            service="look",
+        )
+        caller = await harness.connect()
+        await caller.send(request("look", stream=False))
+        await caller.receive_until(b"{}")
+        await harness.wait_idle()
+        harness.board.is_leaving = True
+        await caller.send(request("look", stream=False))
+        await harness.listener.wait_until_read(1.0)
+        # Sent by now, since the connection's task may be cancelled next.
+        assert b'"code": "leaving"' in caller.sock._socket.recv(65_536)
+        started_at = time.monotonic()
+        await harness.listener.wait_until_read(1.0)
+        assert time.monotonic() - started_at < 0.5
+
+    run(session)
+
+
 def test_idle_connection_is_closed() -> None:
     """Guards against idle connections that are kept indefinitely."""
 
