Serve an even share of requests on scarce connections

After a refused connection, an organisation that held more than an even share of the connections got all further requests refused. One that connects often enough to hold that many with refused requests alone would have got nothing served, although its share was free.

Connections and requests are counted apart. While connections are scarce, those of an organisation over its share end with their next answer, which is a served one, so that others find room; a request is refused only if its organisation has an even share of the limit in service already. The acceptor takes a whole queue of the kernel (1,024) in one turn of the loop, since a late loop would leave the rest in a queue that overflows.

--- a/sequoiamoor/core/connections.py
+++ b/sequoiamoor/core/connections.py
@@ -20,6 +20,8 @@
     def __init__(self) -> None:
         self._organisations: dict[ConnectionT, str | None] = {}
         self._counts: Counter[str | None] = Counter()
+        self._in_service: Counter[str | None] = Counter()
+        self._serving: set[ConnectionT] = set()
         self._idle: dict[str | None, dict[ConnectionT, float]] = {}
 
     def __len__(self) -> int:
@@ -39,7 +41,7 @@
         return self._organisations.get(connection)
 
     def set_organisation(self, connection: ConnectionT, organisation: str) -> None:
-        """Records the organisation of a connection that has a request in service."""
+        """Records the organisation of a connection whose request is not served yet."""
         self._uncount(self._organisations[connection])
         self._organisations[connection] = organisation
         self._counts[organisation] += 1
@@ -48,6 +50,11 @@
         """Records that a request of the connection was received."""
         self._take_from_idle(connection)
 
+    def start_service(self, connection: ConnectionT) -> None:
+        """Records that the request is served and not refused."""
+        self._serving.add(connection)
+        self._in_service[self._organisations[connection]] += 1
+
     def end_request(self, connection: ConnectionT, now: float) -> None:
         """Records that the connection has no request in service any more.
 
@@ -56,6 +63,7 @@
             now: Monotonic time in seconds.
         """
         if connection in self._organisations:
+            self._end_service(connection)
             organisation = self._organisations[connection]
             idle = self._idle.setdefault(organisation, {})
             # Moved to the end if it was there, so that the order is that of the times.
@@ -65,9 +73,15 @@
     def remove(self, connection: ConnectionT) -> None:
         """Removes a connection, if it is there."""
         if connection in self._organisations:
+            self._end_service(connection)
             self._take_from_idle(connection)
             self._uncount(self._organisations.pop(connection))
 
+    def _end_service(self, connection: ConnectionT) -> None:
+        if connection in self._serving:
+            self._serving.discard(connection)
+            self._in_service[self._organisations[connection]] -= 1
+
     def _take_from_idle(self, connection: ConnectionT) -> None:
         organisation = self._organisations.get(connection)
         idle = self._idle.get(organisation)
@@ -100,8 +114,8 @@
                     break
                 yield connection
 
-    def is_over_share(self, connection: ConnectionT, limit: int) -> bool:
-        """Returns whether the connection's organisation holds more than an even share.
+    def has_spare_share(self, connection: ConnectionT, limit: int) -> bool:
+        """Returns whether the connection's organisation has an even share or less.
 
         The share is that of the organisations that have connections now. An unknown
         organisation has no share to exceed.
@@ -111,7 +125,27 @@
             limit: Number of connections to share.
         """
         organisation = self._organisations.get(connection)
-        if organisation is None:
-            return False
-        known_count = len(self._counts) - (None in self._counts)
-        return self._counts[organisation] * known_count > limit
+        return (
+            organisation is None
+            or self._counts[organisation] * self._known_count <= limit
+        )
+
+    def may_serve(self, connection: ConnectionT, limit: int) -> bool:
+        """Returns whether less than that share of requests is in service.
+
+        Connections whose requests are refused do not count, so that an organisation
+        that connects often gets its share served.
+
+        Args:
+            connection: The connection, whose request is not in service yet.
+            limit: Number of connections to share.
+        """
+        organisation = self._organisations.get(connection)
+        return (
+            organisation is None
+            or self._in_service[organisation] * self._known_count < limit
+        )
+
+    @property
+    def _known_count(self) -> int:
+        return len(self._counts) - (None in self._counts)
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -35,8 +35,8 @@
 next request may have begun to arrive."""
 
 SCARCITY_SECONDS = 1.0
-"""Time after a refused connection in which an organisation that holds more than its
-share of the connections gets no further request served on them."""
+"""Time after a refused connection in which those of an organisation that holds more
+than its share end with their next answer."""
 
 REFUSAL_LOG_INTERVAL_SECONDS = 1.0
 """Shortest time between two lines about connections over the limit."""
@@ -212,11 +212,14 @@
                 if organisation is not None:
                     self._served.set_organisation(connection, organisation)
             limit = self._limits.connections
-            if self._is_scarce and self._served.is_over_share(connection, limit):
-                connection.closes_after_response = True
-                await self._refuse(connection, self._build_refusal())
-            else:
-                await self._answer_request(connection, request)
+            if self._is_scarce:
+                has_share = self._served.has_spare_share(connection, limit)
+                connection.closes_after_response = not has_share
+                if not self._served.may_serve(connection, limit):
+                    await self._refuse(connection, self._build_refusal())
+                    return
+            self._served.start_service(connection)
+            await self._answer_request(connection, request)
         finally:
             self._served.end_request(connection, time.monotonic())
 
--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -19,7 +19,7 @@
 REPEATED_ERROR_PAUSE_SECONDS = 0.001
 """Pause after any other error, so that one that returns does not occupy the loop."""
 
-MAX_ACCEPTS_PER_TURN = 64
+MAX_ACCEPTS_PER_TURN = 1_024
 """Connections that are accepted before the other tasks run again."""
 
 LOG_INTERVAL_SECONDS = 5.0
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -216,7 +216,7 @@
         fields = to_h11_headers(headers)
         fields.append((b"content-length", b"%d" % len(body)))
         if self.closes_after_response or self._h11.their_state is not h11.DONE:
-            fields.append((b"connection", b"close"))
+            _append_close(fields)
         head = self._h11.send(h11.Response(status_code=status, headers=fields))
         data = b""
         if body and not self._is_head_request:
@@ -234,6 +234,8 @@
         """
         fields = to_h11_headers(headers)
         fields.append((b"transfer-encoding", b"chunked"))
+        if self.closes_after_response:
+            _append_close(fields)
         await self._send(h11.Response(status_code=status, headers=fields))
         self._is_streaming = True
 
@@ -340,3 +342,8 @@
         remaining_bytes = CLOSE_LINGER_LIMIT_BYTES
         while remaining_bytes > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
             remaining_bytes -= len(data)
+
+
+def _append_close(fields: Headers) -> None:
+    if not any(name.lower() == b"connection" for name, _ in fields):
+        fields.append((b"connection", b"close"))
