--- /dev/null
+++ b/sequoiamoor/net/outbox.py
@@ -0,0 +1,125 @@
+"""Queue of the messages to one peer."""
+
+from __future__ import annotations
+
+from ..core.messages import (
+    Configuration,
+    ConfigurationRequest,
+    Confirmation,
+    GrantRow,
+    Grants,
+    Hello,
+    LoadRow,
+    Loads,
+    Message,
+    Report,
+    Snapshot,
+    Sum,
+    UpstreamList,
+    UpstreamState,
+)
+from ..types import ReplicaId, ZoneName
+
+
+class Outbox:
+    """Queue of the messages to one peer.
+
+    Its size is bounded by the numbers of replicas and sums: grants, loads and upstream
+    states are kept per replica, sums per scope and part, and of the other kinds only
+    the latest message. ``Hello`` and ``Snapshot`` are sent only at the start of a
+    connection.
+
+    Attributes:
+        is_report_early: Whether every queued report was put before its interval ended.
+        is_empty: Whether no message is queued.
+    """
+
+    def __init__(self) -> None:
+        self._clear()
+
+    def _clear(self) -> None:
+        self._first_messages: list[Message] = []
+        self._upstream_states: dict[ReplicaId, UpstreamState] = {}
+        self._grants: dict[ReplicaId, GrantRow] = {}
+        self._acknowledged = 0
+        self._incarnation = 0
+        self._loads: dict[ReplicaId, LoadRow] = {}
+        self._configuration_request: ConfigurationRequest | None = None
+        self._configuration: Configuration | None = None
+        self._confirmation: Confirmation | None = None
+        self._upstream_list: UpstreamList | None = None
+        self._report: Report | None = None
+        self._sums: dict[tuple[ZoneName, int], Sum] = {}
+        self.is_report_early = True
+        self.is_empty = True
+
+    def put(self, message: Message, *, is_early: bool = False) -> None:
+        """Adds a message; it may replace an earlier one.
+
+        Args:
+            message: The message.
+            is_early: Whether the message is a report sent before its interval ends.
+        """
+        self.is_empty = False
+        match message:
+            case Report():
+                self._report = message
+                self.is_report_early = self.is_report_early and is_early
+            case Grants(rows, acknowledged, incarnation):
+                if incarnation != self._incarnation:
+                    # The queued grants are for an earlier incarnation of the receiver.
+                    self._grants.clear()
+                self._grants.update((row.replica_id, row) for row in rows)
+                self._acknowledged = acknowledged
+                self._incarnation = incarnation
+            case Loads(rows):
+                self._loads.update((row.replica_id, row) for row in rows)
+            case Sum():
+                self._sums[message.scope, message.part] = message
+            case UpstreamState():
+                self._upstream_states[message.replica_id] = message
+            case ConfigurationRequest():
+                self._configuration_request = message
+            case Configuration():
+                if (
+                    self._configuration is None
+                    or message.version > self._configuration.version
+                ):
+                    self._configuration = message
+            case Confirmation():
+                self._confirmation = message
+            case UpstreamList():
+                self._upstream_list = message
+            case Hello() | Snapshot():
+                self._first_messages.append(message)
+
+    def take(self) -> list[Message]:
+        """Removes and returns all messages in the order to send them."""
+        messages: list[Message] = [
+            message for message in self._first_messages if isinstance(message, Hello)
+        ]
+        # The sum of a zone precedes the counters of the single origins it includes.
+        messages.extend(self._sums.values())
+        messages.extend(
+            message
+            for message in self._first_messages
+            if not isinstance(message, Hello)
+        )
+        if self._upstream_list is not None:
+            messages.append(self._upstream_list)
+        messages.extend(self._upstream_states.values())
+        if self._grants:
+            rows = tuple(self._grants.values())
+            messages.append(Grants(rows, self._acknowledged, self._incarnation))
+        if self._confirmation is not None:
+            messages.append(self._confirmation)
+        if self._configuration_request is not None:
+            messages.append(self._configuration_request)
+        if self._configuration is not None:
+            messages.append(self._configuration)
+        if self._report is not None:
+            messages.append(self._report)
+        if self._loads:
+            messages.append(Loads(tuple(self._loads.values())))
+        self._clear()
+        return messages
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -27,7 +27,7 @@
 from sequoiamoor.daemon.control import Control
 from sequoiamoor.metrics import Metrics
 from sequoiamoor.net.encoder import Encoder
-from sequoiamoor.net.peers import Outbox
+from sequoiamoor.net.outbox import Outbox
 from sequoiamoor.policies.round_robin import RoundRobinPolicy
 from sequoiamoor.settings import RouterSettings
 from sequoiamoor.types import Address, CallRequest, RouterIdentity
