--- a/sequoiamoor/daemon/accept_probe.py
+++ b/sequoiamoor/daemon/accept_probe.py
@@ -64,23 +64,23 @@
     if ipaddress.ip_address(host).is_unspecified:
         host = "::1" if ":" in host else "127.0.0.1"
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    address = None
     try:
         sock = curio.socket.socket(family, socket.SOCK_STREAM)
     except OSError as err:
         return str(err)
+    expected = acceptor.expect_probe(host)
     try:
         sock.bind((host, 0))
-        address = sock.getsockname()
-        acceptor.expect_probe(address)
         async with curio.timeout_after(TIMEOUT_SECONDS):
             await sock.connect((host, port))
+            await expected.set_address(sock.getsockname())
             await sock.recv(1)
     except curio.TaskTimeout:
         return f"not accepted within {TIMEOUT_SECONDS} s"
     except OSError as err:
         return str(err)
     finally:
-        acceptor.forget_probe(address)
+        acceptor.forget_probe()
+        await expected.set_address(None)
         await sock.close()
     return None
--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -19,7 +19,7 @@
 REPEATED_ERROR_PAUSE_SECONDS = 0.001
 """Pause after any other error, so that one that returns does not occupy the loop."""
 
-MAX_ACCEPTS_PER_TURN = 64
+MAX_ACCEPTS_PER_TURN = 1_024
 """Connections that are accepted before the other tasks run again."""
 
 LOG_INTERVAL_SECONDS = 5.0
@@ -58,6 +58,30 @@
         """Does nothing."""
 
 
+class Probe:
+    """A connection of this process to its own listener, which is not to be served.
+
+    Its source address is known only once it is connected: some systems choose it then.
+    """
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self._address: Any = None
+        self._is_known = curio.Event()
+
+    async def set_address(self, address: Any) -> None:
+        """Sets the source address, or None if the connection failed."""
+        self._address = address
+        await self._is_known.set()
+
+    async def matches(self, peer: Any) -> bool:
+        """Returns whether an accepted connection is the probe's."""
+        if peer[0] != self.host:
+            return False
+        await self._is_known.wait()
+        return bool(peer == self._address)
+
+
 class Acceptor:
     """Accepts connections on one socket and runs a task for each.
 
@@ -94,7 +118,7 @@
         self._observer = observer or _NoObserver()
         self._tasks: set[Any] = set()
         self._has_ended = curio.Event()
-        self._probes: set[Any] = set()
+        self._probe: Probe | None = None
         self._logged_at = float("-inf")
         self._unlogged_errors = 0
         self.limit = limit
@@ -109,13 +133,14 @@
         host, port = self._sock.getsockname()[:2]
         return host, port
 
-    def expect_probe(self, address: Any) -> None:
-        """Makes a connection from this address end as soon as it is accepted."""
-        self._probes.add(address)
+    def expect_probe(self, host: str) -> Probe:
+        """Makes the connection of a probe from this host end once it is accepted."""
+        self._probe = Probe(host)
+        return self._probe
 
-    def forget_probe(self, address: Any) -> None:
-        """Serves connections from this address like any other."""
-        self._probes.discard(address)
+    def forget_probe(self) -> None:
+        """Serves all connections again."""
+        self._probe = None
 
     async def run(self) -> None:
         """Accepts connections until cancelled.
@@ -156,10 +181,6 @@
                 raise
             await self._pause_after(err)
             return
-        if peer in self._probes:
-            self._probes.discard(peer)
-            await sock.close()
-            return
         # The new task runs only after this one waits.
         self._tasks.add(
             await curio.spawn(self._serve_connection, sock, peer, daemon=True)
@@ -188,7 +209,8 @@
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
         try:
             try:
-                await self._serve(sock, peer)
+                if self._probe is None or not await self._probe.matches(peer):
+                    await self._serve(sock, peer)
             finally:
                 await sock.close()
         except OSError as err:
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -48,6 +48,7 @@
         active_at: Monotonic time in seconds of the last byte sent or received.
         unread_bytes: Bytes that the peer had sent and nobody had read when this side
             closed the connection, and those that were discarded after that.
+        closes_after_response: Whether the next response says that the connection ends.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.bytes_sent = 0
         self.active_at = time.monotonic()
         self.unread_bytes = 0
+        self.closes_after_response = False
         disable_send_delay(self._raw_sock)
         if detects_dead_peer:
             enable_dead_peer_detection(self._raw_sock)
@@ -247,8 +249,8 @@
         """
         fields = to_h11_headers(headers)
         fields.append((b"content-length", b"%d" % len(body)))
-        if self._h11.their_state is not h11.DONE:
-            fields.append((b"connection", b"close"))
+        if self.closes_after_response or self._h11.their_state is not h11.DONE:
+            _append_close(fields)
         head = self._h11.send(h11.Response(status_code=status, headers=fields))
         data = b""
         if body and not self._is_head_request:
@@ -266,6 +268,8 @@
         """
         fields = to_h11_headers(headers)
         fields.append((b"transfer-encoding", b"chunked"))
+        if self.closes_after_response:
+            _append_close(fields)
         await self._send(h11.Response(status_code=status, headers=fields))
         self._is_streaming = True
 
@@ -387,3 +391,8 @@
         while remaining_bytes > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
             remaining_bytes -= len(data)
             self.unread_bytes += len(data)
+
+
+def _append_close(fields: Headers) -> None:
+    if not any(name.lower() == b"connection" for name, _ in fields):
+        fields.append((b"connection", b"close"))
