End a slow request in a bounded time on a late event loop

A caller that sends a few bytes in each pass of a flooded event loop kept its connection and its place among them for as long as it liked: its request never became late, whatever `limits.receive_timeout` says.

Cause: since the socket is looked at once more when the timer of an incomplete request fires, each further receive got a timer of 0 s. curio polls the sockets before the timers, so data that arrived during the late pass won over that timer in every pass, and each byte was followed by another wait.

Evidence: test_slow_sender_is_refused_by_a_late_event_loop, with a limit of 0.05 s and a byte in each pass of 5 ms, is answered 404 after all its bytes before ("assert False ... b'HTTP/1.1 404") and 408 now.

Once the time is over, only what has arrived is received, without another wait. A request that is in the socket when its timer fires is still served.

--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -121,15 +121,21 @@
         """Receives data, or the peer's close, within a time.
 
         A late event loop may notice the timer before data that has arrived, so the
-        socket is looked at once more when the timer fires.
+        socket is looked at once more when the timer fires. Once the time is over, only
+        what has arrived is received: waiting for even one pass of a late event loop
+        would let a peer that sends a few bytes in each pass go on indefinitely.
+
+        Args:
+            seconds: Time left; 0 or less if it is over.
 
         Returns:
             Whether something was received.
         """
-        async with curio.ignore_after(seconds) as timer:
-            await self._receive()
-        if not timer.expired:
-            return True
+        if seconds > 0:
+            async with curio.ignore_after(seconds) as timer:
+                await self._receive()
+            if not timer.expired:
+                return True
         if peek(self._raw_sock) is None:
             return False
         await self._receive()
@@ -165,7 +171,7 @@
                 return event
             if self._h11.they_are_waiting_for_100_continue:
                 await self._send(h11.InformationalResponse(status_code=100, headers=[]))
-            seconds_left = max(self._receive_ends_at - time.monotonic(), 0.0)
+            seconds_left = self._receive_ends_at - time.monotonic()
             if not await self._receive_within(seconds_left):
                 raise RequestTimeoutError(
                     f"the request was not complete after {self._receive_timeout} s; "
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -306,6 +306,27 @@
     run(session, limits={"receive_timeout": 0.05})
 
 
+def test_slow_sender_is_refused_by_a_late_event_loop() -> None:
+    """Guards against a slow sender whose bytes extend the time for its request.
+
+    Each pass of the event loop is late, and another byte has arrived at its poll.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        data = request("none", body=b"x" * 100)
+        caller = await harness.connect()
+        await caller.send(data[:-100])
+        for _ in range(99):
+            await caller.send(b"x")
+            time.sleep(0.005)
+            await curio.sleep(0)
+        await caller.send(b"x")
+        received = await caller.receive_until(b"\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 408 ")
+
+    run(session, limits={"receive_timeout": 0.05})
+
+
 @pytest.mark.parametrize("split", [0, 10, 400], ids=["whole", "head", "body"])
 def test_request_that_arrives_as_a_timer_fires_is_answered(split: int) -> None:
     """Guards against a late event loop that closes a connection with a request in it.
