Answer a request that an OSError of the router's own ends

An OSError that is not one of the caller's connection closed that connection without an answer, and the log and the metrics named the caller as the one who had left. The fault was left by the answer to unexpected exceptions: the listener and the forwarder took every OSError for the caller's.

Evidence: the rows of test_unexpected_exception_is_answered that raise an OSError in parsing, in the wait limit, in queueing and in the wait for a slot fail before ("incomplete response head: b''"); with the wait for a slot, the request counted as one whose caller had left.

A connection now records whether a send on it failed; the listener takes an OSError for the caller's only then. In the attempts of a request every failure of the caller's connection is a CallerGoneError, so any other exception is answered with 500.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -218,7 +218,7 @@
         except RefusalError as error:
             await self._finish_failed(connection, call, sink, error)
             return
-        except (CallerGoneError, OSError):
+        except CallerGoneError:
             raise
         except Exception as err:
             _LOG.exception(
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -164,9 +164,9 @@
                 return ConnectionEnd.IDLE
             try:
                 await self._serve_request(connection, request)
-            except OSError:
-                raise
-            except Exception:
+            except Exception as err:
+                if isinstance(err, OSError) and connection.has_send_failed:
+                    raise
                 # Without an answer, the caller could not tell this from a lost request.
                 _LOG.exception("request ended by an unexpected exception")
                 await self._refuse(connection, _build_internal_error())
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -43,6 +43,7 @@
     Attributes:
         is_peer_closed: Whether the peer closed its side or the connection failed.
         is_peer_slow: Whether a send failed because the peer read nothing for too long.
+        has_send_failed: Whether a send failed for any reason.
         bytes_sent: Number of bytes passed to the socket.
         active_at: Monotonic time in seconds of the last byte sent or received.
         unread_bytes: Bytes that the peer had sent and nobody had read when this side
@@ -73,6 +74,7 @@
         self._receive_ends_at = 0.0
         self.is_peer_closed = False
         self.is_peer_slow = False
+        self.has_send_failed = False
         self.bytes_sent = 0
         self.active_at = time.monotonic()
         self.unread_bytes = 0
@@ -217,13 +219,17 @@
 
     async def _write(self, data: bytes) -> None:
         try:
-            sent = self._raw_sock.send(data)
-        except BlockingIOError:
-            sent = 0
-        self.bytes_sent += len(data)
-        self.active_at = time.monotonic()
-        if sent < len(data):
-            await self._write_rest(memoryview(data)[sent:])
+            try:
+                sent = self._raw_sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            self.bytes_sent += len(data)
+            self.active_at = time.monotonic()
+            if sent < len(data):
+                await self._write_rest(memoryview(data)[sent:])
+        except OSError:
+            self.has_send_failed = True
+            raise
 
     async def _write_rest(self, data: memoryview) -> None:
         try:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -179,14 +179,22 @@
     run(session)
 
 
-@pytest.mark.parametrize("method", ["parse", "find_wait_limit", "accept", "forget"])
+@pytest.mark.parametrize(
+    "error", [LookupError("the organisation was removed"), OSError("not the caller's")]
+)
+@pytest.mark.parametrize(
+    "method", ["parse", "find_wait_limit", "accept", "wait_start", "forget"]
+)
 def test_unexpected_exception_is_answered(
-    method: str, monkeypatch: pytest.MonkeyPatch
+    method: str, error: Exception, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against a connection that a fault of the router ends without an answer."""
+    """Guards against a connection that a fault of the router ends without an answer.
+
+    An OSError counts as the caller's only if it is one of the caller's connection.
+    """
 
     def fail(*arguments: object) -> None:
-        raise LookupError("the organisation was removed")
+        raise error
 
     async def session(harness: RouteListenerHarness) -> None:
         await harness.add_upstream(lambda _: [answer()])
@@ -201,6 +209,7 @@
         response = parse(await caller.receive_all())
         # The request was answered before it is forgotten.
         assert response.status == (200 if method == "forget" else 500)
+        assert harness.counter("callers_gone") == 0
         assert harness.crashes == []
 
     run(session)
