Answer a request whose task an unexpected exception ends

An exception while a refusal was being prepared closed the caller's connection without an answer, and the connection counted as answered.

Cause: the request is served in a task of a group, and a task group of curio does not raise the exception of a failed task. The listener, which answers unexpected exceptions with 500, never learnt of it.

Evidence: test_exception_while_a_refusal_is_prepared_is_answered fails before in both rows ("incomplete response head: b''"). The exception of the task is raised now, and an OSError in it counts as the caller's only if a send to the caller failed.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -151,8 +151,11 @@
         self._repeat_budget.record_request(call.service, now)
         try:
             async with curio.TaskGroup(wait=any) as tasks:
-                await tasks.spawn(self._serve, connection, call)
+                serving = await tasks.spawn(self._serve, connection, call)
                 await tasks.spawn(connection.wait_closed)
+            # A task group does not raise the exception of a failed task.
+            if isinstance(serving.exception, Exception):
+                raise serving.exception
         finally:
             await self._dispatcher.forget(call)
 
@@ -192,6 +195,8 @@
                 self._record_caller_disconnect(call, "the caller closed its connection")
             raise
         except OSError as err:
+            if not connection.has_send_failed:
+                raise
             self._record_caller_disconnect(call, str(err))
 
     def _record_caller_disconnect(self, call: RoutedCall, reason: str) -> None:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -215,6 +215,29 @@
     run(session)
 
 
+@pytest.mark.parametrize("error", [LookupError("gone"), OSError("not the caller's")])
+def test_exception_while_a_refusal_is_prepared_is_answered(
+    error: Exception, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a fault that is lost with its task, and the answer with it."""
+
+    def fail(*arguments: object) -> None:
+        raise error
+
+    async def session(harness: RouteListenerHarness) -> None:
+        harness.add_dead_upstream()
+        monkeypatch.setattr(harness.forwarder, "_set_retry_after", fail)
+        caller = await harness.connect()
+        await caller.send(route_request("/look/1"))
+        assert parse(await caller.receive_all()).status == 500
+        await caller.close()
+        await harness.wait_for(
+            lambda: harness.counter("caller_connections_ended", reason="fault") == 1
+        )
+
+    run(session)
+
+
 def test_replica_receives_only_permitted_header_fields() -> None:
     """Guards against forged header fields and requests altered in transit."""
 
