Test that a request after an idle close is not read

The fix of the idle close has two parts, and the tests held only the first one, the look at the socket as the timer fires. Nothing failed when the connection was read on after its idle close, as a clean close does, which loses a request without any lag of the event loop.

test_request_after_an_idle_close_is_not_read fails when the close in receive_request is taken out ("assert 1.0 == 0", a connection cut with a request in it); the tests before it pass then.

--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -360,6 +360,26 @@
     run(session, limits={"idle_timeout": 0.05, "receive_timeout": 0.05})
 
 
+def test_request_after_an_idle_close_is_not_read() -> None:
+    """Guards against a request that is read and dropped after an idle connection ends.
+
+    Reading it would hide from its caller that it never ran.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        caller = await harness.connect()
+        await caller.send(request("none"))
+        await caller.receive_until(b"service-unknown")
+        await caller.receive_all()
+        await caller.send(request("none"))
+        await harness.wait_for(
+            lambda: harness.counter("caller_connections_ended", reason="idle") == 1
+        )
+        assert harness.counter("caller_connections_cut", reason="idle") == 0
+
+    run(session, limits={"idle_timeout": 0.05})
+
+
 def test_idle_connection_is_closed() -> None:
     """Guards against idle connections that are kept indefinitely."""
 
