Keep a connection from a router whose data has not been read yet

A router that did not run for over twice `dead_after` would shut down the connections of its peers although their reports had arrived, and then take the closes for theirs until they connect again. The check for silence is a control task of its own and can run before the tasks that read, also when the data was there at the poll.

test_connection_with_unread_data_is_not_taken_for_silent fails before ("DID NOT RAISE BlockingIOError": the connection was closed). A connection is shut down only if nothing is there to be read.

--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -42,6 +42,7 @@
 from ..types import Address, ReplicaId, RouterIdentity, ZoneName
 from .decoder import Decoder
 from .encoder import Encoder
+from .http import peek
 from .reachability import REACHABILITY
 from .wire import RECEIVE_BYTES
 
@@ -499,7 +500,9 @@
             now: Monotonic time in seconds.
         """
         for sock, last_received_at in list(self._last_received_at.items()):
-            if now - last_received_at > 2 * self._options.dead_after:
+            is_silent = now - last_received_at > 2 * self._options.dead_after
+            # A late event loop may not have read what has arrived.
+            if is_silent and peek(sock._socket) is None:
                 with contextlib.suppress(OSError):
                     sock._socket.shutdown(socket.SHUT_RDWR)
 
--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -8,10 +8,11 @@
 from typing import cast
 
 import curio
+import pytest
 
 from sequoiamoor.core.membership import LinkState
 from sequoiamoor.metrics import Metrics
-from sequoiamoor.net.peers import Handler, Link, classify_failure
+from sequoiamoor.net.peers import Handler, Link, Peers, classify_failure
 from sequoiamoor.options import Options
 from sequoiamoor.types import Address
 
@@ -59,6 +60,41 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("data", [b"x", b""], ids=["unread data", "nothing"])
+def test_connection_with_unread_data_is_not_taken_for_silent(data: bytes) -> None:
+    """Guards against a late event loop that takes a router with unread data for dead.
+
+    The check for silence runs before the task that reads from the router.
+    """
+    options = Options.model_validate({})
+
+    async def main() -> None:
+        peers = Peers(
+            Address("127.0.0.1", 0),
+            handler=cast(Handler, Recorder()),
+            options=options,
+            metrics=Metrics(),
+            rng=Random(1),
+        )
+        address = peers.bind()
+        task = await curio.spawn(peers.run, daemon=True)
+        with socket.create_connection((address.host, address.port)) as peer:
+            async with curio.timeout_after(10.0):
+                while not peers._last_received_at:
+                    await curio.sleep(0.01)
+            peer.sendall(data)
+            peers.close_silent(time.monotonic() + 3 * options.dead_after)
+            if data:
+                peer.setblocking(False)
+                with pytest.raises(BlockingIOError):
+                    peer.recv(1)
+            else:
+                assert peer.recv(1) == b""
+        await task.cancel()
+
+    curio.run(main)
+
+
 def test_injected_partition_is_unreachable_and_not_refused() -> None:
     """Guards against a partition that is mistaken for the end of a router's process."""
     assert classify_failure(ConnectionRefusedError("blocked")) is LinkState.UNREACHABLE
