--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -44,6 +44,7 @@
     Attributes:
         is_peer_closed: Whether the peer closed its side or the connection failed.
         is_peer_slow: Whether a send failed because the peer read nothing for too long.
+        has_send_failed: Whether a send failed for any reason.
         bytes_sent: Number of bytes passed to the socket.
         active_at: Monotonic time in seconds of the last byte sent or received.
         unread_bytes: Bytes that the peer had sent and nobody had read when this side
@@ -75,6 +76,7 @@
         self._receive_ends_at = 0.0
         self.is_peer_closed = False
         self.is_peer_slow = False
+        self.has_send_failed = False
         self.bytes_sent = 0
         self.active_at = time.monotonic()
         self.unread_bytes = 0
@@ -124,15 +126,21 @@
         """Receives data, or the peer's close, within a time.
 
         A late event loop may notice the timer before data that has arrived, so the
-        socket is looked at once more when the timer fires.
+        socket is looked at once more when the timer fires. Once the time is over, only
+        what has arrived is received: waiting for even one pass of a late event loop
+        would let a peer that sends a few bytes in each pass go on indefinitely.
+
+        Args:
+            seconds: Time left; 0 or less if it is over.
 
         Returns:
             Whether something was received.
         """
-        async with curio.ignore_after(seconds) as timer:
-            await self._receive()
-        if not timer.expired:
-            return True
+        if seconds > 0:
+            async with curio.ignore_after(seconds) as timer:
+                await self._receive()
+            if not timer.expired:
+                return True
         if peek(self._raw_sock) is None:
             return False
         await self._receive()
@@ -168,7 +176,7 @@
                 return event
             if self._h11.they_are_waiting_for_100_continue:
                 await self._send(h11.InformationalResponse(status_code=100, headers=[]))
-            seconds_left = max(self._receive_ends_at - time.monotonic(), 0.0)
+            seconds_left = self._receive_ends_at - time.monotonic()
             if not await self._receive_within(seconds_left):
                 raise RequestTimeoutError(
                     f"the request was not complete after {self._receive_timeout} s; "
@@ -214,13 +222,17 @@
 
     async def _write(self, data: bytes) -> None:
         try:
-            sent = self._raw_sock.send(data)
-        except BlockingIOError:
-            sent = 0
-        self.bytes_sent += len(data)
-        self.active_at = time.monotonic()
-        if sent < len(data):
-            await self._write_rest(memoryview(data)[sent:])
+            try:
+                sent = self._raw_sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            self.bytes_sent += len(data)
+            self.active_at = time.monotonic()
+            if sent < len(data):
+                await self._write_rest(memoryview(data)[sent:])
+        except OSError:
+            self.has_send_failed = True
+            raise
 
     async def _write_rest(self, data: memoryview) -> None:
         try:
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -306,6 +306,27 @@
     run(session, limits={"receive_timeout": 0.05})
 
 
+def test_slow_sender_is_refused_by_a_late_event_loop() -> None:
+    """Guards against a slow sender whose bytes extend the time for its request.
+
+    Each pass of the event loop is late, and another byte has arrived at its poll.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        data = request("none", body=b"x" * 100)
+        caller = await harness.connect()
+        await caller.send(data[:-100])
+        for _ in range(99):
+            await caller.send(b"x")
+            time.sleep(0.005)
+            await curio.sleep(0)
+        await caller.send(b"x")
+        received = await caller.receive_until(b"\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 408 ")
+
+    run(session, limits={"receive_timeout": 0.05})
+
+
 @pytest.mark.parametrize("split", [0, 10, 400], ids=["whole", "head", "body"])
 def test_request_that_arrives_as_a_timer_fires_is_answered(split: int) -> None:
     """Guards against a late event loop that closes a connection with a request in it.
@@ -366,6 +387,26 @@
     run(session)
 
 
+def test_request_after_an_idle_close_is_not_read() -> None:
+    """Guards against a request that is read and dropped after an idle connection ends.
+
+    Reading it would hide from its caller that it never ran.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        caller = await harness.connect()
+        await caller.send(request("none"))
+        await caller.receive_until(b"service-unknown")
+        await caller.receive_all()
+        await caller.send(request("none"))
+        await harness.wait_for(
+            lambda: harness.counter("caller_connections_ended", reason="idle") == 1
+        )
+        assert harness.counter("caller_connections_cut", reason="idle") == 0
+
+    run(session, limits={"idle_timeout": 0.05})
+
+
 def test_idle_connection_is_closed() -> None:
     """Guards against idle connections that are kept indefinitely."""
 
