Answer requests in service when the drain of a platform router is cut short

At the drain limit or a second signal a router of the operators' platform closed the connections of requests that it had read, also of those that still waited and could be refused as not run. Only the project's own interface answered them.

Requests that were not sent get 503 (not run), others 502, and a begun stream ends without its last chunk.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from functools import partial
 from random import Random
+from typing import Any
 
 import curio
 
@@ -106,6 +107,7 @@
             options=board.options, metrics=metrics, detects_dead_peers=True
         )
         self.is_refusing_requests = False
+        self._serving: dict[str, tuple[RoutedCall, Any]] = {}
 
     async def watch(self) -> None:
         """Watches the connections to replicas until cancelled."""
@@ -161,13 +163,34 @@
         try:
             async with curio.TaskGroup(wait=any) as tasks:
                 serving = await tasks.spawn(self._serve, connection, call)
+                self._serving[call.call_id] = (call, serving)
                 await tasks.spawn(connection.wait_closed)
             # A task group does not raise the exception of a failed task.
             if isinstance(serving.exception, Exception):
                 raise serving.exception
         finally:
+            self._serving.pop(call.call_id, None)
             await self._dispatcher.forget(call)
 
+    async def cut(self, reason: str) -> None:
+        """Ends all requests: those that were not sent are refused as not run.
+
+        Args:
+            reason: Why the drain was cut short, for the log and the metric.
+        """
+        for call, task in list(self._serving.values()):
+            _LOG.warning(
+                "request cut off by shutdown",
+                extra=_build_log_fields(call, reason=reason),
+            )
+            self._metrics.requests_cut.labels(reason).inc()
+            error = RouterShuttingDownError(
+                "this router shut down before the request was answered; send it to "
+                "another one",
+                retry_after=0.0,
+            )
+            await task.cancel(exc=error, blocking=False)
+
     async def refuse(
         self, connection: ServerConnection, error: RefusalError, request_id: str | None
     ) -> None:
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -289,6 +289,9 @@
             "pages": sum(len(acceptor) for acceptor in self._acceptors[1:]),
         }
 
+    async def _cut(self, reason: str) -> None:
+        await self._forwarder.cut(reason)
+
     def _count_in_service(self) -> int:
         return self._forwarder.in_service
 
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -230,6 +230,45 @@
     run(session)
 
 
+@pytest.mark.parametrize(
+    ("path", "script", "status", "is_whole"),
+    [
+        ("/look/1", None, 503, True),
+        ("/hold/1", None, 503, True),
+        ("/look/1", [Hang()], 502, True),
+        ("/hold/1", [Hang()], 502, True),
+        ("/chat/1", [STREAM_HEAD, chunk(event(1)), Hang()], 200, False),
+    ],
+)
+def test_requests_in_service_when_a_drain_is_cut_short_are_answered(
+    path: str, script: list[Step] | None, status: int, is_whole: bool
+) -> None:
+    """Guards against a shutdown that closes connections of requests it has read."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        if script is None:
+            harness.add_dead_upstream()
+            harness.board.upstreams.replicas.clear()
+        else:
+            await harness.add_upstream(lambda _: script)
+        caller = await harness.connect()
+        await caller.send(route_request(path))
+        if path.startswith("/chat/"):
+            await caller.receive_until(event(1))
+        elif script is None:
+            await harness.wait_for(lambda: len(harness.board.queues) == 1)
+        else:
+            await harness.wait_for(lambda: bool(harness.upstreams[0].requests))
+        harness.board.is_leaving = True
+        await harness.forwarder.cut("drain-limit")
+        response = parse(await caller.receive_all())
+        assert (response.status, response.is_whole) == (status, is_whole)
+        assert harness.counter("requests_cut", reason="drain-limit") == 1
+        await harness.wait_idle()
+
+    run(session)
+
+
 def test_replica_receives_only_permitted_header_fields() -> None:
     """Guards against forged header fields and requests altered in transit."""
 
