Read what replicas say in their answers about new requests

A replica that leaves says so in all its answers (Server-Leaving: 1), and one that turns a request away with 503 may say for how long it wants nothing (Retry-After).

--- a/sequoiamoor/net/formats.py
+++ b/sequoiamoor/net/formats.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from ..core.routed_call import Fields, PromptPart, RoutedCall
+from ..core.statements import Statement
 from ..errors import RefusalError
 from .http import Request, Response
 
@@ -68,6 +69,12 @@
     def states_not_run(self, response: Response) -> bool:
         """Returns whether the replica states that it did not run the request."""
 
+    def read_statement(self, response: Response) -> Statement | None:
+        """Returns what the answer says about the requests that its replica wants.
+
+        None means that it says nothing about them.
+        """
+
     def is_signed(self, response: Response) -> bool:
         """Returns whether the answer carries the signature of a replica."""
 
--- a/sequoiamoor/platform/names.py
+++ b/sequoiamoor/platform/names.py
@@ -13,6 +13,8 @@
 SIGNATURE = "x-server-signature"
 LOAD = "x-server-load"
 NOT_RUN = "x-not-executed"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 
 READINESS_PATH = "/api/readiness"
 
--- a/sequoiamoor/platform/replicas.py
+++ b/sequoiamoor/platform/replicas.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import math
+import re
+
 from ..core.routed_call import Fields, RoutedCall
+from ..core.statements import Statement, build_statement
 from ..net.http import Response
 from ..types import PUBLIC_ORGANISATION
 from . import names
@@ -10,6 +14,8 @@
 
 _INTERNAL_FIELDS = frozenset({names.LOAD.encode()})
 
+_SECONDS = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,15})?", re.ASCII)
+
 
 def build_fields(
     call: RoutedCall, replica_id: str, *, remaining: float, last_event: bytes | None
@@ -47,6 +53,25 @@
     return names.NOT_RUN in response.headers or response.status == 421
 
 
+def read_statement(response: Response) -> Statement | None:
+    """Returns what the answer says about the requests that its replica wants.
+
+    None if it says nothing, or comes from another replica than the expected one.
+    """
+    if response.status == 421:
+        return None
+    leaving = response.headers.get(names.LEAVING, "")
+    is_leaving = any(item.strip() == "1" for item in leaving.split(","))
+    hold_text = response.headers.get(names.RETRY_AFTER, "").strip()
+    hold = None
+    if response.status == 503 and names.RETRY_AFTER in response.headers:
+        is_readable = _SECONDS.fullmatch(hold_text) is not None
+        hold = float(hold_text) if is_readable else math.nan
+    if not is_leaving and hold is None:
+        return None
+    return build_statement(is_leaving=is_leaving, hold=hold, hold_text=hold_text[:80])
+
+
 def is_signed(response: Response) -> bool:
     """Returns whether the answer carries the signature of a replica."""
     return names.SIGNATURE in response.headers
