Keep what each replica process has stated, whatever else is said of it

Neither choice nor send looked at answers, and leaving was a flag of the replica object: an entry that lapsed and came back made a new object, so a process that had left was chosen again. A peer's news of a process whose entry had not arrived was dropped.

core/statements.py keeps the state per process (identifier and incarnation, or the address while the incarnation is unknown), also while the replica is not listed, for at most 4,096 processes. Answers, entries that say draining and peers add to it; nothing takes away from it. An answer counts for the process that the request was sent to. Replica.may_receive is the one check: choice asks it in is_available, both interfaces right before a send in check_in_service (new code upstream-turned-away). Of two holds the later end counts; the return is delayed by a random part of the hold, and one request at a time tries the replica until it answers one.

An entry without an incarnation no longer stands for a new process at the same address, and news that a new incarnation leaves is passed on also if the one before was leaving.

--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -2,14 +2,32 @@
 
 from __future__ import annotations
 
+import math
+from collections import OrderedDict
 from dataclasses import dataclass
 
+from ..types import Address, ReplicaId
+
 MAX_HOLD_SECONDS = 300.0
 """Longest time that a replica may ask for; a longer one is taken for a mistake."""
 
 DEFAULT_HOLD_SECONDS = 2.0
 """Time without requests if the replica asks for one that cannot be used."""
 
+RETURN_SPREAD_FRACTION = 0.25
+"""Largest part of a hold by which a router returns later, drawn at random, so that the
+waiting requests of all routers do not arrive together."""
+
+MAX_RETURN_SPREAD_SECONDS = 1.0
+"""Upper bound of that delay."""
+
+PROBE_LIMIT_SECONDS = 1.0
+"""Time after which another request may try a replica whose first one since the hold has
+not been answered."""
+
+MAX_REMEMBERED_PROCESSES = 4_096
+"""Processes whose statements are remembered, also while they are not listed."""
+
 
 @dataclass(frozen=True, slots=True)
 class Statement:
@@ -41,3 +59,127 @@
     if hold is None or 0.0 <= hold <= MAX_HOLD_SECONDS:
         return Statement(is_leaving, hold)
     return Statement(is_leaving, DEFAULT_HOLD_SECONDS, hold_text)
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaProcess:
+    """One process of a replica.
+
+    Attributes:
+        incarnation: Number of the process; 0 if unknown.
+        address: Its address if the incarnation is unknown, else None.
+    """
+
+    replica_id: ReplicaId
+    incarnation: int
+    address: Address | None
+
+
+@dataclass(frozen=True, slots=True)
+class StatementChange:
+    """What a statement changed.
+
+    Attributes:
+        is_leaving: Whether the process was not known to be leaving before.
+        is_held: Whether a hold began; False if one was only extended.
+    """
+
+    is_leaving: bool = False
+    is_held: bool = False
+
+
+@dataclass(slots=True)
+class StatedState:
+    """What one process has stated; nothing else makes it available again.
+
+    Attributes:
+        is_leaving: Whether it leaves, for the rest of its life.
+        held_until: Monotonic time in seconds until which it gets no requests.
+        is_returning: Whether it has answered no request sent after the hold.
+        probe_id: Request that tries it after the hold, if one is in progress.
+        probe_until: Monotonic time in seconds until which only that one may try it.
+    """
+
+    is_leaving: bool = False
+    held_until: float = -math.inf
+    is_returning: bool = False
+    probe_id: str | None = None
+    probe_until: float = -math.inf
+
+    def may_receive(self, now: float) -> bool:
+        """Returns whether a request may be sent to the process."""
+        return not self.is_leaving and now >= self.held_until
+
+    def may_start(self, now: float) -> bool:
+        """Returns whether another request may be chosen for the process."""
+        is_probed = (
+            self.is_returning and self.probe_id is not None and now < self.probe_until
+        )
+        return self.may_receive(now) and not is_probed
+
+    def note(self, statement: Statement, now: float, spread: float) -> StatementChange:
+        """Applies a statement; of two holds, the one that ends later counts.
+
+        Args:
+            statement: What the answer says.
+            now: Monotonic time in seconds at which its head was read.
+            spread: Random number from 0 to 1 that delays the return of this router.
+        """
+        is_newly_leaving = statement.is_leaving and not self.is_leaving
+        self.is_leaving = self.is_leaving or statement.is_leaving
+        if not statement.hold:
+            return StatementChange(is_leaving=is_newly_leaving)
+        was_held = now < self.held_until
+        delay = spread * min(
+            statement.hold * RETURN_SPREAD_FRACTION, MAX_RETURN_SPREAD_SECONDS
+        )
+        self.held_until = max(self.held_until, now + statement.hold + delay)
+        self.is_returning = True
+        self.probe_id = None
+        return StatementChange(is_leaving=is_newly_leaving, is_held=not was_held)
+
+    def record_start(self, request_id: str, now: float) -> None:
+        """Records that a request was chosen for the process."""
+        if self.is_returning and now >= self.held_until:
+            self.probe_id = request_id
+            self.probe_until = now + PROBE_LIMIT_SECONDS
+
+    def record_end(self, request_id: str) -> None:
+        """Records that the attempt of a request ended."""
+        if self.probe_id == request_id:
+            self.probe_id = None
+
+    def record_answer(self, sent_at: float) -> None:
+        """Records that the process took a request sent at that monotonic time."""
+        if sent_at >= self.held_until:
+            self.is_returning = False
+            self.probe_id = None
+
+    def merge(self, other: StatedState) -> None:
+        """Adds what was stated under another name of the same process."""
+        self.is_leaving = self.is_leaving or other.is_leaving
+        self.held_until = max(self.held_until, other.held_until)
+        self.is_returning = self.is_returning or other.is_returning
+
+    @property
+    def is_blank(self) -> bool:
+        """Whether nothing was stated."""
+        return not self.is_leaving and not self.is_returning
+
+
+class ReplicaStatements:
+    """The states of processes that made a statement, also of those not listed now."""
+
+    def __init__(self) -> None:
+        self._states: OrderedDict[ReplicaProcess, StatedState] = OrderedDict()
+
+    def find(self, process: ReplicaProcess) -> StatedState:
+        """Returns the state of a process; a new one if it has stated nothing."""
+        return self._states.get(process) or StatedState()
+
+    def keep(self, process: ReplicaProcess, state: StatedState) -> None:
+        """Remembers the state of a process; the one kept longest ago yields."""
+        self._states[process] = state
+        self._states.move_to_end(process)
+        while len(self._states) > MAX_REMEMBERED_PROCESSES:
+            self._states.popitem(last=False)
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -5,9 +5,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ..errors import UpstreamLeavingError
+from ..errors import UpstreamLeavingError, UpstreamTurnedAwayError
 from ..options import Options
 from ..types import Address, ReplicaId, ServiceName, ZoneName
+from .statements import (
+    ReplicaProcess,
+    ReplicaStatements,
+    StatedState,
+    Statement,
+    StatementChange,
+)
 
 FAILURE_RATE_SMOOTHING_WEIGHT = 0.08
 """Weight of the newest attempt in the moving average of a replica's failures."""
@@ -70,6 +77,7 @@
         outcome_count: Number of attempts in the moving average.
         ejected_until: Monotonic time in seconds until which the replica gets no
             requests because many failed.
+        stated: What the process has said about new requests.
     """
 
     replica_id: ReplicaId
@@ -89,11 +97,23 @@
     failure_rate: float = 0.0
     outcome_count: int = 0
     ejected_until: float = float("-inf")
+    stated: StatedState = field(default_factory=StatedState)
+
+    @property
+    def process(self) -> ReplicaProcess:
+        """The process that the replica is now."""
+        address = None if self.incarnation else self.address
+        return ReplicaProcess(self.replica_id, self.incarnation, address)
+
+    def may_receive(self, now: float) -> bool:
+        """Returns whether a request that was chosen for the replica may be sent."""
+        return not self.is_leaving and self.stated.may_receive(now)
 
     def is_available(self, now: float) -> bool:
         """Returns whether new work may be started at the replica."""
         return (
-            not self.is_leaving
+            self.may_receive(now)
+            and self.stated.may_start(now)
             and now >= self.ejected_until
             and (self.failures == 0 or now >= self.probe_at)
         )
@@ -119,12 +139,17 @@
         replicas: Known replicas by identifier.
         listed: Identifiers in the last VM list that was applied.
         list_made_at_ms: Time at which the platform made that list, in milliseconds.
+        statements: What processes have said in their answers, also of those that are
+            not known at present.
+        statement_count: Number of statements that made a replica unavailable.
     """
 
     options: Options
     replicas: dict[ReplicaId, Replica] = field(default_factory=dict)
     listed: frozenset[ReplicaId] = frozenset()
     list_made_at_ms: int = -1
+    statements: ReplicaStatements = field(default_factory=ReplicaStatements)
+    statement_count: int = 0
 
     def services(self) -> set[ServiceName]:
         """Returns the services that have replicas."""
@@ -145,16 +170,18 @@
             if replica.is_available(now)
         ]
 
-    def check_in_service(self, replica: Replica, address: Address) -> None:
+    def check_in_service(self, replica: Replica, address: Address, now: float) -> None:
         """Checks that a replica chosen earlier may still get a request.
 
         Args:
             replica: The replica.
             address: Address of the connection on which the request is to be sent.
+            now: Monotonic time in seconds.
 
         Raises:
             UpstreamLeavingError: If the replica is leaving or was removed, or another
                 process has taken over its identifier.
+            UpstreamTurnedAwayError: If the replica wants no requests for a time.
         """
         if (
             replica.is_leaving
@@ -165,6 +192,85 @@
                 f"replica {replica.replica_id!r} at {address} left before the request "
                 "was sent to it; try again"
             )
+        if not replica.may_receive(now):
+            hold = replica.stated.held_until - now
+            raise UpstreamTurnedAwayError(
+                f"replica {replica.replica_id!r} at {address} takes no requests for "
+                f"another {hold:.2f} s; try again"
+            )
+
+    def note_answer(
+        self,
+        process: ReplicaProcess,
+        statement: Statement,
+        *,
+        now: float,
+        spread: float,
+    ) -> StatementChange:
+        """Applies what a process said in an answer.
+
+        Args:
+            process: The process to which the request was sent; another one may have
+                taken its place since.
+            statement: What it said.
+            now: Monotonic time in seconds.
+            spread: Random number from 0 to 1 that delays the return of this router.
+
+        Returns:
+            What changed for the replica that the process is now; nothing if another
+            process has taken its place.
+        """
+        replica = self.replicas.get(process.replica_id)
+        if replica is None or replica.process != process:
+            state = self.statements.find(process)
+            state.note(statement, now, spread)
+            self.statements.keep(process, state)
+            return StatementChange()
+        change = replica.stated.note(statement, now, spread)
+        self.statements.keep(process, replica.stated)
+        was_leaving = replica.is_leaving
+        replica.is_leaving = was_leaving or replica.stated.is_leaving
+        self.statement_count += change.is_leaving or change.is_held
+        return StatementChange(
+            is_leaving=replica.is_leaving and not was_leaving, is_held=change.is_held
+        )
+
+    def _mark_leaving(self, replica: Replica) -> None:
+        """Records that the process of a replica leaves, for as long as it lives."""
+        replica.is_leaving = replica.stated.is_leaving = True
+        self.statements.keep(replica.process, replica.stated)
+
+    def _restore_statements(self, replica: Replica, *, is_same: bool = False) -> None:
+        """Applies what the process that the replica is now has said before.
+
+        Args:
+            replica: The replica; its incarnation or address has changed.
+            is_same: Whether it is the same process, whose incarnation was unknown.
+        """
+        stated = self.statements.find(replica.process)
+        if is_same:
+            stated.merge(replica.stated)
+        replica.stated = stated
+        if not stated.is_blank:
+            self.statements.keep(replica.process, stated)
+        replica.is_leaving = replica.is_leaving or stated.is_leaving
+
+    def find_return_time(self, service: ServiceName, now: float) -> float | None:
+        """Returns when the first replica of a service takes requests again.
+
+        Returns:
+            A monotonic time in seconds, infinity if all replicas are leaving, or None
+            if one of them wants requests now or none is known.
+        """
+        return_time = None
+        for replica in self.replicas.values():
+            if replica.service != service:
+                continue
+            if replica.may_receive(now):
+                return None
+            until = float("inf") if replica.is_leaving else replica.stated.held_until
+            return_time = until if return_time is None else min(return_time, until)
+        return return_time
 
     def apply_vm_list(
         self, upstreams: Iterable[ListedUpstream], *, made_at_ms: int, now: float
@@ -214,6 +320,7 @@
                 last_response_at=now,
             )
             self.replicas[entry.replica_id] = replica
+            self._restore_statements(replica)
         elif replica.address != entry.address:
             # Another process has taken over the identifier. Attempts at the earlier
             # process still refer to the object, so it is changed, not replaced.
@@ -224,6 +331,7 @@
             replica.load_at = float("-inf")
             replica.last_response_at = now
             replica.failures = 0
+            self._restore_statements(replica)
         replica.service = entry.service
         replica.zone = entry.zone
         return replica
@@ -272,32 +380,49 @@
         """
         replica = self.replicas.get(replica_id)
         if replica is None or 0 < incarnation < replica.incarnation:
+            if is_leaving and incarnation:
+                self._remember_leaving(ReplicaProcess(replica_id, incarnation, None))
             return False
-        was_leaving = replica.is_leaving
         self._apply_incarnation(replica, incarnation)
-        replica.is_leaving = replica.is_leaving or is_leaving
+        was_leaving = replica.is_leaving
+        if is_leaving:
+            self._mark_leaving(replica)
         return replica.is_leaving and not was_leaving
 
+    def _remember_leaving(self, process: ReplicaProcess) -> None:
+        state = self.statements.find(process)
+        state.is_leaving = True
+        self.statements.keep(process, state)
+
     def _apply_incarnation(self, replica: Replica, incarnation: int) -> None:
         if incarnation > replica.incarnation:
-            if replica.incarnation:
+            is_same = replica.incarnation == 0
+            if not is_same:
                 # The process restarted: failures and leaving were those of the earlier
                 # process, unless the VM itself is leaving.
                 replica.is_leaving = replica.is_listed_leaving
                 replica.failures = 0
             replica.incarnation = incarnation
+            self._restore_statements(replica, is_same=is_same)
 
-    def record_start(self, replica: Replica, now: float) -> None:
-        """Records that an attempt starts at the replica.
+    def record_start(self, replica: Replica, now: float, request_id: str = "") -> None:
+        """Records that an attempt of a request starts at the replica.
 
         A replica that is down is tried by one attempt at a time, so that other
-        attempts do not wait for the same failing connection.
+        attempts do not wait for the same failing connection. One whose hold has ended
+        is, too, until it has answered.
         """
         replica.in_use += 1
+        replica.stated.record_start(request_id, now)
         if replica.failures:
             replica.is_probe_started = True
             replica.probe_at = now + self.options.connect_timeout
 
+    def record_end(self, replica: Replica, request_id: str) -> None:
+        """Records that the attempt of a request at the replica ended."""
+        replica.in_use -= 1
+        replica.stated.record_end(request_id)
+
     def record_success(self, replica_id: ReplicaId, now: float | None = None) -> None:
         """Records that the replica answered."""
         replica = self.replicas.get(replica_id)
@@ -355,15 +480,23 @@
         """
         replica = self.replicas.get(listed.replica_id)
         was_leaving = replica is not None and replica.is_leaving
-        if replica is not None and load.incarnation != replica.incarnation:
+        incarnation = load.incarnation
+        if replica is not None and replica.address == listed.address:
+            # An entry without an incarnation does not tell that the process is new.
+            incarnation = incarnation or replica.incarnation
+        if replica is not None and incarnation != replica.incarnation:
             # Another process has the identifier: leaving and failures were those of the
             # earlier one.
             replica.is_leaving = was_leaving = False
             replica.failures = 0
         replica = self._apply_list_entry(listed, now)
-        replica.incarnation = load.incarnation
+        if incarnation != replica.incarnation:
+            replica.incarnation = incarnation
+            self._restore_statements(replica)
+        was_leaving = was_leaving or replica.is_leaving
         replica.is_listed_leaving = load.is_leaving
-        replica.is_leaving = replica.is_leaving or load.is_leaving
+        if load.is_leaving:
+            self._mark_leaving(replica)
         known_load = replica.load
         if known_load is None or known_load.incarnation != load.incarnation:
             replica.load = load
@@ -386,8 +519,8 @@
         replica = self.replicas.get(replica_id)
         if replica is None or load.incarnation < replica.incarnation:
             return False
-        was_leaving = replica.is_leaving
         self._apply_incarnation(replica, load.incarnation)
+        was_leaving = replica.is_leaving
         replica.load = load
         replica.load_at = now
         replica.last_response_at = max(replica.last_response_at, now)
--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -288,7 +288,7 @@
                 uncounted_units = 0.0
 
         def check_before_send(address: Address) -> None:
-            self._board.upstreams.check_in_service(replica, address)
+            self._board.upstreams.check_in_service(replica, address, time.monotonic())
             if record is not None:
                 record.check_before_send()
 
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -118,7 +118,7 @@
             call.started_at = now
             self._board.running[call.call_id] = call
             replica = self._board.upstreams.replicas[start.replica_id]
-            self._board.upstreams.record_start(replica, now)
+            self._board.upstreams.record_start(replica, now, call.call_id)
             pending = self._pending_starts[start.call_id]
             pending.replica = replica
             await pending.event.set()
@@ -146,7 +146,7 @@
         pending = self._pending_starts[call.call_id]
         replica, pending.replica = pending.replica, None
         assert replica is not None
-        replica.in_use -= 1
+        self._board.upstreams.record_end(replica, call.call_id)
         self._board.running.pop(call.call_id, None)
         now = time.monotonic()
         self._perform(self._policy.finish(self._board, call, replica.replica_id, now))
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -425,7 +425,7 @@
         """
         sink.check_present()
         self._apply_received()
-        self._board.upstreams.check_in_service(replica, address)
+        self._board.upstreams.check_in_service(replica, address, time.monotonic())
         if self._directory.is_outdated(self._freshness.read_time()):
             raise UpstreamsOutdatedError(
                 "the request was not sent, since the list of upstreams has not been "
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -274,6 +274,12 @@
     code = "upstream-leaving"
 
 
+class UpstreamTurnedAwayError(UpstreamLeavingError):
+    """The upstream of an attempt asked for no requests before the send."""
+
+    code = "upstream-turned-away"
+
+
 class UpstreamsOutdatedError(UpstreamUnreachableError):
     """The list of upstreams was too old to send a request."""
 
