Send nothing to a replica that said so in an answer

Callers' requests went on to replicas that had said that they leave, or that they want nothing for a time: the heads of answers were not looked at for it. Each head is read now before its body and before it is checked, also of interim answers, of answers to other requests that are skipped and of those that are dropped (ForwardAttempt, note_head). It counts for the process to which the request was sent. daemon/statements.py passes it on: to the state, to the other routers (announce_leaving, as for draining, with origin 'answer'), to a counter, a gauge and one log line per hold; /status has turned_away_s. The header reaches the caller as any end-to-end field.

Pools kept the windows of such a replica for up to a report interval. They are computed again when a replica leaves, wants nothing, answers after that, or a hold ends; while it returns, it counts as one free slot.

--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -117,6 +117,10 @@
         )
         return self.may_receive(now) and not is_probed
 
+    def find_hold(self, now: float) -> float:
+        """Returns the seconds that are left of a hold, 0.0 without one."""
+        return max(self.held_until - now, 0.0)
+
     def note(self, statement: Statement, now: float, spread: float) -> StatementChange:
         """Applies a statement; of two holds, the one that ends later counts.
 
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -141,7 +141,8 @@
         list_made_at_ms: Time at which the platform made that list, in milliseconds.
         statements: What processes have said in their answers, also of those that are
             not known at present.
-        statement_count: Number of statements that made a replica unavailable.
+        availability_version: Increases when a replica leaves, wants no requests for a
+            time, or takes them again after that.
     """
 
     options: Options
@@ -149,7 +150,7 @@
     listed: frozenset[ReplicaId] = frozenset()
     list_made_at_ms: int = -1
     statements: ReplicaStatements = field(default_factory=ReplicaStatements)
-    statement_count: int = 0
+    availability_version: int = 0
 
     def services(self) -> set[ServiceName]:
         """Returns the services that have replicas."""
@@ -193,7 +194,7 @@
                 "was sent to it; try again"
             )
         if not replica.may_receive(now):
-            hold = replica.stated.held_until - now
+            hold = replica.stated.find_hold(now)
             raise UpstreamTurnedAwayError(
                 f"replica {replica.replica_id!r} at {address} takes no requests for "
                 f"another {hold:.2f} s; try again"
@@ -230,13 +231,22 @@
         self.statements.keep(process, replica.stated)
         was_leaving = replica.is_leaving
         replica.is_leaving = was_leaving or replica.stated.is_leaving
-        self.statement_count += change.is_leaving or change.is_held
+        self.availability_version += change.is_leaving or change.is_held
         return StatementChange(
             is_leaving=replica.is_leaving and not was_leaving, is_held=change.is_held
         )
 
+    def record_answer(self, process: ReplicaProcess, sent_at: float) -> None:
+        """Records that a process took a request sent at that monotonic time."""
+        replica = self.replicas.get(process.replica_id)
+        if replica is not None and replica.process == process:
+            was_returning = replica.stated.is_returning
+            replica.stated.record_answer(sent_at)
+            self.availability_version += was_returning
+
     def _mark_leaving(self, replica: Replica) -> None:
         """Records that the process of a replica leaves, for as long as it lives."""
+        self.availability_version += not replica.is_leaving
         replica.is_leaving = replica.stated.is_leaving = True
         self.statements.keep(replica.process, replica.stated)
 
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 
@@ -35,7 +35,7 @@
 from ..net.events import Events, EventSequence
 from ..net.exchange import ConnectionPool
 from ..net.formats import CallerFormat, UpstreamFormat
-from ..net.forward import ForwardAttempt, StreamHead, WholeAnswer
+from ..net.forward import ForwardAttempt, ReceivedHead, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
 from ..types import Address, Execution, RouteKind
@@ -43,6 +43,7 @@
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
 from .sink import CallerGoneError
+from .statements import StatementReader
 
 _LOG = logging.getLogger(__name__)
 
@@ -71,6 +72,7 @@
     Args:
         apply_received: Applies what has arrived from the platform's store; called
             before decisions that must not rely on older knowledge.
+        announce_leaving: Tells the other routers that replicas are leaving.
 
     Attributes:
         is_refusing_requests: Whether new requests are refused, shortly before the
@@ -89,6 +91,7 @@
         freshness: KeyFreshness,
         directory: UpstreamDirectory,
         apply_received: Callable[[], None] = lambda: None,
+        announce_leaving: Callable[[Iterable[Replica]], None] = lambda replicas: None,
         rng: Random,
     ) -> None:
         self._apply_received = apply_received
@@ -105,6 +108,13 @@
         self._pool = ConnectionPool(
             options=board.options, metrics=metrics, detects_dead_peers=True
         )
+        self._statements = StatementReader(
+            board,
+            metrics,
+            upstream_format=upstream_format,
+            announce_leaving=announce_leaving,
+            rng=rng,
+        )
         self.is_refusing_requests = False
 
     async def watch(self) -> None:
@@ -397,6 +407,7 @@
             pool=self._pool,
             metrics=self._metrics,
             check_before_send=partial(self._check_before_send, call, replica, sink),
+            note_head=self._note_head,
         )
         try:
             # Saves the connection to the upstream.
@@ -437,6 +448,9 @@
         self._metrics.start_to_send.observe(call.sent_after)
         self._metrics.upstream_view_age.observe(call.view_age)
 
+    async def _note_head(self, head: ReceivedHead) -> None:
+        self._statements.read(head)
+
     def _record_result(
         self,
         call: RoutedCall,
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -125,6 +125,7 @@
             freshness=self._freshness,
             directory=self._directory,
             apply_received=self._sources.apply_received,
+            announce_leaving=partial(self._control.announce_leaving, source="answer"),
             rng=self._rng,
         )
         self._listener = RouteListener(
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -61,6 +61,7 @@
         self._metrics.waiting.set(len(self._board.queues))
         self._metrics.running.set(len(self._board.running))
         self._metrics.configuration_version.set(self._board.configuration.version)
+        self._set_upstreams_out(time.monotonic())
         if self._policy is not None:
             for figures in self._policy.measure(self._board, time.monotonic()):
                 service = figures.service
@@ -72,6 +73,16 @@
         body = generate_latest(self._metrics.registry)
         await connection.send_response(200, {"content-type": CONTENT_TYPE_LATEST}, body)
 
+    def _set_upstreams_out(self, now: float) -> None:
+        replicas = self._board.upstreams.replicas.values()
+        leaving = sum(replica.is_leaving for replica in replicas)
+        turned_away = sum(
+            not replica.is_leaving and not replica.may_receive(now)
+            for replica in replicas
+        )
+        self._metrics.upstreams_out.labels("leaving").set(leaving)
+        self._metrics.upstreams_out.labels("turned-away").set(turned_away)
+
     async def _send_status(self, connection: ServerConnection) -> None:
         document = build_status(
             self._board,
@@ -150,6 +161,7 @@
             "zone": replica.zone,
             "available": replica.is_available(now),
             "leaving": replica.is_leaving,
+            "turned_away_s": replica.stated.find_hold(now),
             "in_use": replica.in_use,
             "slots": replica.load.slots if replica.load else None,
             "running": replica.load.running if replica.load else None,
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -31,6 +31,7 @@
     "to_send_ms",
     "view_age_ms",
     "elapsed_ms",
+    "hold_ms",
     "events",
     "pause_ms",
     "prompt_tokens",
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -13,6 +13,9 @@
 )
 
 
+UPSTREAM_STATEMENTS = ("leaving", "turned-away", "unusable-time")
+
+
 class Metrics:
     """Metrics of one router, in their own registry."""
 
@@ -135,6 +138,20 @@
             buckets=(0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0),
             registry=self.registry,
         )
+        self.upstream_statements = Counter(
+            "sequoiamoor_upstream_statements",
+            "Statements of replicas about new requests, in their answers.",
+            ["statement"],
+            registry=self.registry,
+        )
+        for statement in UPSTREAM_STATEMENTS:
+            self.upstream_statements.labels(statement)
+        self.upstreams_out = Gauge(
+            "sequoiamoor_upstreams_out",
+            "Replicas that get no new requests since they or others said so.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.store_reader = Gauge(
             "sequoiamoor_store_reader",
             "Whether this router follows the store closely.",
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -10,6 +10,7 @@
 import h11
 
 from ..core.routed_call import Fields, RoutedCall
+from ..core.statements import ReplicaProcess
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
@@ -62,7 +63,29 @@
     fields: Fields
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedHead:
+    """Head of an answer, as soon as it was read.
+
+    Attributes:
+        response: The head, also of an interim answer or of one that is dropped.
+        process: Process to which the request was sent.
+        sent_at: Monotonic time in seconds of the send.
+        is_own: Whether it is the final answer to this request.
+    """
+
+    response: Response
+    process: ReplicaProcess
+    sent_at: float
+    is_own: bool
+
+
 SendEvents = Callable[[StreamHead, Events], Awaitable[None]]
+NoteHead = Callable[[ReceivedHead], Awaitable[None]]
+
+
+async def _ignore_head(head: ReceivedHead) -> None:
+    """Ignores a head."""
 
 
 class ForwardAttempt:
@@ -82,6 +105,7 @@
         pool: ConnectionPool,
         metrics: Metrics,
         check_before_send: Callable[[Address], None] = lambda address: None,
+        note_head: NoteHead = _ignore_head,
     ) -> None:
         """Initialises the attempt.
 
@@ -93,8 +117,13 @@
             metrics: Metrics to update.
             check_before_send: Called with the address of the connection right before
                 the request is sent; an error that it raises prevents the send.
+            note_head: Called with each head that the replica sends, before its body is
+                read and before it is checked.
         """
         self._check_before_send = check_before_send
+        self._note_head = note_head
+        self._process = replica.process
+        self._sent_at = 0.0
         self._call = call
         self._replica = replica
         self._format = upstream_format
@@ -160,6 +189,7 @@
             )
         sent_before = connection.bytes_sent
         self._check_before_send(connection.address)
+        self._process, self._sent_at = self._replica.process, time.monotonic()
         request_target = self._call.target.decode("latin-1")
         try:
             await connection.send_request(
@@ -188,11 +218,13 @@
         to this request is expected.
         """
         for _ in range(MISMATCHED_RESPONSES_LIMIT + 1):
-            response = await connection.receive_response()
+            response = await connection.receive_response(self._note_interim)
             answered_id = self._format.read_request_id(response)
-            if answered_id == self._call.request_id or (
+            is_own = answered_id == self._call.request_id or (
                 answered_id is None and self._format.states_not_run(response)
-            ):
+            )
+            await self._note(response, is_own=is_own)
+            if is_own:
                 await self._check_head(response)
                 return response
             self._metrics.mismatches.inc()
@@ -205,6 +237,13 @@
             "dropped"
         )
 
+    async def _note_interim(self, response: Response) -> None:
+        await self._note(response, is_own=False)
+
+    async def _note(self, response: Response, *, is_own: bool) -> None:
+        head = ReceivedHead(response, self._process, self._sent_at, is_own)
+        await self._note_head(head)
+
     async def _check_head(self, response: Response) -> None:
         self.is_answered = True
         if self._format.states_not_run(response):
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
@@ -33,6 +34,10 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+async def _ignore_response(response: Response) -> None:
+    """Ignores an informational response."""
+
+
 class ClientConnection:
     """Client side of one connection.
 
@@ -162,9 +167,15 @@
         self.bytes_received += len(data)
         return data
 
-    async def receive_response(self) -> Response:
+    async def receive_response(
+        self,
+        on_interim: Callable[[Response], Awaitable[None]] = _ignore_response,
+    ) -> Response:
         """Receives the head of the response.
 
+        Args:
+            on_interim: Called with each informational response before it.
+
         Raises:
             OSError: If the connection fails or is closed.
             h11.RemoteProtocolError: If the peer does not follow HTTP/1.1.
@@ -175,11 +186,7 @@
             if event is h11.NEED_DATA:
                 await self._receive_head()
             elif isinstance(event, h11.Response):
-                response = Response(
-                    event.status_code,
-                    to_header_dict(event.headers),
-                    [(bytes(name), bytes(value)) for name, value in event.headers],
-                )
+                response = _build_response(event)
                 if (
                     "transfer-encoding" in response.headers
                     and self._h11.their_state is h11.SEND_BODY
@@ -193,6 +200,7 @@
                         f"over {INFORMATIONAL_RESPONSES_LIMIT} informational responses "
                         "came before the response"
                     )
+                await on_interim(_build_response(event))
             else:
                 raise ConnectionResetError(f"{self.address} closed the connection")
 
@@ -352,6 +360,14 @@
         await self._sock.close()
 
 
+def _build_response(event: h11.Response | h11.InformationalResponse) -> Response:
+    return Response(
+        event.status_code,
+        to_header_dict(event.headers),
+        [(bytes(name), bytes(value)) for name, value in event.headers],
+    )
+
+
 async def exchange(
     address: Address,
     method: str,
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -44,14 +44,16 @@
         windows: Requests that each replica may run at once.
         slots: Sum of the windows.
         capacity: Service units per second of all slots together.
-        refreshed_at: Monotonic time in seconds of the last refresh.
+        valid_until: Monotonic time in seconds of the next refresh.
+        availability_version: State of the upstreams that the windows are based on.
     """
 
     replicas: list[Replica]
     windows: dict[ReplicaId, int]
     slots: int
     capacity: float
-    refreshed_at: float
+    valid_until: float
+    availability_version: int
 
 
 class FairPolicy:
@@ -106,10 +108,18 @@
     # Shared decisions.
 
     def _get_pool(self, board: Blackboard, service: ServiceName, now: float) -> _Pool:
-        """Returns the pool of a service, refreshed if older than a report interval."""
+        """Returns the pool of a service.
+
+        It is refreshed in each report interval, and as soon as a replica wants no
+        requests or its hold ends.
+        """
         pool = self._pools.get(service)
-        interval = board.options.report_interval
-        if pool is not None and now - pool.refreshed_at < interval:
+        availability_version = board.upstreams.availability_version
+        if (
+            pool is not None
+            and now < pool.valid_until
+            and pool.availability_version == availability_version
+        ):
             return pool
         replicas = board.upstreams.list_by_service(service)
         self._rates.observe(replicas)
@@ -118,7 +128,15 @@
         }
         slots = sum(windows.values())
         capacity = slots * self._rates.mean_slot_rate(replicas)
-        pool = self._pools[service] = _Pool(replicas, windows, slots, capacity, now)
+        hold_ends = [replica.stated.held_until for replica in replicas]
+        valid_until = min(
+            [now + board.options.report_interval]
+            + [end for end in hold_ends if end > now]
+        )
+        pool = _Pool(
+            replicas, windows, slots, capacity, valid_until, availability_version
+        )
+        self._pools[service] = pool
         return pool
 
     def _find_allowed_gap(
@@ -289,7 +307,7 @@
     ) -> list[tuple[Replica, int]]:
         """Returns the available replicas with free slots and how many each has."""
         return [
-            (replica, free)
+            (replica, 1 if replica.stated.is_returning else free)
             for replica in self._get_pool(board, service, now).replicas
             if (free := self._count_free_slots(board, replica, now)) > 0
             and replica.is_available(now)
--- a/tests/daemon/test_leaving_upstreams.py
+++ b/tests/daemon/test_leaving_upstreams.py
@@ -15,6 +15,7 @@
 import curio
 import pytest
 
+from sequoiamoor.core.statements import Statement
 from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica, Upstreams
 from sequoiamoor.net.exchange import ConnectionPool
 from sequoiamoor.net.http_client import ClientConnection
@@ -57,6 +58,16 @@
     replica.is_leaving = True
 
 
+def say_leaving(upstreams: Upstreams, replica: Replica) -> None:
+    statement = Statement(is_leaving=True)
+    upstreams.note_answer(replica.process, statement, now=time.monotonic(), spread=0.0)
+
+
+def turn_away(upstreams: Upstreams, replica: Replica) -> None:
+    statement = Statement(hold=60.0)
+    upstreams.note_answer(replica.process, statement, now=time.monotonic(), spread=0.0)
+
+
 def remove(upstreams: Upstreams, replica: Replica) -> None:
     upstreams.remove(replica.replica_id)
 
@@ -89,7 +100,9 @@
     return [complete_response(read_call_id(received), b"done")]
 
 
-@pytest.mark.parametrize("leave", [mark_leaving, remove, move_elsewhere])
+@pytest.mark.parametrize(
+    "leave", [mark_leaving, say_leaving, turn_away, remove, move_elsewhere]
+)
 @pytest.mark.parametrize(
     ("create_harness", "request_bytes", "script"),
     [
--- /dev/null
+++ b/tests/daemon/test_replica_statements.py
@@ -0,0 +1,198 @@
+"""Tests of what the answers of replicas say about new requests, on routes."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica
+from sequoiamoor.daemon.pages import build_status
+
+from ..listener_harness import Close, ScriptedUpstream, Step, Until, chunk
+from ..route_listener_harness import (
+    STREAM_HEAD,
+    RouteListenerHarness,
+    answer,
+    event,
+    route_request,
+    run,
+)
+from .test_forwarder import ask
+
+LEAVING = b"Server-Leaving: 1\r\n"
+SIGNED = b"X-Server-Signature: 3e1b\r\n"
+NOT_RUN = b"X-Not-Executed: 1\r\n"
+LEAVING_STREAM_HEAD = STREAM_HEAD.replace(b"\r\n\r\n", b"\r\n" + LEAVING + b"\r\n")
+LONG_HOLD = b"Retry-After: 60\r\n"
+
+
+def find_used(
+    harness: RouteListenerHarness, replicas: list[ScriptedUpstream]
+) -> tuple[ScriptedUpstream, Replica]:
+    """Returns the one replica that received requests."""
+    (used,) = [replica for replica in replicas if replica.requests]
+    known = harness.board.upstreams.replicas.values()
+    return used, next(one for one in known if one.address == used.address)
+
+
+@pytest.mark.parametrize(
+    ("path", "script", "retries"),
+    [
+        ("/look/1", [answer(extra=SIGNED + LEAVING)], 0),
+        ("/hold/1", [answer(status=500, extra=SIGNED + LEAVING)], 0),
+        ("/hold/1", [answer(status=503, extra=NOT_RUN + LEAVING)], 1),
+        ("/look/1", [answer(extra=LEAVING)], 1),
+        ("/look/1", [answer(request_id=None, extra=SIGNED + LEAVING)], 1),
+        ("/look/1", [answer(request_id="7", extra=SIGNED + LEAVING), answer()], 0),
+        (
+            "/look/1",
+            [b"HTTP/1.1 103 Early Hints\r\n" + LEAVING + b"\r\n", answer()],
+            0,
+        ),
+        (
+            "/look/1",
+            [answer(extra=SIGNED + LEAVING)[:-2], Close(is_reset=True)],
+            1,
+        ),
+        ("/chat/1", [LEAVING_STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"], 0),
+    ],
+    ids=[
+        "whole", "failed", "refused", "unsigned", "without-identifier", "skipped",
+        "interim", "broken", "stream",
+    ],
+)  # fmt: skip
+def test_replica_that_says_it_leaves_in_any_answer_gets_nothing_more(
+    path: str, script: list[Step], retries: int
+) -> None:
+    """Guards against requests to a replica that leaves and said so in an answer."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        replicas = await harness.add_replicas(2, script, *[[answer()]] * 5)
+        await ask(harness, route_request(path))
+        for _ in range(4):
+            assert (await ask(harness, route_request("/look/1"))).status == 200
+        requests = {one.address: len(one.requests) for one in replicas}
+        assert sorted(requests.values()) == [1, 4 + retries]
+        (leaving,) = harness.announced
+        assert requests[leaving.address] == 1
+        assert harness.counter("upstream_statements", statement="leaving") == 1
+        rows = build_status(
+            harness.board, is_table_available=True, unwritten_records=0, now=0.0
+        )["upstreams"]
+        (row,) = [row for row in rows if row["leaving"]]
+        assert (row["replica"], row["available"]) == (leaving.replica_id, False)
+
+    run(session)
+
+
+def test_leaving_counts_from_the_head_of_a_stream_that_goes_on() -> None:
+    """Guards against choosing a replica that leaves until its last stream has ended.
+
+    The stream itself and the header reach the caller unchanged.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        stream: list[Step] = [
+            LEAVING_STREAM_HEAD,
+            chunk(event(1)),
+            Until(b"second"),
+            chunk(event(2)),
+            b"0\r\n\r\n",
+        ]
+        replicas = await harness.add_replicas(2, stream, *[[answer(b"second")]] * 4)
+        first = await harness.connect()
+        await first.send(route_request("/chat/1"))
+        await first.receive_until(b"t1")
+        used, _ = find_used(harness, replicas)
+        for _ in range(4):
+            other = await harness.connect()
+            await other.send(route_request("/look/1"))
+            await other.receive_until(b"second")
+        await first.receive_until(b"0\r\n\r\n")
+        assert event(2) in first.received
+        assert b"\r\nserver-leaving: 1\r\n" in first.received.lower()
+        assert len(used.requests) == 1
+
+    run(session)
+
+
+def test_late_answer_of_an_earlier_process_says_nothing_about_its_successor() -> None:
+    """Guards against a new process that gets no work because the last one left."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        late: list[Step] = [Until(b"second"), answer(extra=SIGNED + LEAVING)]
+        replicas = await harness.add_replicas(2, late, *[[answer(b"second")]] * 3)
+        first = await harness.connect()
+        await first.send(route_request("/look/1"))
+        await harness.wait_for(lambda: any(one.requests for one in replicas))
+        _, replica = find_used(harness, replicas)
+        listed = ListedUpstream(
+            replica.replica_id, "talk", "zone-a", replica.address, False
+        )
+        load = LoadReport(9, 4, 0, 0, 0.0, False)
+        harness.board.upstreams.put(listed, load, time.monotonic())
+        second = await harness.connect()
+        await second.send(route_request("/look/1"))
+        await second.receive_until(b"second")
+        await first.receive_until(b"done")
+        assert not replica.is_leaving
+        assert harness.announced == []
+        assert replica.is_available(time.monotonic())
+
+    run(session)
+
+
+@pytest.mark.parametrize(
+    ("path", "extra", "status", "requests"),
+    [
+        ("/hold/1", NOT_RUN + LONG_HOLD, 200, 2),
+        ("/look/1", LONG_HOLD, 200, 2),
+        ("/hold/1", LONG_HOLD, 502, 1),
+        ("/hold/1", SIGNED + LONG_HOLD, 502, 1),
+        ("/chat/1", NOT_RUN + b"Retry-After: soon\r\n", 200, 2),
+    ],
+)
+def test_replica_that_turns_a_request_away_gets_nothing_for_a_time(
+    path: str, extra: bytes, status: int, requests: int
+) -> None:
+    """Guards against requests within the time for which a replica wants none.
+
+    A refusal without the statement that the request was not run stays a failure.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        second = (
+            [answer()]
+            if path != "/chat/1"
+            else [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]
+        )
+        refusal = [answer(b"", status=503, extra=extra)]
+        replicas = await harness.add_replicas(2, refusal, second, *[[answer()]] * 4)
+        assert (await ask(harness, route_request(path))).status == status
+        assert sum(len(one.requests) for one in replicas) == requests
+        for _ in range(4 - requests):
+            assert (await ask(harness, route_request("/look/1"))).status == 200
+        assert sorted(len(one.requests) for one in replicas) == [1, 3]
+        assert harness.counter("upstream_statements", statement="turned-away") == 1
+        unusable = harness.counter("upstream_statements", statement="unusable-time")
+        assert unusable == (b"soon" in extra)
+
+    run(session)
+
+
+def test_hold_ends_by_itself_and_not_early() -> None:
+    """Guards against requests before the end of a hold, and a hold without an end."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        hold = 0.8
+        refusal = answer(
+            b"", status=503, extra=NOT_RUN + b"Retry-After: %.1f\r\n" % hold
+        )
+        replica = (await harness.add_replicas(1, [refusal], [answer()]))[0]
+        started_at = time.monotonic()
+        assert (await ask(harness, route_request("/look/1"))).status == 200
+        assert len(replica.requests) == 2
+        assert time.monotonic() - started_at >= hold
+
+    run(session)
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -13,6 +13,7 @@
 from sequoiamoor.core.rendezvous import hash_pair
 from sequoiamoor.core.routed_call import PromptPart, RoutedCall
 from sequoiamoor.core.routes import Route
+from sequoiamoor.core.statements import Statement
 from sequoiamoor.core.upstreams import LoadReport, Replica
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.options import Options
@@ -443,3 +444,28 @@
     fleet.report({}, small=waiting_elsewhere)
     fleet.add(organisation="flood")
     assert (fleet.start() is not None) == is_started
+
+
+def test_replicas_that_want_no_requests_are_no_free_slots() -> None:
+    """Guards against shares and starts that count on replicas that are out.
+
+    The statements arrive within the interval for which the windows are kept.
+    """
+    fleet = Fleet(replicas=2)
+    upstreams = fleet.board.upstreams
+    first, second = (upstreams.replicas[name] for name in REPLICAS[:2])
+    for _ in range(4):
+        fleet.add()
+    assert fleet.policy._build_view(fleet.board, "talk", 0.0).slots == 2 * SLOTS
+    leaving, hold = Statement(is_leaving=True), Statement(hold=2.0)
+    upstreams.note_answer(first.process, leaving, now=0.01, spread=0.0)
+    assert fleet.policy._build_view(fleet.board, "talk", 0.01).slots == SLOTS
+    upstreams.note_answer(second.process, hold, now=0.02, spread=0.0)
+    assert fleet.policy._build_view(fleet.board, "talk", 0.02).slots == 0
+    assert fleet.start(0.03) is None
+    assert fleet.start(2.0) is None
+    assert fleet.start(2.03, is_read=True) == second.replica_id
+    upstreams.record_start(second, 2.03, "c-1")
+    assert fleet.start(2.04) is None, "one request at a time until it has answered"
+    upstreams.record_answer(second.process, sent_at=2.03)
+    assert fleet.start(2.05) == second.replica_id
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -11,6 +11,7 @@
 from sequoiamoor.core.directory import UpstreamDirectory
 from sequoiamoor.core.freshness import KeyFreshness
 from sequoiamoor.core.repeats import RepeatBudget, RepeatLimits
+from sequoiamoor.core.upstreams import Replica
 from sequoiamoor.daemon.dispatcher import Dispatcher
 from sequoiamoor.daemon.forwarder import Forwarder
 from sequoiamoor.daemon.route_listener import RouteListener
@@ -119,6 +120,7 @@
 
     Attributes:
         apply_received: Called by the forwarder before its decisions.
+        announced: Replicas of which the other routers were told that they are leaving.
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         self.board.configuration.declaration = parse_declaration(DECLARATION)
         self.freshness = KeyFreshness(limit)
         self.apply_received: Callable[[], None] = lambda: None
+        self.announced: list[Replica] = []
         self.directory = UpstreamDirectory(self.board.upstreams)
         policy = RoundRobinPolicy(rng=Random(1))
         self.forwarder = Forwarder(
@@ -140,6 +143,7 @@
             freshness=self.freshness,
             directory=self.directory,
             apply_received=lambda: self.apply_received(),
+            announce_leaving=self.announced.extend,
             rng=Random(1),
         )
         self.calls = self.forwarder  # type: ignore[assignment]
