Refuse at once what no replica will take in time

When all replicas of a service were leaving or had asked for no requests, callers waited until their wait limit and got a refusal with a Retry-After that had nothing to do with the time after which a replica takes requests again. A failed attempt took a repeat from the fleet's budget even though no replica was left to send it to, and a replica's own failure was replaced by one of the router.

Upstreams.find_return_time tells from when the first replica of a service takes requests again. Retry-After is the earliest end plus a random part of it, and 1 s plus that if all are leaving. No repeat is taken then, and the failure that a replica answered is given to the caller. The project's own interface waits as before: its wait limits are longer than it takes to replace an engine.

--- a/sequoiamoor/core/repeats.py
+++ b/sequoiamoor/core/repeats.py
@@ -95,6 +95,11 @@
         return True
 
 
+def find_retry_limit(call: RoutedCall, now: float) -> float:
+    """Returns until which monotonic time in seconds the next attempt may wait."""
+    return max(call.wait_limit_at, min(call.ends_at, now + call.route.target))
+
+
 def decide_repeat(
     call: RoutedCall,
     error: RefusalError | None,
@@ -102,6 +107,7 @@
     budget: RepeatBudget,
     now: float,
     routers: int,
+    return_time: float | None = None,
 ) -> GiveUp | None:
     """Returns why the request is not sent again, or None if it is.
 
@@ -112,11 +118,15 @@
         budget: Budget from which a repeat is taken if the request is sent again.
         now: Monotonic time in seconds.
         routers: Number of routers of the fleet, including this one.
+        return_time: Monotonic time in seconds from which a replica of the service takes
+            requests again; None if one takes them now.
     """
     if error is not None and not is_attempt_failure(error):
         return GiveUp("not-an-attempt-failure")
     if now >= call.ends_at:
         return GiveUp("deadline")
+    if return_time is not None and return_time > find_retry_limit(call, now):
+        return GiveUp("upstreams-unavailable")
     if isinstance(error, UpstreamUnreachableError):
         # The request reached no replica, so sending it again is not a repeat.
         if call.unsent_attempts >= MAX_UNSENT_ATTEMPTS:
--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -29,6 +29,18 @@
 """Processes whose statements are remembered, also while they are not listed."""
 
 
+UNKNOWN_RETURN_SECONDS = 1.0
+"""Retry-After while all replicas of a service are leaving: in about this time a new one
+registers, or the caller may meet a router that knows one."""
+
+RETRY_SPREAD_FRACTION = 0.5
+"""Largest part by which Retry-After is lengthened at random, so that the callers of
+refused requests do not return together."""
+
+MIN_RETRY_SPREAD_SECONDS = 0.2
+"""Lower bound of the time over which they return."""
+
+
 @dataclass(frozen=True, slots=True)
 class Statement:
     """What one answer says about the requests that its replica wants.
@@ -61,6 +73,23 @@
     return Statement(is_leaving, DEFAULT_HOLD_SECONDS, hold_text)
 
 
+def draw_retry_after(return_time: float, now: float, spread: float) -> float:
+    """Returns after how many seconds a request that no replica takes may come back.
+
+    Args:
+        return_time: Monotonic time in seconds from which a replica takes requests
+            again; infinity if all are leaving.
+        now: Monotonic time in seconds.
+        spread: Random number from 0 to 1.
+    """
+    seconds = (
+        return_time - now if math.isfinite(return_time) else UNKNOWN_RETURN_SECONDS
+    )
+    return seconds + spread * max(
+        seconds * RETRY_SPREAD_FRACTION, MIN_RETRY_SPREAD_SECONDS
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaProcess:
     """One process of a replica.
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -13,7 +13,7 @@
 from ..core.blackboard import Blackboard
 from ..core.overload import Overload, bound_retry_after
 from ..core.upstreams import Replica
-from ..errors import QueueFullError
+from ..errors import QueueFullError, RefusalError, UpstreamsUnavailableError
 from ..policies import Policy
 from ..types import CallRequest
 
@@ -23,12 +23,14 @@
     """Start of one accepted call, awaited by the task that serves the call.
 
     Attributes:
-        event: Set when the call has been given a slot.
+        event: Set when the call has been given a slot, or cannot get one.
         replica: Replica where the call holds a slot, from its start to its release.
+        error: Why the call cannot get a slot within its wait limit.
     """
 
     event: Any = field(default_factory=curio.Event)
     replica: Replica | None = None
+    error: RefusalError | None = None
 
 
 class Dispatcher:
@@ -40,6 +42,8 @@
         perform: Carries out the actions that the policy returns.
         min_queued_requests: Number of waiting requests of an organisation up to which a
             request is queued regardless of its expected wait.
+        refuses_unserved: Whether calls are refused as soon as no replica will take
+            them within their wait limit.
     """
 
     def __init__(
@@ -49,12 +53,14 @@
         *,
         perform: Callable[[Iterable[Action]], None] = lambda _: None,
         min_queued_requests: int = 0,
+        refuses_unserved: bool = False,
     ) -> None:
         self._board = board
         self._policy = policy
         self._perform = perform
         self._overload = Overload(board.options, min_queued_requests)
         self._pending_starts: dict[str, _PendingStart] = {}
+        self._refuses_unserved = refuses_unserved
 
     @property
     def in_service(self) -> int:
@@ -93,12 +99,15 @@
 
         Raises:
             WaitLimitError: If the call reached its wait limit first.
+            UpstreamsUnavailableError: If no replica will take it within that limit.
         """
         pending = self._pending_starts[call.call_id]
         await self.dispatch(call.service)
         if not pending.event.is_set():
             remaining = call.wait_limit_at - time.monotonic()
             await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
+        if pending.error is not None:
+            raise pending.error
         if pending.replica is None:
             raise self._overload.build_wait_limit_error(
                 call, self._count_waiting(call), time.monotonic()
@@ -122,9 +131,29 @@
             pending = self._pending_starts[start.call_id]
             pending.replica = replica
             await pending.event.set()
+        if self._refuses_unserved:
+            await self._refuse_unserved(service, now)
         # The policy may have marked a report as due because calls are still waiting.
         self._perform(())
 
+    async def _refuse_unserved(self, service: str, now: float) -> None:
+        """Refuses waiting calls that no replica will take within their wait limit."""
+        return_time = self._board.upstreams.find_return_time(service, now)
+        if return_time is None:
+            return
+        for call in self._board.queues.requests():
+            if call.service != service or call.wait_limit_at >= return_time:
+                continue
+            self._board.queues.remove(call.call_id)
+            self._overload.record_waiting(call, self._count_waiting(call), now)
+            pending = self._pending_starts[call.call_id]
+            limit = max(call.wait_limit_at - now, 0.0)
+            pending.error = UpstreamsUnavailableError(
+                f"no replica of {service!r} takes requests within the {limit:.1f} s "
+                "that this request may wait; try again later"
+            )
+            await pending.event.set()
+
     def find_wait_limit(self, call: CallRequest) -> float | None:
         """Returns how many seconds a call may wait to meet its target.
 
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -14,8 +14,9 @@
 from ..core.blackboard import Blackboard
 from ..core.directory import UpstreamDirectory
 from ..core.freshness import KeyFreshness
-from ..core.repeats import RepeatBudget, decide_repeat
+from ..core.repeats import RepeatBudget, decide_repeat, find_retry_limit
 from ..core.routed_call import RoutedCall
+from ..core.statements import draw_retry_after
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
@@ -27,6 +28,7 @@
     UpstreamLeavingError,
     UpstreamRefusedError,
     UpstreamsOutdatedError,
+    UpstreamsUnavailableError,
     UpstreamUnreachableError,
     WaitLimitError,
 )
@@ -287,9 +289,13 @@
         """Sets Retry-After to the time after which a refused request may succeed.
 
         On routes that are not streams, it is set only if a replica refused the request
-        or could not be reached.
+        or could not be reached, or if no replica takes requests now.
         """
-        if isinstance(error, UpstreamRefusedError | UpstreamUnreachableError):
+        now = time.monotonic()
+        return_time = self._board.upstreams.find_return_time(call.service, now)
+        if return_time is not None:
+            error.retry_after = draw_retry_after(return_time, now, self._rng.random())
+        elif isinstance(error, UpstreamRefusedError | UpstreamUnreachableError):
             error.retry_after = QUICK_RETRY_AFTER_SECONDS
         elif call.route.kind is RouteKind.STREAM:
             jitter = self._rng.uniform(
@@ -299,14 +305,21 @@
 
     async def _run_attempts(self, call: RoutedCall, sink: RouteSink) -> None:
         event_sequence = EventSequence()
+        answer: WholeAnswer | None
         failed_answer: WholeAnswer | None = None
         while True:
             await self._wait_for_current_upstreams(call)
-            replica = await self._dispatcher.wait_start(call)
+            try:
+                replica = await self._dispatcher.wait_start(call)
+            except UpstreamsUnavailableError:
+                if failed_answer is None or sink.is_started:
+                    raise
+                answer = failed_answer
+                break
             call.sent_after = call.view_age = None
             started_at = time.monotonic()
             error: RefusalError | None = None
-            answer: WholeAnswer | None = None
+            answer = None
             try:
                 answer = await self._run_attempt(call, replica, event_sequence, sink)
             except RefusalError as err:
@@ -317,12 +330,14 @@
             if error is None and (answer is None or not answer.is_failure):
                 break
             failed_answer = answer or failed_answer
+            now = time.monotonic()
             give_up = decide_repeat(
                 call,
                 error,
                 budget=self._repeat_budget,
-                now=time.monotonic(),
+                now=now,
                 routers=len(self._board.members) + 1,
+                return_time=self._board.upstreams.find_return_time(call.service, now),
             )
             if give_up is None:
                 self._prepare_retry(call, replica)
@@ -364,9 +379,7 @@
         now = time.monotonic()
         call.excluded |= {replica.replica_id}
         call.excluded_until = now + self._board.options.exclusion_time
-        call.wait_limit_at = max(
-            call.wait_limit_at, min(call.ends_at, now + call.route.target)
-        )
+        call.wait_limit_at = find_retry_limit(call, now)
         self._dispatcher.accept_again(call)
 
     async def _run_attempt(
@@ -449,7 +462,10 @@
         self._metrics.upstream_view_age.observe(call.view_age)
 
     async def _note_head(self, head: ReceivedHead) -> None:
-        self._statements.read(head)
+        """Applies a head, and refuses the requests that no replica can serve then."""
+        replica = self._board.upstreams.replicas.get(head.process.replica_id)
+        if self._statements.read(head) and replica is not None:
+            await self._dispatcher.dispatch(replica.service)
 
     def _record_result(
         self,
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -117,6 +117,7 @@
                 self._policy,
                 perform=self._control.perform,
                 min_queued_requests=ALWAYS_QUEUED_REQUESTS,
+                refuses_unserved=True,
             ),
             self.metrics,
             caller_format=callers,
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -294,6 +294,12 @@
     execution = Execution.MAY_HAVE_RUN
 
 
+class UpstreamsUnavailableError(RefusalError):
+    """All replicas of the service are leaving, or want no requests for too long."""
+
+    code = "upstreams-unavailable"
+
+
 class UpstreamRefusedError(RefusalError):
     """An upstream stated that it did not run the request."""
 
--- a/tests/core/test_repeats.py
+++ b/tests/core/test_repeats.py
@@ -105,3 +105,26 @@
     budget = RepeatBudget(LIMITS)
     decision = decide_repeat(call, FAILED, budget=budget, now=5.0, routers=1)
     assert decision == GiveUp("deadline")
+
+
+@pytest.mark.parametrize(
+    ("return_time", "expected"),
+    [
+        (1.3, None),
+        (1.5, "upstreams-unavailable"),
+        (float("inf"), "upstreams-unavailable"),
+    ],
+)
+def test_no_repeat_is_taken_that_no_replica_will_get(
+    return_time: float, expected: str | None
+) -> None:
+    """Guards against a budget spent on requests that are refused right after that."""
+    call = build_call(RouteKind.ONCE, attempts=2)
+    call.sent_attempts = 1
+    limits = RepeatLimits(ratio=0.0, window=10.0, extra=2.0)
+    budget = RepeatBudget(limits)
+    decision = decide_repeat(
+        call, REFUSED, budget=budget, now=1.0, routers=1, return_time=return_time
+    )
+    assert decision == (None if expected is None else GiveUp(expected))
+    assert budget.take("s", 1.0, routers=1) == (expected is not None)
--- a/tests/daemon/test_replica_statements.py
+++ b/tests/daemon/test_replica_statements.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sequoiamoor.core.statements import Statement
 from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica
 from sequoiamoor.daemon.pages import build_status
 
@@ -196,3 +197,59 @@
         assert time.monotonic() - started_at >= hold
 
     run(session)
+
+
+@pytest.mark.parametrize(
+    ("statement", "earliest", "latest"),
+    [(Statement(hold=30.0), 29.0, 50.0), (Statement(is_leaving=True), 0.5, 2.0)],
+)
+@pytest.mark.parametrize("is_waiting", [False, True])
+def test_requests_that_no_replica_will_take_in_time_are_refused_at_once(
+    statement: Statement, earliest: float, latest: float, is_waiting: bool
+) -> None:
+    """Guards against requests that are held until their wait limit in vain.
+
+    A request that already waits is refused when the last replica is out.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_replicas(2)
+        known = list(harness.board.upstreams.replicas.values())
+        caller = await harness.connect()
+
+        def note_all() -> None:
+            for replica in known:
+                harness.board.upstreams.note_answer(
+                    replica.process, statement, now=time.monotonic(), spread=0.0
+                )
+
+        if is_waiting:
+            for replica in known:
+                replica.ejected_until = float("inf")
+            await caller.send(route_request("/look/1"))
+            await harness.wait_for(lambda: len(harness.board.queues) == 1)
+        note_all()
+        if not is_waiting:
+            await caller.send(route_request("/look/1"))
+        await caller.receive_until(b"}")
+        assert b"upstreams-unavailable" in caller.received
+        head = caller.received.lower()
+        assert head.startswith(b"http/1.1 503")
+        assert b"was not run" in head.replace(b"-", b" ").replace(b"_", b" ")
+        retry_after = float(head.split(b"retry-after: ")[1].split(b"\r\n")[0])
+        assert earliest <= retry_after <= latest
+        assert not any(upstream.requests for upstream in harness.upstreams)
+
+    run(session)
+
+
+def test_failure_of_a_replica_is_kept_when_no_other_takes_requests() -> None:
+    """Guards against replacing a replica's own failure by one of the router."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        failure = answer(b"cause", status=500, extra=SIGNED + LEAVING)
+        await harness.add_replicas(1, [failure])
+        response = await ask(harness, route_request("/look/1"))
+        assert (response.status, response.body) == (500, b"cause")
+
+    run(session)
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -135,7 +135,7 @@
         policy = RoundRobinPolicy(rng=Random(1))
         self.forwarder = Forwarder(
             self.board,
-            Dispatcher(self.board, policy),
+            Dispatcher(self.board, policy, refuses_unserved=True),
             self.metrics,
             caller_format=callers,
             upstream_format=replicas,
