Let replicas of the soak say that they leave or want nothing for a time

Replicas of the soak spoke neither header, so no run could break what is promised about them. They leave by their answers alone, by their entry alone, or by both in either order; turn requests away for 0.2 to 5 s, also under the flood, with and without the statement that the request was not run; and say either of it falsely once and go on serving.

The replicas check what reaches them, per router, which the id of a request tells: DRAIN, 2 s after a caller got an answer that says so (through other routers too, if nothing disturbed them), and BUDGET, more than two requests from half a second after a refusal to the end of its time. A router that was disturbed since, a link of the replica with a fault and a late loop of the soak are excused.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,6 +14,7 @@
 from sequoiamoor.types import Address
 
 from .replicas import build_event
+from .statements import Traffic
 
 REQUEST_DEADLINE_SECONDS = 4.0
 MAX_EVENTS = 30
@@ -116,6 +117,7 @@
     Attributes:
         proxy_addresses: Address of the caller proxy by router.
         keys: Valid keys by organisation; configuration faults change them meanwhile.
+        traffic: Which router each request goes through.
         records: All requests that were sent.
         violations: Guarantees that an answer violated.
     """
@@ -123,6 +125,7 @@
     seed: int
     proxy_addresses: dict[str, Address]
     keys: dict[str, list[str]]
+    traffic: Traffic
     records: list[RequestRecord] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     is_stopped: bool = False
@@ -184,6 +187,7 @@
         """Sends one request; returns whether its connection is reusable."""
         record.sent_at = time.monotonic()
         self.records.append(record)
+        self.traffic.routers[record.request_id] = record.router
         try:
             async with curio.timeout_after(REQUEST_DEADLINE_SECONDS + 1.0):
                 is_reusable = await self._exchange(connection, record, rng)
@@ -213,6 +217,7 @@
         response = await connection.receive_response()
         record.status = response.status
         record.signature = response.headers.get("x-server-signature")
+        self.traffic.note_answer(response.headers, record.router)
         while (data := await connection.receive_data()) is not None:
             record.body += data
         record.is_complete = True
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from random import Random
 
 import curio
 
 from .fleet import SoakFleet
+from .flood import HOLD_SECONDS
 from .proxy import LinkState, Proxy
 from .replicas import Replica
 from .routers import Router
@@ -37,7 +39,7 @@
 
 
 def _choose_replica(fleet: SoakFleet, rng: Random) -> Replica:
-    running = [one for one in fleet.replicas if one.is_running and one.is_listed]
+    running = [one for one in fleet.replicas if one.is_staying]
     return rng.choice(running or fleet.replicas)
 
 
@@ -158,7 +160,7 @@
 async def replace_replica(fleet: SoakFleet, rng: Random) -> None:
     """Drains a replica and restarts it later under the same identifier."""
     replica = _choose_replica(fleet, rng)
-    if not replica.is_running or not replica.is_listed:
+    if not replica.is_staying:
         return
     await replica.leave()
     await curio.sleep(_draw_seconds(rng, FAULT_DURATION_SECONDS))
@@ -173,9 +175,34 @@
     replica.fault = None
 
 
+async def turn_away(fleet: SoakFleet, rng: Random) -> None:
+    """Makes a replica turn requests away for a time, or say so once and go on."""
+    statements = _choose_replica(fleet, rng).statements
+    seconds = _draw_seconds(rng, HOLD_SECONDS)
+    if rng.random() < 0.3:
+        statements.false_hold = seconds
+    else:
+        statements.refuses_until = time.monotonic() + seconds
+    await curio.sleep(seconds)
+
+
+async def say_leaving_and_stay(fleet: SoakFleet, rng: Random) -> None:
+    """Makes a replica say once that it leaves; it is replaced a while later."""
+    replica = _choose_replica(fleet, rng)
+    statements = replica.statements
+    if not replica.is_staying:
+        return
+    statements.false_leaving = True
+    await curio.sleep(_draw_seconds(rng, PAUSE_DURATION_SECONDS) + 2.0)
+    if replica.statements is statements and replica.is_running:
+        await replica.crash()
+        await replica.start()
+
+
 async def cut_replica(fleet: SoakFleet, rng: Random) -> None:
     """Delays, blocks (wholly or for answers) or resets the link to a replica."""
     replica = _choose_replica(fleet, rng)
+    replica.note_link_disturbance()
     kind = rng.choice(["delay", "silent", "one way", "reset"])
     if kind == "reset":
         await replica.proxy.reset_all()
@@ -188,6 +215,7 @@
         await _set_link_state_for(
             replica.proxy, state, _draw_seconds(rng, FAULT_DURATION_SECONDS)
         )
+    replica.note_link_disturbance()
 
 
 async def change_configuration(fleet: SoakFleet, rng: Random) -> None:
@@ -223,6 +251,9 @@
     write_unreadable,
 )
 
+STATEMENT_FAULTS: tuple[Fault, ...] = (turn_away, say_leaving_and_stay)
+"""What replicas say in their answers; started in a series of their own."""
+
 
 async def _run_fault(fault: Fault, fleet: SoakFleet, rng: Random) -> None:
     try:
@@ -240,15 +271,31 @@
     Returns:
         The names of the faults in the order in which they started.
     """
-    rng = Random(f"faults {seed}")
-    names = []
+    names: list[str] = []
+    async with curio.TaskGroup() as tasks:
+        for series, faults in (("faults", FAULTS), ("statements", STATEMENT_FAULTS)):
+            rng = Random(f"{series} {seed}")
+            await tasks.spawn(_start_faults, fleet, rng, faults, seconds, names)
+    for task in tasks.tasks:
+        if task.exception is not None:
+            raise task.exception
+    return names
+
+
+async def _start_faults(
+    fleet: SoakFleet,
+    rng: Random,
+    faults: tuple[Fault, ...],
+    seconds: float,
+    names: list[str],
+) -> None:
+    """Starts a series of faults for ``seconds`` and waits until they have ended."""
     async with curio.TaskGroup() as tasks, curio.ignore_after(seconds):
         while True:
-            fault = rng.choice(FAULTS)
+            fault = rng.choice(faults)
             names.append(fault.__name__)
             await tasks.spawn(_run_fault, fault, fleet, Random(rng.random()))
             await curio.sleep(_draw_seconds(rng, START_INTERVAL_SECONDS))
     for task in tasks.tasks:
         if task.exception is not None:
             raise task.exception
-    return names
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -35,6 +35,7 @@
         keys: Valid keys by organisation.
         revoked_at: Time at which the store acknowledged the removal of a key, by key.
         store_disturbed_at: Time of the last fault of the store.
+        loop_late_at: Time at which the soak's own event loop was late.
         violations: Guarantees that a process violated.
     """
 
@@ -49,6 +50,7 @@
         }
         self.revoked_at: dict[str, float] = {}
         self.store_disturbed_at = float("-inf")
+        self.loop_late_at = float("-inf")
         self.violations: list[str] = []
         self.replicas: list[Replica] = []
         self.routers: dict[str, Router] = {}
@@ -74,6 +76,7 @@
                     name,
                     rng=rng,
                     is_undisturbed=self.is_undisturbed,
+                    is_undisturbed_since=self.is_undisturbed_since,
                 )
                 await replica.start()
                 self.replicas.append(replica)
@@ -167,6 +170,17 @@
             time.monotonic() - max(last, self.store_disturbed_at) > UNDISTURBED_SECONDS
         )
 
+    def is_undisturbed_since(self, since: float, name: str) -> bool:
+        """Returns whether a router had no fault since a time, and the soak kept up."""
+        router = self.routers.get(name)
+        is_router_undisturbed = router is not None and router.disturbed_at < since
+        return is_router_undisturbed and self.loop_late_at < since
+
+    def note_late_loop(self) -> None:
+        """Records that the event loop of store and replicas was late."""
+        self.loop_late_at = time.monotonic()
+        self.note_store_disturbance()
+
     def note_store_disturbance(self) -> None:
         """Records the time of a fault of the store."""
         self.store_disturbed_at = time.monotonic()
--- a/tests/soak/flood.py
+++ b/tests/soak/flood.py
@@ -20,6 +20,8 @@
 FLOOD_SECONDS = 6.0
 LEAVE_INTERVAL_SECONDS = 1.0
 LEAVING_REPLICAS = 3
+HOLD_SECONDS = (0.2, 5.0)
+"""Range of the time for which a replica turns requests away."""
 
 
 async def flood_while_replicas_leave(fleet: SoakFleet, seed: int) -> set[str]:
@@ -36,6 +38,7 @@
     router = fleet.routers[rng.choice(sorted(fleet.routers))]
     key = fleet.keys[rng.choice(sorted(fleet.keys))][-1]
     prefix = f"flood{seed:x}-"
+    fleet.log.traffic.flooded_router = router.name
     context = multiprocessing.get_context("spawn")
     count = context.Value("q", 0)
     process = context.Process(
@@ -46,8 +49,13 @@
         async with curio.TaskGroup() as tasks:
             for _ in range(LEAVING_REPLICAS):
                 await curio.sleep(LEAVE_INTERVAL_SECONDS)
-                listed = [one for one in fleet.replicas if one.is_listed]
-                await tasks.spawn(rng.choice(listed).leave)
+                staying = [one for one in fleet.replicas if one.is_staying]
+                await tasks.spawn(rng.choice(staying).leave)
+                hold = rng.uniform(*HOLD_SECONDS)
+                busy = [one for one in staying if one.service == "desk"]
+                if busy:
+                    statements = rng.choice(busy).statements
+                    statements.refuses_until = time.monotonic() + hold
         while process.is_alive():
             await curio.sleep(0.05)
     finally:
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -20,17 +20,18 @@
 
 from ..platform.standin import StandInStore
 from .proxy import LinkState, Proxy
+from .statements import DRAIN_NOTICE_LIMIT_SECONDS, Statements, Traffic
 
 HEARTBEAT_SECONDS = 1.0
 EVENT_INTERVAL_SECONDS = 0.008
 PLAIN_SERVICE_SECONDS = 0.01
 SLOTS = 8
-DRAIN_NOTICE_LIMIT_SECONDS = 2.0
-"""Time after the acknowledged drain in which a replica may still receive new work."""
-
 DRAIN_SECONDS = 3.5
 """Time that a draining replica goes on serving."""
 
+ORDER_SECONDS = 0.4
+"""Time between the entry and the first answer that say that a replica leaves."""
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
@@ -52,10 +53,12 @@
     Attributes:
         runs: Runs by request id.
         violations: Guarantees that a router violated towards a replica.
+        traffic: Which router each request came through.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     violations: list[str] = field(default_factory=list)
+    traffic: Traffic = field(default_factory=Traffic)
 
 
 def build_event(request_id: str, number: int) -> bytes:
@@ -71,6 +74,8 @@
         drain_acknowledged_at: Monotonic time, in seconds, at which the store
             acknowledged that it drains or is gone.
         is_listed: Whether heartbeats renew its entry as ready.
+        link_disturbed_at: Monotonic time, in seconds, of the last fault of its link.
+        statements: What its process says about new requests.
     """
 
     def __init__(
@@ -82,11 +87,14 @@
         *,
         rng: Random,
         is_undisturbed: Callable[[], bool],
+        is_undisturbed_since: Callable[[float, str], bool],
     ) -> None:
         self._store = store
         self._log = log
         self._rng = rng
         self._is_undisturbed = is_undisturbed
+        self._is_router_undisturbed_since = is_undisturbed_since
+        self.link_disturbed_at = float("-inf")
         self._target = Address("127.0.0.1", 0)
         self._tasks: Any = None
         self._started_at_ms = 0
@@ -97,6 +105,32 @@
         self.fault: str | None = None
         self.drain_acknowledged_at: float | None = None
         self.is_listed = False
+        self.statements = self._create_statements()
+
+    def _create_statements(self) -> Statements:
+        return Statements(
+            f"{self.name}~{self._started_at_ms}",
+            self._log.traffic,
+            is_undisturbed_since=lambda since, router: (
+                self.link_disturbed_at < since
+                and self._is_router_undisturbed_since(since, router)
+            ),
+            report=self._log.violations.append,
+        )
+
+    def note_link_disturbance(self) -> None:
+        """Records the time of a fault of its link."""
+        self.link_disturbed_at = time.monotonic()
+
+    @property
+    def is_staying(self) -> bool:
+        """Whether it runs, is listed and has not said that it leaves."""
+        return (
+            self.is_running
+            and self.is_listed
+            and not self.statements.is_leaving
+            and not self.statements.has_said_leaving
+        )
 
     async def start(self) -> None:
         """Starts to listen and to renew its entry."""
@@ -105,6 +139,7 @@
         sock = curio.network.tcp_server_socket("127.0.0.1", 0)
         self._target = Address(*sock.getsockname()[:2])
         self._started_at_ms = time.time_ns() // 1_000_000
+        self.statements = self._create_statements()
         self.drain_acknowledged_at, self.fault, self.is_listed = None, None, True
         self._tasks = curio.TaskGroup(wait=None)
         await self._tasks.spawn(curio.network.run_server, sock, self._serve)
@@ -120,17 +155,28 @@
     async def leave(self) -> None:
         """Announces its end, goes on serving for a while, and ends.
 
-        Half of the time its entry says that it drains; otherwise the entry is removed.
+        Its answers say so, or its entry, or both in either order.
         """
+        order = self._rng.choice(["entry", "answers", "entry-answers", "answers-entry"])
+        for step in order.split("-"):
+            if step == "entry":
+                self._announce_in_entry()
+            else:
+                self.statements.is_leaving = True
+            await curio.sleep(ORDER_SECONDS)
+        await curio.sleep(DRAIN_SECONDS)
+        self.is_listed = False
+        self._store.drop("servers", self.name)
+        await self.crash()
+
+    def _announce_in_entry(self) -> None:
+        """Writes that it drains or, half of the time, removes the entry."""
         self.is_listed = False
         if self._rng.random() < 0.5:
             self._write("draining")
         else:
             self._store.drop("servers", self.name)
         self.drain_acknowledged_at = time.monotonic()
-        await curio.sleep(DRAIN_SECONDS)
-        self._store.drop("servers", self.name)
-        await self.crash()
 
     def expire_entry(self) -> None:
         """Drops the entry, as the store does when heartbeats stop."""
@@ -184,6 +230,14 @@
         if expected != self.name:
             await connection.send_response(421, id_headers, b"")
             return True
+        self.statements.check_arrival(request_id)
+        id_headers |= self.statements.build_fields()
+        if (seconds := self.statements.turn_away(request_id)) is not None:
+            hold_headers = {**id_headers, "Retry-After": f"{seconds:.3f}"}
+            if self._rng.random() < 0.7:
+                hold_headers["X-Not-Executed"] = "1"
+            await connection.send_response(503, hold_headers, b"")
+            return True
         if self.fault == "refuse":
             refusal_headers = {**id_headers, "X-Not-Executed": "1"}
             await connection.send_response(503, refusal_headers, b"")
@@ -194,7 +248,7 @@
             return False
         signed_headers = {
             **id_headers,
-            "X-Server-Signature": f"{self.name}.{request_id}",
+            "X-Server-Signature": f"{self.statements.process}.{request_id}",
         }
         if self.fault == "error":
             await connection.send_response(500, signed_headers, b"failed")
@@ -263,3 +317,8 @@
         """Clears the faults of the replica and its link."""
         self.fault, self.proxy.delay = None, 0.0
         await self.proxy.set_state(LinkState.OPEN)
+        self.statements.refuses_until = float("-inf")
+        self.statements.false_hold = None
+        self.statements.false_leaving = False
+        if self.statements.has_said_leaving and self.is_running:
+            await self.crash()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -82,7 +82,7 @@
     proxy_addresses = {
         name: router.caller_proxy.address for name, router in fleet.routers.items()
     }
-    callers = Callers(seed, proxy_addresses, fleet.keys)
+    callers = Callers(seed, proxy_addresses, fleet.keys, fleet.log.traffic)
     tasks = [await curio.spawn(callers.run, number) for number in range(count)]
     watch_task = await curio.spawn(_watch_processes, fleet)
     result.faults = await inject_faults(fleet, seed, seconds)
@@ -111,7 +111,7 @@
         await curio.sleep(WATCH_INTERVAL_SECONDS)
         if time.monotonic() - due_at > SLOW_STORE_SECONDS:
             # The store runs on this event loop and answered nothing meanwhile.
-            fleet.note_store_disturbance()
+            fleet.note_late_loop()
 
 
 async def _check_recovery(fleet: SoakFleet, callers: Callers, seed: int) -> list[str]:
