--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -28,7 +28,6 @@
 MAX_REMEMBERED_PROCESSES = 4_096
 """Processes whose statements are remembered, also while they are not listed."""
 
-
 UNKNOWN_RETURN_SECONDS = 1.0
 """Retry-After while all replicas of a service are leaving: in about this time a new one
 registers, or the caller may meet a router that knows one."""
