--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -117,7 +117,7 @@
 
 
 @dataclass(slots=True)
-class StatedState:
+class ProcessState:
     """What one process has stated; nothing else makes it available again.
 
     Attributes:
@@ -187,7 +187,7 @@
             self.is_returning = False
             self.probe_id = None
 
-    def merge(self, other: StatedState) -> None:
+    def merge(self, other: ProcessState) -> None:
         """Adds what was stated under another name of the same process."""
         self.is_leaving = self.is_leaving or other.is_leaving
         self.held_until = max(self.held_until, other.held_until)
@@ -203,13 +203,13 @@
     """The states of processes that made a statement, also of those not listed now."""
 
     def __init__(self) -> None:
-        self._states: OrderedDict[ReplicaProcess, StatedState] = OrderedDict()
+        self._states: OrderedDict[ReplicaProcess, ProcessState] = OrderedDict()
 
-    def find(self, process: ReplicaProcess) -> StatedState:
+    def find(self, process: ReplicaProcess) -> ProcessState:
         """Returns the state of a process; a new one if it has stated nothing."""
-        return self._states.get(process) or StatedState()
+        return self._states.get(process) or ProcessState()
 
-    def keep(self, process: ReplicaProcess, state: StatedState) -> None:
+    def keep(self, process: ReplicaProcess, state: ProcessState) -> None:
         """Remembers the state of a process; the one kept longest ago yields."""
         self._states[process] = state
         self._states.move_to_end(process)
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -9,9 +9,9 @@
 from ..options import Options
 from ..types import Address, ReplicaId, ServiceName, ZoneName
 from .statements import (
+    ProcessState,
     ReplicaProcess,
     ReplicaStatements,
-    StatedState,
     Statement,
     StatementChange,
 )
@@ -97,7 +97,7 @@
     failure_rate: float = 0.0
     outcome_count: int = 0
     ejected_until: float = float("-inf")
-    stated: StatedState = field(default_factory=StatedState)
+    stated: ProcessState = field(default_factory=ProcessState)
 
     @property
     def process(self) -> ReplicaProcess:
@@ -112,7 +112,7 @@
     def is_available(self, now: float) -> bool:
         """Returns whether new work may be started at the replica."""
         return (
-            self.may_receive(now)
+            not self.is_leaving
             and self.stated.may_start(now)
             and now >= self.ejected_until
             and (self.failures == 0 or now >= self.probe_at)
--- a/tests/core/test_statements.py
+++ b/tests/core/test_statements.py
@@ -17,9 +17,9 @@
 from sequoiamoor.core.statements import (
     MAX_REMEMBERED_PROCESSES,
     PROBE_LIMIT_SECONDS,
+    ProcessState,
     ReplicaProcess,
     ReplicaStatements,
-    StatedState,
     Statement,
 )
 from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica, Upstreams
@@ -213,7 +213,7 @@
     holds: list[tuple[float, float]], until: float
 ) -> None:
     """Guards against a second, shorter refusal that ends the first one's time."""
-    state = StatedState()
+    state = ProcessState()
     for now, hold in holds:
         state.note(Statement(hold=hold), now, 0.0)
     assert state.held_until == until
@@ -226,7 +226,7 @@
     upstreams.replicas["talk-0"] = replica
     returns = set()
     for spread in (0.0, 0.5, 1.0):
-        replica.stated = StatedState()
+        replica.stated = ProcessState()
         replica.stated.note(Statement(hold=2.0), 0.0, spread)
         returns.add(replica.stated.held_until)
     assert returns == {2.0, 2.25, 2.5}
@@ -244,7 +244,7 @@
     """Guards against memory that grows with each replica that ever left."""
     statements = ReplicaStatements()
     for number in range(MAX_REMEMBERED_PROCESSES + 1):
-        state = StatedState(is_leaving=True)
+        state = ProcessState(is_leaving=True)
         statements.keep(ReplicaProcess("talk-0", number, None), state)
     assert statements.find(ReplicaProcess("talk-0", 0, None)).is_blank
     assert not statements.find(ReplicaProcess("talk-0", 1, None)).is_blank
