Look at answers that have arrived before sending to the same replica

What a replica said counted from when its head was read.

The pool knows which connections await a head (await_head). Before a send, those of the same replica are peeked at, and a complete head is passed on as if it were read; each once per request, and the bytes stay for the task that reads them.

test_answer_that_arrived_but_was_not_read_counts_before_a_send writes the answer in the pass in which another request is sent.

--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -6,7 +6,8 @@
 import math
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -76,6 +77,9 @@
         self._metrics = metrics
         self._idle: dict[Address, deque[tuple[float, ClientConnection]]] = {}
         self._in_use: set[ClientConnection] = set()
+        self._awaited_heads: dict[
+            Address, dict[ClientConnection, Callable[[Response], Awaitable[None]]]
+        ] = {}
         self._idle_count = 0
 
     def __len__(self) -> int:
@@ -120,6 +124,32 @@
         self._in_use.add(connection)
         return connection, False
 
+    @contextmanager
+    def await_head(
+        self,
+        connection: ClientConnection,
+        note_head: Callable[[Response], Awaitable[None]],
+    ) -> Iterator[None]:
+        """Lets ``note_unread_heads`` pass the head of an awaited response on."""
+        awaited = self._awaited_heads.setdefault(connection.address, {})
+        awaited[connection] = note_head
+        try:
+            yield
+        finally:
+            del awaited[connection]
+            if not awaited and self._awaited_heads.get(connection.address) is awaited:
+                del self._awaited_heads[connection.address]
+
+    async def note_unread_heads(self, address: Address) -> None:
+        """Passes on the heads from an address that arrived and were not read yet.
+
+        A late event loop may come to the tasks that read them only after it has sent
+        further requests to the same replica.
+        """
+        for connection, note in list(self._awaited_heads.get(address, {}).items()):
+            if (response := connection.peek_response()) is not None:
+                await note(response)
+
     async def release(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool, or closes it if it cannot be used again.
 
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -188,6 +188,7 @@
                 ANSWER_SILENCE_LIMIT_TARGETS * route.target, MIN_SILENCE_LIMIT_SECONDS
             )
         sent_before = connection.bytes_sent
+        await self._pool.note_unread_heads(connection.address)
         self._check_before_send(connection.address)
         self._process, self._sent_at = self._replica.process, time.monotonic()
         request_target = self._call.target.decode("latin-1")
@@ -198,7 +199,8 @@
         finally:
             if connection.bytes_sent != sent_before:
                 self.is_sent = True
-        return await self._receive_matching_response(connection)
+        with self._pool.await_head(connection, self._note_interim):
+            return await self._receive_matching_response(connection)
 
     async def _acquire_connection(self) -> ClientConnection:
         try:
@@ -238,6 +240,7 @@
         )
 
     async def _note_interim(self, response: Response) -> None:
+        """Passes on an interim head, or a final one before its answer is read."""
         await self._note(response, is_own=False)
 
     async def _note(self, response: Response, *, is_own: bool) -> None:
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -63,6 +63,7 @@
         self._unparsed = b""
         self._chunk_decoder: ChunkDecoder | None = None
         self._send_task: Any = None
+        self._may_peek_response = False
         self.idle_limit = float("inf")
         self.silence_limit: float | None = None
         self.address = address
@@ -125,6 +126,7 @@
             OSError: If the connection fails; ``bytes_sent`` shows whether any byte
                 was handed to the kernel before that.
         """
+        self._may_peek_response = True
         fields = to_h11_headers(headers)
         if not any(name == b"host" for name, _ in fields):
             fields.insert(0, (b"host", str(self.address).encode()))
@@ -186,6 +188,7 @@
             if event is h11.NEED_DATA:
                 await self._receive_head()
             elif isinstance(event, h11.Response):
+                self._may_peek_response = False
                 response = _build_response(event)
                 if (
                     "transfer-encoding" in response.headers
@@ -204,6 +207,33 @@
             else:
                 raise ConnectionResetError(f"{self.address} closed the connection")
 
+    def peek_response(self) -> Response | None:
+        """Returns the head of a response that arrived while the event loop was late.
+
+        Returns:
+            The first head in the kernel's buffer, which stays there; None if there is
+            no complete one, or if one was returned since the request was sent.
+        """
+        if not self._may_peek_response or self.waiting_since is None:
+            return None
+        try:
+            data = self._raw_sock.recv(RESPONSE_HEAD_LIMIT_BYTES, socket.MSG_PEEK)
+        except OSError:
+            return None
+        if (match := HEAD_END_PATTERN.search(data)) is None:
+            return None
+        self._may_peek_response = False
+        parser = _create_response_parser()
+        try:
+            parser.receive_data(data[: match.end()])
+            event = parser.next_event()
+        except h11.RemoteProtocolError:
+            # The task that receives gets the same error and reports it.
+            return None
+        if isinstance(event, h11.Response | h11.InformationalResponse):
+            return _build_response(event)
+        return None
+
     async def _receive_head(self) -> None:
         """Passes one head to h11 and stores the bytes after it as part of the body."""
         data = self._unparsed
@@ -307,13 +337,7 @@
         await self.receive_body(limit=RESPONSE_HEAD_LIMIT_BYTES)
         rest = self._h11.trailing_data[0] + self._unparsed
         self._chunk_decoder = None
-        self._h11 = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_LIMIT_BYTES
-        )
-        # The new parser accepts a response only after a request. The real request was
-        # sent before, so this one only sets the state.
-        self._h11.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
-        self._h11.send(h11.EndOfMessage())
+        self._h11 = _create_response_parser()
         self._unparsed = bytes(rest)
 
     def start_next_cycle(self) -> None:
@@ -360,6 +384,17 @@
         await self._sock.close()
 
 
+def _create_response_parser() -> h11.Connection:
+    """Returns a parser for the response to a request that was sent before."""
+    parser = h11.Connection(
+        h11.CLIENT, max_incomplete_event_size=RESPONSE_HEAD_LIMIT_BYTES
+    )
+    # A parser accepts a response only after a request, so this one sets the state.
+    parser.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    parser.send(h11.EndOfMessage())
+    return parser
+
+
 def _build_response(event: h11.Response | h11.InformationalResponse) -> Response:
     return Response(
         event.status_code,
--- a/tests/daemon/test_replica_statements.py
+++ b/tests/daemon/test_replica_statements.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import socket
 import time
 
+import curio
 import pytest
 
 from sequoiamoor.core.statements import Statement
 from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica
 from sequoiamoor.daemon.pages import build_status
+from sequoiamoor.types import Address
 
 from ..listener_harness import Close, ScriptedUpstream, Step, Until, chunk
 from ..route_listener_harness import (
@@ -20,6 +23,7 @@
     run,
 )
 from .test_forwarder import ask
+from .test_leaving_upstreams import call_while_connecting
 
 LEAVING = b"Server-Leaving: 1\r\n"
 SIGNED = b"X-Server-Signature: 3e1b\r\n"
@@ -253,3 +257,64 @@
         assert (response.status, response.body) == (500, b"cause")
 
     run(session)
+
+
+async def accept(server: socket.socket) -> socket.socket:
+    """Accepts a connection in the way of a process apart from the event loop."""
+    server.setblocking(False)
+    while True:
+        try:
+            return server.accept()[0]
+        except BlockingIOError:
+            await curio.sleep(0.002)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        answer(b"", status=503, extra=NOT_RUN + LONG_HOLD),
+        answer(extra=SIGNED + LEAVING),
+        b"HTTP/1.1 103 Early Hints\r\n" + LEAVING + b"\r\n" + answer(),
+    ],
+    ids=["turned-away", "leaving", "interim"],
+)
+def test_answer_that_arrived_but_was_not_read_counts_before_a_send(
+    head: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests sent after an answer that a late event loop left unread.
+
+    The answer to the first request arrives in the pass of the event loop in which
+    another request is sent to the same replica.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        server = socket.create_server(("127.0.0.1", 0))
+        address = Address(*server.getsockname()[:2])
+        harness.board.upstreams.replicas["late"] = Replica(
+            "late", "talk", "zone-a", address
+        )
+        first = await harness.connect()
+        await first.send(route_request("/look/1"))
+        accepted = await accept(server)
+        while not harness.board.running or not harness.forwarder._pool._awaited_heads:
+            await curio.sleep(0.002)
+
+        async def answer_first(connected: Address) -> None:
+            if connected == address:
+                accepted.sendall(head)
+
+        call_while_connecting(monkeypatch, answer_first)
+        other = await harness.add_upstream(*[lambda _: [answer()]] * 4)
+        for _ in range(2):
+            caller = await harness.connect()
+            await caller.send(route_request("/look/1"))
+            await caller.receive_until(b"done")
+        await first.receive_until(b"done")
+        assert len(other.requests) >= 2
+        second = await accept(server)
+        second.setblocking(True)
+        assert second.recv(65_536) == b"", "a request was sent after the answer"
+        for sock in (accepted, second, server):
+            sock.close()
+
+    run(session)
