--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 from typing import Any
@@ -15,8 +15,9 @@
 from ..core.blackboard import Blackboard
 from ..core.directory import UpstreamDirectory
 from ..core.freshness import KeyFreshness
-from ..core.repeats import RepeatBudget, decide_repeat
+from ..core.repeats import RepeatBudget, decide_repeat, find_retry_limit
 from ..core.routed_call import RoutedCall
+from ..core.statements import draw_retry_after
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
@@ -28,6 +29,7 @@
     UpstreamLeavingError,
     UpstreamRefusedError,
     UpstreamsOutdatedError,
+    UpstreamsUnavailableError,
     UpstreamUnreachableError,
     WaitLimitError,
 )
@@ -36,7 +38,7 @@
 from ..net.events import Events, EventSequence
 from ..net.exchange import ConnectionPool
 from ..net.formats import CallerFormat, UpstreamFormat
-from ..net.forward import ForwardAttempt, StreamHead, WholeAnswer
+from ..net.forward import ForwardAttempt, ReceivedHead, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
 from ..types import Address, Execution, RouteKind
@@ -44,6 +46,7 @@
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
 from .sink import CallerGoneError
+from .statements import StatementReader
 
 _LOG = logging.getLogger(__name__)
 
@@ -72,6 +75,7 @@
     Args:
         apply_received: Applies what has arrived from the platform's store; called
             before decisions that must not rely on older knowledge.
+        announce_leaving: Tells the other routers that replicas are leaving.
 
     Attributes:
         is_refusing_requests: Whether new requests are refused, shortly before the
@@ -90,6 +94,7 @@
         freshness: KeyFreshness,
         directory: UpstreamDirectory,
         apply_received: Callable[[], None] = lambda: None,
+        announce_leaving: Callable[[Iterable[Replica]], None] = lambda replicas: None,
         rng: Random,
     ) -> None:
         self._apply_received = apply_received
@@ -106,6 +111,13 @@
         self._pool = ConnectionPool(
             options=board.options, metrics=metrics, detects_dead_peers=True
         )
+        self._statements = StatementReader(
+            board,
+            metrics,
+            upstream_format=upstream_format,
+            announce_leaving=announce_leaving,
+            rng=rng,
+        )
         self.is_refusing_requests = False
         self._serving: dict[str, tuple[RoutedCall, Any]] = {}
 
@@ -314,9 +326,13 @@
         """Sets Retry-After to the time after which a refused request may succeed.
 
         On routes that are not streams, it is set only if a replica refused the request
-        or could not be reached.
+        or could not be reached, or if no replica takes requests now.
         """
-        if isinstance(error, UpstreamRefusedError | UpstreamUnreachableError):
+        now = time.monotonic()
+        return_time = self._board.upstreams.find_return_time(call.service, now)
+        if return_time is not None:
+            error.retry_after = draw_retry_after(return_time, now, self._rng.random())
+        elif isinstance(error, UpstreamRefusedError | UpstreamUnreachableError):
             error.retry_after = QUICK_RETRY_AFTER_SECONDS
         elif call.route.kind is RouteKind.STREAM:
             jitter = self._rng.uniform(
@@ -326,14 +342,21 @@
 
     async def _run_attempts(self, call: RoutedCall, sink: RouteSink) -> None:
         event_sequence = EventSequence()
+        answer: WholeAnswer | None
         failed_answer: WholeAnswer | None = None
         while True:
             await self._wait_for_current_upstreams(call)
-            replica = await self._dispatcher.wait_start(call)
+            try:
+                replica = await self._dispatcher.wait_start(call)
+            except UpstreamsUnavailableError:
+                if failed_answer is None or sink.is_started:
+                    raise
+                answer = failed_answer
+                break
             call.sent_after = call.view_age = None
             started_at = time.monotonic()
             error: RefusalError | None = None
-            answer: WholeAnswer | None = None
+            answer = None
             try:
                 answer = await self._run_attempt(call, replica, event_sequence, sink)
             except RefusalError as err:
@@ -347,12 +370,14 @@
                 # Another run would repeat the text that has no identifier.
                 raise error
             failed_answer = answer or failed_answer
+            now = time.monotonic()
             give_up = decide_repeat(
                 call,
                 error,
                 budget=self._repeat_budget,
-                now=time.monotonic(),
+                now=now,
                 routers=len(self._board.members) + 1,
+                return_time=self._board.upstreams.find_return_time(call.service, now),
             )
             if give_up is None:
                 self._prepare_retry(call, replica)
@@ -394,9 +419,7 @@
         now = time.monotonic()
         call.excluded |= {replica.replica_id}
         call.excluded_until = now + self._board.options.exclusion_time
-        call.wait_limit_at = max(
-            call.wait_limit_at, min(call.ends_at, now + call.route.target)
-        )
+        call.wait_limit_at = find_retry_limit(call, now)
         self._dispatcher.accept_again(call)
 
     async def _run_attempt(
@@ -437,6 +460,7 @@
             pool=self._pool,
             metrics=self._metrics,
             check_before_send=partial(self._check_before_send, call, replica, sink),
+            note_head=self._note_head,
         )
         try:
             # Saves the connection to the upstream.
@@ -465,7 +489,7 @@
         """
         sink.check_present()
         self._apply_received()
-        self._board.upstreams.check_in_service(replica, address)
+        self._board.upstreams.check_in_service(replica, address, time.monotonic())
         if self._directory.is_outdated(self._freshness.read_time()):
             raise UpstreamsOutdatedError(
                 "the request was not sent, since the list of upstreams has not been "
@@ -477,6 +501,12 @@
         self._metrics.start_to_send.observe(call.sent_after)
         self._metrics.upstream_view_age.observe(call.view_age)
 
+    async def _note_head(self, head: ReceivedHead) -> None:
+        """Applies a head, and refuses the requests that no replica can serve then."""
+        replica = self._board.upstreams.replicas.get(head.process.replica_id)
+        if self._statements.read(head) and replica is not None:
+            await self._dispatcher.dispatch(replica.service)
+
     def _record_result(
         self,
         call: RoutedCall,
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -122,6 +122,7 @@
                 self._policy,
                 perform=self._control.perform,
                 min_queued_requests=ALWAYS_QUEUED_REQUESTS,
+                refuses_unserved=True,
             ),
             self.metrics,
             caller_format=callers,
@@ -130,6 +131,7 @@
             freshness=self._freshness,
             directory=self._directory,
             apply_received=self._sources.apply_received,
+            announce_leaving=partial(self._control.announce_leaving, source="answer"),
             rng=self._rng,
         )
         self._listener = RouteListener(
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -274,6 +274,12 @@
     code = "upstream-leaving"
 
 
+class UpstreamTurnedAwayError(UpstreamLeavingError):
+    """The upstream of an attempt asked for no requests before the send."""
+
+    code = "upstream-turned-away"
+
+
 class UpstreamsOutdatedError(UpstreamUnreachableError):
     """The list of upstreams was too old to send a request."""
 
@@ -288,6 +294,12 @@
     execution = Execution.MAY_HAVE_RUN
 
 
+class UpstreamsUnavailableError(RefusalError):
+    """All replicas of the service are leaving, or want no requests for too long."""
+
+    code = "upstreams-unavailable"
+
+
 class UpstreamRefusedError(RefusalError):
     """An upstream stated that it did not run the request."""
 
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -34,6 +34,7 @@
     "elapsed_ms",
     "idle_ms",
     "unread_bytes",
+    "hold_ms",
     "events",
     "pause_ms",
     "prompt_tokens",
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -11,6 +11,7 @@
 import h11
 
 from ..core.routed_call import Fields, RoutedCall
+from ..core.statements import ReplicaProcess
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
@@ -65,7 +66,29 @@
     fields: Fields
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedHead:
+    """Head of an answer, as soon as it was read.
+
+    Attributes:
+        response: The head, also of an interim answer or of one that is dropped.
+        process: Process to which the request was sent.
+        sent_at: Monotonic time in seconds of the send.
+        is_own: Whether it is the final answer to this request.
+    """
+
+    response: Response
+    process: ReplicaProcess
+    sent_at: float
+    is_own: bool
+
+
 SendEvents = Callable[[StreamHead, Events], Awaitable[None]]
+NoteHead = Callable[[ReceivedHead], Awaitable[None]]
+
+
+async def _ignore_head(head: ReceivedHead) -> None:
+    """Ignores a head."""
 
 
 class ForwardAttempt:
@@ -85,6 +108,7 @@
         pool: ConnectionPool,
         metrics: Metrics,
         check_before_send: Callable[[Address], None] = lambda address: None,
+        note_head: NoteHead = _ignore_head,
     ) -> None:
         """Initialises the attempt.
 
@@ -96,8 +120,13 @@
             metrics: Metrics to update.
             check_before_send: Called with the address of the connection right before
                 the request is sent; an error that it raises prevents the send.
+            note_head: Called with each head that the replica sends, before its body is
+                read and before it is checked.
         """
         self._check_before_send = check_before_send
+        self._note_head = note_head
+        self._process = replica.process
+        self._sent_at = 0.0
         self._call = call
         self._replica = replica
         self._format = upstream_format
@@ -170,7 +199,9 @@
                 ANSWER_SILENCE_LIMIT_TARGETS * route.target, MIN_SILENCE_LIMIT_SECONDS
             )
         sent_before = connection.bytes_sent
+        await self._pool.note_unread_heads(connection.address)
         self._check_before_send(connection.address)
+        self._process, self._sent_at = self._replica.process, time.monotonic()
         request_target = self._call.target.decode("latin-1")
         try:
             await connection.send_request(
@@ -179,7 +210,8 @@
         finally:
             if connection.bytes_sent != sent_before:
                 self.is_sent = True
-        return await self._receive_matching_response(connection)
+        with self._pool.await_head(connection, self._note_interim):
+            return await self._receive_matching_response(connection)
 
     async def _acquire_connection(self) -> ClientConnection:
         try:
@@ -203,13 +235,15 @@
         """
         is_first_answer = not self._is_reused
         for _ in range(MISMATCHED_RESPONSES_LIMIT + 1):
-            response = await connection.receive_response()
+            response = await connection.receive_response(self._note_interim)
             answered_id = self._format.read_request_id(response)
-            if answered_id == self._call.request_id or (
+            is_own = answered_id == self._call.request_id or (
                 answered_id is None
                 and is_first_answer
                 and self._format.states_not_run(response)
-            ):
+            )
+            await self._note(response, is_own=is_own)
+            if is_own:
                 await self._check_head(response)
                 return response
             is_first_answer = False
@@ -223,6 +257,14 @@
             "dropped"
         )
 
+    async def _note_interim(self, response: Response) -> None:
+        """Passes on an interim head, or a final one before its answer is read."""
+        await self._note(response, is_own=False)
+
+    async def _note(self, response: Response, *, is_own: bool) -> None:
+        head = ReceivedHead(response, self._process, self._sent_at, is_own)
+        await self._note_head(head)
+
     async def _check_head(self, response: Response) -> None:
         self.is_answered = True
         if self._format.states_not_run(response):
