Give the room of a closing connection to the next caller at once

A connection whose answer was sent counted as served until its caller had closed it, for up to 2 s, so that newcomers were refused although nothing was served on it.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -151,10 +151,9 @@
             await connection.close()
             raise
         finally:
-            try:
-                await connection.close_cleanly()
-            finally:
-                self._served.remove(connection)
+            # While its caller reads the rest, the connection takes no one's room.
+            self._served.remove(connection)
+            await connection.close_cleanly()
 
     async def _refuse_connection(self, sock: Any) -> None:
         error = self._build_refusal()
