--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -195,10 +195,11 @@
             raise
         finally:
             idle_seconds = time.monotonic() - connection.active_at
+            # While its caller reads the rest, the connection takes no one's room.
+            self._served.remove(connection)
             try:
                 await connection.close_cleanly()
             finally:
-                self._served.remove(connection)
                 self._record_end(connection, end, idle_seconds)
 
     def _record_end(
@@ -212,17 +213,23 @@
             idle_seconds: Time since the last byte was sent or received.
         """
         self._metrics.caller_connections_ended.labels(end).inc()
-        is_unanswered = connection.has_unanswered_request
-        is_peer_gone = connection.is_peer_closed and end is not ConnectionEnd.DISPLACED
-        if is_peer_gone or not (is_unanswered or connection.unread_bytes):
+        if connection.is_peer_closed and end is not ConnectionEnd.DISPLACED:
+            return
+        if connection.has_unanswered_request:
+            detail = "read"
+        elif connection.unread_bytes:
+            detail = "unread"
+        elif connection.discarded_bytes:
+            detail = "discarded"
+        else:
             return
         self._metrics.caller_connections_cut.labels(end).inc()
         _LOG.info(
             "connection closed with a request in it",
             extra={
                 "reason": end,
-                "detail": "read" if is_unanswered else "unread",
-                "unread_bytes": connection.unread_bytes,
+                "detail": detail,
+                "unread_bytes": connection.unread_bytes + connection.discarded_bytes,
                 "idle_ms": round(idle_seconds * 1000),
             },
         )
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -48,7 +48,9 @@
         bytes_sent: Number of bytes passed to the socket.
         active_at: Monotonic time in seconds of the last byte sent or received.
         unread_bytes: Bytes that the peer had sent and nobody had read when this side
-            closed the connection, and those that were discarded after that.
+            closed the connection.
+        discarded_bytes: Bytes that arrived after this side had ended its own direction,
+            and were read only to be dropped.
         closes_after_response: Whether the next response says that the connection ends.
     """
 
@@ -79,7 +81,7 @@
         self.has_send_failed = False
         self.bytes_sent = 0
         self.active_at = time.monotonic()
-        self.unread_bytes = 0
+        self.unread_bytes = self.discarded_bytes = 0
         self.closes_after_response = False
         disable_send_delay(self._raw_sock)
         if detects_dead_peer:
@@ -402,7 +404,7 @@
         remaining_bytes = CLOSE_LINGER_LIMIT_BYTES
         while remaining_bytes > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
             remaining_bytes -= len(data)
-            self.unread_bytes += len(data)
+            self.discarded_bytes += len(data)
 
 
 def _append_close(fields: Headers) -> None:
