Refuse a connection over the limit as it is accepted if its request is there

With every excess connection answered by a task of its own, 256 at a time, a router whose loop passes take 0.5 s and more could refuse a few hundred a second; the others waited unread in the kernel's queue.

A request that lies whole in the socket of a just accepted connection is read and refused in the accept loop, with no task and no place in the lane. test_whole_requests_over_the_limit_are_refused_as_they_are_accepted fails before (51 connections got a task instead of 1).

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import time
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -170,6 +171,7 @@
                 self._settings.http,
                 self._listener.accept,
                 limit=self._listener.connection_limit,
+                end_at_once=self._listener.refuse_at_once,
             ),
             self._listen(
                 "readiness",
@@ -207,12 +209,25 @@
         return end
 
     def _listen(
-        self, name: str, address: AddressSettings, serve: Serve, *, limit: int
+        self,
+        name: str,
+        address: AddressSettings,
+        serve: Serve,
+        *,
+        limit: int,
+        end_at_once: Callable[[Any], bool] = lambda sock: False,
     ) -> Acceptor:
         sock = curio.network.tcp_server_socket(
             address.host, address.port, backlog=BACKLOG_CONNECTIONS
         )
-        return Acceptor(sock, serve, name=name, limit=limit, observer=self.metrics)
+        return Acceptor(
+            sock,
+            serve,
+            name=name,
+            limit=limit,
+            observer=self.metrics,
+            end_at_once=end_at_once,
+        )
 
     def _list_tasks(self) -> dict[str, TaskFunction]:
         return {
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -234,8 +234,32 @@
             },
         )
 
+    def refuse_at_once(self, sock: Any) -> bool:
+        """Refuses a connection over the limit whose request has arrived.
+
+        A flood would otherwise wait in the kernel's queue for one of the few
+        connections that may be refused at a time.
+
+        Args:
+            sock: Socket of the connection.
+
+        Returns:
+            Whether the connection was refused.
+        """
+        if self._make_room():
+            return False
+        error = self._build_refusal()
+        if not refusal_lane.refuse_at_once(sock, refusal_lane.build_response(error)):
+            return False
+        self._record_refusal(error)
+        return True
+
     async def _refuse_connection(self, sock: Any) -> None:
         error = self._build_refusal()
+        self._record_refusal(error)
+        await refusal_lane.refuse(sock, refusal_lane.build_response(error))
+
+    def _record_refusal(self, error: TooManyConnectionsError) -> None:
         self._metrics.refusals.labels(error.code).inc()
         self._metrics.caller_connections_ended.labels(
             ConnectionEnd.CONNECTION_LIMIT
@@ -252,7 +276,6 @@
                 },
             )
             self._refusals_logged_at, self._refused_since_log = now, 0
-        await refusal_lane.refuse(sock, refusal_lane.build_response(error))
 
     def _build_refusal(self) -> TooManyConnectionsError:
         return TooManyConnectionsError(
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -107,6 +107,7 @@
             name="callers",
             limit=self._listener.connection_limit,
             observer=self.metrics,
+            end_at_once=self._listener.refuse_at_once,
         )
         self._control.bind()
         _LOG.info("listening", extra={"router_id": self.board.identity.router_id})
--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -102,6 +102,7 @@
         name: str,
         limit: int | None = None,
         observer: AcceptObserver | None = None,
+        end_at_once: Callable[[Any], bool] = lambda sock: False,
     ) -> None:
         """Initialises the acceptor.
 
@@ -111,11 +112,14 @@
             name: Name of the listener in the log and the metrics.
             limit: Connections that may be open at the same time; None for any number.
             observer: Counts errors and pauses.
+            end_at_once: Called with each accepted socket; returns whether the
+                connection is dealt with, so that it needs no task.
         """
         self._sock = sock
         self._serve = serve
         self.name = name
         self._observer = observer or _NoObserver()
+        self._end_at_once = end_at_once
         self._tasks: set[Any] = set()
         self._has_ended = curio.Event()
         self._probe: Probe | None = None
@@ -181,6 +185,9 @@
                 raise
             await self._pause_after(err)
             return
+        if self._end_at_once(sock._socket):
+            await sock.close()
+            return
         # The new task runs only after this one waits.
         self._tasks.add(
             await curio.spawn(self._serve_connection, sock, peer, daemon=True)
--- a/sequoiamoor/net/refusal_lane.py
+++ b/sequoiamoor/net/refusal_lane.py
@@ -47,6 +47,28 @@
     return len(data) - match.end() == (int(length[1]) if length else 0)
 
 
+def refuse_at_once(sock: Any, response: bytes) -> bool:
+    """Refuses a connection if its whole request has arrived; it can be closed then.
+
+    Args:
+        sock: Socket of the connection, non-blocking.
+        response: Bytes of the refusal.
+
+    Returns:
+        Whether it was refused. If not, nothing was read.
+    """
+    try:
+        data = sock.recv(RECEIVE_BYTES, socket.MSG_PEEK)
+        if not is_whole_request(data):
+            return False
+        # Closing with unread data would reset the connection and discard the refusal.
+        sock.recv(len(data))
+        sock.send(response)
+    except OSError:
+        return False
+    return True
+
+
 async def refuse(sock: Any, response: bytes) -> None:
     """Refuses what comes on a connection and returns when it can be closed.
 
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import curio
+import curio.io
 import pytest
 
 from sequoiamoor.daemon import listener
@@ -106,6 +107,46 @@
     run_limited(session, 1)
 
 
+def test_whole_requests_over_the_limit_are_refused_as_they_are_accepted() -> None:
+    """Guards against a flood that waits unread until one more can be refused."""
+    accepted: list[Any] = []
+
+    async def session(harness: ListenerHarness) -> None:
+        async def accept(sock: Any, peer: Any) -> None:
+            accepted.append(peer)
+            await harness.listener.accept(sock, peer)
+
+        await harness.add_upstream(lambda _: [Hang()], service="look")
+        sock = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=256)
+        acceptor = Acceptor(
+            sock,
+            accept,
+            name="callers",
+            limit=2,
+            end_at_once=harness.listener.refuse_at_once,
+        )
+        accept_task = await curio.spawn(acceptor.run, daemon=True)
+        held = Caller(harness, await curio.open_connection(*acceptor.address))
+        await held.send(request("look", stream=False))
+        await harness.wait_for(lambda: harness.listener.served_connections == 1)
+        callers = []
+        for _ in range(50):
+            # Nothing is accepted before the request has arrived.
+            caller_sock = socket.create_connection(acceptor.address)
+            caller_sock.sendall(request("look", stream=False))
+            callers.append(Caller(harness, curio.io.Socket(caller_sock)))
+        for caller in callers:
+            await check_refused(caller)
+            await caller.close()
+        assert len(accepted) == 1
+        assert harness.counter("refusals", code="too-many-connections") == 50
+        await held.close()
+        await harness.wait_for(lambda: harness.listener._connections == 0)
+        await accept_task.cancel()
+
+    run_limited(session, 1)
+
+
 def test_more_callers_than_lane_and_limit_hold_are_answered_or_refused() -> None:
     """Guards against connections that are closed only because there are many."""
 
