Let few idle connections make room during a flood of new ones

At most one connection in 10 ms makes room now; further ones are refused in the accept loop. The new test fails before: no newcomer is refused.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -37,6 +37,10 @@
 """Time after its last answer for which a connection is not closed to make room: its
 caller may be about to send the next request and would not learn if it was read."""
 
+MIN_DISPLACEMENT_INTERVAL_SECONDS = 0.01
+"""Shortest time between two connections that are closed to make room. A flood of new
+connections is refused otherwise, which takes a fraction of the time of a request."""
+
 MAX_EXAMINED_CONNECTIONS = 16
 """Idle connections that are examined to make room for a new one. On some of them the
 next request may have begun to arrive."""
@@ -97,6 +101,7 @@
         self.refusal_connections = REFUSALS
         self._refused_since_log = 0
         self._refusals_logged_at = self._refused_at = float("-inf")
+        self._displaced_at = float("-inf")
         self._detects_dead_peers = False
 
     @property
@@ -154,12 +159,16 @@
         """
         if not self._is_full:
             return True
-        idle = self._served.list_idle(time.monotonic() - MIN_IDLE_SECONDS)
+        now = time.monotonic()
+        if now - self._displaced_at < MIN_DISPLACEMENT_INTERVAL_SECONDS:
+            return False
+        idle = self._served.list_idle(now - MIN_IDLE_SECONDS)
         examined = itertools.islice(idle, MAX_EXAMINED_CONNECTIONS)
         for connection in list(examined):
             if connection.is_idle:
                 connection.end_idle()
                 self._served.remove(connection)
+                self._displaced_at = now
                 self._metrics.connections_displaced.inc()
                 return True
         return False
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -107,6 +107,27 @@
     run_limited(session, 1)
 
 
+def test_flood_of_connections_displaces_few_idle_ones(
+    short_idle_time: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a flood that is served because idle connections make room."""
+    monkeypatch.setattr(listener, "MIN_DISPLACEMENT_INTERVAL_SECONDS", 60.0)
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(*[answer_whole] * 3, service="look")
+        for _ in range(3):
+            await connect_kept(harness, "a")
+        callers = [await harness.connect() for _ in range(3)]
+        for caller in callers:
+            await caller.send(HEALTH)
+        assert parse(await callers[0].receive_until(b"\r\n\r\n")).status == 200
+        for caller in callers[1:]:
+            await check_refused(caller)
+        assert harness.counter("connections_displaced") == 1
+
+    run_limited(session, 3)
+
+
 def test_whole_requests_over_the_limit_are_refused_as_they_are_accepted() -> None:
     """Guards against a flood that waits unread until one more can be refused."""
     accepted: list[Any] = []
