Log which prompt parts a request had when its replica ended

All broken attempts at a process share one check. Ends within a second of the begin of an answer are logged with the parts that the request may share with others, and counted by service.

No decision depends on it. Checked by a table of ends and broken answers; the check adds one connection per process that broke an answer off.

--- a/sequoiamoor/core/routed_call.py
+++ b/sequoiamoor/core/routed_call.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..types import CallRequest, ReplicaId
+from .part_cases import PartKey
 from .routes import Route
 
 Fields = list[tuple[bytes, bytes]]
@@ -70,6 +71,12 @@
     view_age: float | None = None
     may_have_run: bool = False
 
+    @property
+    def shared_keys(self) -> tuple[PartKey, ...]:
+        """Keys of the parts that other requests may share, each of them once."""
+        part_ids = dict.fromkeys(part.part_id.lower() for part in self.parts[:-1])
+        return tuple(PartKey(self.service, part_id) for part_id in part_ids)
+
     @property
     def prompt_tokens(self) -> int:
         """Tokens of the whole prompt."""
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -43,6 +43,8 @@
 from ..net.http_server import ServerConnection
 from ..types import Address, Execution, RouteKind
 from .dispatcher import Dispatcher
+from .end_check import EndCheck
+from .part_guard import PartGuard
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
 from .sink import CallerGoneError
@@ -118,6 +120,9 @@
             announce_leaving=announce_leaving,
             rng=rng,
         )
+        self._guard = PartGuard(
+            metrics, EndCheck(timeout=board.options.connect_timeout)
+        )
         self.is_refusing_requests = False
         self._serving: dict[str, tuple[RoutedCall, Any]] = {}
 
@@ -476,6 +481,8 @@
             raise
         finally:
             await self._dispatcher.release(call)
+            if attempt.is_broken:
+                await self._guard.note_broken(call, attempt)
 
     def _check_before_send(
         self, call: RoutedCall, replica: Replica, sink: RouteSink, address: Address
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -179,6 +179,12 @@
             "Configuration documents that were invalid.",
             registry=self.registry,
         )
+        self.replica_ends = Counter(
+            "sequoiamoor_replica_ends",
+            "Answers that the end of a replica's process broke off at their begin.",
+            ["service"],
+            registry=self.registry,
+        )
         self.control_protocol_errors = Counter(
             "sequoiamoor_control_protocol_errors",
             "Connections of routers that were closed because of a bad message.",
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -95,8 +95,14 @@
     """Sends a request to a replica and receives its answer.
 
     Attributes:
+        process: Process to which the request was sent, or is to be sent.
+        address: Its address.
         is_sent: Whether at least one byte of the request was handed to the kernel.
         is_answered: Whether the head of the answer was received.
+        begun_at: Monotonic time in seconds of the head with which the replica took the
+            request; None before.
+        is_broken: Whether the connection ended, or broke the protocol, before the
+            answer was complete. It is no proof of the end of the process.
     """
 
     def __init__(
@@ -125,7 +131,8 @@
         """
         self._check_before_send = check_before_send
         self._note_head = note_head
-        self._process = replica.process
+        self.process = replica.process
+        self.address = replica.address
         self._sent_at = 0.0
         self._call = call
         self._replica = replica
@@ -136,6 +143,8 @@
         self._is_reused = False
         self.is_sent = False
         self.is_answered = False
+        self.begun_at: float | None = None
+        self.is_broken = False
 
     async def run(
         self, event_order: EventSequence, send_events: SendEvents
@@ -171,6 +180,9 @@
             self._metrics.mismatches.inc()
             raise
         except (OSError, h11.ProtocolError) as err:
+            connection = self._connection
+            is_aborted = connection is not None and connection.is_aborted
+            self.is_broken = self.is_sent and not is_aborted
             raise self._build_refusal(err) from err
         finally:
             if self._connection is not None:
@@ -201,7 +213,7 @@
         sent_before = connection.bytes_sent
         await self._pool.note_unread_heads(connection.address)
         self._check_before_send(connection.address)
-        self._process, self._sent_at = self._replica.process, time.monotonic()
+        self.process, self._sent_at = self._replica.process, time.monotonic()
         request_target = self._call.target.decode("latin-1")
         try:
             await connection.send_request(
@@ -262,7 +274,7 @@
         await self._note(response, is_own=False)
 
     async def _note(self, response: Response, *, is_own: bool) -> None:
-        head = ReceivedHead(response, self._process, self._sent_at, is_own)
+        head = ReceivedHead(response, self.process, self._sent_at, is_own)
         await self._note_head(head)
 
     async def _check_head(self, response: Response) -> None:
@@ -286,6 +298,7 @@
                 f"replica {self._replica.replica_id!r} sent a successful answer "
                 "without its signature; the answer is dropped"
             )
+        self.begun_at = time.monotonic()
 
     async def _drain_response(self, response: Response) -> None:
         """Reads the rest of a response, then returns its connection to the pool.
@@ -352,6 +365,7 @@
             if events.data:
                 await send_events(head, events)
         if not event_order.is_between_events:
+            self.is_broken = True
             raise AnswerIncompleteError(
                 f"replica {self._replica.replica_id!r} ended the stream in the "
                 "middle of an event"
--- a/tests/listener_harness.py
+++ b/tests/listener_harness.py
@@ -66,6 +66,11 @@
     is_reset: bool = False
 
 
+@dataclass(frozen=True)
+class End:
+    """Script step: ends the upstream's process, which closes its port."""
+
+
 @dataclass(frozen=True, slots=True)
 class Repeat:
     """Sends the same bytes again and again until the router closes the connection."""
@@ -79,7 +84,7 @@
     """Script step: waits until another request has arrived, here or elsewhere."""
 
 
-Step = bytes | Until | UntilNext | Hang | Close | Repeat
+Step = bytes | Until | UntilNext | Hang | Close | End | Repeat
 Answerer = Callable[[bytes], Sequence[Step]]
 
 
@@ -213,6 +218,10 @@
                 pass
             self.closed_by_router += 1
             return False
+        elif isinstance(step, End):
+            # Cancels the task of this connection, too.
+            await self.tasks.cancel(blocking=False)
+            await curio.sleep(SESSION_TIMEOUT_SECONDS)
         else:
             if step.is_reset:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
