--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -40,9 +40,16 @@
     """
 
     def __init__(
-        self, seed: int, folder: Path, routers: int, *, descriptors: int | None = None
+        self,
+        seed: int,
+        folder: Path,
+        routers: int,
+        *,
+        descriptors: int | None = None,
+        services: dict[str, int] | None = None,
     ) -> None:
         self._descriptors = descriptors
+        self._services = SERVICES if services is None else services
         self._rng = Random(f"fleet {seed}")
         self._version = 0
         self._key_count = 0
@@ -68,7 +75,7 @@
         """Starts store, replicas and routers; waits until the routers are ready."""
         address = await self.store.listen()
         self.write_configuration()
-        for service, count in SERVICES.items():
+        for service, count in self._services.items():
             for number in range(count):
                 name = f"i-{service}-{number}"
                 rng = Random(self._rng.random())
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -65,12 +65,13 @@
         finally:
             fleet.kill()
         if result.violations:
-            _keep_logs(Path(folder), seed)
+            keep_logs(Path(folder), f"{seed}")
     return result
 
 
-def _keep_logs(folder: Path, seed: int) -> None:
-    log_folder = Path("results") / f"soak-{seed}"
+def keep_logs(folder: Path, name: str) -> None:
+    """Copies the logs of the routers into a folder of the results."""
+    log_folder = Path("results") / f"soak-{name}"
     log_folder.mkdir(parents=True, exist_ok=True)
     for log in folder.glob("*.log"):
         (log_folder / log.name).write_bytes(log.read_bytes())
