Stop sending requests with a prompt part that ends replicas

What callers saw: requests with one part in their prompts ended one replica after the other for as long as they came, at all routers. Sound requests lost their streams with each of them and got 503 while replicas were down.

Cause: nothing was learned from the end of a replica about the request that ended it. The request was repeated at a second replica, the next request with the part was sent like any other.

Change: a router that finds a replica's port closed after an answer broke off at its begin opens or extends a case of each part that the request shares. The request is not sent to a second replica unless all its parts were answered within the last minute. Cases go to all routers at once, and into the table prompt_parts of the store, from which a router that starts, or that is cut off from the others, has them. Requests with a part in quarantine are refused at once with 503, waiting ones too, and Retry-After is the time to the next test: one request of the whole fleet after 60 s, then after twice as long each time, claimed by a conditional write. Operators see and clear parts with sequoiamoor parts and on the status page.

Costs: one call to the store per router every 20 s, held by the store.

--- a/sequoiamoor/cli.py
+++ b/sequoiamoor/cli.py
@@ -31,6 +31,11 @@
     no_args_is_help=True,
 )
 app.add_typer(config_commands, name="config")
+part_commands = typer.Typer(
+    help="Shows and clears prompt parts under which replicas ended, in the store.",
+    no_args_is_help=True,
+)
+app.add_typer(part_commands, name="parts")
 
 Host = Annotated[str, typer.Option(help="IP address to listen on.")]
 Port = Annotated[int, typer.Option(help="Port to listen on; 0 takes a free one.")]
@@ -174,6 +179,39 @@
             typer.echo(f"  {line}")
 
 
+@part_commands.command("list")
+def list_parts(platform: Platform) -> None:
+    """Prints the prompt parts under which replicas ended.
+
+    With each part come its state and the processes that ended, with the request and
+    organisation under which they did.
+    """
+    from .commands.parts import PartRegister, format_cases
+
+    cases = curio.run(PartRegister(parse_address(platform)).list_cases)
+    typer.echo(format_cases(cases))
+
+
+@part_commands.command("clear")
+def clear_part(
+    service: Annotated[str, typer.Argument(help="Service of the part.")],
+    part: Annotated[str, typer.Argument(help="Identifier as 'parts list' shows it.")],
+    platform: Platform,
+) -> None:
+    """Ends the quarantine of a prompt part at all routers.
+
+    Requests with the part are sent to replicas again. If replicas end under them, the
+    part comes into quarantine again. The exit code is 1 if the part is not suspected or
+    a router changed its state meanwhile; nothing is changed then.
+    """
+    from .commands.parts import PartRegister
+    from .core.part_cases import PartKey
+
+    register = PartRegister(parse_address(platform))
+    curio.run(register.clear, PartKey(service, part))
+    typer.echo(f"cleared {part} of {service}")
+
+
 @app.command()
 def order(
     replica: Annotated[str, typer.Argument(help="Identifier of the engine's VM.")],
--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -10,6 +10,7 @@
 from ..types import CallRequest, RouteKind, RouterId, RouterIdentity, ServiceName
 from .ledger import Ledger
 from .placement import TreePosition
+from .quarantine import Quarantine
 from .queues import RequestQueues
 from .upstreams import Upstreams
 
@@ -65,6 +66,7 @@
     """State that a router's decisions are based on, one object per router.
 
     Attributes:
+        quarantine: Prompt parts under which replicas ended.
         running: Requests with an attempt in progress, by call identifier.
         members: Live peers, without this router.
         unreachable: Routers to which no connection can be opened or kept open.
@@ -83,6 +85,7 @@
     upstreams: Upstreams
     configuration: ConfigurationState = field(default_factory=ConfigurationState)
     ledger: Ledger = field(default_factory=Ledger)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     running: dict[str, CallRequest] = field(default_factory=dict)
     members: dict[RouterId, RouterIdentity] = field(default_factory=dict)
     unreachable: frozenset[RouterIdentity] = frozenset()
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -13,6 +13,7 @@
     ServiceName,
     ZoneName,
 )
+from .part_cases import PartCase
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,6 +271,26 @@
     upstreams_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class PartCaseRow:
+    """A case of a prompt part, on the way between two routers.
+
+    Attributes:
+        case: The case without the time of its next test.
+        probe_in_ms: Milliseconds until that time, negative if it has passed.
+    """
+
+    case: PartCase
+    probe_in_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PartCases:
+    """Cases of prompt parts that the sender knows."""
+
+    rows: tuple[PartCaseRow, ...]
+
+
 Message: TypeAlias = (
     Hello
     | Report
@@ -282,4 +303,5 @@
     | Loads
     | UpstreamList
     | Confirmation
+    | PartCases
 )
--- a/sequoiamoor/core/repeats.py
+++ b/sequoiamoor/core/repeats.py
@@ -123,6 +123,8 @@
     """
     if error is not None and not is_attempt_failure(error):
         return GiveUp("not-an-attempt-failure")
+    if call.may_end_replicas:
+        return GiveUp("may-end-replicas")
     if now >= call.ends_at:
         return GiveUp("deadline")
     if return_time is not None and return_time > find_retry_limit(call, now):
--- a/sequoiamoor/core/routed_call.py
+++ b/sequoiamoor/core/routed_call.py
@@ -50,6 +50,8 @@
             send, or None.
         may_have_run: Whether an attempt was sent whose replica did not state that it
             did not run the request.
+        may_end_replicas: Whether a replica ended under the request, and others may.
+        is_proof_noted: Whether an answer was counted in favour of its prompt parts.
     """
 
     route: Route
@@ -70,11 +72,13 @@
     sent_after: float | None = None
     view_age: float | None = None
     may_have_run: bool = False
+    may_end_replicas: bool = False
+    is_proof_noted: bool = False
 
     @property
     def shared_keys(self) -> tuple[PartKey, ...]:
         """Keys of the parts that other requests may share, each of them once."""
-        part_ids = dict.fromkeys(part.part_id.lower() for part in self.parts[:-1])
+        part_ids = dict.fromkeys(part.part_id for part in self.parts[:-1])
         return tuple(PartKey(self.service, part_id) for part_id in part_ids)
 
     @property
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
 from random import Random
 
 import curio
@@ -27,6 +28,8 @@
     LoadRow,
     Loads,
     Message,
+    PartCaseRow,
+    PartCases,
     Report,
     Snapshot,
     Sum,
@@ -34,6 +37,7 @@
     UpstreamRow,
     UpstreamState,
 )
+from ..core.part_cases import PartCase
 from ..core.placement import find_tree_position
 from ..core.reports import ByteBudget, find_report_interval
 from ..core.sums import ReportSums
@@ -59,6 +63,11 @@
 often, a scan in every step would take more time than the reports."""
 
 Dispatch = Callable[[ServiceName], Awaitable[None]]
+HandleCases = Callable[[list[PartCase], RouterId], Awaitable[None]]
+
+
+async def _ignore_cases(cases: list[PartCase], source: RouterId) -> None:
+    """Ignores cases of prompt parts."""
 
 
 class Control:
@@ -68,6 +77,8 @@
         membership: Other routers and how they are reached.
         versions: Configuration versions of this router and its peers.
         handle_confirmation: Called with the confirmations of readers of the store.
+        handle_cases: Called with cases of prompt parts and the router that sent them.
+        list_cases: Returns the cases that a router that has connected needs.
     """
 
     def __init__(
@@ -111,6 +122,8 @@
         self._members_updated_at = float("-inf")
         self._wakeup = Wakeup()
         self.handle_confirmation: Callable[[Confirmation], None] = lambda _: None
+        self.handle_cases: HandleCases = _ignore_cases
+        self.list_cases: Callable[[], Iterable[PartCase]] = tuple
 
     def bind(self) -> Address:
         """Listens for other routers and returns the address.
@@ -231,6 +244,13 @@
             self._send(UpstreamState(replica.replica_id, replica.incarnation, True))
         self._flush_if_due()
 
+    def send_cases(
+        self, cases: Iterable[PartCase], router_id: RouterId | None = None
+    ) -> None:
+        """Sends cases of prompt parts to one router, or to all."""
+        self._send(_build_cases(cases), router_id)
+        self._flush_if_due()
+
     def apply_vm_list(
         self, upstreams: list[ListedUpstream], *, made_at_ms: int, source: str
     ) -> None:
@@ -495,6 +515,8 @@
         for replica in board.upstreams.replicas.values():
             if replica.is_leaving:
                 yield UpstreamState(replica.replica_id, replica.incarnation, True)
+        if cases := list(self.list_cases()):
+            yield _build_cases(cases)
         yield self._build_report(time.monotonic())
 
     # Receiving.
@@ -542,6 +564,12 @@
             case Confirmation():
                 if identity.zone == self._board.identity.zone:
                     self.handle_confirmation(message)
+            case PartCases(case_rows):
+                cases = [
+                    replace(row.case, probe_at=now + row.probe_in_ms / 1000)
+                    for row in case_rows
+                ]
+                await self.handle_cases(cases, identity.router_id)
             case Sum():
                 self._sums.take(identity, message)
             case Snapshot():
@@ -615,3 +643,15 @@
     def record_link_state(self, address: Address, state: LinkState) -> None:
         """Records the state of the outgoing connection to an address."""
         self.membership.record_link_state(address, state)
+
+
+def _build_cases(cases: Iterable[PartCase]) -> PartCases:
+    now = time.monotonic()
+    return PartCases(
+        tuple(
+            PartCaseRow(
+                replace(case, probe_at=0.0), round((case.probe_at - now) * 1000)
+            )
+            for case in cases
+        )
+    )
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -154,6 +154,21 @@
             )
             await pending.event.set()
 
+    async def refuse_waiting(
+        self, find_error: Callable[[CallRequest], RefusalError | None]
+    ) -> None:
+        """Refuses the waiting calls for which a function returns an error."""
+        now = time.monotonic()
+        for call in list(self._board.queues.requests()):
+            error = find_error(call)
+            if error is None:
+                continue
+            self._board.queues.remove(call.call_id)
+            self._overload.record_waiting(call, self._count_waiting(call), now)
+            pending = self._pending_starts[call.call_id]
+            pending.error = error
+            await pending.event.set()
+
     def find_wait_limit(self, call: CallRequest) -> float | None:
         """Returns how many seconds a call may wait to meet its target.
 
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -23,6 +23,7 @@
     AnswerIncompleteError,
     DeadlineError,
     InternalError,
+    PartQuarantinedError,
     RefusalError,
     RouterShuttingDownError,
     UpstreamFailedError,
@@ -120,9 +121,10 @@
             announce_leaving=announce_leaving,
             rng=rng,
         )
-        self._guard = PartGuard(
-            metrics, EndCheck(timeout=board.options.connect_timeout)
+        self.guard = PartGuard(
+            board, metrics, EndCheck(timeout=board.options.connect_timeout)
         )
+        self.guard.refuse_waiting = dispatcher.refuse_waiting
         self.is_refusing_requests = False
         self._serving: dict[str, tuple[RoutedCall, Any]] = {}
 
@@ -165,12 +167,14 @@
                     retry_after=0.0,
                 )
             call = self._calls.parse(request, request_id, now)
+            self.guard.admit(call)
             wait_seconds = self._dispatcher.find_wait_limit(call)
             if wait_seconds is not None:
                 call.wait_limit_at = min(now + wait_seconds, call.ends_at)
             try:
                 self._dispatcher.accept(call)
             except RefusalError as error:
+                self.guard.forget(call)
                 self._set_retry_after(call, error)
                 raise
         except RefusalError as error:
@@ -187,6 +191,7 @@
                 raise serving.exception
         finally:
             self._serving.pop(call.call_id, None)
+            self.guard.forget(call)
             await self._dispatcher.forget(call)
 
     async def cut(self, reason: str) -> None:
@@ -330,9 +335,12 @@
     def _set_retry_after(self, call: RoutedCall, error: RefusalError) -> None:
         """Sets Retry-After to the time after which a refused request may succeed.
 
-        On routes that are not streams, it is set only if a replica refused the request
-        or could not be reached, or if no replica takes requests now.
+        A quarantine tells its own time. On routes that are not streams, it is set only
+        if a replica refused the request or could not be reached, or if no replica takes
+        requests now.
         """
+        if isinstance(error, PartQuarantinedError):
+            return
         now = time.monotonic()
         return_time = self._board.upstreams.find_return_time(call.service, now)
         if return_time is not None:
@@ -455,6 +463,7 @@
             call.events += events.count
             call.last_event_at = now
             await sink.send_events(head, events.data)
+            self.guard.note_answer(call, attempt)
             if is_first:
                 await self._dispatcher.record_first_event(call)
 
@@ -470,7 +479,9 @@
         try:
             # Saves the connection to the upstream.
             sink.check_present()
-            return await attempt.run(event_sequence, send_events)
+            answer = await attempt.run(event_sequence, send_events)
+            self.guard.note_answer(call, attempt)
+            return answer
         except UpstreamRefusedError:
             call.sent_attempts += 1
             raise
@@ -482,7 +493,7 @@
         finally:
             await self._dispatcher.release(call)
             if attempt.is_broken:
-                await self._guard.note_broken(call, attempt)
+                await self.guard.note_broken(call, attempt)
 
     def _check_before_send(
         self, call: RoutedCall, replica: Replica, sink: RouteSink, address: Address
@@ -491,11 +502,13 @@
 
         Raises:
             CallerGoneError: If the caller has closed its connection.
+            PartQuarantinedError: If the request has a part that ends replicas.
             UpstreamLeavingError: If the replica has left since it was chosen.
             UpstreamsOutdatedError: If it may have left without this router's knowledge.
         """
         sink.check_present()
         self._apply_received()
+        self.guard.check(call)
         self._board.upstreams.check_in_service(replica, address, time.monotonic())
         if self._directory.is_outdated(self._freshness.read_time()):
             raise UpstreamsOutdatedError(
@@ -538,7 +551,8 @@
         now = time.monotonic()
         is_failure = answer.is_failure if answer is not None else error is not None
         counts_for_ejection = not isinstance(
-            error, UpstreamRefusedError | UpstreamUnreachableError
+            error,
+            UpstreamRefusedError | UpstreamUnreachableError | PartQuarantinedError,
         )
         if counts_for_ejection and upstreams.record_outcome(
             replica, now, is_failure=is_failure
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -32,6 +32,8 @@
 from .dispatcher import Dispatcher
 from .forwarder import Forwarder
 from .pages import Pages
+from .part_exchange import PartExchange
+from .part_store import PartStore
 from .process import READ_BEFORE_EXIT_SECONDS, RouterProcess, TaskFunction
 from .reloading import SettingsFile
 from .route_listener import RouteListener
@@ -135,6 +137,19 @@
             announce_leaving=partial(self._control.announce_leaving, source="answer"),
             rng=self._rng,
         )
+        self._part_store = PartStore(
+            self._forwarder.guard,
+            create_client=self._sources.create_client,
+            rng=self._rng,
+        )
+        self._sources.handle_parts = self._part_store.receive
+        PartExchange(
+            self.board,
+            self._forwarder.guard,
+            self._control,
+            self._part_store,
+            rng=self._rng,
+        )
         self._listener = RouteListener(
             self.board,
             self._forwarder,
@@ -156,6 +171,7 @@
             not self.board.is_leaving
             and self.board.configuration.declaration is not None
             and self._directory.is_known
+            and self._part_store.is_known
             and not self._lag.is_overloaded
             and not self._listener.is_crowded
             and self._probe.is_accepting
@@ -236,6 +252,7 @@
             "routers": self._sources.follow_routers,
             "readers": self._sources.watch_readers,
             "directory": self._step_directory,
+            "parts": self._part_store.run,
             "control": partial(self._control.run, self._forwarder.dispatch),
             "settings": self._watch_settings,
             "lag": self._watch_lag,
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -131,6 +131,7 @@
         "tree": _list_neighbours(board),
         "upstreams": _list_upstreams(board, now),
         "organisations": _list_organisations(board),
+        "prompt_parts": _list_cases(board, now),
     }
 
 
@@ -183,6 +184,28 @@
     ]
 
 
+def _list_cases(board: Blackboard, now: float) -> list[dict[str, Any]]:
+    """Returns the suspected prompt parts, those in quarantine first."""
+    cases = [case for case in board.quarantine.cases.values() if not case.is_cleared]
+    return [
+        {
+            "service": case.key.service,
+            "part": case.key.part_id,
+            "quarantined": case.is_quarantined,
+            "since_ms": case.since_ms or None,
+            "organisations": ",".join(
+                sorted({crash.organisation for crash in case.crashes})
+            ),
+            "ended": ",".join(sorted({crash.process for crash in case.crashes})),
+            "tests": case.probes,
+            "next_test_s": max(case.probe_at - now, 0.0)
+            if case.is_quarantined
+            else None,
+        }
+        for case in sorted(cases, key=lambda case: (not case.is_quarantined, case.key))
+    ]
+
+
 def _list_organisations(board: Blackboard) -> list[dict[str, Any]]:
     declaration = board.configuration.declaration
     if declaration is None:
--- /dev/null
+++ b/sequoiamoor/daemon/part_exchange.py
@@ -0,0 +1,78 @@
+"""Passes the cases of prompt parts on between the routers and the store."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from random import Random
+
+from ..core.blackboard import Blackboard
+from ..core.part_cases import PartCase, PartKey
+from ..core.quarantine import MAX_CASES
+from ..types import RouterId
+from .control import Control
+from .part_guard import PartGuard
+from .part_store import PartStore
+
+AUTHOR_SECONDS = 10.0
+"""Time for which the router that passed a case on also passes on what others add."""
+
+UNSTORED_SECONDS = 5.0
+"""Time after which a router writes a case that it heard of and that the store still
+lacks: the router that opened it may have ended."""
+
+
+class PartExchange:
+    """Connects the guard of this router to the other routers and to the store.
+
+    In a fleet of up to ``flat_limit`` routers everyone passes on what is new, so that a
+    case reaches routers that are cut off from its author. In a larger fleet only the
+    author sends it to all; the store has it for the others.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        guard: PartGuard,
+        control: Control,
+        store: PartStore,
+        *,
+        rng: Random,
+    ) -> None:
+        self._board = board
+        self._guard = guard
+        self._control = control
+        self._store = store
+        self._rng = rng
+        self._published_at: OrderedDict[PartKey, float] = OrderedDict()
+        guard.publish = self.publish
+        control.handle_cases = self.receive
+        control.list_cases = guard.quarantine.cases.values
+
+    def publish(self, case: PartCase) -> None:
+        """Passes on a case that this router changed."""
+        self._published_at[case.key] = time.monotonic()
+        self._published_at.move_to_end(case.key)
+        while len(self._published_at) > MAX_CASES:
+            self._published_at.popitem(last=False)
+        self._control.send_cases([case])
+        self._store.note_changed(case)
+
+    async def receive(self, cases: list[PartCase], source: RouterId) -> None:
+        """Applies the cases of another router."""
+        for received in cases:
+            case = await self._guard.apply(received, source)
+            if case is None:
+                continue
+            if self._is_forwarded(case.key):
+                self._control.send_cases([case])
+            elif case.state != received.state:
+                self._control.send_cases([case], source)
+            delay = UNSTORED_SECONDS * self._rng.uniform(1.0, 2.0)
+            self._store.note_changed(case, delay=delay)
+
+    def _is_forwarded(self, key: PartKey) -> bool:
+        if len(self._board.members) < self._board.options.flat_limit:
+            return True
+        published_at = self._published_at.get(key, float("-inf"))
+        return time.monotonic() - published_at < AUTHOR_SECONDS
--- /dev/null
+++ b/sequoiamoor/daemon/part_store.py
@@ -0,0 +1,264 @@
+"""Keeps the cases of prompt parts in the platform's store, and claims tests there."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+
+import curio
+
+from ..core.part_cases import PartCase, PartKey
+from ..core.quarantine import IDLE_SECONDS, WATCH_SECONDS
+from ..errors import SequoiamoorError, SettingsError, VersionConflictError
+from ..platform.part_rows import (
+    PART_TABLE,
+    StoredCase,
+    build_row_key,
+    decode_case,
+    encode_case,
+)
+from ..platform.store import Row, Rows, StoreClient
+from .feeds import draw_retry_delay
+from .invalid_rows import InvalidRows
+from .part_guard import PartGuard
+
+_LOG = logging.getLogger(__name__)
+
+STEP_SECONDS = 0.1
+"""Interval between decisions while there are cases."""
+
+MERGE_DELAY_SECONDS = 1.0
+"""Longest random delay before a router completes the row of another one."""
+
+CLEANUP_SECONDS = 60.0
+"""Mean interval between removals of old rows."""
+
+
+@dataclass(frozen=True, slots=True)
+class _KnownRow:
+    """A row as it was last received.
+
+    Attributes:
+        version: Version of the row, for conditional writes.
+    """
+
+    stored: StoredCase
+    version: int
+
+
+class PartStore:
+    """Writes the cases that this router changed, and reads those of all routers.
+
+    Args:
+        guard: Decides on the cases.
+        create_client: Creates a client of the store.
+
+    Attributes:
+        is_known: Whether the table was read once, or could not be.
+    """
+
+    def __init__(
+        self,
+        guard: PartGuard,
+        *,
+        create_client: Callable[[], StoreClient],
+        rng: Random,
+    ) -> None:
+        self._guard = guard
+        self._create_client = create_client
+        self._rng = rng
+        self._rows: dict[PartKey, _KnownRow] = {}
+        self._unwritten: dict[PartKey, float] = {}
+        self._clock_offset_ms: float | None = None
+        self._invalid_rows = InvalidRows()
+        self._received: list[tuple[Rows, bool]] = []
+        self._cleanup_at = 0.0
+        self.is_known = False
+
+    def note_changed(self, case: PartCase, *, delay: float = 0.0) -> None:
+        """Records that a case has to be written.
+
+        Args:
+            case: The case.
+            delay: Seconds to wait for another router to write it.
+        """
+        write_at = time.monotonic() + delay
+        self._unwritten[case.key] = min(
+            write_at, self._unwritten.get(case.key, write_at)
+        )
+        self._guard.changed.set()
+
+    # Reading.
+
+    def receive(self, rows: Rows | None, is_full_table: bool) -> None:
+        """Takes an answer of the feed, None for a call that failed.
+
+        ``run`` applies it.
+        """
+        if rows is None:
+            # A store that is out must not keep the router from being ready.
+            self.is_known = True
+            return
+        self._received.append((rows, is_full_table))
+        self._guard.changed.set()
+
+    async def _apply_received(self) -> None:
+        while self._received:
+            rows, is_full_table = self._received.pop(0)
+            await self._apply(rows, is_full_table=is_full_table)
+
+    async def _apply(self, rows: Rows, *, is_full_table: bool) -> None:
+        now = time.monotonic()
+        self._clock_offset_ms = rows.time_ms - now * 1000
+        keys_by_row = {build_row_key(key): key for key in self._rows}
+        removed = {row.key for row in rows.rows if row.is_removed}
+        if is_full_table:
+            removed |= keys_by_row.keys() - {row.key for row in rows.rows}
+            self._invalid_rows.keep_only(PART_TABLE, {row.key for row in rows.rows})
+        for row_key in removed:
+            if row_key in keys_by_row:
+                self._apply_removal(keys_by_row[row_key])
+        for row in rows.rows:
+            if not row.is_removed:
+                await self._apply_row(row, now)
+        self.is_known = True
+
+    def _apply_removal(self, key: PartKey) -> None:
+        known = self._rows.pop(key)
+        case = self._guard.quarantine.cases.get(key)
+        if case is not None and case.state == known.stored.case.state:
+            self._guard.quarantine.forget(key)
+
+    async def _apply_row(self, row: Row, now: float) -> None:
+        try:
+            stored = decode_case(row.key, row.value)
+        except SettingsError as err:
+            if self._invalid_rows.add(row):
+                _LOG.warning(
+                    "invalid row of a prompt part ignored",
+                    extra={"table": PART_TABLE, "detail": str(err)},
+                )
+            return
+        self._invalid_rows.discard(row)
+        key = stored.case.key
+        self._rows[key] = _KnownRow(stored, row.version)
+        if self._is_old(stored):
+            return
+        probe_at = now + (stored.probe_ms - self._read_store_ms()) / 1000
+        received = replace(stored.case, probe_at=probe_at)
+        await self._guard.apply(received, "store")
+        case = self._guard.quarantine.cases.get(key)
+        if case is not None and case.state != received.state:
+            # The row lacks what other routers have told meanwhile.
+            self.note_changed(case, delay=self._rng.uniform(0.0, MERGE_DELAY_SECONDS))
+
+    def _read_store_ms(self) -> float:
+        assert self._clock_offset_ms is not None
+        return time.monotonic() * 1000 + self._clock_offset_ms
+
+    def _is_old(self, stored: StoredCase) -> bool:
+        now_ms = self._read_store_ms()
+        if stored.case.is_quarantined:
+            return now_ms - stored.probe_ms > IDLE_SECONDS * 1000
+        return now_ms - stored.written_ms > WATCH_SECONDS * 1000
+
+    # Writing.
+
+    async def run(self) -> None:
+        """Decides on the cases and keeps the store up to date until cancelled."""
+        client = self._create_client()
+        failures = 0
+        try:
+            while True:
+                if self._is_idle:
+                    await self._guard.changed.wait()
+                await self._apply_received()
+                await self._guard.step()
+                try:
+                    await self._write_changed(client)
+                    await self._claim_tests(client)
+                    await self._remove_old(client)
+                    failures = 0
+                    delay = STEP_SECONDS
+                except SequoiamoorError as err:
+                    failures += 1
+                    _LOG.debug("writing cases of prompt parts failed: %s", err)
+                    delay = max(draw_retry_delay(failures, self._rng), STEP_SECONDS)
+                await curio.sleep(delay)
+        finally:
+            await client.close()
+
+    @property
+    def _is_idle(self) -> bool:
+        return (
+            self._guard.quarantine.is_idle
+            and not self._unwritten
+            and not self._received
+            and not self._rows
+        )
+
+    async def _write_changed(self, client: StoreClient) -> None:
+        now = time.monotonic()
+        for key, write_at in list(self._unwritten.items()):
+            case = self._guard.quarantine.cases.get(key)
+            known = self._rows.get(key)
+            if case is None or (
+                known is not None and known.stored.case.state == case.state
+            ):
+                del self._unwritten[key]
+            elif now >= write_at and self._clock_offset_ms is not None:
+                await self._write(client, case)
+
+    async def _write(self, client: StoreClient, case: PartCase) -> bool:
+        """Writes a case if the row is as it was last received.
+
+        Returns:
+            Whether it was written. If not, the row of the other writer is applied, and
+            what it lacks is written later.
+        """
+        now_ms = self._read_store_ms()
+        known = self._rows.get(case.key)
+        probe_ms = now_ms + (case.probe_at - time.monotonic()) * 1000
+        row_key = build_row_key(case.key)
+        try:
+            await client.write_row(
+                PART_TABLE,
+                row_key,
+                encode_case(case, probe_ms=probe_ms, written_ms=now_ms),
+                expected=0 if known is None else known.version,
+            )
+        except VersionConflictError:
+            rows = await client.read_table(PART_TABLE)
+            await self._apply(rows, is_full_table=True)
+            return False
+        self._unwritten.pop(case.key, None)
+        return True
+
+    async def _claim_tests(self, client: StoreClient) -> None:
+        for key in self._guard.take_asked():
+            claimed = self._guard.quarantine.claim_probe(key, time.monotonic())
+            known = self._rows.get(key)
+            if claimed is None or known is None:
+                # Without a row, no claim keeps other routers from the same test.
+                continue
+            if await self._write(client, claimed):
+                await self._guard.apply(claimed, "store")
+                self._guard.publish(claimed)
+                self._guard.permit_probe(key)
+
+    async def _remove_old(self, client: StoreClient) -> None:
+        now = time.monotonic()
+        if now < self._cleanup_at or self._clock_offset_ms is None:
+            return
+        self._cleanup_at = now + CLEANUP_SECONDS * self._rng.uniform(0.5, 1.5)
+        for key, known in list(self._rows.items()):
+            if self._is_old(known.stored):
+                try:
+                    await client.remove_row(
+                        PART_TABLE, build_row_key(key), expected=known.version
+                    )
+                except VersionConflictError:
+                    continue
--- a/sequoiamoor/daemon/sources.py
+++ b/sequoiamoor/daemon/sources.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import time
+from collections.abc import Callable
 from random import Random
 
 import curio
@@ -34,6 +35,7 @@
     decode_replica,
     decode_router,
 )
+from ..platform.part_rows import PART_TABLE
 from ..platform.store import Row, Rows, StoreClient
 from ..types import Address, ReplicaId
 from .control import Control
@@ -76,6 +78,16 @@
 that the routers of a zone do not call the store at the same moment."""
 
 
+PART_WAIT_SECONDS = 20.0
+"""Time for which the store holds a call for cases of prompt parts; it answers at once
+when one changes, and other routers tell of them too."""
+
+LONE_PART_WAIT_SECONDS = 2.0
+"""The same for a router that knows no other one."""
+
+PART_PAUSE_SECONDS = 0.1
+"""Pause between two such calls."""
+
 SEND_VIEW_AGE_FRACTION = 0.9
 """Fraction of the time in which a leaving upstream must get no new work, for which
 requests are sent without a newer answer of the store. The rest is for the way."""
@@ -86,6 +98,8 @@
 
     Attributes:
         poll_intervals: Waits and pauses of the feeds, by the number of routers.
+        handle_parts: Called with each answer about prompt parts, None for a call that
+            failed, and whether it has the whole table.
     """
 
     def __init__(
@@ -100,6 +114,7 @@
         poll_intervals: PollIntervals,
         rng: Random,
     ) -> None:
+        self.handle_parts: Callable[[Rows | None, bool], None] = lambda *_: None
         self.poll_intervals = poll_intervals
         self._board = board
         self._control = control
@@ -119,8 +134,11 @@
                     self._find_upstream_pause,
                     self._find_early_end,
                 ),
+                PART_TABLE: Schedule(
+                    self._find_part_wait, find_pause=lambda: PART_PAUSE_SECONDS
+                ),
             },
-            create_client=self._create_client,
+            create_client=self.create_client,
             read_time=freshness.read_time,
             rng=Random(rng.random()),
         )
@@ -139,7 +157,8 @@
         }
         self._invalid_rows = InvalidRows()
 
-    def _create_client(self) -> StoreClient:
+    def create_client(self) -> StoreClient:
+        """Creates a client of the store."""
         return StoreClient(
             self._address,
             timeout=CALL_TIMEOUT_SECONDS,
@@ -179,6 +198,9 @@
     def _apply_result(self, result: FeedResult) -> None:
         table, rows = result.table, result.rows
         self._record_reachability(table, result.error)
+        if table == PART_TABLE:
+            self.handle_parts(rows, result.is_full_table)
+            return
         if rows is None:
             return
         state = self._feed_states[table]
@@ -226,6 +248,9 @@
             return CONFIRMED_CONFIGURATION_WAIT_SECONDS
         return self.poll_intervals.find_configuration_wait(self._role.count_callers())
 
+    def _find_part_wait(self) -> float:
+        return PART_WAIT_SECONDS if self._board.members else LONE_PART_WAIT_SECONDS
+
     def _find_upstream_wait(self) -> float:
         if self._role.upstreams.is_call_due(self._freshness.read_time()):
             return OVERDUE_UPSTREAM_WAIT_SECONDS
@@ -353,7 +378,7 @@
 
     async def follow_routers(self) -> None:
         """Publishes this router's address and reads the others' until cancelled."""
-        client = self._create_client()
+        client = self.create_client()
         written_at = float("-inf")
         failures = 0
         try:
@@ -393,7 +418,7 @@
 
     async def remove_own_address(self) -> None:
         """Removes this router's address; if that fails, the entry expires by age."""
-        client = self._create_client()
+        client = self.create_client()
         try:
             await client.remove_row(ROUTER_TABLE, self._board.identity.router_id)
         except SequoiamoorError as err:
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -105,6 +105,12 @@
     code = "order-unknown"
 
 
+class PartUnknownError(SequoiamoorError):
+    """The store has no such prompt part."""
+
+    code = "part-unknown"
+
+
 class RouterUnavailableError(SequoiamoorError):
     """A router does not answer an operator's command."""
 
@@ -300,6 +306,12 @@
     code = "upstreams-unavailable"
 
 
+class PartQuarantinedError(RefusalError):
+    """The request has a prompt part under which replicas end."""
+
+    code = "part-quarantined"
+
+
 class UpstreamRefusedError(RefusalError):
     """An upstream stated that it did not run the request."""
 
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -185,6 +185,17 @@
             ["service"],
             registry=self.registry,
         )
+        self.quarantine_refusals = Counter(
+            "sequoiamoor_quarantine_refusals",
+            "Requests refused because of a prompt part under which replicas end.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.quarantined_parts = Gauge(
+            "sequoiamoor_quarantined_parts",
+            "Prompt parts in quarantine that this router knows.",
+            registry=self.registry,
+        )
         self.control_protocol_errors = Counter(
             "sequoiamoor_control_protocol_errors",
             "Connections of routers that were closed because of a bad message.",
--- a/sequoiamoor/net/decoder.py
+++ b/sequoiamoor/net/decoder.py
@@ -19,6 +19,8 @@
     Loads,
     Message,
     OriginCounters,
+    PartCaseRow,
+    PartCases,
     Report,
     SlotRow,
     Snapshot,
@@ -28,6 +30,7 @@
     UpstreamRow,
     UpstreamState,
 )
+from ..core.part_cases import MAX_CRASHES_PER_CASE, Crash, PartCase, PartKey
 from ..errors import ProtocolError
 from ..types import Address, RouterIdentity
 from .fields import (
@@ -50,6 +53,7 @@
     MESSAGE_LIMIT_BYTES,
     NAMES,
     NAMES_LIMIT,
+    PART_CASES,
     PROTOCOL,
     RECEIVE_BYTES,
     REPORT,
@@ -101,6 +105,7 @@
             HELLO: self._read_hello,
             SUM: self._read_sum,
             CONFIRMATION: self._read_confirmation,
+            PART_CASES: self._read_part_cases,
         }
         self.message_count = 0
 
@@ -401,6 +406,36 @@
             read_count(upstreams_ms),
         )
 
+    def _read_part_cases(self, fields: list[Any]) -> PartCases:
+        (rows,) = fields
+        return PartCases(tuple([self._read_case(row) for row in read_rows(rows)]))
+
+    def _read_case(self, fields: Any) -> PartCaseRow:
+        service, part, revision, proven, quarantined, *rest = read_rows(fields)
+        probes, probe_in_ms, since_ms, crashes = rest
+        rows = read_rows(crashes)
+        if len(rows) > MAX_CRASHES_PER_CASE:
+            raise ProtocolError(
+                f"a case has {len(rows)} crashes; at most {MAX_CRASHES_PER_CASE} are "
+                "allowed"
+            )
+        case = PartCase(
+            PartKey(self._resolve_name(service), read_text(part)),
+            read_count(revision),
+            frozenset([self._read_crash(row) for row in rows]),
+            is_proven=read_flag(proven),
+            is_quarantined=read_flag(quarantined),
+            probes=read_count(probes),
+            since_ms=read_count(since_ms),
+        )
+        return PartCaseRow(case, read_integer(probe_in_ms))
+
+    def _read_crash(self, fields: Any) -> Crash:
+        process, call, organisation = read_rows(fields)
+        return Crash(
+            read_text(process), read_text(call), self._resolve_name(organisation)
+        )
+
     def _read_upstream_list(self, fields: list[Any]) -> UpstreamList:
         made_at_ms, rows = fields
         upstreams = tuple([self._read_upstream(row) for row in read_rows(rows)])
--- a/sequoiamoor/net/encoder.py
+++ b/sequoiamoor/net/encoder.py
@@ -19,6 +19,8 @@
     Loads,
     Message,
     OriginCounters,
+    PartCaseRow,
+    PartCases,
     Report,
     SlotRow,
     Snapshot,
@@ -39,6 +41,7 @@
     NAME_LIMIT_CHARACTERS,
     NAMES,
     NAMES_LIMIT,
+    PART_CASES,
     PROTOCOL,
     REPORT,
     SNAPSHOT,
@@ -135,6 +138,8 @@
                     message.upstreams_version,
                     message.upstreams_ms,
                 ]
+            case PartCases(case_rows):
+                yield [PART_CASES, [self._build_case(row) for row in case_rows]]
             case Sum():
                 yield self._build_sum(message)
             case Snapshot(origins):
@@ -287,6 +292,24 @@
             int(row.is_leaving),
         ]
 
+    def _build_case(self, row: PartCaseRow) -> list[Any]:
+        case = row.case
+        return [
+            self._index_name(case.key.service),
+            # Not sent by index: callers can invent any number of parts.
+            case.key.part_id,
+            case.revision,
+            int(case.is_proven),
+            int(case.is_quarantined),
+            case.probes,
+            row.probe_in_ms,
+            case.since_ms,
+            [
+                [crash.process, crash.call, self._index_name(crash.organisation)]
+                for crash in sorted(case.crashes)
+            ],
+        ]
+
     def _build_snapshot(
         self, origins: tuple[OriginCounters, ...]
     ) -> Iterator[list[Any]]:
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -103,6 +103,8 @@
             request; None before.
         is_broken: Whether the connection ended, or broke the protocol, before the
             answer was complete. It is no proof of the end of the process.
+        is_answer_whole: Whether a successful answer came to an end that the end of the
+            process could not have made.
     """
 
     def __init__(
@@ -145,6 +147,7 @@
         self.is_answered = False
         self.begun_at: float | None = None
         self.is_broken = False
+        self.is_answer_whole = False
 
     async def run(
         self, event_order: EventSequence, send_events: SendEvents
@@ -335,6 +338,7 @@
                 f"replica {self._replica.replica_id!r} sent another answer where the "
                 "body of this one begins; the answer is dropped"
             )
+        self.is_answer_whole = response.status < 300 and response.is_framed
         self._connection = None
         await self._release_connection(connection, response)
         return WholeAnswer(
@@ -376,6 +380,7 @@
                 f"replica {self._replica.replica_id!r} sent no event of the rest of "
                 "the stream, so its end is not known"
             )
+        self.is_answer_whole = response.is_framed
         self._connection = None
         await self._release_connection(connection, response)
         return None if event_order.is_begun else WholeAnswer(200, head.fields, b"")
--- a/sequoiamoor/net/outbox.py
+++ b/sequoiamoor/net/outbox.py
@@ -12,22 +12,27 @@
     LoadRow,
     Loads,
     Message,
+    PartCaseRow,
+    PartCases,
     Report,
     Snapshot,
     Sum,
     UpstreamList,
     UpstreamState,
 )
+from ..core.part_cases import PartKey
 from ..types import ReplicaId, ZoneName
 
+MAX_CASES_PER_MESSAGE = 64
+
 
 class Outbox:
     """Queue of the messages to one peer.
 
-    Its size is bounded by the numbers of replicas and sums: grants, loads and upstream
-    states are kept per replica, sums per scope and part, and of the other kinds only
-    the latest message. ``Hello`` and ``Snapshot`` are sent only at the start of a
-    connection.
+    Its size is bounded by the numbers of replicas, sums and cases: grants, loads and
+    upstream states are kept per replica, sums per scope and part, cases per prompt
+    part, and of the other kinds only the latest message. ``Hello`` and ``Snapshot`` are
+    sent only at the start of a connection.
 
     Attributes:
         is_report_early: Whether every queued report was put before its interval ended.
@@ -44,6 +49,7 @@
         self._acknowledged = 0
         self._incarnation = 0
         self._loads: dict[ReplicaId, LoadRow] = {}
+        self._cases: dict[PartKey, PartCaseRow] = {}
         self._configuration_request: ConfigurationRequest | None = None
         self._configuration: Configuration | None = None
         self._confirmation: Confirmation | None = None
@@ -74,6 +80,8 @@
                 self._incarnation = incarnation
             case Loads(rows):
                 self._loads.update((row.replica_id, row) for row in rows)
+            case PartCases(case_rows):
+                self._cases.update((row.case.key, row) for row in case_rows)
             case Sum():
                 self._sums[message.scope, message.part] = message
             case UpstreamState():
@@ -108,6 +116,11 @@
         if self._upstream_list is not None:
             messages.append(self._upstream_list)
         messages.extend(self._upstream_states.values())
+        case_rows = list(self._cases.values())
+        messages.extend(
+            PartCases(tuple(case_rows[start : start + MAX_CASES_PER_MESSAGE]))
+            for start in range(0, len(case_rows), MAX_CASES_PER_MESSAGE)
+        )
         if self._grants:
             rows = tuple(self._grants.values())
             messages.append(Grants(rows, self._acknowledged, self._incarnation))
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -32,6 +32,10 @@
                      leaving; the replica alone repeats its previous row
 Confirmation         version of the configuration, its time, version of the upstreams,
                      their time; times of the store in ms
+PartCases            rows: service, part, revision, whether it is proven, whether it
+                     is quarantined, probes, time to the next one in ms, Unix time of
+                     the quarantine in ms, crashes as rows of process, call,
+                     organisation
 UpstreamList         time in ms, rows: replica, service, zone, host, port, leaving
 ==================== ==========================================================
 """
@@ -64,6 +68,7 @@
 )
 SUM = 10
 CONFIRMATION = 11
+PART_CASES = 12
 
 CounterKey = tuple[str, str]
 
--- a/sequoiamoor/platform/callers.py
+++ b/sequoiamoor/platform/callers.py
@@ -4,6 +4,8 @@
 
 import re
 
+import xxhash
+
 from ..core.routed_call import Fields, PromptPart
 from ..errors import MalformedRequestError, RefusalError
 from ..net.http import Request
@@ -24,6 +26,9 @@
         b"expect",
     }
 )
+MAX_PART_ID_CHARACTERS = 64
+"""Longest identifier of a prompt part that is kept as it is."""
+
 _REQUEST_ID = re.compile(r"[\x21-\x7e]{1,200}")
 _PROMPT_PART = re.compile(r"\s*([0-9a-fA-F]+):([0-9]{1,9})\s*")
 
@@ -86,7 +91,11 @@
 
 
 def read_prompt(request: Request) -> tuple[PromptPart, ...]:
-    """Returns the parts of the prompt; none if the list is malformed."""
+    """Returns the parts of the prompt; none if the list is malformed.
+
+    The identifiers come as one spelling of the hexadecimal number; very long ones come
+    as their hash.
+    """
     text = request.headers.get(names.PROMPT_PARTS)
     if not text:
         return ()
@@ -95,10 +104,17 @@
         match = _PROMPT_PART.fullmatch(item)
         if match is None:
             return ()
-        parts.append(PromptPart(match[1], int(match[2])))
+        parts.append(PromptPart(_normalise_part_id(match[1]), int(match[2])))
     return tuple(parts)
 
 
+def _normalise_part_id(text: str) -> str:
+    part_id = text.lower()
+    if len(part_id) <= MAX_PART_ID_CHARACTERS:
+        return part_id
+    return xxhash.xxh128_hexdigest(part_id.encode())
+
+
 def read_output_tokens(request: Request) -> tuple[int | None, int | None]:
     """Returns the estimated and the largest length of the output, in tokens.
 
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -161,14 +161,23 @@
             },
         )
 
-    async def remove_row(self, table: str, key: str) -> None:
+    async def remove_row(
+        self, table: str, key: str, *, expected: int | None = None
+    ) -> None:
         """Removes one row.
 
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+            expected: Version that the row must have; None to remove any.
+
         Raises:
+            VersionConflictError: If the row has another version.
             PlatformUnavailableError: If the store did not answer.
         """
         row = {"table": table, "part": "", "key": key}
-        document = {"expectedRevision": [], "write": [], "removals": [row]}
+        condition = [] if expected is None else [{**row, "schemaVersion": expected}]
+        document = {"expectedRevision": condition, "write": [], "removals": [row]}
         await self._call("POST", "/api/rows-tx", {}, document=document)
 
     def abort(self) -> None:
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -22,6 +22,8 @@
     Loads,
     Message,
     OriginCounters,
+    PartCaseRow,
+    PartCases,
     Report,
     SlotRow,
     Snapshot,
@@ -31,6 +33,7 @@
     UpstreamRow,
     UpstreamState,
 )
+from sequoiamoor.core.part_cases import MAX_CRASHES_PER_CASE, Crash, PartCase, PartKey
 from sequoiamoor.errors import ProtocolError
 from sequoiamoor.net.decoder import Decoder
 from sequoiamoor.net.encoder import Encoder
@@ -64,7 +67,19 @@
     max_size=4,
     unique_by=lambda row: row.replica_id,
 ).map(tuple)
+CASES = st.builds(
+    PartCase,
+    st.builds(PartKey, NAMES, NAMES),
+    SMALL,
+    st.frozensets(st.builds(Crash, NAMES, NAMES, NAMES), max_size=MAX_CRASHES_PER_CASE),
+    st.booleans(),
+    st.booleans(),
+    SMALL,
+    since_ms=COUNTS,
+)
+CASE_ROWS = st.builds(PartCaseRow, CASES, st.integers(-100_000, 100_000))
 MESSAGES: st.SearchStrategy[Message] = st.one_of(
+    st.builds(PartCases, st.lists(CASE_ROWS, max_size=3).map(tuple)),
     st.builds(
         Hello,
         IDENTITIES,
