Take an unframed stream that ends before its first event for a broken one

Report of another operator: a replica stopped in the middle of its answer's head and closed; callers got a 200 with an empty body, framed as whole.

A head that breaks off at any byte is no answer here: a new test cuts heads of streams and whole answers, with a length, chunked and without either, at each byte. One place made it true nevertheless. A stream with neither a length nor chunks whose replica closed after its head, or inside its first event's comments, was passed on as an empty answer with content-length 0: the end of the process closes the connection as an answer without a length does.

Such a stream is now incomplete, so it is repeated or answered with 502, and the check of the process follows. The caller who resumes a stream after its last event at a replica that answers without a length gets 502 instead of nothing.

The test of the unframed stream failed before with 200 for an orderly close and for the end of the process; both tests pass now.

--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -374,6 +374,12 @@
                 f"replica {self._replica.replica_id!r} ended the stream in the "
                 "middle of an event"
             )
+        if not response.is_framed and not event_order.is_begun:
+            self.is_broken = True
+            raise AnswerIncompleteError(
+                f"replica {self._replica.replica_id!r} closed the connection before "
+                "the first event of a stream without a length"
+            )
         if event_order.is_resumed and not event_order.attempt_count:
             # The rest may be empty, but a failing replica may answer like this too.
             raise AnswerIncompleteError(
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -12,7 +12,17 @@
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.net.http_server import ServerConnection
 
-from ..listener_harness import Close, Hang, Repeat, Step, Until, UntilNext, chunk, parse
+from ..listener_harness import (
+    Close,
+    End,
+    Hang,
+    Repeat,
+    Step,
+    Until,
+    UntilNext,
+    chunk,
+    parse,
+)
 from ..route_listener_harness import (
     DECLARATION,
     KEY,
@@ -29,6 +39,7 @@
 )
 
 FOREIGN = answer(b"other", request_id="7777")
+UNFRAMED_STREAM_HEAD = STREAM_HEAD.replace(b"Transfer-Encoding: chunked\r\n", b"")
 NOT_RUN_UNNAMED = NOT_RUN.replace(b"X-Attempt-Id: 9c41\r\n", b"")
 
 
@@ -469,6 +480,44 @@
     run(session)
 
 
+@pytest.mark.parametrize("end", [Close(), Close(is_reset=True), End()])
+@pytest.mark.parametrize("received", [b"", b": begun\n", b"id: 1\nda"])
+def test_stream_without_length_that_ends_before_its_first_event_is_broken(
+    received: bytes, end: Step
+) -> None:
+    """Guards against the end of a replica that looks like an empty answer."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_replicas(
+            2, [UNFRAMED_STREAM_HEAD + received, end], [answer()]
+        )
+        response = await ask(harness, route_request("/chat/1"))
+        assert response.status == 502
+
+    run(session)
+
+
+@pytest.mark.parametrize("path", ["/hold/1", "/chat/1"])
+@pytest.mark.parametrize("end", [Close(), Close(is_reset=True)])
+def test_head_that_breaks_off_at_any_byte_is_no_answer(path: str, end: Step) -> None:
+    """Guards against a 200 with an empty body after a replica stopped in its head."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        for head in (STREAM_HEAD, UNFRAMED_STREAM_HEAD, answer(b"")):
+            cuts = range(1, len(head))
+            scripts = [[head[:cut], end] for cut in cuts]
+            (replica,) = await harness.add_replicas(1, *scripts)
+            for cut in cuts:
+                response = await ask(harness, route_request(path))
+                assert response.status == 502, head[:cut]
+                (only,) = harness.board.upstreams.replicas.values()
+                only.failure_rate = only.outcome_count = 0
+            assert len(replica.requests) == len(cuts)
+            harness.board.upstreams.replicas.clear()
+
+    run(session)
+
+
 def test_answer_before_the_body_was_read_does_not_corrupt_later_requests() -> None:
     """Guards against a reused connection on which an earlier body is still unsent.
 
