Send nothing to replicas in the second half of a drain

Report of another operator: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated.

Here, new requests are refused from 2.6 s after SIGTERM on, and a cut request gets 502 or, if it was not sent, 503. Two things could still make it true. A request that waits for a slot was sent whenever one became free, until the cut: on a route with a long timeout it runs as it is cut, and its caller cannot repeat it.

From half of the drain limit on, nothing is sent to a replica; what waits is refused then as not run, at once. A stream that has begun still resumes. Both times are compared where a request is taken and where it is sent. Half a limit is left for what was sent.

The tests fail with the time of the last send at infinity, which is what was before: the request is sent. Work that lasts until the limit is cut as before.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -6,6 +6,7 @@
 import math
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 from typing import Any
@@ -42,7 +43,7 @@
 from ..net.forward import ForwardAttempt, ReceivedHead, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
-from ..types import Address, Execution, RouteKind
+from ..types import Address, CallRequest, Execution, RouteKind
 from .dispatcher import Dispatcher
 from .end_check import EndCheck
 from .part_guard import PartGuard
@@ -72,6 +73,20 @@
 """Service units of a generated token; a processed prompt token counts as one unit."""
 
 
+@dataclass(slots=True)
+class DrainTimes:
+    """Monotonic times in seconds of a shutdown; infinity without one.
+
+    Attributes:
+        refuse_from: Time from which new requests are refused.
+        send_until: Time until which requests are sent to replicas. Later ones would be
+            cut at the end of the drain, and may have run then.
+    """
+
+    refuse_from: float = math.inf
+    send_until: float = math.inf
+
+
 class Forwarder:
     """Serves requests on the routes of the configuration in force.
 
@@ -81,8 +96,7 @@
         announce_leaving: Tells the other routers that replicas are leaving.
 
     Attributes:
-        is_refusing_requests: Whether new requests are refused, shortly before the
-            process ends.
+        drain: When a router that is shutting down stops to take and to send requests.
     """
 
     def __init__(
@@ -125,7 +139,7 @@
             board, metrics, EndCheck(timeout=board.options.connect_timeout)
         )
         self.guard.refuse_waiting = dispatcher.refuse_waiting
-        self.is_refusing_requests = False
+        self.drain = DrainTimes()
         self._serving: dict[str, tuple[RoutedCall, Any]] = {}
 
     async def watch(self) -> None:
@@ -161,11 +175,10 @@
         request_id = None
         try:
             request_id = self._caller_format.read_request_id(request)
-            if self.is_refusing_requests:
-                raise RouterShuttingDownError(
-                    "this router is shutting down; send the request to another one",
-                    retry_after=0.0,
-                )
+            # Asked here, since a late event loop may read requests before it runs a
+            # task that was to wake up at that time.
+            if now >= self.drain.refuse_from:
+                raise _build_shutdown_error()
             call = self._calls.parse(request, request_id, now)
             self.guard.admit(call)
             wait_seconds = self._dispatcher.find_wait_limit(call)
@@ -194,6 +207,17 @@
             self.guard.forget(call)
             await self._dispatcher.forget(call)
 
+    async def refuse_unsent(self) -> None:
+        """Refuses the waiting requests once it is too late to send them."""
+        await self._dispatcher.refuse_waiting(self._find_drain_error)
+
+    def _find_drain_error(self, call: CallRequest) -> RefusalError | None:
+        if time.monotonic() < self.drain.send_until:
+            return None
+        # A stream that has begun goes on at another replica as long as it can.
+        is_begun = isinstance(call, RoutedCall) and call.events > 0
+        return None if is_begun else _build_shutdown_error()
+
     async def cut(self, reason: str) -> None:
         """Ends all requests: those that were not sent are refused as not run.
 
@@ -503,12 +527,15 @@
         Raises:
             CallerGoneError: If the caller has closed its connection.
             PartQuarantinedError: If the request has a part that ends replicas.
+            RouterShuttingDownError: If the router ends before an answer is likely.
             UpstreamLeavingError: If the replica has left since it was chosen.
             UpstreamsOutdatedError: If it may have left without this router's knowledge.
         """
         sink.check_present()
         self._apply_received()
         self.guard.check(call)
+        if (error := self._find_drain_error(call)) is not None:
+            raise error
         self._board.upstreams.check_in_service(replica, address, time.monotonic())
         if self._directory.is_outdated(self._freshness.read_time()):
             raise UpstreamsOutdatedError(
@@ -552,7 +579,10 @@
         is_failure = answer.is_failure if answer is not None else error is not None
         counts_for_ejection = not isinstance(
             error,
-            UpstreamRefusedError | UpstreamUnreachableError | PartQuarantinedError,
+            UpstreamRefusedError
+            | UpstreamUnreachableError
+            | PartQuarantinedError
+            | RouterShuttingDownError,
         )
         if counts_for_ejection and upstreams.record_outcome(
             replica, now, is_failure=is_failure
@@ -575,6 +605,13 @@
         _LOG.info("attempt failed", extra=extra)
 
 
+def _build_shutdown_error() -> RouterShuttingDownError:
+    return RouterShuttingDownError(
+        "this router is shutting down; send the request to another one",
+        retry_after=0.0,
+    )
+
+
 def _build_log_fields(call: RoutedCall, *, reason: str) -> dict[str, object]:
     """Returns the fields that log lines about a request share."""
     return {
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -66,6 +66,10 @@
 DRAIN_LIMIT_FRACTION = 0.92
 """Fraction of the grace period after which requests in service are aborted."""
 
+SEND_LIMIT_FRACTION = 0.5
+"""Fraction of that time after which nothing is sent to replicas any more. A request
+that waits until then is refused as not run; sent later, it could be cut as it runs."""
+
 UNLIMITED_SLOT_CAP_FACTOR = 1_000.0
 """Disables the cap on slots. Shares on the platform are measured in tokens; a floor or
 a cap in slots would favour an organisation with many short requests over one with few
@@ -216,7 +220,7 @@
             await self._spawn_all(tasks, listeners | self._list_tasks())
             while await signals.wait() == signal.SIGHUP:
                 self._reload_settings("SIGHUP")
-            await tasks.spawn(self._refuse_after_delay)
+            await tasks.spawn(self._refuse_unsent)
             end = await self._drain(signals)
             await self._sources.remove_own_address()
             if end is DrainEndReason.IDLE:
@@ -301,9 +305,17 @@
         self._listener.base_limits = self._build_caller_limits(settings)
         logging.getLogger().setLevel(settings.log_level.upper())
 
-    async def _refuse_after_delay(self) -> None:
-        await curio.sleep(ACCEPT_AFTER_SIGTERM_SECONDS)
-        self._forwarder.is_refusing_requests = True
+    async def _refuse_unsent(self) -> None:
+        """Refuses requests that still wait when it is too late to send them."""
+        now = time.monotonic()
+        drain = self._forwarder.drain
+        drain.refuse_from = now + ACCEPT_AFTER_SIGTERM_SECONDS
+        drain.send_until = now + max(
+            self._options.drain_limit * SEND_LIMIT_FRACTION,
+            ACCEPT_AFTER_SIGTERM_SECONDS,
+        )
+        await curio.sleep(drain.send_until - now)
+        await self._forwarder.refuse_unsent()
 
     async def _step_directory(self) -> None:
         while True:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import curio
@@ -558,6 +559,52 @@
     run(session)
 
 
+@pytest.mark.parametrize("path", ["/look/1", "/hold/1", "/chat/1"])
+@pytest.mark.parametrize("is_waiting", [False, True])
+def test_request_that_comes_late_in_a_drain_is_refused_and_not_sent(
+    path: str, is_waiting: bool
+) -> None:
+    """Guards against requests that are passed on and then cut at the end of a drain."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        replicas = await harness.add_replicas(1, [answer()])
+        (replica,) = harness.board.upstreams.replicas.values()
+        drain = harness.forwarder.drain
+        if is_waiting:
+            replica.ejected_until = math.inf
+        else:
+            drain.send_until = 0.0
+        caller = await harness.connect()
+        await caller.send(route_request(path))
+        if is_waiting:
+            await harness.wait_for(lambda: len(harness.board.queues) == 1)
+            drain.send_until = 0.0
+            await harness.forwarder.refuse_unsent()
+        received = await caller.receive_until(b'"leaving"')
+        assert received.startswith(b"HTTP/1.1 503")
+        assert b"was not run" in received
+        assert not replicas[0].requests
+
+    run(session)
+
+
+def test_stream_that_has_begun_resumes_late_in_a_drain() -> None:
+    """Guards against streams that a drain ends although a replica could go on."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        first = [STREAM_HEAD, chunk(event(1)), Until(event(1)), Close(is_reset=True)]
+        second = [STREAM_HEAD, chunk(event(2)), b"0\r\n\r\n"]
+        await harness.add_replicas(2, first, second)
+        caller = await harness.connect()
+        await caller.send(route_request("/summary/1"))
+        await harness.wait_for(lambda: any(one.requests for one in harness.upstreams))
+        harness.forwarder.drain.send_until = 0.0
+        await caller.receive_until(b"0\r\n\r\n")
+        assert event(2) in caller.received
+
+    run(session)
+
+
 def test_leaving_router_answers_with_connection_close() -> None:
     """Guards against callers that keep connections to a router that shuts down."""
 
@@ -566,7 +613,7 @@
         harness.board.is_leaving = True
         response = await ask(harness, route_request("/look/1"))
         assert (response.status, response.headers["connection"]) == (200, "close")
-        harness.forwarder.is_refusing_requests = True
+        harness.forwarder.drain.refuse_from = 0.0
         response = await ask(harness, route_request("/look/1"))
         assert (response.status, response.headers["connection"]) == (503, "close")
 
