Count what a process said before its row was read for that process

The replica had crashed and started again while the store was out. Its 503 with Retry-After counted for the process that the router knew, and the row of the new process, read 0.2 s later, cleared the hold.

The time at which a request was sent is now kept with what its answer said, as Unix time that no step of this VM's clock changes. A request that was sent after the start of a process (born) was answered by that process, whether its row is read before the answer or after it. Leaving, which holds for life and is said in each answer, needs half a second more, since clocks differ.

With nothing taken over, as before, the four applied rows of the new table fail.

--- a/sequoiamoor/core/freshness.py
+++ b/sequoiamoor/core/freshness.py
@@ -64,6 +64,17 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class UnixClock:
+    """Unix time that no later step of this VM's time of day changes."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() - read_boot_time()
+
+    def read_ms(self) -> float:
+        """Returns the Unix time in milliseconds."""
+        return (read_boot_time() + self._offset) * 1000
+
+
 class KeyFreshness:
     """Limits how long keys are accepted after the configuration was last confirmed.
 
--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -25,6 +25,11 @@
 """Time after which another request may try a replica whose first one since the hold has
 not been answered."""
 
+CLOCK_MARGIN_MS = 500
+"""Time after its start from which a process is taken to have said that it leaves. The
+clocks of its VM and of this one may differ, and leaving holds for the rest of its life;
+it says so in each of its answers."""
+
 MAX_REMEMBERED_PROCESSES = 4_096
 """Processes whose statements are remembered, also while they are not listed."""
 
@@ -124,6 +129,9 @@
         is_leaving: Whether it leaves, for the rest of its life.
         held_until: Monotonic time in seconds until which it gets no requests.
         is_returning: Whether it has answered no request sent after the hold.
+        left_ms: Unix time in milliseconds at which the last request was sent that was
+            answered with the statement that the process leaves.
+        held_ms: The same of the last hold.
         probe_id: Request that tries it after the hold, if one is in progress.
         probe_until: Monotonic time in seconds until which only that one may try it.
     """
@@ -131,6 +139,8 @@
     is_leaving: bool = False
     held_until: float = -math.inf
     is_returning: bool = False
+    left_ms: float = -math.inf
+    held_ms: float = -math.inf
     probe_id: str | None = None
     probe_until: float = -math.inf
 
@@ -149,14 +159,26 @@
         """Returns the seconds that are left of a hold, 0.0 without one."""
         return max(self.held_until - now, 0.0)
 
-    def note(self, statement: Statement, now: float, spread: float) -> StatementChange:
+    def note(
+        self,
+        statement: Statement,
+        now: float,
+        spread: float,
+        *,
+        sent_ms: float = -math.inf,
+    ) -> StatementChange:
         """Applies a statement; of two holds, the one that ends later counts.
 
         Args:
             statement: What the answer says.
             now: Monotonic time in seconds at which its head was read.
             spread: Random number from 0 to 1 that delays the return of this router.
+            sent_ms: Unix time in milliseconds at which the request was sent.
         """
+        if statement.is_leaving:
+            self.left_ms = max(self.left_ms, sent_ms)
+        if statement.hold:
+            self.held_ms = max(self.held_ms, sent_ms)
         is_newly_leaving = statement.is_leaving and not self.is_leaving
         self.is_leaving = self.is_leaving or statement.is_leaving
         if not statement.hold:
@@ -192,6 +214,24 @@
         self.is_leaving = self.is_leaving or other.is_leaving
         self.held_until = max(self.held_until, other.held_until)
         self.is_returning = self.is_returning or other.is_returning
+        self.left_ms = max(self.left_ms, other.left_ms)
+        self.held_ms = max(self.held_ms, other.held_ms)
+
+    def select_since(self, born_ms: float) -> ProcessState:
+        """Returns what a process has stated that started later than was known.
+
+        A request that was sent after that start was answered by that process.
+
+        Args:
+            born_ms: Unix time of the start in milliseconds.
+        """
+        selected = ProcessState()
+        if self.left_ms >= born_ms + CLOCK_MARGIN_MS:
+            selected.is_leaving, selected.left_ms = True, self.left_ms
+        if self.held_ms >= born_ms:
+            selected.held_until, selected.held_ms = self.held_until, self.held_ms
+            selected.is_returning = self.is_returning
+        return selected
 
     @property
     def is_blank(self) -> bool:
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -207,6 +208,7 @@
         *,
         now: float,
         spread: float,
+        sent_ms: float = -math.inf,
     ) -> StatementChange:
         """Applies what a process said in an answer.
 
@@ -216,6 +218,8 @@
             statement: What it said.
             now: Monotonic time in seconds.
             spread: Random number from 0 to 1 that delays the return of this router.
+            sent_ms: Unix time in milliseconds at which the request was sent. One sent
+                after the start of a later process was answered by that one.
 
         Returns:
             What changed for the replica that the process is now; nothing if another
@@ -224,10 +228,12 @@
         replica = self.replicas.get(process.replica_id)
         if replica is None or replica.process != process:
             state = self.statements.find(process)
-            state.note(statement, now, spread)
+            state.note(statement, now, spread, sent_ms=sent_ms)
             self.statements.keep(process, state)
-            return StatementChange()
-        change = replica.stated.note(statement, now, spread)
+            if replica is None or replica.incarnation <= process.incarnation:
+                return StatementChange()
+            return self._restore_later_statements(replica, state, now)
+        change = replica.stated.note(statement, now, spread, sent_ms=sent_ms)
         self.statements.keep(process, replica.stated)
         was_leaving = replica.is_leaving
         replica.is_leaving = was_leaving or replica.stated.is_leaving
@@ -265,6 +271,26 @@
             self.statements.keep(replica.process, stated)
         replica.is_leaving = replica.is_leaving or stated.is_leaving
 
+    def _restore_later_statements(
+        self, replica: Replica, earlier: ProcessState, now: float
+    ) -> StatementChange:
+        """Applies statements that were taken for those of an earlier process.
+
+        Returns:
+            What changed for the replica.
+        """
+        selected = earlier.select_since(replica.incarnation)
+        if selected.is_blank:
+            return StatementChange()
+        was_leaving, was_held = replica.is_leaving, now < replica.stated.held_until
+        replica.stated.merge(selected)
+        self.statements.keep(replica.process, replica.stated)
+        replica.is_leaving = was_leaving or replica.stated.is_leaving
+        is_held = now < replica.stated.held_until and not was_held
+        is_leaving = replica.is_leaving and not was_leaving
+        self.availability_version += is_leaving or is_held
+        return StatementChange(is_leaving=is_leaving, is_held=is_held)
+
     def find_return_time(self, service: ServiceName, now: float) -> float | None:
         """Returns when the first replica of a service takes requests again.
 
@@ -490,6 +516,7 @@
         """
         replica = self.replicas.get(listed.replica_id)
         was_leaving = replica is not None and replica.is_leaving
+        earlier = ProcessState() if replica is None else replica.stated
         incarnation = load.incarnation
         if replica is not None and replica.address == listed.address:
             # An entry without an incarnation does not tell that the process is new.
@@ -501,8 +528,11 @@
             replica.failures = 0
         replica = self._apply_list_entry(listed, now)
         if incarnation != replica.incarnation:
+            is_later = incarnation > replica.incarnation
             replica.incarnation = incarnation
             self._restore_statements(replica)
+            if is_later:
+                self._restore_later_statements(replica, earlier, now)
         was_leaving = was_leaving or replica.is_leaving
         replica.is_listed_leaving = load.is_leaving
         if load.is_leaving:
--- a/sequoiamoor/daemon/statements.py
+++ b/sequoiamoor/daemon/statements.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from ..core.blackboard import Blackboard
+from ..core.freshness import UnixClock
 from ..core.statements import Statement, StatementChange
 from ..core.upstreams import Replica
 from ..metrics import Metrics
@@ -38,6 +39,7 @@
         self._format = upstream_format
         self._announce_leaving = announce_leaving
         self._rng = rng
+        self._clock = UnixClock()
 
     def read(self, head: ReceivedHead) -> bool:
         """Applies a head; returns whether it made a replica unavailable."""
@@ -49,8 +51,13 @@
             if is_taken and head.response.status != 503:
                 self._board.upstreams.record_answer(head.process, head.sent_at)
             return False
+        now = time.monotonic()
         change = self._board.upstreams.note_answer(
-            head.process, statement, now=time.monotonic(), spread=self._rng.random()
+            head.process,
+            statement,
+            now=now,
+            spread=self._rng.random(),
+            sent_ms=self._clock.read_ms() - (now - head.sent_at) * 1000,
         )
         self._report(statement, change, replica)
         return change.is_leaving or change.is_held
--- a/tests/core/test_upstreams.py
+++ b/tests/core/test_upstreams.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sequoiamoor.core.statements import CLOCK_MARGIN_MS, Statement
 from sequoiamoor.core.upstreams import ListedUpstream, LoadReport, Replica, Upstreams
 from sequoiamoor.options import Options
 from sequoiamoor.types import Address
@@ -204,3 +205,43 @@
         known_replica.is_available(10.0)
         for known_replica in upstreams.replicas.values()
     )
+
+
+@pytest.mark.parametrize("is_row_first", [False, True])
+@pytest.mark.parametrize(
+    ("statement", "sent_ms", "is_applied"),
+    [
+        (Statement(hold=2.0), 5_001.0, True),
+        (Statement(hold=2.0), 4_999.0, False),
+        (Statement(is_leaving=True), 5_001.0 + CLOCK_MARGIN_MS, True),
+        (Statement(is_leaving=True), 4_999.0 + CLOCK_MARGIN_MS, False),
+    ],
+)
+def test_statement_of_a_process_whose_row_comes_later_counts_for_it(
+    statement: Statement, sent_ms: float, is_applied: bool, is_row_first: bool
+) -> None:
+    """Guards against requests to a process that had turned them away before its row."""
+    upstreams = Upstreams(OPTIONS)
+    upstreams.put(build_entry(0), build_load(1_000), 1.0)
+    process = upstreams.replicas["talk-0"].process
+
+    def write_row() -> None:
+        upstreams.put(build_entry(0), build_load(5_000), 1.2)
+
+    if is_row_first:
+        write_row()
+    change = upstreams.note_answer(
+        process, statement, now=1.1, spread=0.0, sent_ms=sent_ms
+    )
+    if is_row_first:
+        assert (change.is_held or change.is_leaving) is is_applied
+    else:
+        write_row()
+    assert upstreams.replicas["talk-0"].incarnation == 5_000
+    assert upstreams.replicas["talk-0"].may_receive(1.3) is not is_applied
+    assert upstreams.replicas["talk-0"].is_leaving is (
+        is_applied and statement.is_leaving
+    )
+    # A later process starts clean.
+    upstreams.put(build_entry(0), build_load(9_000), 1.4)
+    assert list_available(upstreams, 1.5) == ["talk-0"]
