Notice the end of a process whose port closes after its connections

The requests with the part were the first ones whose connection broke; the port was still open at that moment, so their check took the process for alive, and all ends were blamed on the requests beside them.

The check now holds its connection for 30 ms. A process that ends closes it, and the next attempt is refused. The new test failed before.

--- a/sequoiamoor/daemon/end_check.py
+++ b/sequoiamoor/daemon/end_check.py
@@ -20,6 +20,13 @@
 ALIVE_MEMORY_SECONDS = 0.1
 """Time for which a process that could be connected to is not checked again."""
 
+CLOSE_SECONDS = 0.03
+"""Time in which a process that ends closes all its sockets. Its connections may break
+before its port is closed; one that was made meanwhile breaks too."""
+
+CONNECT_ATTEMPTS = 3
+"""Connections that may break in this way before the check gives up."""
+
 MAX_REMEMBERED_PROCESSES = 512
 
 
@@ -73,10 +80,17 @@
         return check.has_ended
 
     async def _is_port_closed(self, address: Address) -> bool:
-        try:
-            connection = await ClientConnection.connect(address, timeout=self._timeout)
-        except OSError as err:
-            # Fault injection raises errors without a number.
-            return err.errno == errno.ECONNREFUSED
-        await connection.close()
+        for _ in range(CONNECT_ATTEMPTS):
+            try:
+                connection = await ClientConnection.connect(
+                    address, timeout=self._timeout
+                )
+            except OSError as err:
+                # Fault injection raises errors without a number.
+                return err.errno == errno.ECONNREFUSED
+            await curio.sleep(CLOSE_SECONDS)
+            is_open = connection.is_quiet
+            await connection.close()
+            if is_open:
+                return False
         return False
--- a/tests/daemon/test_part_guard.py
+++ b/tests/daemon/test_part_guard.py
@@ -7,10 +7,14 @@
 from dataclasses import replace
 from typing import Any
 
+import curio
 import pytest
 
 from sequoiamoor.core.part_cases import Crash, PartCase, PartKey
+from sequoiamoor.core.statements import ReplicaProcess
+from sequoiamoor.daemon.end_check import EndCheck
 from sequoiamoor.net.http_client import ClientConnection
+from sequoiamoor.types import Address
 
 from ..listener_harness import Close, End, Hang, Repeat, Step, chunk
 from ..route_listener_harness import (
@@ -199,3 +203,23 @@
         assert len(connects) == 1
 
     run(session)
+
+
+def test_process_whose_port_closes_after_its_connections_has_ended() -> None:
+    """Guards against an end that is missed because a check came a moment early."""
+
+    async def end_slowly(sock: Any, peer: Any) -> None:
+        await curio.sleep(0.01)
+        await server.cancel(blocking=False)
+        await curio.sleep(10.0)
+
+    async def main() -> bool:
+        nonlocal server
+        sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+        address = Address(*sock.getsockname()[:2])
+        server = await curio.spawn(curio.network.run_server, sock, end_slowly)
+        check = EndCheck(timeout=0.5)
+        return await check.has_ended(ReplicaProcess("i-1", 7, None), address)
+
+    server: Any = None
+    assert curio.run(main)
