Let callers of the soak send a prompt part that ends replicas

Callers of streams have prompt parts now. For 0.4 of the time of the faults, half of the resumable requests of one organisation carry a part under which a replica ends as it begins to answer; it starts again after a second under its identifier. Replicas that end close the port that routers connect to. More than three such requests later than 3 s after the fifth end count as BUDGET while no router or store has had a fault for 3 s.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,7 @@
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.types import Address
 
-from .replicas import build_event
+from .replicas import BAD_PART, build_event
 from .statements import Traffic
 
 REQUEST_DEADLINE_SECONDS = 4.0
@@ -113,6 +113,8 @@
         traffic: Which router each request goes through.
         records: All requests that were sent.
         violations: Guarantees that an answer violated.
+        bad_part_organisation: Organisation some of whose requests have a prompt part
+            under which replicas end; None for none.
     """
 
     seed: int
@@ -122,6 +124,7 @@
     records: list[RequestRecord] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     is_stopped: bool = False
+    bad_part_organisation: str | None = None
     _request_count: int = 0
 
     async def run(self, index: int) -> None:
@@ -193,6 +196,14 @@
             self.violations.append(violation)
         return is_reusable
 
+    def _build_prompt(self, record: RequestRecord, rng: Random) -> str:
+        """Returns the prompt parts of a request; the last one is its own."""
+        parts = ["aa0", f"a{ord(record.organisation[0]):x}"]
+        is_bad = record.organisation == self.bad_part_organisation
+        if is_bad and record.route.path == "/summary/" and rng.random() < 0.5:
+            parts.insert(rng.randrange(3), BAD_PART)
+        return ",".join([*(f"{part}:100" for part in parts), "ee:10"])
+
     async def _exchange(
         self, connection: ClientConnection, record: RequestRecord, rng: Random
     ) -> bool:
@@ -206,6 +217,8 @@
             "x-deadline-ms": str(int(REQUEST_DEADLINE_SECONDS * 1000)),
             "authorization": f"Bearer {record.key}",
         }
+        if record.route.is_stream:
+            headers["x-prompt-prefix"] = self._build_prompt(record, rng)
         await connection.send_request("POST", path, headers, b"{}")
         response = await connection.receive_response()
         record.status = response.status
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -54,7 +54,7 @@
         self._version = 0
         self._key_count = 0
         self.store = StandInStore()
-        self.log = RunLog()
+        self.log = RunLog(is_undisturbed=self.is_undisturbed)
         self.keys: dict[str, list[str]] = {
             name: [self._make_key(), self._make_key()] for name in ORGANISATIONS
         }
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,6 +10,7 @@
 import curio
 
 from sequoiamoor.net.http_client import RESET_ON_CLOSE
+from sequoiamoor.standin.processes import reserve_port
 from sequoiamoor.types import Address
 
 CHUNK_BYTES = 65_536
@@ -38,20 +39,31 @@
         self._find_target = find_target
         self._connections: dict[Any, tuple[Any, Any]] = {}
         self._server: Any = None
+        self._reservation: Any = None
         self._changed = curio.Condition()
         self.state = LinkState.OPEN
         self.delay = 0.0
         self.address = Address("127.0.0.1", 0)
 
     async def listen(self) -> Address:
-        """Listens on a free port and returns the address."""
-        sock = curio.network.tcp_server_socket("127.0.0.1", 0)
-        self.address = Address(*sock.getsockname()[:2])
-        self._server = await curio.spawn(
-            curio.network.run_server, sock, self._serve, daemon=True
-        )
+        """Listens on a free port, later on the same one, and returns the address."""
+        if self._reservation is None:
+            self._reservation = reserve_port("127.0.0.1")
+            self.address = Address(*self._reservation.getsockname()[:2])
+        if self._server is None:
+            sock = curio.network.tcp_server_socket(self.address.host, self.address.port)
+            self._server = await curio.spawn(
+                curio.network.run_server, sock, self._serve, daemon=True
+            )
         return self.address
 
+    async def close(self) -> None:
+        """Resets all connections and refuses new ones, like a process that ended."""
+        server, self._server = self._server, None
+        if server is not None:
+            await server.cancel()
+        await self.reset_all()
+
     async def set_state(self, state: LinkState) -> None:
         """Changes which directions pass data."""
         self.state = state
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -29,6 +29,16 @@
 DRAIN_SECONDS = 3.5
 """Time that a draining replica goes on serving."""
 
+BAD_PART = "bad0"
+"""Prompt part under which replicas end as they begin to answer."""
+
+RESTART_SECONDS = 1.0
+CONTACT_SECONDS = 3.0
+"""Time after the fifth end in which all routers have to stop sending the part."""
+
+ENDS_BEFORE_LIMIT = 5
+LATE_ARRIVALS_LIMIT = 3
+
 ORDER_SECONDS = 0.4
 """Time between the entry and the first answer that say that a replica leaves."""
 
@@ -54,11 +64,35 @@
         runs: Runs by request id.
         violations: Guarantees that a router violated towards a replica.
         traffic: Which router each request came through.
+        is_undisturbed: Whether no router or store had a fault recently.
+        ends: Monotonic times in seconds at which replicas ended under the bad part.
+        late_count: Requests with that part that came too late after the fifth end.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     violations: list[str] = field(default_factory=list)
     traffic: Traffic = field(default_factory=Traffic)
+    is_undisturbed: Callable[[], bool] = lambda: False
+    ends: list[float] = field(default_factory=list)
+    late_count: int = 0
+
+    def note_end(self) -> None:
+        """Records that a replica ended because of the bad part."""
+        self.ends.append(time.monotonic())
+
+    def note_bad_part(self, request_id: str) -> None:
+        """Checks that a request with the bad part may still reach a replica."""
+        if len(self.ends) < ENDS_BEFORE_LIMIT:
+            return
+        late = time.monotonic() - self.ends[ENDS_BEFORE_LIMIT - 1] - CONTACT_SECONDS
+        if late <= 0 or not self.is_undisturbed():
+            return
+        self.late_count += 1
+        if self.late_count > LATE_ARRIVALS_LIMIT:
+            self.violations.append(
+                f"BUDGET: {request_id} with the bad part reached a replica {late:.1f} "
+                f"s late, the {self.late_count}th"
+            )
 
 
 def build_event(request_id: str, number: int) -> bytes:
@@ -137,9 +171,10 @@
         )
 
     async def start(self) -> None:
-        """Starts to listen and to renew its entry."""
-        if self.proxy.address.port == 0:
-            await self.proxy.listen()
+        """Starts to listen and to renew its entry; does nothing if it runs."""
+        if self.is_running:
+            return
+        await self.proxy.listen()
         sock = curio.network.tcp_server_socket("127.0.0.1", 0)
         self._target = Address(*sock.getsockname()[:2])
         self._started_at_ms = time.time_ns() // 1_000_000
@@ -154,7 +189,19 @@
         tasks, self._tasks = self._tasks, None
         if tasks is not None:
             await tasks.cancel_remaining()
-            await self.proxy.reset_all()
+            await self.proxy.close()
+
+    async def _end_and_restart(self) -> None:
+        """Ends as it begins to answer, and starts again under the same identifier."""
+        process = self.statements.process
+        if not self.is_running:
+            return
+        was_listed, self.is_listed = self.is_listed, False
+        await self.crash()
+        self._log.note_end()
+        await curio.sleep(RESTART_SECONDS)
+        if not self.is_running and self.statements.process == process and was_listed:
+            await self.start()
 
     async def leave(self) -> None:
         """Announces its end, goes on serving for a while, and ends.
@@ -322,6 +369,11 @@
         )
         headers = {**signed_headers, "Content-Type": "text/event-stream"}
         await connection.start_stream(200, headers)
+        if BAD_PART in request.headers.get("x-prompt-prefix", ""):
+            self._log.note_bad_part(request_id)
+            await curio.spawn(self._end_and_restart, daemon=True)
+            await connection.wait_closed()
+            return False
         for number in range(first_event, event_count):
             event = build_event(request_id, number)
             if number == cut_event:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -86,7 +86,9 @@
     callers = Callers(seed, proxy_addresses, fleet.keys, fleet.log.traffic)
     tasks = [await curio.spawn(callers.run, number) for number in range(count)]
     watch_task = await curio.spawn(_watch_processes, fleet)
-    result.faults = await inject_faults(fleet, seed, seconds)
+    async with curio.TaskGroup() as fault_tasks:
+        await fault_tasks.spawn(_send_bad_parts, callers, seed, seconds)
+        result.faults = await inject_faults(fleet, seed, seconds)
     await fleet.clear_faults()
     result.violations += await _check_recovery(fleet, callers, seed)
     flood_ids = await flood_while_replicas_leave(fleet, seed)
@@ -105,6 +107,15 @@
     return result
 
 
+async def _send_bad_parts(callers: Callers, seed: int, seconds: float) -> None:
+    """Lets one organisation send a part under which replicas end, for a while."""
+    rng = Random(f"bad part {seed}")
+    await curio.sleep(rng.uniform(0.2, 0.5) * seconds)
+    callers.bad_part_organisation = rng.choice(sorted(callers.keys))
+    await curio.sleep(0.4 * seconds)
+    callers.bad_part_organisation = None
+
+
 async def _watch_processes(fleet: SoakFleet) -> None:
     while True:
         fleet.check_processes()
