Play the ends under a prompt part with the replicas and callers of the soak

The scenario had engines, callers and checks of its own, twice what the soak has. It uses the soak's replicas, which now start again after 2 s under the same or, half of the time, another identifier, its callers and their checks of answers. The check of late requests is the one that the soak has since the commit before; as there, it counts none within 3 s of a router's kill.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,7 +12,7 @@
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.types import Address
 
-from .replicas import BAD_PART, build_event
+from .replicas import BAD_PARTS, build_event
 from .statements import Traffic
 
 REQUEST_DEADLINE_SECONDS = 4.0
@@ -57,6 +57,7 @@
         is_complete: Whether the answer arrived up to its end.
         signature: Signature header of the replica that answered.
         event_count: Number of events that a stream was asked for.
+        prompt: Parts of its prompt.
         detail: Error that ended the request, if any.
     """
 
@@ -71,9 +72,25 @@
     body: bytes = b""
     signature: str | None = None
     event_count: int = 0
+    prompt: str = ""
     detail: str = ""
 
 
+def build_prompt(request_id: str, bad_part: str | None = None, place: int = 0) -> str:
+    """Returns two parts that requests share and the request's own one.
+
+    Args:
+        request_id: Identifier of the request.
+        bad_part: A part that is put before, between or after the shared ones.
+        place: Number of shared parts before it.
+    """
+    parts = ["aa0", "aa1"]
+    if bad_part is not None:
+        parts.insert(place, bad_part)
+    own_part = request_id.encode().hex()
+    return ",".join(f"{part}:100" for part in [*parts, own_part])
+
+
 def find_violation(record: RequestRecord) -> str | None:
     """Returns the guarantee that the answer itself violates, None if it is valid."""
     label = f"{record.request_id} on {record.route.path} at {record.router}"
@@ -168,7 +185,7 @@
         self._request_count += 1
         organisation = rng.choice(sorted(self.keys))
         keys = self.keys[organisation]
-        return RequestRecord(
+        record = RequestRecord(
             request_id=f"r{self.seed:x}-{self._request_count}",
             route=rng.choice(ROUTES),
             organisation=organisation,
@@ -176,6 +193,9 @@
             router=router,
             sent_at=0.0,
         )
+        if record.route.is_stream:
+            record.prompt = self._draw_prompt(record, rng)
+        return record
 
     async def send(
         self, connection: ClientConnection, record: RequestRecord, rng: Random
@@ -196,13 +216,11 @@
             self.violations.append(violation)
         return is_reusable
 
-    def _build_prompt(self, record: RequestRecord, rng: Random) -> str:
-        """Returns the prompt parts of a request; the last one is its own."""
-        parts = ["aa0", f"a{ord(record.organisation[0]):x}"]
+    def _draw_prompt(self, record: RequestRecord, rng: Random) -> str:
         is_bad = record.organisation == self.bad_part_organisation
         if is_bad and record.route.path == "/summary/" and rng.random() < 0.5:
-            parts.insert(rng.randrange(3), BAD_PART)
-        return ",".join([*(f"{part}:100" for part in parts), "ee:10"])
+            return build_prompt(record.request_id, BAD_PARTS[0], rng.randrange(3))
+        return build_prompt(record.request_id)
 
     async def _exchange(
         self, connection: ClientConnection, record: RequestRecord, rng: Random
@@ -217,8 +235,8 @@
             "x-deadline-ms": str(int(REQUEST_DEADLINE_SECONDS * 1000)),
             "authorization": f"Bearer {record.key}",
         }
-        if record.route.is_stream:
-            headers["x-prompt-prefix"] = self._build_prompt(record, rng)
+        if record.prompt:
+            headers["x-prompt-prefix"] = record.prompt
         await connection.send_request("POST", path, headers, b"{}")
         response = await connection.receive_response()
         record.status = response.status
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -4,7 +4,7 @@
 
 import json
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -29,10 +29,14 @@
 DRAIN_SECONDS = 3.5
 """Time that a draining replica goes on serving."""
 
-BAD_PART = "bad0"
-"""Prompt part under which replicas end as they begin to answer."""
+BAD_PARTS = ("bad0", "bad1")
+"""Prompt parts under which replicas end 60 ms after the head of an answer."""
+
+END_DELAY_SECONDS = 0.06
+RESTART_SECONDS = 2.0
+ENTRY_LAPSE_SECONDS = 1.5
+"""Time after an end at which the entry of the process lapses."""
 
-RESTART_SECONDS = 1.0
 CONTACT_SECONDS = 3.0
 """Time after the fifth end in which all routers have to stop sending the part."""
 
@@ -65,33 +69,30 @@
         violations: Guarantees that a router violated towards a replica.
         traffic: Which router each request came through.
         is_undisturbed: Whether no router or store had a fault recently.
-        ends: Monotonic times in seconds at which replicas ended under the bad part.
-        late_count: Requests with that part that came too late after the fifth end.
+        ends: Monotonic times in seconds at which replicas ended, by bad part.
+        late_counts: Requests that came too late after the fifth end, by bad part.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     violations: list[str] = field(default_factory=list)
     traffic: Traffic = field(default_factory=Traffic)
     is_undisturbed: Callable[[], bool] = lambda: False
-    ends: list[float] = field(default_factory=list)
-    late_count: int = 0
-
-    def note_end(self) -> None:
-        """Records that a replica ended because of the bad part."""
-        self.ends.append(time.monotonic())
+    ends: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    late_counts: Counter[str] = field(default_factory=Counter)
 
-    def note_bad_part(self, request_id: str) -> None:
-        """Checks that a request with the bad part may still reach a replica."""
-        if len(self.ends) < ENDS_BEFORE_LIMIT:
+    def note_bad_part(self, part: str, request_id: str) -> None:
+        """Checks that a request with a bad part may still reach a replica."""
+        ends = self.ends[part]
+        if len(ends) < ENDS_BEFORE_LIMIT:
             return
-        late = time.monotonic() - self.ends[ENDS_BEFORE_LIMIT - 1] - CONTACT_SECONDS
+        late = time.monotonic() - ends[ENDS_BEFORE_LIMIT - 1] - CONTACT_SECONDS
         if late <= 0 or not self.is_undisturbed():
             return
-        self.late_count += 1
-        if self.late_count > LATE_ARRIVALS_LIMIT:
+        self.late_counts[part] += 1
+        if self.late_counts[part] > LATE_ARRIVALS_LIMIT:
             self.violations.append(
-                f"BUDGET: {request_id} with the bad part reached a replica {late:.1f} "
-                f"s late, the {self.late_count}th"
+                f"BUDGET: {request_id} with {part} reached a replica {late:.1f} s "
+                f"late, the {self.late_counts[part]}th; {len(ends)} ended"
             )
 
 
@@ -137,7 +138,7 @@
         self._started_at_ms = 0
         self._sequence = 0
         self.service = service
-        self.name = name
+        self.name = self._first_name = name
         self.proxy = Proxy(lambda: self._target)
         self.fault: str | None = None
         self.drain_acknowledged_at: float | None = None
@@ -191,17 +192,26 @@
             await tasks.cancel_remaining()
             await self.proxy.close()
 
-    async def _end_and_restart(self) -> None:
-        """Ends as it begins to answer, and starts again under the same identifier."""
-        process = self.statements.process
+    async def end_and_restart(self, bad_part: str = "") -> None:
+        """Ends and starts again; half of the time under another identifier.
+
+        Args:
+            bad_part: Part of a prompt that is the reason, if one is.
+        """
+        process, name = self.statements.process, self.name
         if not self.is_running:
             return
         was_listed, self.is_listed = self.is_listed, False
+        self._log.ends[bad_part].append(time.monotonic())
         await self.crash()
-        self._log.note_end()
-        await curio.sleep(RESTART_SECONDS)
-        if not self.is_running and self.statements.process == process and was_listed:
-            await self.start()
+        await curio.sleep(ENTRY_LAPSE_SECONDS)
+        if self.is_running or self.statements.process != process or not was_listed:
+            return
+        self._store.drop("servers", name)
+        if self._rng.random() < 0.5:
+            self.name = f"{self._first_name}-{time.monotonic_ns():x}"
+        await curio.sleep(RESTART_SECONDS - ENTRY_LAPSE_SECONDS)
+        await self.start()
 
     async def leave(self) -> None:
         """Announces its end, goes on serving for a while, and ends.
@@ -369,9 +379,11 @@
         )
         headers = {**signed_headers, "Content-Type": "text/event-stream"}
         await connection.start_stream(200, headers)
-        if BAD_PART in request.headers.get("x-prompt-prefix", ""):
-            self._log.note_bad_part(request_id)
-            await curio.spawn(self._end_and_restart, daemon=True)
+        prompt = request.headers.get("x-prompt-prefix", "")
+        if bad_part := next((part for part in BAD_PARTS if part in prompt), None):
+            self._log.note_bad_part(bad_part, request_id)
+            await curio.sleep(END_DELAY_SECONDS)
+            await curio.spawn(self.end_and_restart, bad_part, daemon=True)
             await connection.wait_closed()
             return False
         for number in range(first_event, event_count):
