Decide on prompt parts while a write to the store gets no answer

One task applied answers of the store, decided on cases and wrote them. A write that a silent store does not answer held the decisions up for 0.8 s and a pause, time and again. Decisions have a task of their own now; the other one writes, claims tests and removes old rows. The new test failed before.

Rows of another writer beyond twice the number of cases are ignored, so that the table cannot take a router's memory.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -147,7 +147,7 @@
             rng=self._rng,
         )
         self._sources.handle_parts = self._part_store.receive
-        PartExchange(
+        self._part_exchange = PartExchange(
             self.board,
             self._forwarder.guard,
             self._control,
@@ -256,7 +256,8 @@
             "routers": self._sources.follow_routers,
             "readers": self._sources.watch_readers,
             "directory": self._step_directory,
-            "parts": self._part_store.run,
+            "parts": self._part_exchange.run,
+            "part rows": self._part_store.run,
             "control": partial(self._control.run, self._forwarder.dispatch),
             "settings": self._watch_settings,
             "lag": self._watch_lag,
--- a/sequoiamoor/daemon/part_exchange.py
+++ b/sequoiamoor/daemon/part_exchange.py
@@ -6,6 +6,8 @@
 from collections import OrderedDict
 from random import Random
 
+import curio
+
 from ..core.blackboard import Blackboard
 from ..core.part_cases import PartCase, PartKey
 from ..core.quarantine import MAX_CASES
@@ -14,6 +16,12 @@
 from .part_guard import PartGuard
 from .part_store import PartStore
 
+STEP_SECONDS = 0.1
+"""Interval between decisions while a quarantine may begin."""
+
+IDLE_STEP_SECONDS = 2.0
+"""The same while there are only cases that may grow old."""
+
 AUTHOR_SECONDS = 10.0
 """Time for which the router that passed a case on also passes on what others add."""
 
@@ -49,6 +57,29 @@
         control.handle_cases = self.receive
         control.list_cases = guard.quarantine.cases.values
 
+    async def run(self) -> None:
+        """Applies what the store says and decides on cases until cancelled.
+
+        Writes have a task of their own, so that a store that is out or slow delays no
+        decision.
+        """
+        while True:
+            await self._wait_until_due()
+            await self._store.apply_received()
+            await self._guard.step()
+            for key in self._guard.take_asked():
+                self._store.note_asked(key)
+            await curio.sleep(STEP_SECONDS)
+
+    async def _wait_until_due(self) -> None:
+        quarantine = self._board.quarantine
+        if quarantine.is_deciding or self._store.has_received:
+            return
+        if quarantine.is_idle:
+            await self._guard.changed.wait()
+        else:
+            await curio.ignore_after(IDLE_STEP_SECONDS, self._guard.changed.wait)
+
     def publish(self, case: PartCase) -> None:
         """Passes on a case that this router changed."""
         self._published_at[case.key] = time.monotonic()
--- a/sequoiamoor/daemon/part_store.py
+++ b/sequoiamoor/daemon/part_store.py
@@ -11,8 +11,9 @@
 import curio
 
 from ..core.part_cases import PartCase, PartKey
-from ..core.quarantine import IDLE_SECONDS, WATCH_SECONDS
+from ..core.quarantine import IDLE_SECONDS, MAX_CASES, WATCH_SECONDS
 from ..errors import SequoiamoorError, SettingsError, VersionConflictError
+from ..net.wakeup import Wakeup
 from ..platform.part_rows import (
     PART_TABLE,
     StoredCase,
@@ -27,11 +28,14 @@
 
 _LOG = logging.getLogger(__name__)
 
-STEP_SECONDS = 0.1
-"""Interval between decisions while a quarantine may begin or a row is to be written."""
+WRITE_INTERVAL_SECONDS = 0.1
+"""Shortest time between two passes over the cases to be written."""
 
-IDLE_STEP_SECONDS = 2.0
-"""The same while there are only cases and rows that may grow old."""
+CLEANUP_CHECK_SECONDS = 10.0
+"""Interval between two checks for old rows while there is nothing to write."""
+
+MAX_ROWS = 2 * MAX_CASES
+"""Rows that are kept; those of another writer beyond it are ignored."""
 
 MERGE_DELAY_SECONDS = 1.0
 """Longest random delay before a router completes the row of another one."""
@@ -79,6 +83,8 @@
         self._invalid_rows = InvalidRows()
         self._received: list[tuple[Rows, bool]] = []
         self._cleanup_at = 0.0
+        self._asked: set[PartKey] = set()
+        self._due = Wakeup()
         self.is_known = False
 
     def note_changed(self, case: PartCase, *, delay: float = 0.0) -> None:
@@ -92,15 +98,17 @@
         self._unwritten[case.key] = min(
             write_at, self._unwritten.get(case.key, write_at)
         )
-        self._guard.changed.set()
+        self._due.set()
+
+    def note_asked(self, key: PartKey) -> None:
+        """Records that the test of a part is due and that somebody has sent it."""
+        self._asked.add(key)
+        self._due.set()
 
     # Reading.
 
     def receive(self, rows: Rows | None, is_full_table: bool) -> None:
-        """Takes an answer of the feed, None for a call that failed.
-
-        ``run`` applies it.
-        """
+        """Takes an answer of the feed, None for a call that failed."""
         if rows is None:
             # A store that is out must not keep the router from being ready.
             self.is_known = True
@@ -108,7 +116,13 @@
         self._received.append((rows, is_full_table))
         self._guard.changed.set()
 
-    async def _apply_received(self) -> None:
+    @property
+    def has_received(self) -> bool:
+        """Whether there is an answer that was not applied."""
+        return bool(self._received)
+
+    async def apply_received(self) -> None:
+        """Applies the answers that have arrived."""
         while self._received:
             rows, is_full_table = self._received.pop(0)
             await self._apply(rows, is_full_table=is_full_table)
@@ -147,6 +161,8 @@
             return
         self._invalid_rows.discard(row)
         key = stored.case.key
+        if len(self._rows) >= MAX_ROWS and key not in self._rows:
+            return
         self._rows[key] = _KnownRow(stored, row.version)
         if self._is_old(stored):
             return
@@ -171,37 +187,28 @@
     # Writing.
 
     async def run(self) -> None:
-        """Decides on the cases and keeps the store up to date until cancelled."""
+        """Writes changed cases, claims tests and removes old rows until cancelled."""
         client = self._create_client()
         failures = 0
         try:
             while True:
-                await self._wait_until_due()
-                await self._apply_received()
-                await self._guard.step()
+                if not self._unwritten and not self._asked:
+                    await curio.ignore_after(CLEANUP_CHECK_SECONDS, self._due.wait)
                 try:
                     await self._write_changed(client)
                     await self._claim_tests(client)
                     await self._remove_old(client)
                     failures = 0
-                    delay = STEP_SECONDS
+                    delay = WRITE_INTERVAL_SECONDS
                 except SequoiamoorError as err:
                     failures += 1
                     _LOG.debug("writing cases of prompt parts failed: %s", err)
-                    delay = max(draw_retry_delay(failures, self._rng), STEP_SECONDS)
+                    retry_delay = draw_retry_delay(failures, self._rng)
+                    delay = max(retry_delay, WRITE_INTERVAL_SECONDS)
                 await curio.sleep(delay)
         finally:
             await client.close()
 
-    async def _wait_until_due(self) -> None:
-        quarantine = self._guard.quarantine
-        if quarantine.is_deciding or self._unwritten or self._received:
-            return
-        if quarantine.is_idle and not self._rows:
-            await self._guard.changed.wait()
-        else:
-            await curio.ignore_after(IDLE_STEP_SECONDS, self._guard.changed.wait)
-
     async def _write_changed(self, client: StoreClient) -> None:
         now = time.monotonic()
         for key, write_at in list(self._unwritten.items()):
@@ -240,7 +247,8 @@
         return True
 
     async def _claim_tests(self, client: StoreClient) -> None:
-        for key in self._guard.take_asked():
+        while self._asked:
+            key = self._asked.pop()
             claimed = self._guard.quarantine.claim_probe(key, time.monotonic())
             known = self._rows.get(key)
             if claimed is None or known is None:
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -30,7 +30,7 @@
 TASK_RESTART_DELAY_SECONDS = 0.5
 READ_BEFORE_EXIT_SECONDS = 0.5
 """Longest time at the end of a drain for requests that lie unread in sockets."""
-CONTROL_TASKS = frozenset({"platform", "loads", "control", "parts"})
+CONTROL_TASKS = frozenset({"platform", "loads", "control", "parts", "part rows"})
 """Tasks whose CPU time counts as control."""
 
 TaskFunction = Callable[[], Awaitable[None]]
--- a/tests/daemon/test_part_exchange.py
+++ b/tests/daemon/test_part_exchange.py
@@ -14,6 +14,7 @@
 
 from sequoiamoor.core.part_cases import Crash, PartCase, PartKey
 from sequoiamoor.core.quarantine import IDLE_SECONDS, find_probe_delay
+from sequoiamoor.daemon import sources
 from sequoiamoor.daemon.end_check import EndCheck
 from sequoiamoor.daemon.part_exchange import PartExchange
 from sequoiamoor.daemon.part_guard import PartGuard
@@ -62,7 +63,8 @@
         return self.guard.quarantine.cases
 
     async def start(self, tasks: Any) -> None:
-        for function in (*self.feeds.list_tasks(), self.store.run):
+        own_tasks = (self.exchange.run, self.store.run)
+        for function in (*self.feeds.list_tasks(), *own_tasks):
             await tasks.spawn(function)
 
 
@@ -149,6 +151,28 @@
     run(session)
 
 
+def test_silent_store_delays_no_decision(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a part that goes on to replicas while a write gets no answer."""
+    monkeypatch.setattr(sources, "CALL_TIMEOUT_SECONDS", 60.0)
+
+    async def session(store: StandInStore, tasks: Any) -> None:
+        router = Router(store)
+        await router.start(tasks)
+        await wait_for(lambda: router.store.is_known)
+        store.is_silent = True
+        quarantine, now = router.guard.quarantine, time.monotonic()
+        for crash in build_case().crashes:
+            for case in quarantine.record_crash(crash, [KEY], now):
+                router.exchange.publish(case)
+        await wait_for(lambda: store.unanswered_calls > 0)
+        for _ in range(3):
+            quarantine.record_answer("talk", "owners", [], now)
+        router.guard.changed.set()
+        await wait_for(lambda: router.cases[KEY].is_quarantined)
+
+    run(session)
+
+
 def test_only_one_router_claims_a_test() -> None:
     """Guards against a test that costs a replica at each router."""
 
--- a/tests/daemon/test_supervision.py
+++ b/tests/daemon/test_supervision.py
@@ -25,7 +25,7 @@
 ANY_PORT = "127.0.0.1:0"
 GATEWAY_TASKS = [
     *("callers", "readiness", "metrics", "pool", "feeds", "routers", "readers"),
-    *("directory", "control", "parts", "settings", "lag", "probe"),
+    *("directory", "control", "parts", "part rows", "settings", "lag", "probe"),
 ]
 ROUTER_TASKS = ["callers", "pool", "platform", "loads", "control", "probe"]
 TASKS = [(Gateway, name) for name in GATEWAY_TASKS]
