Call the request that tests a prompt part a probe

Code, log, pages and command used both words for one thing; probe is the usual one. The log event and two keys of /status are renamed with it; none of them was released.

--- a/sequoiamoor/commands/parts.py
+++ b/sequoiamoor/commands/parts.py
@@ -26,7 +26,7 @@
     Attributes:
         stored: The case.
         version: Version of its row.
-        probe_in: Seconds until its next test, negative if it is due.
+        probe_in: Seconds until its next probe, negative if it is due.
     """
 
     stored: StoredCase
@@ -112,7 +112,7 @@
     state = "watched"
     if case.is_quarantined:
         state = (
-            f"in quarantine, {case.probes} tests, next test in "
+            f"in quarantine, {case.probes} probes, next probe in "
             f"{max(listed.probe_in, 0.0):.0f} s"
         )
     lines = [f"{case.key.service} {case.key.part_id}: {state}"]
--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -276,7 +276,7 @@
     """A case of a prompt part, on the way between two routers.
 
     Attributes:
-        case: The case without the time of its next test.
+        case: The case without the time of its next probe.
         probe_in_ms: Milliseconds until that time, negative if it has passed.
     """
 
--- a/sequoiamoor/core/part_cases.py
+++ b/sequoiamoor/core/part_cases.py
@@ -63,7 +63,7 @@
         crashes: Ends of processes that may be due to the part.
         is_proven: Whether a router had an answer on the part shortly before.
         is_quarantined: Whether requests with the part are refused.
-        probes: Requests that were admitted as a test since the quarantine began.
+        probes: Requests that were admitted as a probe since the quarantine began.
         probe_at: Monotonic time in seconds from which the next one may be.
         since_ms: Unix time in milliseconds at which the quarantine began; 0 without
             one. It is shown to operators and decides nothing.
--- a/sequoiamoor/core/quarantine.py
+++ b/sequoiamoor/core/quarantine.py
@@ -54,8 +54,8 @@
 """Time after which a quarantine ends if nobody sends the part."""
 
 FIRST_PROBE_SECONDS = 60.0
-"""Time from the quarantine to the first request that is admitted as a test. It doubles
-with each test that ends a replica."""
+"""Time from the quarantine to the first request that is admitted as a probe. It doubles
+with each probe that ends a replica."""
 
 MAX_PROBE_SECONDS = 3_600.0
 """Upper bound of that time."""
@@ -72,10 +72,10 @@
 
 
 def find_probe_delay(probes: int) -> float:
-    """Returns the seconds from a test of a part to the next one.
+    """Returns the seconds from a probe of a part to the next one.
 
     Args:
-        probes: Number of tests so far.
+        probes: Number of probes so far.
     """
     return min(FIRST_PROBE_SECONDS * 2.0 ** min(probes, 16), MAX_PROBE_SECONDS)
 
@@ -279,7 +279,7 @@
         self._observations.pop(key, None)
 
     def claim_probe(self, key: PartKey, now: float) -> PartCase | None:
-        """Returns the case with one more test, or None if no test is due.
+        """Returns the case with one more probe, or None if no probe is due.
 
         The router whose claim the store accepts may admit one request with the part.
         """
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -197,8 +197,8 @@
                 sorted({crash.organisation for crash in case.crashes})
             ),
             "ended": ",".join(sorted({crash.process for crash in case.crashes})),
-            "tests": case.probes,
-            "next_test_s": max(case.probe_at - now, 0.0)
+            "probes": case.probes,
+            "next_probe_s": max(case.probe_at - now, 0.0)
             if case.is_quarantined
             else None,
         }
--- a/sequoiamoor/daemon/part_guard.py
+++ b/sequoiamoor/daemon/part_guard.py
@@ -24,7 +24,7 @@
 answer that has gone on for longer shows that its process stands the request."""
 
 PROBE_PERMIT_SECONDS = 10.0
-"""Time for which a router may admit the request of a test that it claimed."""
+"""Time for which a router may admit the request of a probe that it claimed."""
 
 MIN_RETRY_AFTER_SECONDS = 1.0
 """Lower bound of Retry-After while a part is in quarantine."""
@@ -64,7 +64,7 @@
     # Requests.
 
     def admit(self, call: RoutedCall) -> None:
-        """Checks a new request; admits one as a test if this router may.
+        """Checks a new request; admits one as a probe if this router may.
 
         Raises:
             PartQuarantinedError: If it has a part that ends replicas.
@@ -78,7 +78,7 @@
         if self._permits.pop(case.key, float("-inf")) >= now:
             self._probe_ids.add(call.call_id)
             extra = _describe(case) | {"request_id": call.request_id}
-            _LOG.info("request admitted as a test of a prompt part", extra=extra)
+            _LOG.info("request admitted as a probe of a prompt part", extra=extra)
             return
         if now >= case.probe_at:
             self._asked.add(case.key)
@@ -193,12 +193,12 @@
             await self._refuse_waiting(case)
 
     def take_asked(self) -> set[PartKey]:
-        """Returns the parts whose test is due and that somebody has sent meanwhile."""
+        """Returns the parts whose probe is due and that somebody has sent meanwhile."""
         asked, self._asked = self._asked, set()
         return asked
 
     def permit_probe(self, key: PartKey) -> None:
-        """Lets the next request with a part pass as a test."""
+        """Lets the next request with a part pass as a probe."""
         self._permits[key] = time.monotonic() + PROBE_PERMIT_SECONDS
 
     async def _refuse_waiting(self, case: PartCase) -> None:
--- a/sequoiamoor/daemon/part_store.py
+++ b/sequoiamoor/daemon/part_store.py
@@ -1,4 +1,4 @@
-"""Keeps the cases of prompt parts in the platform's store, and claims tests there."""
+"""Keeps the cases of prompt parts in the platform's store, and claims probes there."""
 
 from __future__ import annotations
 
@@ -101,7 +101,7 @@
         self._due.set()
 
     def note_asked(self, key: PartKey) -> None:
-        """Records that the test of a part is due and that somebody has sent it."""
+        """Records that the probe of a part is due and that somebody has sent it."""
         self._asked.add(key)
         self._due.set()
 
@@ -187,7 +187,7 @@
     # Writing.
 
     async def run(self) -> None:
-        """Writes changed cases, claims tests and removes old rows until cancelled."""
+        """Writes changed cases, claims probes and removes old rows until cancelled."""
         client = self._create_client()
         failures = 0
         try:
@@ -196,7 +196,7 @@
                     await curio.ignore_after(CLEANUP_CHECK_SECONDS, self._due.wait)
                 try:
                     await self._write_changed(client)
-                    await self._claim_tests(client)
+                    await self._claim_probes(client)
                     await self._remove_old(client)
                     failures = 0
                     delay = WRITE_INTERVAL_SECONDS
@@ -246,13 +246,13 @@
         self._unwritten.pop(case.key, None)
         return True
 
-    async def _claim_tests(self, client: StoreClient) -> None:
+    async def _claim_probes(self, client: StoreClient) -> None:
         while self._asked:
             key = self._asked.pop()
             claimed = self._guard.quarantine.claim_probe(key, time.monotonic())
             known = self._rows.get(key)
             if claimed is None or known is None:
-                # Without a row, no claim keeps other routers from the same test.
+                # Without a row, no claim keeps other routers from the same probe.
                 continue
             if await self._write(client, claimed):
                 await self._guard.apply(claimed, "store")
--- a/sequoiamoor/platform/part_rows.py
+++ b/sequoiamoor/platform/part_rows.py
@@ -58,7 +58,7 @@
 
     Attributes:
         case: The case; its ``probe_at`` is not set.
-        probe_ms: Time of the store's clock in milliseconds of its next test.
+        probe_ms: Time of the store's clock in milliseconds of its next probe.
         written_ms: The same of the write.
     """
 
@@ -80,7 +80,7 @@
 
     Args:
         case: The case.
-        probe_ms: Time of the store's clock in milliseconds of its next test.
+        probe_ms: Time of the store's clock in milliseconds of its next probe.
         written_ms: The same of this write.
     """
     return json.dumps(
--- a/tests/commands/test_parts.py
+++ b/tests/commands/test_parts.py
@@ -41,7 +41,7 @@
 
     async def session(store: StandInStore, register: PartRegister) -> None:
         text = format_cases(await register.list_cases())
-        assert "talk bb00: in quarantine, 0 tests, next test in " in text
+        assert "talk bb00: in quarantine, 0 probes, next probe in " in text
         assert "  i-1/7 ended under router-0/1/5 of captains" in text
         await register.clear(CASE.key)
         assert format_cases(await register.list_cases()) == "(none)"
