Keep the evidence of a quarantine that another router disputes

A router with recent answers on a part cleared its quarantine together with all ends, and did nothing if the case already said that the part was proven, so that a quarantine made at the same time stayed. It ends the quarantine in both cases now and keeps the ends, which count on to the six that a proven part needs. The changed test failed before (a part that new weights broke).

--- a/sequoiamoor/core/part_cases.py
+++ b/sequoiamoor/core/part_cases.py
@@ -123,6 +123,10 @@
             since_ms=min(starts, default=0),
         )
 
+    def dispute(self) -> PartCase:
+        """Returns the case without the quarantine; its evidence still counts."""
+        return PartCase(self.key, self.revision + 1, self.crashes, is_proven=True)
+
     def clear(self) -> PartCase:
         """Returns the case without the suspicion."""
         return PartCase(self.key, self.revision + 1)
--- a/sequoiamoor/core/quarantine.py
+++ b/sequoiamoor/core/quarantine.py
@@ -258,17 +258,11 @@
         if known is None and received.is_cleared:
             return None
         merged = received if known is None else known.merge(received)
-        is_disputed = (
-            not merged.is_cleared
-            and not merged.is_proven
-            and self._proofs.is_proven(received.key, now)
-        )
-        if is_disputed:
+        if not merged.is_cleared and self._proofs.is_proven(received.key, now):
+            is_enough = count_independent(merged.crashes) >= CRASHES_OF_PROVEN_PART
+            if merged.is_quarantined and not is_enough:
+                merged = merged.dispute()
             merged = replace(merged, is_proven=True)
-            if merged.is_quarantined and (
-                count_independent(merged.crashes) < CRASHES_OF_PROVEN_PART
-            ):
-                merged = merged.clear()
         if known is not None and merged.state == known.state:
             return None
         return self._put(merged, now)
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -295,10 +295,16 @@
     """Guards against a part that one router refuses and others answer."""
     simulation = Simulation()
     simulation.answer(BAD)
-    changed = simulation.quarantine.merge(case, simulation.now)
-    assert changed is not None
-    assert changed.is_proven or changed.is_cleared
-    assert simulation.refuses(BAD) is is_kept
+    for received in (case, replace(case, is_proven=True)):
+        changed = simulation.quarantine.merge(received, simulation.now)
+        assert changed is None or changed.is_proven
+        assert simulation.refuses(BAD) is is_kept
+    # The evidence counts on: a part that new weights broke comes to six ends.
+    for _ in range(CRASHES_OF_PROVEN_PART):
+        simulation.crash(BAD)
+    simulation.answer(OTHER, count=MIN_OTHER_ANSWERS)
+    simulation.wait()
+    assert simulation.refuses(BAD)
 
 
 def test_tests_of_a_part_are_rare_and_known_to_all() -> None:
--- a/tests/daemon/test_part_exchange.py
+++ b/tests/daemon/test_part_exchange.py
@@ -227,7 +227,7 @@
         )
         await router.exchange.receive([build_case()], "router-9")
         case, receiver = router.sent[-1]
-        assert case.is_cleared
+        assert (case.is_quarantined, case.is_proven) == (False, True)
         assert receiver in (None, "router-9")
 
     run(session)
