--- a/tests/daemon/test_part_guard.py
+++ b/tests/daemon/test_part_guard.py
@@ -39,24 +39,43 @@
 
 
 @pytest.mark.parametrize(
-    ("end", "is_logged"),
+    ("proven", "end", "requests", "status", "is_logged"),
     [
-        ([STREAM_HEAD, End()], True),
-        ([STREAM_HEAD, chunk(event(1)), End()], True),
-        ([End()], True),
-        ([STREAM_HEAD, Close(is_reset=True)], False),
-        ([STREAM_HEAD, Close()], False),
-        ([b"HTTP/1.1 200", Close()], False),
+        ([SHARED, BAD], [STREAM_HEAD, End()], 2, 200, True),
+        ([SHARED, BAD], [STREAM_HEAD, chunk(event(1)), End()], 2, 200, True),
+        ([SHARED, BAD], [End()], 2, 200, True),
+        ([SHARED], [STREAM_HEAD, End()], 1, 502, True),
+        ([], [STREAM_HEAD, End()], 1, 502, True),
+        ([], [End()], 1, 502, True),
+        ([], [STREAM_HEAD, Close(is_reset=True)], 2, 200, False),
+        ([], [STREAM_HEAD, Close()], 2, 200, False),
+        ([], [b"HTTP/1.1 200", Close()], 2, 200, False),
     ],
 )
-def test_end_of_a_replica_is_logged_with_the_parts_of_its_request(
-    end: list[Step], is_logged: bool, caplog: pytest.LogCaptureFixture
+def test_request_that_ended_a_replica_is_repeated_only_if_its_parts_are_proven(
+    proven: list[PartKey],
+    end: list[Step],
+    requests: int,
+    status: int,
+    is_logged: bool,
+    caplog: pytest.LogCaptureFixture,
 ) -> None:
-    """Guards against an end of a process that looks like any broken answer."""
+    """Guards against a request that ends two replicas one after the other.
+
+    And against an end of a process that looks like any broken answer.
+    """
 
     async def session(harness: RouteListenerHarness) -> None:
-        await harness.add_replicas(1, end, end)
-        await ask(harness, route_request("/summary/1", extra=PARTS))
+        rest = [STREAM_HEAD, chunk(event(1) + event(2)), b"0\r\n\r\n"]
+        if chunk(event(1)) in end:
+            rest[1] = chunk(event(2))
+        replicas = await harness.add_replicas(2, end, rest)
+        harness.forwarder.guard.quarantine.record_answer(
+            "talk", "(public)", proven, time.monotonic()
+        )
+        response = await ask(harness, route_request("/summary/1", extra=PARTS))
+        assert (response.status, response.is_whole) == (status, True)
+        assert sum(len(replica.requests) for replica in replicas) == requests
 
     with caplog.at_level(logging.INFO):
         run(session)
@@ -68,34 +87,6 @@
     assert parts == ([["aa0", "bb00"]] if is_logged else [])
 
 
-@pytest.mark.parametrize(
-    ("proven", "end", "requests", "status"),
-    [
-        ([SHARED, BAD], [STREAM_HEAD, End()], 2, 200),
-        ([SHARED, BAD], [End()], 2, 200),
-        ([SHARED], [STREAM_HEAD, End()], 1, 502),
-        ([], [STREAM_HEAD, End()], 1, 502),
-        ([], [End()], 1, 502),
-        ([], [STREAM_HEAD, Close(is_reset=True)], 2, 200),
-    ],
-)
-def test_request_that_ended_a_replica_is_repeated_only_if_its_parts_are_proven(
-    proven: list[PartKey], end: list[Step], requests: int, status: int
-) -> None:
-    """Guards against a request that ends two replicas one after the other."""
-
-    async def session(harness: RouteListenerHarness) -> None:
-        replicas = await harness.add_replicas(2, end, WHOLE_STREAM)
-        harness.forwarder.guard.quarantine.record_answer(
-            "talk", "(public)", proven, time.monotonic()
-        )
-        response = await ask(harness, route_request("/summary/1", extra=PARTS))
-        assert response.status == status
-        assert sum(len(replica.requests) for replica in replicas) == requests
-
-    run(session)
-
-
 def test_request_with_a_part_in_quarantine_is_refused_at_once() -> None:
     """Guards against a refusal that is late, untrue or invites the caller back."""
 
