Count the parts in quarantine when the metrics are read

The gauge was set when a part came into quarantine or was cleared, and kept its value when a case was forgotten for its age. A property that nothing used is removed.

--- a/sequoiamoor/core/quarantine.py
+++ b/sequoiamoor/core/quarantine.py
@@ -137,11 +137,6 @@
             case.crashes and not case.is_quarantined for case in self.cases.values()
         )
 
-    @property
-    def proven_count(self) -> int:
-        """Number of parts that are remembered as answered."""
-        return len(self._proofs)
-
     # Requests.
 
     def find(
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -69,6 +69,8 @@
         self._metrics.running.set(len(self._board.running))
         self._metrics.configuration_version.set(self._board.configuration.version)
         self._set_upstreams_out(time.monotonic())
+        cases = self._board.quarantine.cases.values()
+        self._metrics.quarantined_parts.set(sum(case.is_quarantined for case in cases))
         if self._policy is not None:
             for figures in self._policy.measure(self._board, time.monotonic()):
                 service = figures.service
--- a/sequoiamoor/daemon/part_guard.py
+++ b/sequoiamoor/daemon/part_guard.py
@@ -216,8 +216,6 @@
         await self.refuse_waiting(find_error)
 
     def _report(self, case: PartCase, source: str) -> None:
-        count = sum(known.is_quarantined for known in self.quarantine.cases.values())
-        self._metrics.quarantined_parts.set(count)
         extra = _describe(case) | {"peer": source}
         if case.is_quarantined:
             _LOG.warning("prompt part in quarantine", extra=extra)
