Repeat requests that were beside an ordinary end of replicas

Each of the requests that one process took along counted as an end of its own under the parts that they share, and two were enough. Ends are counted as for the quarantine now: by processes and requests, whichever are fewer, and only as many as nearly put a proven part into it forbid the repeat. A part without answers still forbids it at once.

--- a/sequoiamoor/core/quarantine.py
+++ b/sequoiamoor/core/quarantine.py
@@ -66,10 +66,6 @@
 MAX_WATCHED_PER_ORGANISATION = 32
 """Cases without quarantine kept for one organisation."""
 
-REPEAT_CRASH_LIMIT = 1
-"""Ends under a proven part since its last answer with which a request that was broken
-off by another end is still sent to a second replica."""
-
 
 def find_probe_delay(probes: int) -> float:
     """Returns the seconds from a probe of a part to the next one.
@@ -158,16 +154,16 @@
     def may_repeat(self, keys: Iterable[PartKey], now: float) -> bool:
         """Returns whether a request that a process may have ended of may be repeated.
 
-        Only if replicas answered on each of its parts shortly before: the replica that
-        the request would reach next would end too if it was the cause.
+        Only if replicas answered on each of its parts shortly before, and too few have
+        ended since for a quarantine: the replica that the request would reach next
+        would end too if it was the cause.
         """
         for key in keys:
-            case = self.cases.get(key)
-            crashes = count_independent(case.crashes) if case is not None else 0
-            held = sum(one.key == key for one in self._held)
-            if not self._proofs.is_proven(key, now):
-                return False
-            if crashes + held > REPEAT_CRASH_LIMIT:
+            crashes = {held.crash for held in self._held if held.key == key}
+            if key in self.cases:
+                crashes |= self.cases[key].crashes
+            is_suspect = count_independent(crashes) >= CRASHES_OF_PROVEN_PART - 1
+            if is_suspect or not self._proofs.is_proven(key, now):
                 return False
         return True
 
