--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 import sys
 import time
 
+from .part_crashes import PartCrashes
 from .run import run_soak
 
 
@@ -21,12 +22,23 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument(
+        "--part-crashes",
+        action="store_true",
+        help="play replicas that end on a prompt part instead",
+    )
     arguments = parser.parse_args()
     # By default SIGTERM would end this process and leave its routers running.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     failed_count = 0
     for seed in range(arguments.seed, arguments.seed + arguments.count):
         started_at = time.monotonic()
+        if arguments.part_crashes:
+            scenario = PartCrashes.draw(seed)
+            violations = scenario.run(routers=arguments.routers)
+            failed_count += bool(violations)
+            print(f"{scenario}: {scenario.count_statuses()}", *violations, flush=True)
+            continue
         result = run_soak(
             seed,
             seconds=arguments.seconds,
