Send callers of streams to another router at once in a drain

A stream that was refused in a drain got Retry-After by its route's target, as if the fleet were full, also after the drain was cut. Another router can take it now. The test failed before for the two rows of streams.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -359,11 +359,12 @@
     def _set_retry_after(self, call: RoutedCall, error: RefusalError) -> None:
         """Sets Retry-After to the time after which a refused request may succeed.
 
-        A quarantine tells its own time. On routes that are not streams, it is set only
+        A quarantine tells its own time, and a router that shuts down tells callers to
+        go to another one at once. On routes that are not streams, it is set only
         if a replica refused the request or could not be reached, or if no replica takes
         requests now.
         """
-        if isinstance(error, PartQuarantinedError):
+        if isinstance(error, PartQuarantinedError | RouterShuttingDownError):
             return
         now = time.monotonic()
         return_time = self._board.upstreams.find_return_time(call.service, now)
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -583,6 +583,7 @@
         received = await caller.receive_until(b'"leaving"')
         assert received.startswith(b"HTTP/1.1 503")
         assert b"was not run" in received
+        assert b"retry-after: 0.00\r\n" in received.lower()
         assert not replicas[0].requests
 
     run(session)
