Show that a timeout of a left wait ends a later one on a late event loop

The test leaves an inner block whose timer was noticed while its task was ready, when the time of the outer block is over as well. Each of six kinds of next wait ends by the inner timeout, although it belongs to no block any more.

--- /dev/null
+++ b/tests/test_timeouts.py
@@ -0,0 +1,106 @@
+"""Tests of timeouts on a late event loop."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import curio
+import curio.io
+import pytest
+from curio import ignore_after, timeout_after
+
+from sequoiamoor.net.http_client import ClientConnection
+from sequoiamoor.types import Address
+
+INNER_SECONDS = 0.02
+OUTER_SECONDS = 0.06
+
+NextWait = Callable[[], Awaitable[object]]
+
+
+async def wait_for_event() -> None:
+    await curio.Event().wait()
+
+
+async def wait_with_timeout() -> None:
+    await ignore_after(10.0, curio.Event().wait)
+
+
+async def wait_to_receive() -> None:
+    left, right = socket.socketpair()
+    left.setblocking(False)
+    async with curio.io.Socket(left) as sock:
+        try:
+            await sock.recv(1)
+        finally:
+            right.close()
+
+
+async def wait_for_task() -> None:
+    task = await curio.spawn(curio.sleep, 10.0)
+    try:
+        await task.wait()
+    finally:
+        await task.cancel(blocking=False)
+
+
+async def connect() -> None:
+    server = curio.network.tcp_server_socket("127.0.0.1", 0)
+    try:
+        connection = await ClientConnection.connect(
+            Address(*server.getsockname()[:2]), timeout=10.0
+        )
+        await connection.close()
+    finally:
+        await server.close()
+
+
+async def leave_inner_block_late(next_wait: NextWait) -> str:
+    """Leaves a block whose timer was noticed, with the outer time over as well.
+
+    Returns:
+        How the next wait in the outer block ended.
+    """
+    is_ready = curio.Event()
+
+    async def make_ready_late() -> None:
+        await curio.sleep(0)
+        time.sleep(INNER_SECONDS * 1.5)
+        # Runs in the next pass, after the timer is noticed and before the other task.
+        await curio.spawn(occupy_loop, daemon=True)
+        await is_ready.set()
+
+    async def occupy_loop() -> None:
+        time.sleep(OUTER_SECONDS)
+
+    await curio.spawn(make_ready_late, daemon=True)
+    try:
+        async with timeout_after(OUTER_SECONDS):
+            async with ignore_after(INNER_SECONDS):
+                await is_ready.wait()
+            await next_wait()
+    except curio.TaskTimeout:
+        return "outer timeout"
+    return "completed"
+
+
+# Guards against a request that is ended by the timeout of an earlier wait, which the
+# caller sees as an internal error or a stream that breaks off.
+@pytest.mark.parametrize(
+    ("next_wait", "end"),
+    [
+        (wait_for_event, "outer timeout"),
+        (wait_with_timeout, "outer timeout"),
+        (wait_to_receive, "outer timeout"),
+        (wait_for_task, "outer timeout"),
+        (partial(curio.sleep, 10.0), "outer timeout"),
+        (connect, "completed"),
+    ],
+)
+def test_timeout_of_a_left_block_does_not_end_a_later_wait(
+    next_wait: NextWait, end: str
+) -> None:
+    assert curio.run(leave_inner_block_late, next_wait) == end
