Discard timeouts that were noticed in a block but not delivered in it

What callers saw: 500, or a stream that breaks off, from a router with a late event loop.

Cause: a timer that fires while its task is ready becomes a pending timeout of the task. curio takes it away when the block ends, but not if the time of an outer block is over by then. The next wait of the task ends by it; the outer block finds it too early to be its own and raises UncaughtTimeoutError. Both deadlines have to pass within one late pass of the loop: the wait limit and the deadline of a request, or the timeout of a connect and the deadline.

Change: all waits go through sequoiamoor.timeouts, which discards what is pending of the block that ends; a pending cancellation is kept. curio has set the timer of the outer block again, so its timeout comes in the next pass.

Ruled out as the cause of requests without any answer: no path was found on which such a timeout ends a request silently; it leads to 500 or to a stream without its end.

--- a/sequoiamoor/commands/configuration.py
+++ b/sequoiamoor/commands/configuration.py
@@ -29,6 +29,7 @@
 )
 from ..net.platform import PlatformClient, TableEntry
 from ..net.table import complete_write, read_with_retries
+from ..timeouts import timeout_after
 from ..types import Address
 
 OPERATION_TIMEOUT_SECONDS = 3.0
@@ -109,7 +110,7 @@
         if current.version:
             await self._write_history_entry(current)
         try:
-            async with curio.timeout_after(WRITE_TIMEOUT_SECONDS):
+            async with timeout_after(WRITE_TIMEOUT_SECONDS):
                 result = await complete_write(
                     self._platform, change.build_write(), rng=self._rng
                 )
@@ -140,7 +141,7 @@
     async def _write_history_entry(self, entry: TableEntry) -> None:
         write = build_history_write(entry.version, entry.value)
         try:
-            async with curio.timeout_after(WRITE_TIMEOUT_SECONDS):
+            async with timeout_after(WRITE_TIMEOUT_SECONDS):
                 await complete_write(self._platform, write, rng=self._rng)
         except curio.TaskTimeout as err:
             raise PlatformUnavailableError(
--- a/sequoiamoor/commands/orders.py
+++ b/sequoiamoor/commands/orders.py
@@ -27,6 +27,7 @@
 from ..net.http_client import ClientConnection
 from ..net.platform import PlatformClient, Vm
 from ..net.table import complete_write, read_with_retries
+from ..timeouts import timeout_after, wait_for
 from ..types import Address, ServiceKind, VmRole
 
 OPERATION_TIMEOUT_SECONDS = 2.0
@@ -120,7 +121,7 @@
         await self._deliver(vm.to_address(), order, check_lease, start_guard)
         write = lease.release(time.monotonic())
         if write is not None:
-            await curio.ignore_after(
+            await wait_for(
                 self._terms.duration_seconds,
                 lambda: complete_write(self._platform, write, rng=self._rng),
             )
@@ -163,7 +164,7 @@
                 wait = lease.find_wait(entry.version, entry.value, now)
                 if wait == 0:
                     write = lease.acquire(entry.version, entry.value, now)
-                    async with curio.timeout_after(self._terms.duration_seconds):
+                    async with timeout_after(self._terms.duration_seconds):
                         result = await complete_write(
                             self._platform, write, rng=self._rng
                         )
@@ -205,7 +206,7 @@
         body = json.dumps(order.to_document()).encode()
         headers = {"content-type": "application/json"}
         try:
-            async with curio.timeout_after(self._terms.max_order_seconds):
+            async with timeout_after(self._terms.max_order_seconds):
                 with start_guard():
                     # This check detects a pause before the guard started. After a
                     # later pause the guard ends the process.
--- a/sequoiamoor/daemon/accept_probe.py
+++ b/sequoiamoor/daemon/accept_probe.py
@@ -10,6 +10,7 @@
 import curio
 
 from ..net.acceptor import Acceptor
+from ..timeouts import timeout_after
 
 _LOG = logging.getLogger(__name__)
 
@@ -71,7 +72,7 @@
     expected = acceptor.expect_probe(host)
     try:
         sock.bind((host, 0))
-        async with curio.timeout_after(TIMEOUT_SECONDS):
+        async with timeout_after(TIMEOUT_SECONDS):
             await sock.connect((host, port))
             await expected.set_address(sock.getsockname())
             await sock.recv(1)
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -15,6 +15,7 @@
 from ..core.upstreams import Replica
 from ..errors import QueueFullError, RefusalError, UpstreamsUnavailableError
 from ..policies import Policy
+from ..timeouts import wait_for
 from ..types import CallRequest
 
 
@@ -105,7 +106,7 @@
         await self.dispatch(call.service)
         if not pending.event.is_set():
             remaining = call.wait_limit_at - time.monotonic()
-            await curio.ignore_after(max(remaining, 0.0), pending.event.wait)
+            await wait_for(max(remaining, 0.0), pending.event.wait)
         if pending.error is not None:
             raise pending.error
         if pending.replica is None:
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -43,6 +43,7 @@
 from ..net.forward import ForwardAttempt, ReceivedHead, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
+from ..timeouts import timeout_after
 from ..types import Address, CallRequest, Execution, RouteKind
 from .dispatcher import Dispatcher
 from .end_check import EndCheck
@@ -285,7 +286,7 @@
         self, connection: ServerConnection, call: RoutedCall, sink: RouteSink
     ) -> None:
         try:
-            async with curio.timeout_after(max(call.ends_at - time.monotonic(), 0.0)):
+            async with timeout_after(max(call.ends_at - time.monotonic(), 0.0)):
                 await self._run_attempts(call, sink)
         except curio.TaskTimeout:
             error: RefusalError = DeadlineError(
--- a/sequoiamoor/daemon/part_exchange.py
+++ b/sequoiamoor/daemon/part_exchange.py
@@ -11,6 +11,7 @@
 from ..core.blackboard import Blackboard
 from ..core.part_cases import PartCase, PartKey
 from ..core.quarantine import MAX_CASES
+from ..timeouts import wait_for
 from ..types import RouterId
 from .control import Control
 from .part_guard import PartGuard
@@ -78,7 +79,7 @@
         if quarantine.is_idle:
             await self._guard.changed.wait()
         else:
-            await curio.ignore_after(IDLE_STEP_SECONDS, self._guard.changed.wait)
+            await wait_for(IDLE_STEP_SECONDS, self._guard.changed.wait)
 
     def publish(self, case: PartCase) -> None:
         """Passes on a case that this router changed."""
--- a/sequoiamoor/daemon/part_store.py
+++ b/sequoiamoor/daemon/part_store.py
@@ -22,6 +22,7 @@
     encode_case,
 )
 from ..platform.store import Row, Rows, StoreClient
+from ..timeouts import wait_for
 from .feeds import draw_retry_delay
 from .invalid_rows import InvalidRows
 from .part_guard import PartGuard
@@ -193,7 +194,7 @@
         try:
             while True:
                 if not self._unwritten and not self._asked:
-                    await curio.ignore_after(CLEANUP_CHECK_SECONDS, self._due.wait)
+                    await wait_for(CLEANUP_CHECK_SECONDS, self._due.wait)
                 try:
                     await self._write_changed(client)
                     await self._claim_probes(client)
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -19,6 +19,7 @@
 from ..net.signals import SignalWatch
 from ..policies import create_policy
 from ..settings import RouterSettings
+from ..timeouts import wait_for
 from ..types import RouterIdentity
 from .budget import fit_settings
 from .control import Control
@@ -156,9 +157,7 @@
             await tasks.cancel_remaining()
         if end is not DrainEndReason.IDLE:
             await self._cut(end.value)
-            await curio.ignore_after(
-                self._options.drain_cut_time, self._wait_until_answered
-            )
+            await wait_for(self._options.drain_cut_time, self._wait_until_answered)
         _LOG.info("drained", extra={"reason": end.value})
         return end
 
--- a/sequoiamoor/daemon/records.py
+++ b/sequoiamoor/daemon/records.py
@@ -16,6 +16,7 @@
 from ..net.platform import PlatformClient
 from ..net.table import complete_write
 from ..options import Options
+from ..timeouts import timeout_after
 from ..types import CallRequest, Execution
 
 _LOG = logging.getLogger(__name__)
@@ -85,7 +86,7 @@
             return None
         self._circuit_breaker.check(call, now)
         try:
-            async with curio.timeout_after(self._options.claim_timeout):
+            async with timeout_after(self._options.claim_timeout):
                 kept_answer = await self._claim(claim, now)
         except curio.TaskTimeout as err:
             if self._circuit_breaker.lets_all_through:
@@ -121,7 +122,7 @@
         next_write: ConditionalWrite | None = write
         outcome = state
         try:
-            async with curio.timeout_after(self._options.record_retry_time):
+            async with timeout_after(self._options.record_retry_time):
                 while next_write is not None:
                     result = await complete_write(
                         self._platform, next_write, rng=self._rng
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -25,6 +25,7 @@
 )
 from ..metrics import Metrics
 from ..options import Options
+from ..timeouts import timeout_after
 from ..types import Address, CallRequest, Execution
 from .http import Response
 from .http_client import ClientConnection
@@ -515,7 +516,7 @@
         connection = self._connection
         assert connection is not None
         try:
-            async with curio.timeout_after(RESPONSE_END_TIMEOUT_SECONDS):
+            async with timeout_after(RESPONSE_END_TIMEOUT_SECONDS):
                 if await connection.receive_data() is not None:
                     self._metrics.mismatches.inc()
                     return
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -22,6 +22,7 @@
     UpstreamUnreachableError,
 )
 from ..metrics import Metrics
+from ..timeouts import timeout_after
 from ..types import Address, RouteKind
 from .events import Events, EventSequence
 from .exchange import RESPONSE_END_TIMEOUT_SECONDS, ConnectionPool
@@ -311,7 +312,7 @@
         connection, self._connection = self._connection, None
         assert connection is not None
         try:
-            async with curio.timeout_after(RESPONSE_END_TIMEOUT_SECONDS):
+            async with timeout_after(RESPONSE_END_TIMEOUT_SECONDS):
                 await connection.receive_body(limit=self._pool.answer_limit_bytes)
         except (OSError, h11.ProtocolError, curio.TaskTimeout):
             await self._pool.discard(connection)
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -13,6 +13,7 @@
 import h11
 from curio.traps import _read_wait
 
+from ..timeouts import timeout_after
 from ..types import Address
 from .chunks import ChunkDecoder
 from .http import (
@@ -100,7 +101,7 @@
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
         sock = curio.socket.socket(family, socket.SOCK_STREAM)
         try:
-            async with curio.timeout_after(timeout):
+            async with timeout_after(timeout):
                 await sock.connect((address.host, address.port))
         except curio.TaskTimeout as err:
             # A late event loop may notice the timer before the connection.
@@ -436,7 +437,7 @@
     """
     connection = None
     try:
-        async with curio.timeout_after(timeout):
+        async with timeout_after(timeout):
             connection = await ClientConnection.connect(address, timeout=timeout)
             await connection.send_request(
                 method, path, {"connection": "close", **(headers or {})}, body
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -16,6 +16,7 @@
     MalformedRequestError,
     RequestTimeoutError,
 )
+from ..timeouts import ignore_after, timeout_after, wait_for
 from .http import (
     HEAD_END_PATTERN,
     RECEIVE_BYTES,
@@ -139,7 +140,7 @@
             Whether something was received.
         """
         if seconds > 0:
-            async with curio.ignore_after(seconds) as timer:
+            async with ignore_after(seconds) as timer:
                 await self._receive()
             if not timer.expired:
                 return True
@@ -239,7 +240,7 @@
     async def _write_rest(self, data: memoryview) -> None:
         try:
             while data:
-                async with curio.timeout_after(self._send_timeout):
+                async with timeout_after(self._send_timeout):
                     sent = await self._sock.send(data)
                 data = data[sent:]
         except curio.TaskTimeout as err:
@@ -394,7 +395,7 @@
             )
             if self.bytes_sent and is_peer_reading:
                 self._raw_sock.shutdown(socket.SHUT_WR)
-                await curio.ignore_after(CLOSE_LINGER_SECONDS, self._discard_received)
+                await wait_for(CLOSE_LINGER_SECONDS, self._discard_received)
         except OSError:
             pass
         finally:
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -29,6 +29,7 @@
 from ..errors import ProtocolError
 from ..metrics import Metrics
 from ..options import Options
+from ..timeouts import timeout_after
 from ..types import Address, RouterIdentity
 from .acceptor import Acceptor
 from .decoder import Decoder
@@ -239,7 +240,8 @@
 
     async def _run_connection(self, handler: Handler) -> None:
         REACHABILITY.check(self.address.host)
-        sock = await curio.timeout_after(self._options.connect_timeout, self._connect)
+        async with timeout_after(self._options.connect_timeout):
+            sock = await self._connect()
         try:
             REACHABILITY.check(self.address.host)
             if self._is_stopped:
@@ -473,9 +475,8 @@
 
     async def _receive(self, sock: Any, *, is_first: bool) -> bytes:
         if is_first:
-            data: bytes = await curio.timeout_after(
-                HELLO_TIMEOUT_SECONDS, sock.recv, RECEIVE_BYTES
-            )
+            async with timeout_after(HELLO_TIMEOUT_SECONDS):
+                data: bytes = await sock.recv(RECEIVE_BYTES)
         else:
             data = await sock.recv(RECEIVE_BYTES)
         return data
--- a/sequoiamoor/net/refusal_lane.py
+++ b/sequoiamoor/net/refusal_lane.py
@@ -7,9 +7,8 @@
 import socket
 from typing import Any
 
-import curio
-
 from ..errors import RefusalError
+from ..timeouts import wait_for
 from .caller import to_refusal_body
 from .http import HEAD_END_PATTERN, RECEIVE_BYTES
 
@@ -77,9 +76,7 @@
     Raises:
         OSError: If the connection fails.
     """
-    data = await curio.ignore_after(
-        FIRST_BYTES_TIMEOUT_SECONDS, sock.recv, RECEIVE_BYTES
-    )
+    data = await wait_for(FIRST_BYTES_TIMEOUT_SECONDS, sock.recv, RECEIVE_BYTES)
     if data == b"":
         return
     # A few hundred bytes always fit into the send buffer of a new connection.
@@ -88,7 +85,7 @@
         return
     with contextlib.suppress(OSError):
         sock._socket.shutdown(socket.SHUT_WR)
-    await curio.ignore_after(LINGER_SECONDS, _discard_received, sock)
+    await wait_for(LINGER_SECONDS, _discard_received, sock)
 
 
 async def _discard_received(sock: Any) -> None:
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -23,6 +23,7 @@
     VersionConflictError,
 )
 from ..net.http_client import ClientConnection
+from ..timeouts import timeout_after
 from ..types import Address
 
 _LOG = logging.getLogger(__name__)
@@ -208,7 +209,7 @@
         target = f"{path}?{encoded_query}" if query else path
         body = b"" if document is None else json.dumps(document).encode()
         try:
-            async with curio.timeout_after(self.timeout + wait):
+            async with timeout_after(self.timeout + wait):
                 status, content = await self._exchange(method, target, body)
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as err:
             self._observe(operation, "no-answer")
--- a/sequoiamoor/standin/load.py
+++ b/sequoiamoor/standin/load.py
@@ -16,6 +16,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ..net.http_client import ClientConnection, exchange
+from ..timeouts import timeout_after
 from ..types import Address
 from .generation import make_token_text
 
@@ -217,7 +218,7 @@
         router = self._rng.choice(self._plan.routers)
         service = self._plan.services[number % len(self._plan.services)]
         try:
-            async with curio.timeout_after(REQUEST_TIMEOUT_SECONDS):
+            async with timeout_after(REQUEST_TIMEOUT_SECONDS):
                 if self._service_kinds[service] == "engine":
                     return await self._stream(router, service, number)
                 return await self._call(router, service, number)
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -10,9 +10,9 @@
 import curio
 import curio.io
 import pytest
-from curio import ignore_after, timeout_after
 
 from sequoiamoor.net.http_client import ClientConnection
+from sequoiamoor.timeouts import ignore_after, timeout_after, wait_for
 from sequoiamoor.types import Address
 
 INNER_SECONDS = 0.02
@@ -26,7 +26,7 @@
 
 
 async def wait_with_timeout() -> None:
-    await ignore_after(10.0, curio.Event().wait)
+    await wait_for(10.0, curio.Event().wait)
 
 
 async def wait_to_receive() -> None:
@@ -104,3 +104,38 @@
     next_wait: NextWait, end: str
 ) -> None:
     assert curio.run(leave_inner_block_late, next_wait) == end
+
+
+# Guards against a cancelled request that goes on because its timer was noticed as well.
+def test_cancellation_is_delivered_after_a_left_block() -> None:
+    async def wait_in_blocks(has_begun: curio.Event) -> None:
+        async with ignore_after(INNER_SECONDS):
+            await has_begun.set()
+            while True:
+                try:
+                    await curio.sleep(10.0)
+                finally:
+                    async with ignore_after(10.0):
+                        pass
+
+    async def session() -> None:
+        has_begun = curio.Event()
+        task = await curio.spawn(wait_in_blocks, has_begun)
+        await has_begun.wait()
+        await task.cancel()
+        assert isinstance(task.exception, curio.TaskCancelled)
+
+    curio.run(session)
+
+
+@pytest.mark.parametrize(("seconds", "result"), [(10.0, "done"), (0.01, None)])
+def test_wait_ends_with_a_result_or_after_its_time(
+    seconds: float, result: str | None
+) -> None:
+    """Guards against a wait that ignores its result or its time."""
+
+    async def work() -> str:
+        await curio.sleep(0.05)
+        return "done"
+
+    assert curio.run(wait_for, seconds, work) == result
