Refuse a request in pieces on a displaced connection as not run

What callers saw: 400 for a proper request, which no caller repeats, and a reset right after it that can take the answer away, so that they saw a closed connection and no answer. It can come to two callers in one pass of a flooded router: up to a hundred idle connections a second are closed to make room while it accepts, and their tasks run later.

Cause: end_idle shuts the receiving side down to wake the connection's task. A request that had arrived in part is then cut off by the end of the data, which was also taken for a close by the caller, so the connection was closed without waiting for the rest: the kernel resets it.

Evidence: test_request_that_crosses_the_close_of_its_connection_is_refused got two more rows (a part of the head, a part of the body); both failed with 400 before.

Change: what is refused on a displaced connection is refused for lack of room; the end of its data says nothing about the caller, and the rest of the request is read and dropped for the usual time after the refusal.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -300,11 +300,14 @@
                     idle_timeout=self._limits.idle_timeout,
                     receive_timeout=self._limits.receive_timeout,
                 )
-            except RefusalError as error:
+            except RefusalError as err:
+                # The rest of a request on a displaced connection cannot be received.
+                is_displaced = self._is_displaced(connection)
+                error = self._build_refusal() if is_displaced else err
                 await self._refuse(connection, error)
                 return ConnectionEnd.REFUSED
             if request is None:
-                if connection not in self._served:
+                if self._is_displaced(connection):
                     return ConnectionEnd.DISPLACED
                 if connection.is_peer_closed:
                     return ConnectionEnd.PEER_CLOSED
@@ -321,12 +324,16 @@
             if not connection.start_next_cycle():
                 return ConnectionEnd.ANSWERED
 
+    def _is_displaced(self, connection: ServerConnection) -> bool:
+        """Returns whether a connection was closed to make room for another one."""
+        return connection not in self._served
+
     async def _serve_request(
         self, connection: ServerConnection, request: Request
     ) -> None:
         """Serves a request, or refuses one that holds a connection others need."""
-        if connection not in self._served:
-            # It was closed to make room while the request was on its way.
+        if self._is_displaced(connection):
+            # The request was on its way.
             connection.closes_after_response = True
             await self._refuse(connection, self._build_refusal())
             return
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -37,6 +37,7 @@
 SEND_BUFFER_BYTES = 262_144
 CLOSE_LINGER_SECONDS = 2.0
 CLOSE_LINGER_LIMIT_BYTES = 4_194_304
+DISCARD_INTERVAL_SECONDS = 0.05
 
 
 class ServerConnection:
@@ -75,6 +76,7 @@
         self._is_head_request = False
         self._is_streaming = False
         self._is_closed = False
+        self._is_idle_ended = False
         self._receive_timeout = 0.0
         self._receive_ends_at = 0.0
         self.is_peer_closed = False
@@ -94,7 +96,8 @@
     async def _receive(self) -> None:
         data = await self._sock.recv(RECEIVE_BYTES)
         self.active_at = time.monotonic()
-        self.is_peer_closed = not data
+        # After end_idle the end of the data says nothing about the peer.
+        self.is_peer_closed = not data and not self._is_idle_ended
         self._h11.receive_data(data)
 
     async def receive_request(
@@ -329,8 +332,10 @@
     def end_idle(self) -> None:
         """Makes the task that waits for the next request see a close.
 
-        A request that arrives before that is still received.
+        A request that arrives whole before that is still received. One of which only a
+        part has arrived is refused as malformed.
         """
+        self._is_idle_ended = True
         with contextlib.suppress(OSError):
             self._raw_sock.shutdown(socket.SHUT_RD)
 
@@ -403,7 +408,13 @@
 
     async def _discard_received(self) -> None:
         remaining_bytes = CLOSE_LINGER_LIMIT_BYTES
-        while remaining_bytes > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
+        while remaining_bytes > 0:
+            data = await self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                if not self._is_idle_ended:
+                    return
+                # More may arrive, although the receiving side was shut down.
+                await curio.sleep(DISCARD_INTERVAL_SECONDS)
             remaining_bytes -= len(data)
             self.discarded_bytes += len(data)
 
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -259,19 +259,36 @@
 
 
 @pytest.mark.usefixtures("short_idle_time")
-def test_request_that_crosses_the_close_of_its_connection_is_refused() -> None:
-    """Guards against a request without an answer on a connection that made room."""
+@pytest.mark.parametrize("arrived", [10, -2, None], ids=["head", "body", "whole"])
+def test_request_that_crosses_the_close_of_its_connection_is_refused(
+    arrived: int | None,
+) -> None:
+    """Guards against a request without an answer on a connection that made room.
+
+    Only a part of it may have arrived when the router comes to it.
+    """
 
     async def session(harness: ListenerHarness) -> None:
         await harness.add_upstream(answer_whole, service="look")
         kept = await connect_kept(harness, "a")
+        data = request("look", stream=False)
         # Nothing else runs between these two lines.
         assert harness.listener._make_room()
-        kept.sock._socket.send(request("look", stream=False))
+        kept.sock._socket.send(data[:arrived])
+        if arrived is not None:
+            # The router has come to it when the rest arrives.
+            await curio.sleep(0.05)
+            kept.sock._socket.send(data[arrived:])
+            await curio.sleep(0.05)
         response = parse(await kept.receive_until(b"}\n"))
+        assert (response.status, response.refusal["code"]) == (
+            503,
+            "too-many-connections",
+        )
         assert response.refusal["execution"] == "was not run"
         assert response.headers["connection"] == "close"
         assert await kept.receive_all() == kept.received
+        assert not kept.is_reset
 
     run_limited(session, 1)
 
