Look for the request once more before a connection over the limit is refused

What callers saw: on a flooded router, further connections over the limit wait in the kernel's queue, since only a few are refused at a time.

Cause: on a late event loop the timer for the first bytes is noticed before the request that has arrived. The refusal is then sent as if there were none, and the connection is held for another second to let a request be read that has long come.

Evidence: test_request_that_arrives_as_the_timer_fires_is_read_before_its_refusal did not end before. How much it matters in a flood was not measured.

Change: what has arrived is received when the timer fires.

--- a/sequoiamoor/net/refusal_lane.py
+++ b/sequoiamoor/net/refusal_lane.py
@@ -10,7 +10,7 @@
 from ..errors import RefusalError
 from ..timeouts import wait_for
 from .caller import to_refusal_body
-from .http import HEAD_END_PATTERN, RECEIVE_BYTES
+from .http import HEAD_END_PATTERN, RECEIVE_BYTES, receive_arrived
 
 FIRST_BYTES_TIMEOUT_SECONDS = 0.2
 """Wait for the request before the refusal is sent. Some clients take a response that
@@ -77,6 +77,8 @@
         OSError: If the connection fails.
     """
     data = await wait_for(FIRST_BYTES_TIMEOUT_SECONDS, sock.recv, RECEIVE_BYTES)
+    if data is None:
+        data = receive_arrived(sock._socket)
     if data == b"":
         return
     # A few hundred bytes always fit into the send buffer of a new connection.
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from typing import Any
 
 import curio
@@ -107,6 +108,32 @@
     run_limited(session, 1)
 
 
+def test_request_that_arrives_as_the_timer_fires_is_read_before_its_refusal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refused connections that are held open on a late event loop.
+
+    The timer is noticed before the request arrives. The caller does not close.
+    """
+    monkeypatch.setattr(refusal_lane, "FIRST_BYTES_TIMEOUT_SECONDS", 0.05)
+    monkeypatch.setattr(refusal_lane, "LINGER_SECONDS", 60.0)
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.connect()
+        await curio.sleep(0)
+        caller = await harness.connect()
+        await harness.wait_for(lambda: harness.listener.excess_connections == 1)
+        # The connection's task gets to its wait.
+        await curio.sleep(0.01)
+        time.sleep(0.1)
+        await curio.sleep(0)
+        await caller.send(HEALTH)
+        await check_refused(caller)
+        await harness.wait_for(lambda: harness.listener.excess_connections == 0)
+
+    run_limited(session, 1)
+
+
 def test_flood_of_connections_displaces_few_idle_ones(
     short_idle_time: None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
