Keep the timeout of an outer block that is noticed before an inner one is entered

Callers of requests that may not be repeated could wait beyond their deadline: on a late event loop the deadline of a request is noticed while its task is ready, and the task may then enter and leave a block that needs no wait, such as the rest of an answer that came with its head (ForwardAttempt._drain_response) or a send that the socket takes at once.

Cause: curio discards any pending timeout where a block is left, and so did timeouts.py. The timer of the outer block has fired and is not set again, so nothing ends the waits of that block any more.

Evidence: both cases of the new test end with "completed" instead of "outer timeout" before; 7 of 3,000 random programs of nested blocks on a late loop (simulated clock, trial) never ended before, none of 4,000 after.

What was pending is now taken before curio leaves the block, and kept if an outer deadline had expired when it was noticed and curio has not set that timer again.

--- a/sequoiamoor/timeouts.py
+++ b/sequoiamoor/timeouts.py
@@ -28,10 +28,12 @@
         return self
 
     async def _leave(self, *exit_arguments: object) -> bool:
+        # curio would discard any undelivered timeout here, also that of an outer block.
+        pending = await curio.set_cancellation(None)
         try:
             return bool(await self._context.__aexit__(*exit_arguments))
         finally:
-            await _discard_undelivered_timeout()
+            await curio.set_cancellation(await _select_undelivered(pending))
 
 
 class TimeoutAfter(_Timeout):
@@ -63,17 +65,27 @@
         return await self._leave(kind, error, traceback)
 
 
-async def _discard_undelivered_timeout() -> None:
-    """Discards a timeout that was noticed in a block but not delivered in it.
+async def _select_undelivered(
+    pending: BaseException | None,
+) -> BaseException | None:
+    """Returns what is still to be delivered to the task after it left a block.
 
     A timer that is noticed while its task is ready stays pending until the task waits
-    again. curio keeps it beyond the block if an outer timeout has expired by then, and
-    the next wait would end by a timeout that belongs to no block. curio sets the timer
-    of the outer block again, so that one is not lost.
+    again. If it belonged to the block that was left, it must end no later wait. If it
+    belongs to an outer block, nothing else may end the waits of that block.
+
+    Args:
+        pending: Exception that was pending before the block was left.
     """
-    pending = await curio.set_cancellation(None)
-    if pending is not None and not isinstance(pending, curio.TaskTimeout):
-        await curio.set_cancellation(pending)
+    if not isinstance(pending, curio.TaskTimeout):
+        return pending
+    task = await curio.current_task()
+    noticed_at = pending.args[0]
+    is_outer_due = any(deadline <= noticed_at for deadline in task._deadlines)
+    # curio has set the timer of an outer block again if it was that of the task when
+    # the left block was entered. Delivered as well, it would end two waits.
+    is_set_again = task.timeout is not None and task.timeout <= noticed_at
+    return pending if is_outer_due and not is_set_again else None
 
 
 def timeout_after(seconds: float) -> TimeoutAfter:
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -106,6 +106,42 @@
     assert curio.run(leave_inner_block_late, next_wait) == end
 
 
+async def enter_block_late(is_nested: bool) -> str:
+    """Enters and leaves blocks without a wait after the outer time is over.
+
+    Returns:
+        How the next wait in the outer block ended.
+    """
+    is_ready = curio.Event()
+
+    async def make_ready_late() -> None:
+        await curio.sleep(0)
+        time.sleep(OUTER_SECONDS * 1.5)
+        await is_ready.set()
+
+    await curio.spawn(make_ready_late, daemon=True)
+    try:
+        async with timeout_after(OUTER_SECONDS):
+            await is_ready.wait()
+            async with ignore_after(10.0):
+                if is_nested:
+                    async with timeout_after(10.0):
+                        pass
+            await curio.sleep(1.0)
+    except curio.TaskTimeout:
+        return "outer timeout"
+    return "completed"
+
+
+# Guards against a request that never ends because its deadline was noticed before it
+# entered a wait that needed no time.
+@pytest.mark.parametrize("is_nested", [False, True])
+def test_timeout_of_an_outer_block_is_kept_when_an_inner_one_is_left(
+    is_nested: bool,
+) -> None:
+    assert curio.run(enter_block_late, is_nested) == "outer timeout"
+
+
 # Guards against a cancelled request that goes on because its timer was noticed as well.
 def test_cancellation_is_delivered_after_a_left_block() -> None:
     async def wait_in_blocks(has_begun: curio.Event) -> None:
