Tell a caller's connection that failed from one that its caller closed

Cause: ServerConnection.wait_closed took each OSError for a close, peek dropped the errno (the kernel reports it once), Listener._record_end returned before it counted such an end, and a connection that ended with a request in service was counted as `answered`.

Change: ServerConnection keeps the first error. The ends are `lost`, `peer-closed` or, with an unanswered request and neither, `fault`. A failed one with a whole request in it counts as cut. `caller disconnected` has `reason` (`closed` or `failed`) and `error` (errno, or `send-timeout`); new metric sequoiamoor_caller_connections_failed_total{error}. No new line per request, so the volume of the log is bounded as before. Which requests are served does not change.

Evidence: test_failed_connection_is_told_from_one_that_its_caller_closed, 4 cases, fails on the code before and passes now. An ETIMEDOUT was not provoked; it takes the same path as the reset of the test.

--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -33,7 +33,7 @@
 from ..types import Address, CallRequest, Execution, ServiceKind
 from .dispatcher import Dispatcher
 from .records import CallRecord, Records
-from .sink import CallerGoneError, CallerSink
+from .sink import CallerGoneError, CallerSink, build_disconnect_fields
 
 _LOG = logging.getLogger(__name__)
 
@@ -145,17 +145,18 @@
         except curio.CancelledError:
             if connection.is_peer_closed:
                 self._record_caller_disconnect(
-                    connection, call, "the caller closed its connection"
+                    connection, call, "the call was in service"
                 )
             raise
 
     def _record_caller_disconnect(
-        self, connection: ServerConnection, call: CallRequest, reason: str
+        self, connection: ServerConnection, call: CallRequest, detail: str
     ) -> None:
         self._metrics.callers_gone.inc()
         if connection.is_peer_slow:
             self._metrics.callers_slow.inc()
-        _LOG.info("caller disconnected", extra=build_log_fields(call, reason=reason))
+        extra = build_log_fields(call) | build_disconnect_fields(connection, detail)
+        _LOG.info("caller disconnected", extra=extra)
 
     async def _run_or_refuse(self, call: CallRequest, sink: CallerSink) -> None:
         try:
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -49,7 +49,7 @@
 from .part_guard import PartGuard
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
-from .sink import CallerGoneError
+from .sink import CallerGoneError, build_disconnect_fields
 from .statements import StatementReader
 
 _LOG = logging.getLogger(__name__)
@@ -267,19 +267,25 @@
         try:
             await self._run_within_deadline(connection, call, sink)
         except CallerGoneError as err:
-            self._record_caller_disconnect(call, str(err))
+            self._record_caller_disconnect(connection, call, str(err))
         except curio.CancelledError:
             if connection.is_peer_closed:
-                self._record_caller_disconnect(call, "the caller closed its connection")
+                self._record_caller_disconnect(
+                    connection, call, "the request was in service"
+                )
             raise
         except OSError as err:
             if not connection.has_send_failed:
                 raise
-            self._record_caller_disconnect(call, str(err))
+            self._record_caller_disconnect(connection, call, str(err))
 
-    def _record_caller_disconnect(self, call: RoutedCall, reason: str) -> None:
+    def _record_caller_disconnect(
+        self, connection: ServerConnection, call: RoutedCall, detail: str
+    ) -> None:
         self._metrics.callers_gone.inc()
-        _LOG.info("caller disconnected", extra=_build_log_fields(call, reason=reason))
+        extra = _build_log_fields(call, reason="closed")
+        extra |= build_disconnect_fields(connection, detail)
+        _LOG.info("caller disconnected", extra=extra)
 
     async def _run_within_deadline(
         self, connection: ServerConnection, call: RoutedCall, sink: RouteSink
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -216,13 +216,22 @@
     ) -> None:
         """Counts the end of a connection; logs one that cuts off its caller.
 
+        A caller that closed the connection itself was not cut off, unlike one whose
+        connection failed.
+
         Args:
             connection: The connection, which is closed.
             end: Why it ended.
             idle_seconds: Time since the last byte was sent or received.
         """
         self._metrics.caller_connections_ended.labels(end).inc()
-        if connection.is_peer_closed and end is not ConnectionEnd.DISPLACED:
+        if connection.failure_name is not None:
+            self._metrics.caller_connections_failed.labels(
+                connection.failure_name
+            ).inc()
+        elif end is ConnectionEnd.PEER_CLOSED or (
+            connection.is_peer_closed and end is not ConnectionEnd.DISPLACED
+        ):
             return
         if connection.has_unanswered_request:
             detail = "read"
@@ -238,6 +247,7 @@
             extra={
                 "reason": end,
                 "detail": detail,
+                "error": connection.failure_name,
                 "unread_bytes": connection.unread_bytes + connection.discarded_bytes,
                 "idle_ms": round(idle_seconds * 1000),
             },
@@ -319,7 +329,7 @@
                 await self._refuse(connection, _build_internal_error())
                 return ConnectionEnd.FAULT
             if not connection.start_next_cycle():
-                return ConnectionEnd.ANSWERED
+                return _find_end(connection)
 
     async def _serve_request(
         self, connection: ServerConnection, request: Request
@@ -422,6 +432,16 @@
         await self._calls.serve(connection, call)
 
 
+def _find_end(connection: ServerConnection) -> ConnectionEnd:
+    """Returns why a connection ends after a request of it was served."""
+    if connection.failure is not None:
+        return ConnectionEnd.LOST
+    is_unanswered = connection.has_unanswered_request
+    if connection.is_peer_closed or (is_unanswered and connection.has_peer_left):
+        return ConnectionEnd.PEER_CLOSED
+    return ConnectionEnd.FAULT if is_unanswered else ConnectionEnd.ANSWERED
+
+
 def _build_internal_error() -> InternalError:
     return InternalError(
         "an internal error of the router ended the request; see its log",
--- a/sequoiamoor/daemon/sink.py
+++ b/sequoiamoor/daemon/sink.py
@@ -22,6 +22,17 @@
     """The caller closed its connection, or the connection failed."""
 
 
+def build_disconnect_fields(
+    connection: ServerConnection, detail: str
+) -> dict[str, str | None]:
+    """Returns the log fields that tell a closed connection from a failed one."""
+    return {
+        "reason": "closed" if connection.failure is None else "failed",
+        "error": connection.failure_name,
+        "detail": detail,
+    }
+
+
 async def deliver(send: Coroutine[Any, Any, None]) -> None:
     """Awaits a send on the caller's connection.
 
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -23,6 +23,7 @@
     "parts",
     "reason",
     "detail",
+    "error",
     "status",
     "version",
     "key_age_ms",
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -56,10 +56,17 @@
         )
         self.caller_connections_cut = Counter(
             "sequoiamoor_caller_connections_cut",
-            "Connections that this side closed with a request in them, by reason.",
+            "Connections closed by this side, or failed, with a request in them, by "
+            "reason.",
             ["reason"],
             registry=self.registry,
         )
+        self.caller_connections_failed = Counter(
+            "sequoiamoor_caller_connections_failed",
+            "Connections of callers that failed, by error.",
+            ["error"],
+            registry=self.registry,
+        )
         self.callers_slow = Counter(
             "sequoiamoor_callers_slow",
             "Calls whose caller read nothing for the send timeout.",
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -135,12 +135,26 @@
     Returns:
         None if no data was received, or ``b""`` if the connection is closed or broken.
     """
+    try:
+        return peek_or_raise(sock)
+    except OSError:
+        return b""
+
+
+def peek_or_raise(sock: Any) -> bytes | None:
+    """Returns the next byte on a non-blocking socket without consuming it.
+
+    Returns:
+        None if no data was received, or ``b""`` if the peer closed the connection.
+
+    Raises:
+        OSError: If the connection is broken. The kernel reports that once; later calls
+            return ``b""``.
+    """
     try:
         data: bytes = sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return None
-    except OSError:
-        return b""
     return data
 
 
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import time
 from typing import Any
@@ -24,7 +25,7 @@
     check_request_head,
     disable_send_delay,
     enable_dead_peer_detection,
-    peek,
+    peek_or_raise,
     peek_unread,
     to_h11_headers,
     to_header_dict,
@@ -43,6 +44,8 @@
 
     Attributes:
         is_peer_closed: Whether the peer closed its side or the connection failed.
+        failure: First error with which receiving or sending failed; None as long as the
+            connection works, also after the peer closed it.
         is_peer_slow: Whether a send failed because the peer read nothing for too long.
         has_send_failed: Whether a send failed for any reason.
         bytes_sent: Number of bytes passed to the socket.
@@ -77,6 +80,7 @@
         self._receive_timeout = 0.0
         self._receive_ends_at = 0.0
         self.is_peer_closed = False
+        self.failure: OSError | None = None
         self.is_peer_slow = False
         self.has_send_failed = False
         self.bytes_sent = 0
@@ -91,11 +95,36 @@
         )
 
     async def _receive(self) -> None:
-        data = await self._sock.recv(RECEIVE_BYTES)
+        try:
+            data = await self._sock.recv(RECEIVE_BYTES)
+        except OSError as err:
+            self._note_failure(err)
+            raise
         self.active_at = time.monotonic()
         self.is_peer_closed = not data
         self._h11.receive_data(data)
 
+    def _note_failure(self, error: OSError) -> None:
+        if self.failure is None:
+            self.failure = error
+
+    @property
+    def failure_name(self) -> str | None:
+        """Short name of the failure: that of its errno, or ``send-timeout``."""
+        if self.failure is None:
+            return None
+        if self.is_peer_slow:
+            return "send-timeout"
+        return errno.errorcode.get(self.failure.errno or 0, "unknown")
+
+    def _peek(self) -> bytes | None:
+        # The kernel tells an error once, so it has to be kept here.
+        try:
+            return peek_or_raise(self._raw_sock)
+        except OSError as err:
+            self._note_failure(err)
+            return b""
+
     async def receive_request(
         self, *, idle_timeout: float, receive_timeout: float
     ) -> Request | None:
@@ -143,7 +172,7 @@
                 await self._receive()
             if not timer.expired:
                 return True
-        if peek(self._raw_sock) is None:
+        if self._peek() is None:
             return False
         await self._receive()
         return True
@@ -232,8 +261,9 @@
             self.active_at = time.monotonic()
             if sent < len(data):
                 await self._write_rest(memoryview(data)[sent:])
-        except OSError:
+        except OSError as err:
             self.has_send_failed = True
+            self._note_failure(err)
             raise
 
     async def _write_rest(self, data: memoryview) -> None:
@@ -314,7 +344,7 @@
     @property
     def has_peer_left(self) -> bool:
         """Whether the peer closed the connection, even if that was not read yet."""
-        return peek(self._raw_sock) == b""
+        return self._peek() == b""
 
     @property
     def is_idle(self) -> bool:
@@ -322,7 +352,7 @@
         return (
             self._h11.their_state is h11.IDLE
             and self._h11.trailing_data == (b"", False)
-            and peek(self._raw_sock) is None
+            and self._peek() is None
         )
 
     def end_idle(self) -> None:
@@ -336,7 +366,7 @@
     @property
     def has_unread(self) -> bool:
         """Whether data of the peer is in the socket."""
-        return bool(peek(self._raw_sock))
+        return bool(self._peek())
 
     async def wait_closed(self) -> None:
         """Waits until the peer closes its side; buffers data received before that."""
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+import socket
 import time
 
 import curio
@@ -10,6 +12,7 @@
 from hypothesis import strategies as st
 
 from sequoiamoor.core.upstreams import Upstreams
+from sequoiamoor.net.http_client import RESET_ON_CLOSE
 from sequoiamoor.types import CallRequest
 from tests.listener_harness import (
     Hang,
@@ -26,6 +29,9 @@
     token,
 )
 
+from ..route_listener_harness import RouteListenerHarness, route_request
+from ..route_listener_harness import run as run_routes
+
 HEAD = (
     b"POST /v1/services/talk/calls HTTP/1.1\r\nHost: r\r\nX-Organisation: a\r\n"
     b"X-Class: chat\r\n"
@@ -520,6 +526,48 @@
     run(session)
 
 
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize(
+    ("is_reset", "end", "reason", "error"),
+    [(False, "peer-closed", "closed", None), (True, "lost", "failed", "ECONNRESET")],
+)
+def test_failed_connection_is_told_from_one_that_its_caller_closed(
+    is_reset: bool,
+    end: str,
+    reason: str,
+    error: str | None,
+    is_late: bool,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a lost request that counts as one whose caller left by itself.
+
+    On a late event loop, the end is there before the request is read.
+    """
+    caplog.set_level(logging.INFO)
+
+    async def session(harness: RouteListenerHarness) -> None:
+        upstream = await harness.add_upstream(lambda _: [Hang()])
+        caller = await harness.connect()
+        caller.sock._socket.send(route_request("/look/1"))
+        if not is_late:
+            await harness.wait_for(lambda: bool(upstream.requests))
+        if is_reset:
+            caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        caller.sock._socket.close()
+        caller.is_closed = True
+        await harness.wait_for(lambda: harness.counter("callers_gone") == 1)
+        await harness.wait_for(lambda: harness.listener._connections == 0)
+        assert harness.counter("caller_connections_ended", reason=end) == 1
+        assert harness.counter("caller_connections_cut", reason=end) == int(is_reset)
+        failed = harness.counter("caller_connections_failed", error="ECONNRESET")
+        assert failed == int(is_reset)
+        line = next(it for it in caplog.records if it.message == "caller disconnected")
+        assert vars(line)["reason"] == reason
+        assert vars(line)["error"] == error
+
+    run_routes(session)
+
+
 def test_caller_that_does_not_read_is_disconnected() -> None:
     """Guards against a slot held by a caller that does not read.
 
