Answer a request whose answer h11 refuses to send

What callers saw: a closed connection without an answer or a refusal, with one line `caller disconnected`, though they were there and waited. A 200 to CONNECT on a route does it; so does any head that h11 rejects.

Cause: deliver took h11.LocalProtocolError for a failed connection. After that error h11 sends nothing more, so no refusal could follow either.

Evidence: test_answer_that_cannot_be_sent_is_replaced_by_a_failure (3 cases) and test_head_that_cannot_be_sent_is_replaced_by_a_failure (2) fail before ("incomplete response head: b''") and pass now.

Why it works: the error is told apart (UnsendableAnswerError); ServerConnection takes a new parser if nothing of the response was sent, and the refusal ends the connection. Whether a request is unanswered no longer depends on states of h11, which differ for CONNECT and Upgrade. It is not counted as a failure of the replica. The line of such a request on a route stays within the rate limit.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -49,7 +49,7 @@
 from .part_guard import PartGuard
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
-from .sink import CallerGoneError, build_disconnect_fields
+from .sink import CallerGoneError, UnsendableAnswerError, build_disconnect_fields
 from .statements import StatementReader
 
 _LOG = logging.getLogger(__name__)
@@ -309,6 +309,10 @@
             return
         except CallerGoneError:
             raise
+        except UnsendableAnswerError as err:
+            # Callers can provoke this with CONNECT: no line beyond the rate limit.
+            await self._finish_failed(connection, call, sink, InternalError(str(err)))
+            return
         except Exception as err:
             _LOG.exception(
                 "request ended by an unexpected exception",
@@ -342,7 +346,7 @@
         sink: RouteSink,
         error: RefusalError,
     ) -> None:
-        if sink.is_started:
+        if sink.is_started and not connection.has_unanswered_request:
             # The missing last chunk tells the caller that the answer is incomplete. The
             # connection is closed later by the listener, since a task of this request
             # still reads from it.
--- a/sequoiamoor/daemon/sink.py
+++ b/sequoiamoor/daemon/sink.py
@@ -22,6 +22,10 @@
     """The caller closed its connection, or the connection failed."""
 
 
+class UnsendableAnswerError(Exception):
+    """The answer cannot be sent as HTTP/1.1; this is no fault of the connection."""
+
+
 def build_disconnect_fields(
     connection: ServerConnection, detail: str
 ) -> dict[str, str | None]:
@@ -41,11 +45,16 @@
 
     Raises:
         CallerGoneError: If the connection failed or is closed.
+        UnsendableAnswerError: If the response was rejected before it was sent.
     """
     try:
         await send
-    except (OSError, h11.LocalProtocolError) as err:
+    except OSError as err:
         raise CallerGoneError(str(err)) from err
+    except h11.LocalProtocolError as err:
+        raise UnsendableAnswerError(
+            f"the answer cannot be sent, {err}; report it with the lines of its request"
+        ) from err
 
 
 class CallerSink:
@@ -95,7 +104,7 @@
         if self._call.wants_stream:
             try:
                 await self._connection.send_data(data)
-            except (OSError, h11.LocalProtocolError) as err:
+            except OSError as err:
                 raise CallerGoneError(str(err)) from err
             return
         self._buffered_bytes += len(data)
@@ -140,16 +149,17 @@
 
     async def refuse(self, error: RefusalError) -> None:
         """Sends a refusal or, if a streamed answer has begun, marks it incomplete."""
-        if not self.is_started:
-            if self._connection.can_refuse:
-                await deliver(
-                    send_refusal(
-                        self._connection,
-                        error,
-                        self._call.request_id,
-                        call_id=self._call.call_id,
-                    )
+        if self._connection.can_refuse:
+            await deliver(
+                send_refusal(
+                    self._connection,
+                    error,
+                    self._call.request_id,
+                    call_id=self._call.call_id,
                 )
+            )
+            return
+        if not self.is_started:
             return
         body = to_refusal_body(error, self._call.request_id)
         event = b"event: incomplete\ndata: " + body.strip() + b"\n\n"
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -75,6 +75,8 @@
         self._send_timeout = send_timeout
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=header_limit)
         self._is_head_request = False
+        self._is_request_whole = False
+        self._is_response_begun = False
         self._is_streaming = False
         self._is_closed = False
         self._receive_timeout = 0.0
@@ -239,6 +241,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
+                self._is_request_whole = True
                 request.body = b"".join(parts)
                 return request
             size += len(event.data)
@@ -283,6 +286,35 @@
         if data:
             await self._write(data)
 
+    def _compose(self, *events: Any) -> bytes:
+        """Returns the bytes of events of a response.
+
+        Raises:
+            h11.LocalProtocolError: If h11 rejects the response. A refusal can still be
+                sent if nothing of the response was.
+        """
+        try:
+            return b"".join(self._h11.send(event) for event in events)
+        except h11.LocalProtocolError:
+            if not self._is_response_begun:
+                self._reset_parser()
+            raise
+
+    def _reset_parser(self) -> None:
+        """Lets a response be sent after h11 rejected another one to the same request.
+
+        h11 sends nothing more after an error, so the request is replaced by a plain one
+        to the new parser. The connection ends with that response.
+        """
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._header_limit
+        )
+        method = b"HEAD" if self._is_head_request else b"GET"
+        self._h11.receive_data(method + b" / HTTP/1.1\r\nHost: x\r\n\r\n")
+        while self._h11.their_state is not h11.DONE:
+            self._h11.next_event()
+        self.closes_after_response = True
+
     async def send_response(
         self, status: int, headers: dict[str, str] | Headers, body: bytes
     ) -> None:
@@ -290,17 +322,18 @@
 
         Raises:
             OSError: If the connection fails or the peer does not read.
+            h11.LocalProtocolError: If h11 rejects the response.
         """
         fields = to_h11_headers(headers)
         fields.append((b"content-length", b"%d" % len(body)))
         if self.closes_after_response or self._h11.their_state is not h11.DONE:
             _append_close(fields)
-        head = self._h11.send(h11.Response(status_code=status, headers=fields))
-        data = b""
+        events: list[Any] = [h11.Response(status_code=status, headers=fields)]
         if body and not self._is_head_request:
-            data = self._h11.send(h11.Data(data=body))
-        end = self._h11.send(h11.EndOfMessage())
-        await self._write(b"".join((head, data, end)))
+            events.append(h11.Data(data=body))
+        data = self._compose(*events, h11.EndOfMessage())
+        self._is_response_begun = True
+        await self._write(data)
 
     async def start_stream(
         self, status: int, headers: dict[str, str] | Headers
@@ -309,12 +342,15 @@
 
         Raises:
             OSError: If the connection fails or the peer does not read.
+            h11.LocalProtocolError: If h11 rejects the response.
         """
         fields = to_h11_headers(headers)
         fields.append((b"transfer-encoding", b"chunked"))
         if self.closes_after_response:
             _append_close(fields)
-        await self._send(h11.Response(status_code=status, headers=fields))
+        data = self._compose(h11.Response(status_code=status, headers=fields))
+        self._is_response_begun = True
+        await self._write(data)
         self._is_streaming = True
 
     async def send_data(self, data: bytes) -> None:
@@ -385,9 +421,7 @@
     @property
     def has_unanswered_request(self) -> bool:
         """Whether a request was received whole and no response has begun."""
-        return self._h11.our_state is h11.SEND_RESPONSE and (
-            self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-        )
+        return self._is_request_whole and not self._is_response_begun
 
     @property
     def can_refuse(self) -> bool:
@@ -401,6 +435,7 @@
         ):
             return False
         self._h11.start_next_cycle()
+        self._is_request_whole = self._is_response_begun = False
         return True
 
     async def close(self) -> None:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -219,6 +219,37 @@
     run(session)
 
 
+@pytest.mark.parametrize(
+    ("path", "script"),
+    [
+        ("/look/1", [answer()]),
+        ("/hold/1", [answer()]),
+        ("/chat/1", [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]),
+    ],
+)
+def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(
+    path: str, script: list[Step]
+) -> None:
+    """Guards against an answer that h11 rejects and that counts as a caller that left.
+
+    A 2xx to CONNECT would begin a tunnel, so h11 takes no body after it.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        upstream = await harness.add_upstream(lambda _: script)
+        caller = await harness.connect()
+        await caller.send(route_request(path).replace(b"POST", b"CONNECT", 1))
+        response = parse(await caller.receive_all())
+        assert (response.status, response.is_whole) == (502, True)
+        assert response.refusal["execution"] == "may have run"
+        assert harness.counter("callers_gone") == 0
+        assert len(upstream.requests) == 1
+        replica = harness.board.upstreams.replicas["replica-1"]
+        assert replica.failures == 0
+
+    run(session)
+
+
 @pytest.mark.parametrize("error", [LookupError("gone"), OSError("not the caller's")])
 def test_exception_while_a_refusal_is_prepared_is_answered(
     error: Exception, monkeypatch: pytest.MonkeyPatch
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from sequoiamoor.core.upstreams import Upstreams
+from sequoiamoor.daemon.sink import CallerSink
 from sequoiamoor.net.http_client import RESET_ON_CLOSE
 from sequoiamoor.types import CallRequest
 from tests.listener_harness import (
@@ -526,6 +527,32 @@
     run(session)
 
 
+@pytest.mark.parametrize("stream", [False, True])
+def test_head_that_cannot_be_sent_is_replaced_by_a_failure(
+    stream: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a head that h11 rejects and that counts as a caller that left."""
+    monkeypatch.setattr(
+        CallerSink, "_build_headers", lambda sink, content_type: {"a b": content_type}
+    )
+
+    async def session(harness: ListenerHarness) -> None:
+        script = [complete_response("call-1", b"{}")]
+        if stream:
+            script = [stream_head("call-1") + chunk(events("call-1", 1)[0])]
+        await harness.add_upstream(
+            lambda _: script, service="talk" if stream else "look"
+        )
+        caller = await harness.connect()
+        await caller.send(request("talk" if stream else "look", stream=stream))
+        response = parse(await caller.receive_until(b"}"))
+        assert (response.status, response.refusal["code"]) == (500, "internal")
+        assert harness.counter("callers_gone") == 0
+        await harness.wait_idle()
+
+    run(session)
+
+
 @pytest.mark.parametrize("is_late", [False, True])
 @pytest.mark.parametrize(
     ("is_reset", "end", "reason", "error"),
