Answer a request whose task ends by an error of its wait or a stray timeout

What callers saw: a closed connection without an answer, and no line in the log.

Cause: the task that serves a request and the one that waits for the caller's close end each other. If the wait failed by anything but a close, or the serving task ended by a curio timeout that belongs to no context (a CancelledError and no Exception), the other was cancelled and nothing was sent or logged. CallServer looked at no exception at all.

Evidence: test_request_is_answered_however_a_task_of_it_ends, 24 cases, fails before ("incomplete response head: b''") and passes now. The exceptions are injected.

Why it works: serve_until_closed looks at what ended first and raises it, so the listener logs it and sends a 500. A request that ends without any exception, an answer or a caller that left gets a 500 too, and the line `request ended without an answer`.

--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -33,6 +33,7 @@
 from ..types import Address, CallRequest, Execution, ServiceKind
 from .dispatcher import Dispatcher
 from .records import CallRecord, Records
+from .serving import serve_until_closed
 from .sink import CallerGoneError, CallerSink, build_disconnect_fields
 
 _LOG = logging.getLogger(__name__)
@@ -118,9 +119,7 @@
     async def serve(self, connection: ServerConnection, call: CallRequest) -> None:
         """Serves an accepted call until it ends or its caller disconnects."""
         try:
-            async with curio.TaskGroup(wait=any) as tasks:
-                await tasks.spawn(self._serve, connection, call)
-                await tasks.spawn(connection.wait_closed)
+            await serve_until_closed(connection, self._serve, connection, call)
         finally:
             await self.forget(call)
 
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -49,6 +49,7 @@
 from .part_guard import PartGuard
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
+from .serving import serve_until_closed
 from .sink import CallerGoneError, UnsendableAnswerError, build_disconnect_fields
 from .statements import StatementReader
 
@@ -195,18 +196,21 @@
             return
         self._repeat_budget.record_request(call.service, now)
         try:
-            async with curio.TaskGroup(wait=any) as tasks:
-                serving = await tasks.spawn(self._serve, connection, call)
-                self._serving[call.call_id] = (call, serving)
-                await tasks.spawn(connection.wait_closed)
-            # A task group does not raise the exception of a failed task.
-            if isinstance(serving.exception, Exception):
-                raise serving.exception
+            await serve_until_closed(
+                connection,
+                self._serve,
+                connection,
+                call,
+                on_start=partial(self._note_serving, call),
+            )
         finally:
             self._serving.pop(call.call_id, None)
             self.guard.forget(call)
             await self._dispatcher.forget(call)
 
+    def _note_serving(self, call: RoutedCall, task: Any) -> None:
+        self._serving[call.call_id] = (call, task)
+
     async def refuse_unsent(self) -> None:
         """Refuses the waiting requests once it is too late to send them."""
         await self._dispatcher.refuse_waiting(self._find_drain_error)
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -328,6 +328,10 @@
                 _LOG.exception("request ended by an unexpected exception")
                 await self._refuse(connection, _build_internal_error())
                 return ConnectionEnd.FAULT
+            if _find_end(connection) is ConnectionEnd.FAULT:
+                _LOG.error("request ended without an answer")
+                await self._refuse(connection, _build_internal_error())
+                return ConnectionEnd.FAULT
             if not connection.start_next_cycle():
                 return _find_end(connection)
 
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -14,6 +14,7 @@
 from sequoiamoor.core.upstreams import Upstreams
 from sequoiamoor.daemon.sink import CallerSink
 from sequoiamoor.net.http_client import RESET_ON_CLOSE
+from sequoiamoor.net.http_server import ServerConnection
 from sequoiamoor.types import CallRequest
 from tests.listener_harness import (
     Hang,
@@ -527,6 +528,53 @@
     run(session)
 
 
+@pytest.mark.parametrize("is_route", [False, True])
+@pytest.mark.parametrize("has_started", [False, True])
+@pytest.mark.parametrize(
+    ("target", "error"),
+    [
+        ("wait_closed", RuntimeError("received close, then received more data?")),
+        ("wait_closed", curio.ReadResourceBusy("another task waits")),
+        ("wait_closed", curio.TaskTimeout("stray")),
+        ("_serve", curio.TaskTimeout("stray")),
+        ("_serve", curio.errors.TimeoutCancellationError("stray")),
+        ("_serve", None),
+    ],
+)
+def test_request_is_answered_however_a_task_of_it_ends(
+    target: str,
+    error: BaseException | None,
+    has_started: bool,
+    is_route: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request whose task ends and leaves neither answer nor line.
+
+    That of the other task is cancelled then, as for a caller that left.
+    """
+
+    async def end(*arguments: object) -> None:
+        if has_started:
+            await curio.sleep(0.01)
+        if error is not None:
+            raise error
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(lambda _: [Hang()])
+        kind = ServerConnection if target == "wait_closed" else type(harness.calls)
+        monkeypatch.setattr(kind, target, end)
+        data = route_request("/look/1") if is_route else request()
+        response = parse(await harness.ask(data))
+        assert (response.status, response.refusal["code"]) == (500, "internal")
+        assert response.refusal["execution"] == "may have run"
+        assert harness.counter("callers_gone") == 0
+        await harness.wait_for(
+            lambda: harness.counter("caller_connections_ended", reason="fault") == 1
+        )
+
+    (run_routes if is_route else run)(session)
+
+
 @pytest.mark.parametrize("stream", [False, True])
 def test_head_that_cannot_be_sent_is_replaced_by_a_failure(
     stream: bool, monkeypatch: pytest.MonkeyPatch
