--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -50,7 +50,8 @@
 from .part_guard import PartGuard
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
-from .sink import CallerGoneError
+from .serving import serve_until_closed
+from .sink import CallerGoneError, UnsendableAnswerError, build_disconnect_fields
 from .statements import StatementReader
 
 _LOG = logging.getLogger(__name__)
@@ -196,18 +197,21 @@
             return
         self._repeat_budget.record_request(call.service, now)
         try:
-            async with curio.TaskGroup(wait=any) as tasks:
-                serving = await tasks.spawn(self._serve, connection, call)
-                self._serving[call.call_id] = (call, serving)
-                await tasks.spawn(connection.wait_closed)
-            # A task group does not raise the exception of a failed task.
-            if isinstance(serving.exception, Exception):
-                raise serving.exception
+            await serve_until_closed(
+                connection,
+                self._serve,
+                connection,
+                call,
+                on_start=partial(self._note_serving, call),
+            )
         finally:
             self._serving.pop(call.call_id, None)
             self.guard.forget(call)
             await self._dispatcher.forget(call)
 
+    def _note_serving(self, call: RoutedCall, task: Any) -> None:
+        self._serving[call.call_id] = (call, task)
+
     async def refuse_unsent(self) -> None:
         """Refuses the waiting requests once it is too late to send them."""
         await self._dispatcher.refuse_waiting(self._find_drain_error)
@@ -268,19 +272,25 @@
         try:
             await self._run_within_deadline(connection, call, sink)
         except CallerGoneError as err:
-            self._record_caller_disconnect(call, str(err))
+            self._record_caller_disconnect(connection, call, str(err))
         except curio.CancelledError:
             if connection.is_peer_closed:
-                self._record_caller_disconnect(call, "the caller closed its connection")
+                self._record_caller_disconnect(
+                    connection, call, "the request was in service"
+                )
             raise
         except OSError as err:
             if not connection.has_send_failed:
                 raise
-            self._record_caller_disconnect(call, str(err))
+            self._record_caller_disconnect(connection, call, str(err))
 
-    def _record_caller_disconnect(self, call: RoutedCall, reason: str) -> None:
+    def _record_caller_disconnect(
+        self, connection: ServerConnection, call: RoutedCall, detail: str
+    ) -> None:
         self._metrics.callers_gone.inc()
-        _LOG.info("caller disconnected", extra=_build_log_fields(call, reason=reason))
+        extra = _build_log_fields(call, reason="closed")
+        extra |= build_disconnect_fields(connection, detail)
+        _LOG.info("caller disconnected", extra=extra)
 
     async def _run_within_deadline(
         self, connection: ServerConnection, call: RoutedCall, sink: RouteSink
@@ -304,6 +314,10 @@
             return
         except CallerGoneError:
             raise
+        except UnsendableAnswerError as err:
+            # Callers can provoke this with CONNECT: no line beyond the rate limit.
+            await self._finish_failed(connection, call, sink, InternalError(str(err)))
+            return
         except Exception as err:
             _LOG.exception(
                 "request ended by an unexpected exception",
@@ -337,7 +351,7 @@
         sink: RouteSink,
         error: RefusalError,
     ) -> None:
-        if sink.is_started:
+        if sink.is_started and not connection.has_unanswered_request:
             # The missing last chunk tells the caller that the answer is incomplete. The
             # connection is closed later by the listener, since a task of this request
             # still reads from it.
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import time
 from typing import Any
@@ -25,7 +26,7 @@
     check_request_head,
     disable_send_delay,
     enable_dead_peer_detection,
-    peek,
+    peek_or_raise,
     peek_unread,
     to_h11_headers,
     to_header_dict,
@@ -45,6 +46,8 @@
 
     Attributes:
         is_peer_closed: Whether the peer closed its side or the connection failed.
+        failure: First error with which receiving or sending failed; None as long as the
+            connection works, also after the peer closed it.
         is_peer_slow: Whether a send failed because the peer read nothing for too long.
         has_send_failed: Whether a send failed for any reason.
         bytes_sent: Number of bytes passed to the socket.
@@ -74,12 +77,15 @@
         self._send_timeout = send_timeout
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=header_limit)
         self._is_head_request = False
+        self._is_request_whole = False
+        self._is_response_begun = False
         self._is_streaming = False
         self._is_closed = False
         self._is_idle_ended = False
         self._receive_timeout = 0.0
         self._receive_ends_at = 0.0
         self.is_peer_closed = False
+        self.failure: OSError | None = None
         self.is_peer_slow = False
         self.has_send_failed = False
         self.bytes_sent = 0
@@ -94,12 +100,37 @@
         )
 
     async def _receive(self) -> None:
-        data = await self._sock.recv(RECEIVE_BYTES)
+        try:
+            data = await self._sock.recv(RECEIVE_BYTES)
+        except OSError as err:
+            self._note_failure(err)
+            raise
         self.active_at = time.monotonic()
         # After end_idle the end of the data says nothing about the peer.
         self.is_peer_closed = not data and not self._is_idle_ended
         self._h11.receive_data(data)
 
+    def _note_failure(self, error: OSError) -> None:
+        if self.failure is None:
+            self.failure = error
+
+    @property
+    def failure_name(self) -> str | None:
+        """Short name of the failure: that of its errno, or ``send-timeout``."""
+        if self.failure is None:
+            return None
+        if self.is_peer_slow:
+            return "send-timeout"
+        return errno.errorcode.get(self.failure.errno or 0, "unknown")
+
+    def _peek(self) -> bytes | None:
+        # The kernel tells an error once, so it has to be kept here.
+        try:
+            return peek_or_raise(self._raw_sock)
+        except OSError as err:
+            self._note_failure(err)
+            return b""
+
     async def receive_request(
         self, *, idle_timeout: float, receive_timeout: float
     ) -> Request | None:
@@ -147,7 +178,7 @@
                 await self._receive()
             if not timer.expired:
                 return True
-        if peek(self._raw_sock) is None:
+        if self._peek() is None:
             return False
         await self._receive()
         return True
@@ -214,6 +245,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
+                self._is_request_whole = True
                 request.body = b"".join(parts)
                 return request
             size += len(event.data)
@@ -236,8 +268,9 @@
             self.active_at = time.monotonic()
             if sent < len(data):
                 await self._write_rest(memoryview(data)[sent:])
-        except OSError:
+        except OSError as err:
             self.has_send_failed = True
+            self._note_failure(err)
             raise
 
     async def _write_rest(self, data: memoryview) -> None:
@@ -257,6 +290,35 @@
         if data:
             await self._write(data)
 
+    def _compose(self, *events: Any) -> bytes:
+        """Returns the bytes of events of a response.
+
+        Raises:
+            h11.LocalProtocolError: If h11 rejects the response. A refusal can still be
+                sent if nothing of the response was.
+        """
+        try:
+            return b"".join(self._h11.send(event) for event in events)
+        except h11.LocalProtocolError:
+            if not self._is_response_begun:
+                self._reset_parser()
+            raise
+
+    def _reset_parser(self) -> None:
+        """Lets a response be sent after h11 rejected another one to the same request.
+
+        h11 sends nothing more after an error, so the request is replaced by a plain one
+        to the new parser. The connection ends with that response.
+        """
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._header_limit
+        )
+        method = b"HEAD" if self._is_head_request else b"GET"
+        self._h11.receive_data(method + b" / HTTP/1.1\r\nHost: x\r\n\r\n")
+        while self._h11.their_state is not h11.DONE:
+            self._h11.next_event()
+        self.closes_after_response = True
+
     async def send_response(
         self, status: int, headers: dict[str, str] | Headers, body: bytes
     ) -> None:
@@ -264,17 +326,18 @@
 
         Raises:
             OSError: If the connection fails or the peer does not read.
+            h11.LocalProtocolError: If h11 rejects the response.
         """
         fields = to_h11_headers(headers)
         fields.append((b"content-length", b"%d" % len(body)))
         if self.closes_after_response or self._h11.their_state is not h11.DONE:
             _append_close(fields)
-        head = self._h11.send(h11.Response(status_code=status, headers=fields))
-        data = b""
+        events: list[Any] = [h11.Response(status_code=status, headers=fields)]
         if body and not self._is_head_request:
-            data = self._h11.send(h11.Data(data=body))
-        end = self._h11.send(h11.EndOfMessage())
-        await self._write(b"".join((head, data, end)))
+            events.append(h11.Data(data=body))
+        data = self._compose(*events, h11.EndOfMessage())
+        self._is_response_begun = True
+        await self._write(data)
 
     async def start_stream(
         self, status: int, headers: dict[str, str] | Headers
@@ -283,12 +346,15 @@
 
         Raises:
             OSError: If the connection fails or the peer does not read.
+            h11.LocalProtocolError: If h11 rejects the response.
         """
         fields = to_h11_headers(headers)
         fields.append((b"transfer-encoding", b"chunked"))
         if self.closes_after_response:
             _append_close(fields)
-        await self._send(h11.Response(status_code=status, headers=fields))
+        data = self._compose(h11.Response(status_code=status, headers=fields))
+        self._is_response_begun = True
+        await self._write(data)
         self._is_streaming = True
 
     async def send_data(self, data: bytes) -> None:
@@ -318,7 +384,7 @@
     @property
     def has_peer_left(self) -> bool:
         """Whether the peer closed the connection, even if that was not read yet."""
-        return peek(self._raw_sock) == b""
+        return self._peek() == b""
 
     @property
     def is_idle(self) -> bool:
@@ -326,7 +392,7 @@
         return (
             self._h11.their_state is h11.IDLE
             and self._h11.trailing_data == (b"", False)
-            and peek(self._raw_sock) is None
+            and self._peek() is None
         )
 
     def end_idle(self) -> None:
@@ -342,7 +408,7 @@
     @property
     def has_unread(self) -> bool:
         """Whether data of the peer is in the socket."""
-        return bool(peek(self._raw_sock))
+        return bool(self._peek())
 
     async def wait_closed(self) -> None:
         """Waits until the peer closes its side; buffers data received before that."""
@@ -361,9 +427,7 @@
     @property
     def has_unanswered_request(self) -> bool:
         """Whether a request was received whole and no response has begun."""
-        return self._h11.our_state is h11.SEND_RESPONSE and (
-            self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-        )
+        return self._is_request_whole and not self._is_response_begun
 
     @property
     def can_refuse(self) -> bool:
@@ -377,6 +441,7 @@
         ):
             return False
         self._h11.start_next_cycle()
+        self._is_request_whole = self._is_response_begun = False
         return True
 
     async def close(self) -> None:
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+import socket
 import time
 
 import curio
@@ -10,6 +12,9 @@
 from hypothesis import strategies as st
 
 from sequoiamoor.core.upstreams import Upstreams
+from sequoiamoor.daemon.sink import CallerSink
+from sequoiamoor.net.http_client import RESET_ON_CLOSE
+from sequoiamoor.net.http_server import ServerConnection
 from sequoiamoor.types import CallRequest
 from tests.listener_harness import (
     Hang,
@@ -26,6 +31,9 @@
     token,
 )
 
+from ..route_listener_harness import RouteListenerHarness, route_request
+from ..route_listener_harness import run as run_routes
+
 HEAD = (
     b"POST /v1/services/talk/calls HTTP/1.1\r\nHost: r\r\nX-Organisation: a\r\n"
     b"X-Class: chat\r\n"
@@ -520,6 +528,121 @@
     run(session)
 
 
+@pytest.mark.parametrize("is_route", [False, True])
+@pytest.mark.parametrize("has_started", [False, True])
+@pytest.mark.parametrize(
+    ("target", "error"),
+    [
+        ("wait_closed", RuntimeError("received close, then received more data?")),
+        ("wait_closed", curio.ReadResourceBusy("another task waits")),
+        ("wait_closed", curio.TaskTimeout("stray")),
+        ("_serve", curio.TaskTimeout("stray")),
+        ("_serve", curio.errors.TimeoutCancellationError("stray")),
+        ("_serve", None),
+    ],
+)
+def test_request_is_answered_however_a_task_of_it_ends(
+    target: str,
+    error: BaseException | None,
+    has_started: bool,
+    is_route: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request whose task ends and leaves neither answer nor line.
+
+    That of the other task is cancelled then, as for a caller that left.
+    """
+
+    async def end(*arguments: object) -> None:
+        if has_started:
+            await curio.sleep(0.01)
+        if error is not None:
+            raise error
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(lambda _: [Hang()])
+        kind = ServerConnection if target == "wait_closed" else type(harness.calls)
+        monkeypatch.setattr(kind, target, end)
+        data = route_request("/look/1") if is_route else request()
+        response = parse(await harness.ask(data))
+        assert (response.status, response.refusal["code"]) == (500, "internal")
+        assert response.refusal["execution"] == "may have run"
+        assert harness.counter("callers_gone") == 0
+        await harness.wait_for(
+            lambda: harness.counter("caller_connections_ended", reason="fault") == 1
+        )
+
+    (run_routes if is_route else run)(session)
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_head_that_cannot_be_sent_is_replaced_by_a_failure(
+    stream: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a head that h11 rejects and that counts as a caller that left."""
+    monkeypatch.setattr(
+        CallerSink, "_build_headers", lambda sink, content_type: {"a b": content_type}
+    )
+
+    async def session(harness: ListenerHarness) -> None:
+        script = [complete_response("call-1", b"{}")]
+        if stream:
+            script = [stream_head("call-1") + chunk(events("call-1", 1)[0])]
+        await harness.add_upstream(
+            lambda _: script, service="talk" if stream else "look"
+        )
+        caller = await harness.connect()
+        await caller.send(request("talk" if stream else "look", stream=stream))
+        response = parse(await caller.receive_until(b"}"))
+        assert (response.status, response.refusal["code"]) == (500, "internal")
+        assert harness.counter("callers_gone") == 0
+        await harness.wait_idle()
+
+    run(session)
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize(
+    ("is_reset", "end", "reason", "error"),
+    [(False, "peer-closed", "closed", None), (True, "lost", "failed", "ECONNRESET")],
+)
+def test_failed_connection_is_told_from_one_that_its_caller_closed(
+    is_reset: bool,
+    end: str,
+    reason: str,
+    error: str | None,
+    is_late: bool,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a lost request that counts as one whose caller left by itself.
+
+    On a late event loop, the end is there before the request is read.
+    """
+    caplog.set_level(logging.INFO)
+
+    async def session(harness: RouteListenerHarness) -> None:
+        upstream = await harness.add_upstream(lambda _: [Hang()])
+        caller = await harness.connect()
+        caller.sock._socket.send(route_request("/look/1"))
+        if not is_late:
+            await harness.wait_for(lambda: bool(upstream.requests))
+        if is_reset:
+            caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        caller.sock._socket.close()
+        caller.is_closed = True
+        await harness.wait_for(lambda: harness.counter("callers_gone") == 1)
+        await harness.wait_for(lambda: harness.listener._connections == 0)
+        assert harness.counter("caller_connections_ended", reason=end) == 1
+        assert harness.counter("caller_connections_cut", reason=end) == int(is_reset)
+        failed = harness.counter("caller_connections_failed", error="ECONNRESET")
+        assert failed == int(is_reset)
+        line = next(it for it in caplog.records if it.message == "caller disconnected")
+        assert vars(line)["reason"] == reason
+        assert vars(line)["error"] == error
+
+    run_routes(session)
+
+
 def test_caller_that_does_not_read_is_disconnected() -> None:
     """Guards against a slot held by a caller that does not read.
 
