Remove an abandoned timer before a block sets its own

A task that is cancelled, or whose time is over, could wait forever in a block that it enters while it ends, although that block has a time limit.

Cause: curio's queue keeps one distant timer (over 1 s away) for each task and replaces it only by an earlier one. A cancellation leaves the old timer in it, and so does an inner timer that ended a wait. A later timer is then not stored, and the old one is ignored when it expires.

Evidence: both cases of the new test fail before.

The queue's entry is removed when a block is entered and no timer is in force.

--- a/sequoiamoor/timeouts.py
+++ b/sequoiamoor/timeouts.py
@@ -17,6 +17,7 @@
 from typing import Any, Self
 
 import curio
+from curio.traps import _unset_timeout
 
 
 class _Timeout:
@@ -24,6 +25,7 @@
         self._context = context
 
     async def __aenter__(self) -> Self:
+        await _remove_abandoned_timer()
         await self._context.__aenter__()
         return self
 
@@ -65,6 +67,20 @@
         return await self._leave(kind, error, traceback)
 
 
+async def _remove_abandoned_timer() -> None:
+    """Removes the timer that an ended wait may have left in the queue of the kernel.
+
+    The queue keeps one distant timer for each task, the earliest. One that no longer
+    applies, since the task was cancelled or an earlier timer ended its wait, would take
+    the place of a later timer, which would never be noticed.
+    """
+    task = await curio.current_task()
+    if task.timeout is None:
+        pending = await curio.set_cancellation(None)
+        await _unset_timeout(None)
+        await curio.set_cancellation(pending)
+
+
 async def _select_undelivered(
     pending: BaseException | None,
 ) -> BaseException | None:
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -10,6 +10,7 @@
 import curio
 import curio.io
 import pytest
+from curio.timequeue import TimeQueue
 
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.timeouts import ignore_after, timeout_after, wait_for
@@ -17,6 +18,7 @@
 
 INNER_SECONDS = 0.02
 OUTER_SECONDS = 0.06
+CUTOFF_SECONDS = 0.04
 
 NextWait = Callable[[], Awaitable[object]]
 
@@ -142,6 +144,53 @@
     assert curio.run(enter_block_late, is_nested) == "outer timeout"
 
 
+async def wait_while_cancelled() -> None:
+    """Is cancelled in a block and waits in another one inside it."""
+    async with timeout_after(CUTOFF_SECONDS * 2):
+        try:
+            await curio.Event().wait()
+        finally:
+            async with ignore_after(CUTOFF_SECONDS * 3):
+                await curio.Event().wait()
+
+
+async def wait_after_timeout() -> None:
+    """Waits in a block inside another one whose time is over."""
+    # The kernel tells near timers from distant ones by its last wait.
+    await curio.sleep(CUTOFF_SECONDS / 8)
+    async with timeout_after(CUTOFF_SECONDS * 2), timeout_after(CUTOFF_SECONDS / 2):
+        try:
+            await curio.Event().wait()
+        finally:
+            async with ignore_after(CUTOFF_SECONDS * 3):
+                await curio.Event().wait()
+
+
+# Guards against a router that cannot end because a cancelled task waits forever for a
+# write that has a time limit.
+@pytest.mark.parametrize("wait", [wait_while_cancelled, wait_after_timeout])
+def test_block_entered_while_another_one_ends_has_its_own_time(
+    wait: Callable[[], Awaitable[None]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The kernel keeps timers that are further away than this in another queue.
+    monkeypatch.setattr(TimeQueue, "cutoff", CUTOFF_SECONDS)
+
+    async def session() -> bool:
+        task = await curio.spawn(wait)
+        await curio.sleep(CUTOFF_SECONDS / 4)
+        if wait is wait_while_cancelled:
+            await task.cancel(blocking=False)
+        await curio.sleep(CUTOFF_SECONDS * 6)
+        has_ended: bool = task.terminated
+        if not has_ended:
+            # Set only once by curio; without this the waiting task could not be ended.
+            task.cancelled = None
+            await task.cancel()
+        return has_ended
+
+    assert curio.run(session)
+
+
 # Guards against a cancelled request that goes on because its timer was noticed as well.
 def test_cancellation_is_delivered_after_a_left_block() -> None:
     async def wait_in_blocks(has_begun: curio.Event) -> None:
