Tell by a refused connection that what is said next is a new process's

A replica ended, started again under its identifier while the store was out, and said once, 0.2 s after its start, that it leaves.

The statement counted for the process that the router knew. The row of the new one, read 0.06 s later, took over only what was said 0.5 s or more after its start, since the clocks of two VMs may differ by so much. It began clean.

A refused connection tells without clocks that a process has ended. What is said on connections to the same address that were opened after it is now kept apart, as the successor's, and counts for the next process whose row or message comes. Clocks are asked only whether that process, too, has ended unnoticed: what was said over 0.5 s before the start of the one in the row is not its own. A second refusal drops what was said between the two. A connection of the time before the refusal counts as before, since a process may close its port and still answer on open connections.

Found on the way, and closed: what was said is now also kept when the row is removed and comes again (a restart of a feed), and when a peer or a load report names the new process first; the other routers are told that the new process leaves (put returned False for it); a process at another address takes nothing over, also by clock.

On the code before, the test at the sockets fails: the row is no news, and the replica is available. With refusals left unrecorded, the eight leaving rows of the table fail, and the six others pass.

Checks: the state machine of statements also refuses connections; nothing was relaxed.

--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -26,9 +26,9 @@
 not been answered."""
 
 CLOCK_MARGIN_MS = 500
-"""Time after its start from which a process is taken to have said that it leaves. The
-clocks of its VM and of this one may differ, and leaving holds for the rest of its life;
-it says so in each of its answers."""
+"""Largest difference between the clocks of two VMs. Leaving holds for the rest of a
+process's life, so it counts for a new process only from this time after its start. Once
+a connection was refused, what is said on later ones counts from this time before it."""
 
 MAX_REMEMBERED_PROCESSES = 4_096
 """Processes whose statements are remembered, also while they are not listed."""
@@ -134,6 +134,11 @@
         held_ms: The same of the last hold.
         probe_id: Request that tries it after the hold, if one is in progress.
         probe_until: Monotonic time in seconds until which only that one may try it.
+        address: Address at which it was heard from or refused a connection; None if
+            unknown.
+        refused_at: Monotonic time in seconds at which the address last refused a
+            connection; the process has ended then.
+        successor: What was said on connections opened after that.
     """
 
     is_leaving: bool = False
@@ -143,6 +148,9 @@
     held_ms: float = -math.inf
     probe_id: str | None = None
     probe_until: float = -math.inf
+    address: Address | None = None
+    refused_at: float = -math.inf
+    successor: ProcessState | None = None
 
     def may_receive(self, now: float) -> bool:
         """Returns whether a request may be sent to the process."""
@@ -166,6 +174,8 @@
         spread: float,
         *,
         sent_ms: float = -math.inf,
+        address: Address | None = None,
+        opened_at: float = -math.inf,
     ) -> StatementChange:
         """Applies a statement; of two holds, the one that ends later counts.
 
@@ -174,7 +184,14 @@
             now: Monotonic time in seconds at which its head was read.
             spread: Random number from 0 to 1 that delays the return of this router.
             sent_ms: Unix time in milliseconds at which the request was sent.
+            address: Address that answered it, if known.
+            opened_at: Monotonic time in seconds from which its connection was opened.
         """
+        if address not in (None, self.address):
+            self.address, self.refused_at, self.successor = address, -math.inf, None
+        if -math.inf < self.refused_at < opened_at:
+            self.successor = self.successor or ProcessState()
+            self.successor.note(statement, now, spread, sent_ms=sent_ms)
         if statement.is_leaving:
             self.left_ms = max(self.left_ms, sent_ms)
         if statement.hold:
@@ -192,6 +209,15 @@
         self.probe_id = None
         return StatementChange(is_leaving=is_newly_leaving, is_held=not was_held)
 
+    def record_refused(self, address: Address, now: float) -> None:
+        """Records that an address refused a connection, since the process has ended.
+
+        Args:
+            address: Address of the process.
+            now: Monotonic time in seconds.
+        """
+        self.address, self.refused_at, self.successor = address, now, None
+
     def record_start(self, request_id: str, now: float) -> None:
         """Records that a request was chosen for the process."""
         if self.is_returning and now >= self.held_until:
@@ -217,26 +243,45 @@
         self.left_ms = max(self.left_ms, other.left_ms)
         self.held_ms = max(self.held_ms, other.held_ms)
 
-    def select_since(self, born_ms: float) -> ProcessState:
+    def select_since(self, born_ms: float, address: Address) -> ProcessState:
         """Returns what a process has stated that started later than was known.
 
-        A request that was sent after that start was answered by that process.
+        A request that was sent after that start was answered by that process. So was
+        one on a connection that was opened after the address had refused another one,
+        unless the process that answered it has ended unnoticed before that start.
 
         Args:
             born_ms: Unix time of the start in milliseconds.
+            address: Address of the process that started.
         """
+        if self.address not in (None, address):
+            return ProcessState()
+        selected = self._select(
+            left_since=born_ms + CLOCK_MARGIN_MS, held_since=born_ms
+        )
+        if self.successor is not None:
+            since = born_ms - CLOCK_MARGIN_MS
+            selected.merge(self.successor._select(left_since=since, held_since=since))
+        return selected
+
+    def _select(self, *, left_since: float, held_since: float) -> ProcessState:
+        """Returns what was stated in answer to requests sent since two Unix times."""
         selected = ProcessState()
-        if self.left_ms >= born_ms + CLOCK_MARGIN_MS:
+        if self.left_ms >= left_since:
             selected.is_leaving, selected.left_ms = True, self.left_ms
-        if self.held_ms >= born_ms:
+        if self.held_ms >= held_since:
             selected.held_until, selected.held_ms = self.held_until, self.held_ms
             selected.is_returning = self.is_returning
         return selected
 
     @property
     def is_blank(self) -> bool:
-        """Whether nothing was stated."""
-        return not self.is_leaving and not self.is_returning
+        """Whether there is nothing to remember."""
+        return (
+            not self.is_leaving
+            and not self.is_returning
+            and self.refused_at == -math.inf
+        )
 
 
 class ReplicaStatements:
@@ -249,6 +294,18 @@
         """Returns the state of a process; a new one if it has stated nothing."""
         return self._states.get(process) or ProcessState()
 
+    def find_before(self, replica_id: ReplicaId, incarnation: int) -> ProcessState:
+        """Returns the state of the last process of a replica before an incarnation."""
+        earlier = [
+            process
+            for process in self._states
+            if process.replica_id == replica_id
+            and 0 < process.incarnation < incarnation
+        ]
+        if not earlier:
+            return ProcessState()
+        return self._states[max(earlier, key=lambda process: process.incarnation)]
+
     def keep(self, process: ReplicaProcess, state: ProcessState) -> None:
         """Remembers the state of a process; the one kept longest ago yields."""
         self._states[process] = state
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -110,6 +110,14 @@
         """Returns whether a request that was chosen for the replica may be sent."""
         return not self.is_leaving and self.stated.may_receive(now)
 
+    def record_refused(self, process: ReplicaProcess, now: float) -> None:
+        """Records that the address of a process refused a connection.
+
+        It has ended then; another one that has taken its place since has not.
+        """
+        if process == self.process:
+            self.stated.record_refused(self.address, now)
+
     def is_available(self, now: float) -> bool:
         """Returns whether new work may be started at the replica."""
         return (
@@ -209,6 +217,8 @@
         now: float,
         spread: float,
         sent_ms: float = -math.inf,
+        address: Address | None = None,
+        opened_at: float = -math.inf,
     ) -> StatementChange:
         """Applies what a process said in an answer.
 
@@ -220,6 +230,8 @@
             spread: Random number from 0 to 1 that delays the return of this router.
             sent_ms: Unix time in milliseconds at which the request was sent. One sent
                 after the start of a later process was answered by that one.
+            address: Address that answered, if known.
+            opened_at: Monotonic time in seconds from which its connection was opened.
 
         Returns:
             What changed for the replica that the process is now; nothing if another
@@ -228,12 +240,26 @@
         replica = self.replicas.get(process.replica_id)
         if replica is None or replica.process != process:
             state = self.statements.find(process)
-            state.note(statement, now, spread, sent_ms=sent_ms)
+            state.note(
+                statement,
+                now,
+                spread,
+                sent_ms=sent_ms,
+                address=address,
+                opened_at=opened_at,
+            )
             self.statements.keep(process, state)
             if replica is None or replica.incarnation <= process.incarnation:
                 return StatementChange()
             return self._restore_later_statements(replica, state, now)
-        change = replica.stated.note(statement, now, spread, sent_ms=sent_ms)
+        change = replica.stated.note(
+            statement,
+            now,
+            spread,
+            sent_ms=sent_ms,
+            address=address,
+            opened_at=opened_at,
+        )
         self.statements.keep(process, replica.stated)
         was_leaving = replica.is_leaving
         replica.is_leaving = was_leaving or replica.stated.is_leaving
@@ -279,18 +305,26 @@
         Returns:
             What changed for the replica.
         """
-        selected = earlier.select_since(replica.incarnation)
-        if selected.is_blank:
-            return StatementChange()
         was_leaving, was_held = replica.is_leaving, now < replica.stated.held_until
-        replica.stated.merge(selected)
-        self.statements.keep(replica.process, replica.stated)
-        replica.is_leaving = was_leaving or replica.stated.is_leaving
+        self._take_over(replica, earlier)
         is_held = now < replica.stated.held_until and not was_held
         is_leaving = replica.is_leaving and not was_leaving
         self.availability_version += is_leaving or is_held
         return StatementChange(is_leaving=is_leaving, is_held=is_held)
 
+    def _take_over(self, replica: Replica, earlier: ProcessState) -> None:
+        """Adds what was taken for statements of an earlier process of a replica."""
+        selected = earlier.select_since(replica.incarnation, replica.address)
+        if not selected.is_blank:
+            replica.stated.merge(selected)
+            self.statements.keep(replica.process, replica.stated)
+            replica.is_leaving = replica.is_leaving or replica.stated.is_leaving
+
+    def _remember(self, replica: Replica) -> None:
+        """Keeps what is known of a process before another one takes its place."""
+        if not replica.stated.is_blank:
+            self.statements.keep(replica.process, replica.stated)
+
     def find_return_time(self, service: ServiceName, now: float) -> float | None:
         """Returns when the first replica of a service takes requests again.
 
@@ -400,7 +434,7 @@
             and now - replica.last_response_at > self.options.forget_upstream_after
         ]
         for replica_id in removed_ids:
-            del self.replicas[replica_id]
+            self._remember(self.replicas.pop(replica_id))
         return removed_ids
 
     def apply_peer_state(
@@ -419,8 +453,7 @@
             if is_leaving and incarnation:
                 self._remember_leaving(ReplicaProcess(replica_id, incarnation, None))
             return False
-        self._apply_incarnation(replica, incarnation)
-        was_leaving = replica.is_leaving
+        was_leaving = self._apply_incarnation(replica, incarnation)
         if is_leaving:
             self._mark_leaving(replica)
         return replica.is_leaving and not was_leaving
@@ -430,8 +463,12 @@
         state.is_leaving = True
         self.statements.keep(process, state)
 
-    def _apply_incarnation(self, replica: Replica, incarnation: int) -> None:
+    def _apply_incarnation(self, replica: Replica, incarnation: int) -> bool:
+        """Applies an incarnation; returns whether it was known to be leaving."""
+        was_leaving = replica.is_leaving
         if incarnation > replica.incarnation:
+            earlier = replica.stated
+            self._remember(replica)
             is_same = replica.incarnation == 0
             if not is_same:
                 # The process restarted: failures and leaving were those of the earlier
@@ -440,6 +477,10 @@
                 replica.failures = 0
             replica.incarnation = incarnation
             self._restore_statements(replica, is_same=is_same)
+            was_leaving = replica.is_leaving
+            if not is_same:
+                self._take_over(replica, earlier)
+        return was_leaving
 
     def record_start(self, replica: Replica, now: float, request_id: str = "") -> None:
         """Records that an attempt of a request starts at the replica.
@@ -516,8 +557,12 @@
         """
         replica = self.replicas.get(listed.replica_id)
         was_leaving = replica is not None and replica.is_leaving
-        earlier = ProcessState() if replica is None else replica.stated
         incarnation = load.incarnation
+        if replica is None:
+            earlier = self.statements.find_before(listed.replica_id, incarnation)
+        else:
+            earlier = replica.stated
+            self._remember(replica)
         if replica is not None and replica.address == listed.address:
             # An entry without an incarnation does not tell that the process is new.
             incarnation = incarnation or replica.incarnation
@@ -527,13 +572,13 @@
             replica.is_leaving = was_leaving = False
             replica.failures = 0
         replica = self._apply_list_entry(listed, now)
+        is_later = incarnation > replica.incarnation
         if incarnation != replica.incarnation:
-            is_later = incarnation > replica.incarnation
             replica.incarnation = incarnation
             self._restore_statements(replica)
-            if is_later:
-                self._restore_later_statements(replica, earlier, now)
         was_leaving = was_leaving or replica.is_leaving
+        if is_later:
+            self._restore_later_statements(replica, earlier, now)
         replica.is_listed_leaving = load.is_leaving
         if load.is_leaving:
             self._mark_leaving(replica)
@@ -546,6 +591,7 @@
         """Removes a replica that no longer exists; returns whether it was known."""
         replica = self.replicas.pop(replica_id, None)
         if replica is not None:
+            self._remember(replica)
             # Decisions reuse a list of replicas for an interval; this one may be in it.
             replica.is_leaving = True
         return replica is not None
@@ -559,8 +605,7 @@
         replica = self.replicas.get(replica_id)
         if replica is None or load.incarnation < replica.incarnation:
             return False
-        self._apply_incarnation(replica, load.incarnation)
-        was_leaving = replica.is_leaving
+        was_leaving = self._apply_incarnation(replica, load.incarnation)
         replica.load = load
         replica.load_at = now
         replica.last_response_at = max(replica.last_response_at, now)
--- a/sequoiamoor/daemon/statements.py
+++ b/sequoiamoor/daemon/statements.py
@@ -58,6 +58,8 @@
             now=now,
             spread=self._rng.random(),
             sent_ms=self._clock.read_ms() - (now - head.sent_at) * 1000,
+            address=head.address,
+            opened_at=head.opened_at,
         )
         self._report(statement, change, replica)
         return change.is_leaving or change.is_held
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -132,6 +132,7 @@
             self._metrics.pool_stale.inc()
             await connection.close()
         await self._make_room(address)
+        opened_at = time.monotonic()
         self._opening_count += 1
         try:
             connection = await ClientConnection.connect(
@@ -141,6 +142,7 @@
             )
         finally:
             self._opening_count -= 1
+        connection.opened_at = opened_at
         self._in_use.add(connection)
         return connection, False
 
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import re
 import time
 from collections.abc import Awaitable, Callable
@@ -75,12 +76,16 @@
         process: Process to which the request was sent.
         sent_at: Monotonic time in seconds of the send.
         is_own: Whether it is the final answer to this request.
+        address: Address of the process.
+        opened_at: Monotonic time in seconds from which the connection was opened.
     """
 
     response: Response
     process: ReplicaProcess
     sent_at: float
     is_own: bool
+    address: Address
+    opened_at: float
 
 
 SendEvents = Callable[[StreamHead, Events], Awaitable[None]]
@@ -135,7 +140,7 @@
         self._note_head = note_head
         self.process = replica.process
         self.address = replica.address
-        self._sent_at = 0.0
+        self._sent_at = self._opened_at = 0.0
         self._call = call
         self._replica = replica
         self._format = upstream_format
@@ -197,6 +202,7 @@
         if event_order.last_id is not None and event_order.last_id >= 0:
             last_event_id = b"%d" % event_order.last_id
         connection = self._connection = await self._acquire_connection()
+        self.address, self._opened_at = connection.address, connection.opened_at
         remaining = self._call.ends_at - time.monotonic()
         if remaining <= 0:
             raise UpstreamUnreachableError(
@@ -229,6 +235,7 @@
             return await self._receive_matching_response(connection)
 
     async def _acquire_connection(self) -> ClientConnection:
+        process = self._replica.process
         try:
             connection, self._is_reused = await self._pool.acquire(
                 self._replica.address,
@@ -237,6 +244,9 @@
             )
             return connection
         except OSError as err:
+            # Fault injection raises errors without a number.
+            if err.errno == errno.ECONNREFUSED:
+                self._replica.record_refused(process, time.monotonic())
             raise self._build_refusal(err) from err
 
     async def _receive_matching_response(
@@ -277,7 +287,14 @@
         await self._note(response, is_own=False)
 
     async def _note(self, response: Response, *, is_own: bool) -> None:
-        head = ReceivedHead(response, self.process, self._sent_at, is_own)
+        head = ReceivedHead(
+            response,
+            self.process,
+            self._sent_at,
+            is_own,
+            self.address,
+            self._opened_at,
+        )
         await self._note_head(head)
 
     async def _check_head(self, response: Response) -> None:
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -42,6 +42,7 @@
     """Client side of one connection.
 
     Attributes:
+        opened_at: Monotonic time in seconds from which the connection was opened.
         bytes_sent: Number of bytes handed to the kernel.
         bytes_received: Number of bytes received.
         waiting_since: Monotonic time in seconds at which a pending receive began, or
@@ -70,6 +71,7 @@
         self.silence_limit: float | None = None
         self.refused_ids: set[str] = set()
         self.address = address
+        self.opened_at = float("-inf")
         self.bytes_sent = 0
         self.bytes_received = 0
         self.waiting_since: float | None = None
--- a/tests/core/test_statements.py
+++ b/tests/core/test_statements.py
@@ -115,6 +115,13 @@
         load = LoadReport(incarnation, 4, 0, 0, 0.0, False)
         self.upstreams.record_load(name, load, self.now)
 
+    @rule(name=NAMES)
+    def refuse_connection(self, name: str) -> None:
+        """Refuses a connection, as the address of a process that ended does."""
+        replica = self.upstreams.replicas.get(name)
+        if replica is not None:
+            replica.record_refused(replica.process, self.now)
+
     @rule(name=NAMES)
     def send(self, name: str) -> None:
         replica = self.upstreams.replicas.get(name)
@@ -157,7 +164,11 @@
             if not process.incarnation:
                 self.unidentified.add(process.replica_id)
             change = self.upstreams.note_answer(
-                process, statement, now=self.now, spread=spread
+                process,
+                statement,
+                now=self.now,
+                spread=spread,
+                opened_at=request.sent_at,
             )
             is_news = is_current and statement.is_leaving and key not in self.left
             assert change.is_leaving == is_news or not process.incarnation
--- a/tests/core/test_upstreams.py
+++ b/tests/core/test_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -245,3 +246,74 @@
     # A later process starts clean.
     upstreams.put(build_entry(0), build_load(9_000), 1.4)
     assert list_available(upstreams, 1.5) == ["talk-0"]
+
+
+LEAVING = Statement(is_leaving=True)
+SAID = [("refuse", 0.9), ("say", 1.2)]
+
+
+@pytest.mark.parametrize(
+    ("events", "is_leaving"),
+    [
+        ([*SAID, ("row", 1.0)], True),
+        ([*SAID, ("row", 1.4)], True),
+        ([*SAID, ("report", 1.0)], True),
+        ([*SAID, ("peer", 1.0)], True),
+        ([*SAID, ("remove", 0), ("row", 1.0)], True),
+        ([("refuse", 0.9), ("remove", 0), ("say", 1.2), ("row", 1.0)], True),
+        ([("refuse", 0.9), ("row", 1.0), ("say", 1.2)], True),
+        ([*SAID, ("row", 1.0), ("row", 0.0), ("remove", 0), ("row", 1.0)], True),
+        ([("say", 1.2), ("row", 1.0)], False),
+        ([("say", 1.2), ("refuse", 1.3), ("row", 1.5)], False),
+        ([*SAID, ("refuse", 1.3), ("row", 1.5)], False),
+        ([*SAID, ("row", 1.8)], False),
+        ([*SAID, ("row", 1.0), ("row", 1.8)], False),
+        ([*SAID, ("move", 1.0)], False),
+    ],
+)
+def test_what_is_said_after_a_refused_connection_is_its_successors(
+    events: list[tuple[str, float]], is_leaving: bool
+) -> None:
+    """Guards against requests to a process that had said that it leaves before its row.
+
+    A number is the start of a process, or the time at which a connection was refused,
+    or opened and answered on, in seconds. What the process before the refusal said, or
+    one that ended unnoticed, does not count for a later one.
+    """
+    upstreams = Upstreams(OPTIONS)
+    entry, news = build_entry(0), False
+    upstreams.put(entry, build_load(1), 0.0)
+    first = upstreams.replicas["talk-0"].process
+    for kind, at in events:
+        load, now = build_load(round(at * 1_000) or 1), at
+        match kind:
+            case "refuse":
+                upstreams.replicas["talk-0"].record_refused(first, now)
+            case "say":
+                upstreams.note_answer(
+                    first,
+                    LEAVING,
+                    now=now,
+                    spread=0.0,
+                    sent_ms=at * 1_000,
+                    address=entry.address,
+                    opened_at=now,
+                )
+            case "remove":
+                upstreams.remove("talk-0")
+            case "peer":
+                news = upstreams.apply_peer_state(
+                    "talk-0", load.incarnation, is_leaving=False
+                )
+            case "report":
+                news = upstreams.record_load("talk-0", load, 2.0)
+            case "row":
+                news = upstreams.put(entry, load, 2.0)
+            case "move":
+                moved = replace(entry, address=Address("10.9.9.9", 1))
+                news = upstreams.put(moved, load, 2.0)
+    replica = upstreams.replicas["talk-0"]
+    assert replica.is_leaving is is_leaving
+    assert replica.may_receive(2.0) is not is_leaving
+    # Other routers are told, here or by the caller of note_answer.
+    assert news is is_leaving or events[-1][0] == "say" or len(events) > 4
--- a/tests/daemon/test_replica_statements.py
+++ b/tests/daemon/test_replica_statements.py
@@ -13,7 +13,7 @@
 from sequoiamoor.daemon.pages import build_status
 from sequoiamoor.types import Address
 
-from ..listener_harness import Close, ScriptedUpstream, Step, Until, chunk
+from ..listener_harness import Close, End, ScriptedUpstream, Step, Until, chunk
 from ..route_listener_harness import (
     STREAM_HEAD,
     RouteListenerHarness,
@@ -150,6 +150,42 @@
     run(session)
 
 
+def test_process_that_says_it_leaves_before_its_row_gets_nothing_after_it() -> None:
+    """Guards against requests to a replica that started and left in a store's outage.
+
+    It said so right after its start, when the difference of two clocks may hide that.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        leaves = [answer(extra=SIGNED + LEAVING)]
+        upstream = await harness.add_upstream(lambda _: [End()], lambda _: leaves)
+        upstreams = harness.board.upstreams
+        (replica,) = upstreams.replicas.values()
+        assert upstream.address is not None
+        listed = ListedUpstream(
+            replica.replica_id, "talk", "zone-a", upstream.address, False
+        )
+        upstreams.put(listed, LoadReport(1, 4, 0, 0, 0.0, False), time.monotonic())
+        for _ in range(2):
+            assert (await ask(harness, route_request("/hold/1"))).status != 200
+        sock = curio.network.tcp_server_socket(
+            upstream.address.host, upstream.address.port
+        )
+        upstream.tasks = await curio.spawn(
+            curio.network.run_server, sock, upstream._serve, daemon=True
+        )
+        born_ms = time.time_ns() // 1_000_000
+        await harness.wait_for(lambda: replica.is_available(time.monotonic()))
+        assert (await ask(harness, route_request("/look/1"))).status == 200
+        assert replica.is_leaving
+        load = LoadReport(born_ms, 4, 0, 0, 0.0, False)
+        assert upstreams.put(listed, load, time.monotonic())
+        assert replica.incarnation == born_ms
+        assert not replica.may_receive(time.monotonic())
+
+    run(session)
+
+
 @pytest.mark.parametrize(
     ("path", "extra", "status", "requests"),
     [
