Refuse routers that name another fleet

Routers of a fleet that had ended without its processes still called the addresses of their peers, which a new fleet had got since. Hello named no fleet, so a router could not tell.

Routers now name their fleet: the setting `fleet`, by default the address of the platform, which all routers of a fleet share and which needs no coordination. One that names another fleet is refused when its Hello is read, before it becomes a member and before anything of it is applied: no version, list, load or case. A line in 10 s at most tells its name; a counter has the total.

Rolling upgrade: earlier versions reject a Hello with a further field, but accept names before it. So the name is sent there, and a router that names none is taken for one of this fleet.

The routers of a soak reach the store by a proxy each, so the soak gives them one name. No existing check changed.

--- a/sequoiamoor/core/messages.py
+++ b/sequoiamoor/core/messages.py
@@ -24,11 +24,13 @@
         identity: The sender.
         configuration_version: Version of the configuration in force at the sender.
         control: Address at which the sender accepts connections from routers.
+        fleet: Fleet of the sender; empty if it names none, as earlier versions do.
     """
 
     identity: RouterIdentity
     configuration_version: int
     control: Address | None = None
+    fleet: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -109,8 +109,10 @@
             options=board.options,
             metrics=metrics,
             rng=rng,
+            fleet=settings.fleet_name,
             connection_limit=connection_limit,
         )
+        self._fleet = settings.fleet_name
         self._sums = ReportSums(board.identity, board.ledger)
         self._counter_message_count = 0
         self._sequence = 0
@@ -505,7 +507,10 @@
         board = self._board
         counter_addresses = self._find_counter_addresses()
         yield Hello(
-            board.identity, board.configuration.version, self.membership.own_address
+            board.identity,
+            board.configuration.version,
+            self.membership.own_address,
+            self._fleet,
         )
         if counter_addresses is None or address in counter_addresses:
             yield from self._sums.build_zones(self._sequence)
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -23,6 +23,12 @@
     code = "settings-invalid"
 
 
+class ForeignRouterError(SequoiamoorError):
+    """A router of another fleet has connected."""
+
+    code = "foreign-router"
+
+
 class ProtocolError(SequoiamoorError):
     """A peer sent a message that does not follow the control protocol."""
 
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -201,6 +201,11 @@
             "Connections of routers that were closed because of a bad message.",
             registry=self.registry,
         )
+        self.control_foreign_routers = Counter(
+            "sequoiamoor_control_foreign_routers",
+            "Connections of routers that were closed because they name another fleet.",
+            registry=self.registry,
+        )
         self.task_failures = Counter(
             "sequoiamoor_task_failures",
             "Faults of periodic tasks, which start again.",
--- a/sequoiamoor/net/decoder.py
+++ b/sequoiamoor/net/decoder.py
@@ -108,6 +108,7 @@
             PART_CASES: self._read_part_cases,
         }
         self.message_count = 0
+        self._has_new_names = False
 
     def feed(self, data: bytes) -> list[Message]:
         """Adds received bytes and returns the messages that are now complete.
@@ -155,6 +156,7 @@
         kind, fields = body[0], body[1:]
         if kind == NAMES:
             self._add_names(fields)
+            self._has_new_names = bool(self._names)
             return None
         reader = self._readers.get(kind)
         if reader is None:
@@ -162,7 +164,9 @@
                 f"message kind {kind} is unknown; use the same version of "
                 "sequoiamoor on all routers"
             )
-        return reader(fields)
+        message = reader(fields)
+        self._has_new_names = False
+        return message
 
     def _add_names(self, fields: list[Any]) -> None:
         (names,) = fields
@@ -193,7 +197,8 @@
             read_text(router_id), read_count(incarnation), read_text(zone)
         )
         address = None if host is None else Address(read_text(host), read_port(port))
-        return Hello(identity, read_count(version), address)
+        fleet = self._names[-1] if self._has_new_names else ""
+        return Hello(identity, read_count(version), address, fleet)
 
     def _read_report(self, fields: list[Any]) -> Report:
         sequence, version, leaving, *rest = fields
--- a/sequoiamoor/net/encoder.py
+++ b/sequoiamoor/net/encoder.py
@@ -150,7 +150,9 @@
                     made_at_ms,
                     [self._build_upstream(upstream) for upstream in upstreams],
                 ]
-            case Hello(identity, version, control):
+            case Hello(identity, version, control, fleet):
+                if fleet:
+                    self._index_name(fleet)
                 address_fields = [control.host, control.port] if control else [None, 0]
                 yield [
                     HELLO,
--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -26,7 +26,7 @@
     Sum,
 )
 from ..core.reports import ReportFilter, SumFilter
-from ..errors import ProtocolError
+from ..errors import ForeignRouterError, ProtocolError
 from ..metrics import Metrics
 from ..options import Options
 from ..types import Address, RouterIdentity
@@ -46,6 +46,7 @@
 # Reports in a socket buffer cannot be replaced by newer ones, so with a larger buffer
 # a slow peer would receive outdated reports for longer.
 SEND_BUFFER_BYTES = 65_536
+FOREIGN_LOG_INTERVAL_SECONDS = 10.0
 _UNREACHABLE_ERRNOS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
@@ -297,8 +298,11 @@
         options: Options,
         metrics: Metrics,
         rng: Random,
+        fleet: str = "",
         connection_limit: int | None = None,
     ) -> None:
+        self._fleet = fleet
+        self._foreign_logged_at = float("-inf")
         self._connection_limit = connection_limit
         self._listen = listen
         self._handler = handler
@@ -434,6 +438,8 @@
         self._last_received_at[sock] = time.monotonic()
         try:
             await self._read(sock)
+        except ForeignRouterError as err:
+            self._report_foreign(host, err)
         except ProtocolError as err:
             self._metrics.control_protocol_errors.inc()
             _LOG.warning(
@@ -445,6 +451,29 @@
         finally:
             del self._last_received_at[sock]
 
+    def _report_foreign(self, host: str, error: ForeignRouterError) -> None:
+        self._metrics.control_foreign_routers.inc()
+        now = time.monotonic()
+        if now - self._foreign_logged_at >= FOREIGN_LOG_INTERVAL_SECONDS:
+            self._foreign_logged_at = now
+            _LOG.warning(
+                "router of another fleet refused",
+                extra={"peer": host, "detail": str(error)},
+            )
+
+    def _check_fleet(self, hello: Hello) -> None:
+        """Checks that a router is of this fleet, or names none.
+
+        Raises:
+            ForeignRouterError: If it names another fleet.
+        """
+        if self._fleet and hello.fleet and hello.fleet != self._fleet:
+            raise ForeignRouterError(
+                f"router {hello.identity.router_id!r} is of the fleet {hello.fleet!r}, "
+                f"not {self._fleet!r}; if both are one fleet, write the same `fleet` "
+                "in their settings"
+            )
+
     async def _read(self, sock: Any) -> None:
         received_bytes = self._metrics.control_bytes.labels("in")
         received_messages = self._metrics.control_messages.labels("in")
@@ -463,6 +492,7 @@
                             raise ProtocolError(
                                 "the first message on the connection is not Hello"
                             )
+                        self._check_fleet(message)
                         identity = message.identity
                     elif isinstance(message, Hello):
                         raise ProtocolError("Hello was received a second time")
--- a/sequoiamoor/net/wire.py
+++ b/sequoiamoor/net/wire.py
@@ -10,7 +10,9 @@
 Fields, in order; trailing fields of a row that are zero or nil are omitted:
 
 ==================== ==========================================================
-Hello                protocol, router id, incarnation, zone, version, host, port
+Hello                protocol, router id, incarnation, zone, version, host, port;
+                     a name sent right before it is the fleet of the sender: earlier
+                     versions accept that, but no further field
 Names                list of strings
 Report               sequence, version, leaving, counters, slots
 - counters           rows: service, organisation, served, waiting, running,
--- a/sequoiamoor/settings.py
+++ b/sequoiamoor/settings.py
@@ -109,6 +109,9 @@
     http: AddressSettings
     control: AddressSettings
     platform: AddressSettings
+    fleet: str | None = Field(
+        None, min_length=1, max_length=200, description="None: the platform's address"
+    )
     peers: tuple[AddressSettings, ...] = ()
     policy: Literal[
         "arbitrated", "shared-load", "local-fair", "least-load", "round-robin"
@@ -123,6 +126,11 @@
     options: Options = Options.model_validate({})
     gateway: GatewaySettings | None = None
 
+    @property
+    def fleet_name(self) -> str:
+        """The name by which routers tell those of their own fleet."""
+        return self.fleet or str(self.platform.to_address())
+
 
 def parse_address(text: str) -> Address:
     """Returns the address in a text of the form IP:PORT.
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -32,6 +32,8 @@
 from sequoiamoor.settings import RouterSettings
 from sequoiamoor.types import Address, CallRequest, RouterIdentity
 
+from ..listener_harness import DECLARATION
+
 WAIT_SECONDS = 10.0
 
 
@@ -92,7 +94,9 @@
 class Node:
     """A router without its connections to callers and upstreams."""
 
-    def __init__(self, name: str, *peers: Address, **options: float) -> None:
+    def __init__(
+        self, name: str, *peers: Address, fleet: str | None = None, **options: float
+    ) -> None:
         settings = RouterSettings.model_validate(
             {
                 "router_id": name,
@@ -100,6 +104,7 @@
                 "http": {"host": "127.0.0.1", "port": 0},
                 "control": {"host": "127.0.0.1", "port": 0},
                 "platform": {"host": "127.0.0.1", "port": 1},
+                "fleet": fleet,
                 "peers": [{"host": peer.host, "port": peer.port} for peer in peers],
                 "options": options,
             }
@@ -329,6 +334,32 @@
     run(test)
 
 
+def test_nothing_is_taken_from_a_router_of_another_fleet() -> None:
+    """Guards against an ended fleet's routers that call addresses of a new one.
+
+    They would bring their configuration of a higher version, replicas and members.
+    """
+
+    async def test() -> None:
+        first, second = await start_pair()
+        foreign = Node(
+            "router-3", *first.control.membership.candidates(), fleet="other"
+        )
+        entry = ListedUpstream("talk-0", "talk", "zone-a", Address("127.0.0.1", 9))
+        foreign.control.apply_vm_list([entry], made_at_ms=1, source="platform")
+        foreign.control.offer_configuration(9, {"document": DECLARATION}, "platform")
+        assert foreign.board.configuration.version == 9
+        await foreign.start()
+        name = "sequoiamoor_control_foreign_routers_total"
+        await wait_until(lambda: second.read(name) >= 2)
+        assert foreign.board.identity.router_id not in second.control.membership.members
+        assert not second.board.upstreams.replicas
+        assert second.board.configuration.version != 9
+        assert set(second.board.members) == {"router-1"}
+
+    run(test)
+
+
 def test_buffer_for_a_peer_that_does_not_read_is_bounded() -> None:
     """Guards against a router that blocks on a slow peer, or buffers without limit.
 
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -70,6 +70,8 @@
             "http": str(self.http),
             "control": str(self.control),
             "platform": str(self.store.address),
+            # Each router reaches the store by a proxy of its own.
+            "fleet": self._path.parent.name,
             "gateway": {
                 "ready": str(self.ready),
                 "metrics": str(self.metrics),
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -277,6 +277,27 @@
         assert "suspect" not in states
 
 
+def test_routers_of_two_fleets_serve_beside_each_other() -> None:
+    """Guards against routers that join any fleet whose addresses they call."""
+    with run_fleet(build_plan(("zone-a", "zone-b"), replicas=1)) as fleet:
+        wait_fleet(fleet)
+        path = Path(_read_settings_path(fleet, "router-1"))
+        path.write_text(json.dumps(json.loads(path.read_text()) | {"fleet": "other"}))
+        restart(fleet, "router-1")
+        series = "sequoiamoor_control_foreign_routers_total"
+        wait_until(
+            lambda: all(
+                is_ready(address) and read_series(address, series) >= 2
+                for address in fleet.routers.values()
+            ),
+            limit=READY_TIMEOUT_SECONDS,
+            what="two refused connections at each router",
+        )
+        wait_members(fleet, fleet.routers, 1, limit=RECOVERY_LIMIT_SECONDS)
+        for name, address in fleet.routers.items():
+            assert call(address, f"beside-{name}")[0] == 200
+
+
 def _read_settings_path(fleet: Fleet, name: str) -> str:
     arguments = fleet.processes[name].args
     assert isinstance(arguments, list)
