Refuse a request whose caller closed its sending side before the answer

What callers saw: one that half-closes after a whole request and waits got a closed connection with neither an answer nor a refusal.

Cause: a close is taken for a caller that left. The socket cannot tell the two apart, and work for a caller that left has to end within half a second.

Evidence: test_caller_that_closes_its_sending_side_is_refused, 8 cases, fails before ("incomplete response head: b''") and passes now.

Why it works: the work ends as before; then, if nothing was sent to the caller and the connection did not fail, it gets `caller-closed` (503, was not run) or `caller-closed-late` (502, may have run). One that has gone resets the connection on its own machine.

--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -26,6 +26,7 @@
     UpstreamUnreachableError,
 )
 from ..metrics import Metrics
+from ..net.caller import send_refusal
 from ..net.exchange import Answer, Attempt, ConnectionPool
 from ..net.http_server import ServerConnection
 from ..net.relay import StreamCheck
@@ -33,7 +34,7 @@
 from ..types import Address, CallRequest, Execution, ServiceKind
 from .dispatcher import Dispatcher
 from .records import CallRecord, Records
-from .serving import serve_until_closed
+from .serving import build_closed_error, serve_until_closed
 from .sink import CallerGoneError, CallerSink, build_disconnect_fields
 
 _LOG = logging.getLogger(__name__)
@@ -122,6 +123,10 @@
             await serve_until_closed(connection, self._serve, connection, call)
         finally:
             await self.forget(call)
+        if connection.is_left_unanswered:
+            error = build_closed_error(may_have_run=call.is_sent)
+            self._metrics.refusals.labels(error.code).inc()
+            await send_refusal(connection, error, call.request_id, call_id=call.call_id)
 
     async def forget(self, call: CallRequest) -> None:
         """Removes a call that ended and frees the slot that it may hold."""
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -49,7 +49,7 @@
 from .part_guard import PartGuard
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
-from .serving import serve_until_closed
+from .serving import build_closed_error, serve_until_closed
 from .sink import CallerGoneError, UnsendableAnswerError, build_disconnect_fields
 from .statements import StatementReader
 
@@ -207,6 +207,10 @@
             self._serving.pop(call.call_id, None)
             self.guard.forget(call)
             await self._dispatcher.forget(call)
+        if connection.is_left_unanswered:
+            refusal = build_closed_error(may_have_run=call.may_have_run)
+            self._metrics.refusals.labels(refusal.code).inc()
+            await self._send_refusal(connection, refusal, request_id)
 
     def _note_serving(self, call: RoutedCall, task: Any) -> None:
         self._serving[call.call_id] = (call, task)
@@ -257,6 +261,11 @@
                 "key_age_ms": self._freshness.age_ms,
             },
         )
+        await self._send_refusal(connection, error, request_id)
+
+    async def _send_refusal(
+        self, connection: ServerConnection, error: RefusalError, request_id: str | None
+    ) -> None:
         if not connection.can_refuse:
             return
         fields = self._caller_format.build_refusal(error, request_id)
--- a/sequoiamoor/daemon/serving.py
+++ b/sequoiamoor/daemon/serving.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from ..errors import CallerClosedError, CallerClosedLateError, RefusalError
 from ..net.http_server import ServerConnection
 
 
@@ -14,6 +15,25 @@
     """A task of a request was cancelled although nothing was to end the request."""
 
 
+def build_closed_error(*, may_have_run: bool) -> RefusalError:
+    """Returns the refusal for a caller that closed its side before the answer.
+
+    It may have closed its sending side only, which looks the same, and wait for the
+    answer.
+    """
+    if may_have_run:
+        return CallerClosedLateError(
+            "the caller closed its side of the connection before the answer, and the "
+            "request may have run; keep that side open until the answer is there"
+        )
+    return CallerClosedError(
+        "the caller closed its side of the connection before the answer, and the "
+        "request was not run; send it again and keep that side open until the answer "
+        "is there",
+        retry_after=0.0,
+    )
+
+
 async def serve_until_closed(
     connection: ServerConnection,
     serve: Callable[..., Any],
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -300,6 +300,20 @@
     execution = Execution.MAY_HAVE_RUN
 
 
+class CallerClosedError(RefusalError):
+    """The caller closed its side before its request was sent to a replica."""
+
+    code = "caller-closed"
+
+
+class CallerClosedLateError(RefusalError):
+    """The caller closed its side after its request was sent to a replica."""
+
+    code = "caller-closed-late"
+    status = 502
+    execution = Execution.MAY_HAVE_RUN
+
+
 class UpstreamsUnavailableError(RefusalError):
     """All replicas of the service are leaving, or want no requests for too long."""
 
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -423,6 +423,18 @@
         """Whether a request was received whole and no response has begun."""
         return self._is_request_whole and not self._is_response_begun
 
+    @property
+    def is_left_unanswered(self) -> bool:
+        """Whether the peer closed its side before a response to its whole request.
+
+        It may still read: one that closed only its sending side looks like one that
+        closed both. This is not so if the connection failed.
+        """
+        if not self.has_unanswered_request:
+            return False
+        has_left = self.is_peer_closed or self.has_peer_left
+        return has_left and self.failure is None
+
     @property
     def can_refuse(self) -> bool:
         """Whether the head of a response can still be sent."""
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -528,6 +528,47 @@
     run(session)
 
 
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize("is_route", [False, True])
+@pytest.mark.parametrize("has_replica", [False, True])
+def test_caller_that_closes_its_sending_side_is_refused(
+    has_replica: bool, is_route: bool, is_late: bool
+) -> None:
+    """Guards against a half-closed caller that waits and gets a closed connection.
+
+    On a late event loop, the close is there before the request is read.
+    """
+    expected = {
+        503: ("caller-closed", "was not run"),
+        502: ("caller-closed-late", "may have run"),
+    }
+
+    async def session(harness: ListenerHarness) -> None:
+        upstreams = []
+        if has_replica:
+            upstreams.append(await harness.add_upstream(lambda _: [Hang()]))
+        caller = await harness.connect()
+        await caller.send(route_request("/look/1") if is_route else request())
+        if not is_late:
+            await harness.wait_for(
+                lambda: (
+                    len(harness.board.queues) > 0
+                    or any(upstream.requests for upstream in upstreams)
+                )
+            )
+        caller.sock._socket.shutdown(socket.SHUT_WR)
+        response = parse(await caller.receive_all())
+        assert not caller.is_reset and response.is_whole
+        refusal = response.refusal
+        assert (refusal["code"], refusal["execution"]) == expected[response.status]
+        assert is_late or response.status == (502 if has_replica else 503)
+        await harness.wait_idle()
+        assert response.status == 502 or not any(it.requests for it in upstreams)
+        assert harness.counter("callers_gone") == 1
+
+    (run_routes if is_route else run)(session)
+
+
 @pytest.mark.parametrize("is_route", [False, True])
 @pytest.mark.parametrize("has_started", [False, True])
 @pytest.mark.parametrize(
