Take what is pending of a task without a trap

A block is entered and left for each wait of a connection; four of the six traps that it took beyond curio's own are attribute accesses now.

--- a/sequoiamoor/timeouts.py
+++ b/sequoiamoor/timeouts.py
@@ -30,12 +30,13 @@
         return self
 
     async def _leave(self, *exit_arguments: object) -> bool:
+        task = await curio.current_task()
         # curio would discard any undelivered timeout here, also that of an outer block.
-        pending = await curio.set_cancellation(None)
+        pending, task.cancel_pending = task.cancel_pending, None
         try:
             return bool(await self._context.__aexit__(*exit_arguments))
         finally:
-            await curio.set_cancellation(await _select_undelivered(pending))
+            task.cancel_pending = _select_undelivered(task, pending)
 
 
 class TimeoutAfter(_Timeout):
@@ -76,13 +77,13 @@
     """
     task = await curio.current_task()
     if task.timeout is None:
-        pending = await curio.set_cancellation(None)
+        pending = task.cancel_pending
         await _unset_timeout(None)
-        await curio.set_cancellation(pending)
+        task.cancel_pending = pending
 
 
-async def _select_undelivered(
-    pending: BaseException | None,
+def _select_undelivered(
+    task: Any, pending: BaseException | None
 ) -> BaseException | None:
     """Returns what is still to be delivered to the task after it left a block.
 
@@ -91,11 +92,11 @@
     belongs to an outer block, nothing else may end the waits of that block.
 
     Args:
+        task: The task.
         pending: Exception that was pending before the block was left.
     """
     if not isinstance(pending, curio.TaskTimeout):
         return pending
-    task = await curio.current_task()
     noticed_at = pending.args[0]
     is_outer_due = any(deadline <= noticed_at for deadline in task._deadlines)
     # curio has set the timer of an outer block again if it was that of the task when
