Bound the accepts of one turn, and set socket options once a request is accepted

Cause: the acceptor takes up to 1,024 connections before other tasks run, and all their requests come in the next pass of the loop: at 3,000 new connections/s that are refused, tasks run about a second late. Each new connection has up to seven socket options set, which a refusal does without.

Change: at most 32 accepts, or 5 ms of them, in a turn; the kernel's queue holds the rest. The options of a caller's socket are set when its request is accepted. Until then a caller that vanished is found by the idle timeout.

Ruled out: setting the options once on the listening socket; that accepted sockets have them is up to the kernel.

--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -19,8 +19,13 @@
 REPEATED_ERROR_PAUSE_SECONDS = 0.001
 """Pause after any other error, so that one that returns does not occupy the loop."""
 
-MAX_ACCEPTS_PER_TURN = 1_024
-"""Connections that are accepted before the other tasks run again."""
+MAX_ACCEPTS_PER_TURN = 32
+"""Connections that are accepted before the other tasks run again. Each of them brings a
+request to the next pass of the event loop."""
+
+MAX_TURN_SECONDS = 0.005
+"""Time after which the other tasks run again, since a connection that is refused at
+once takes much longer than one that is only accepted."""
 
 LOG_INTERVAL_SECONDS = 5.0
 """Shortest time between two lines about errors of one acceptor."""
@@ -103,6 +108,7 @@
         limit: int | None = None,
         observer: AcceptObserver | None = None,
         end_at_once: Callable[[Any], bool] = lambda sock: False,
+        read_time: Callable[[], float] = time.monotonic,
     ) -> None:
         """Initialises the acceptor.
 
@@ -114,7 +120,9 @@
             observer: Counts errors and pauses.
             end_at_once: Called with each accepted socket; returns whether the
                 connection is dealt with, so that it needs no task.
+            read_time: Monotonic time in seconds.
         """
+        self._read_time = read_time
         self._sock = sock
         self._serve = serve
         self.name = name
@@ -155,12 +163,12 @@
         try:
             while True:
                 await self._wait_for_room()
+                turn_ends_at = self._read_time() + MAX_TURN_SECONDS
                 for _ in range(MAX_ACCEPTS_PER_TURN):
-                    if self._is_full:
-                        break
                     await self._accept_next()
-                else:
-                    await curio.sleep(0)
+                    if self._is_full or self._read_time() >= turn_ends_at:
+                        break
+                await curio.sleep(0)
         except curio.CancelledError:
             await self._end_all()
             raise
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -92,8 +92,16 @@
         self.active_at = time.monotonic()
         self.unread_bytes = self.discarded_bytes = 0
         self.closes_after_response = False
+        self._detects_dead_peer = detects_dead_peer
+        self._is_prepared = False
+
+    def _prepare_socket(self) -> None:
+        """Sets the options of the socket, which short refusals do without."""
+        if self._is_prepared:
+            return
+        self._is_prepared = True
         disable_send_delay(self._raw_sock)
-        if detects_dead_peer:
+        if self._detects_dead_peer:
             enable_dead_peer_detection(self._raw_sock)
         self._raw_sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
@@ -412,6 +420,7 @@
 
     async def wait_closed(self) -> None:
         """Waits until the peer closes its side; buffers data received before that."""
+        self._prepare_socket()
         while len(self._h11.trailing_data[0]) <= self._header_limit:
             try:
                 await self._receive()
--- a/tests/net/test_acceptor.py
+++ b/tests/net/test_acceptor.py
@@ -13,7 +13,12 @@
 import curio.io
 import pytest
 
-from sequoiamoor.net.acceptor import BROKEN_SOCKET_ERRNOS, Acceptor
+from sequoiamoor.net.acceptor import (
+    BROKEN_SOCKET_ERRNOS,
+    MAX_ACCEPTS_PER_TURN,
+    MAX_TURN_SECONDS,
+    Acceptor,
+)
 
 TIMEOUT_SECONDS = 10.0
 
@@ -215,3 +220,42 @@
             await curio.sleep(0)
 
     run(session)
+
+
+@pytest.mark.parametrize(
+    ("accept_seconds", "most"),
+    [(0.0, MAX_ACCEPTS_PER_TURN), (MAX_TURN_SECONDS / 3.5, 4), (1.0, 1)],
+    ids=["quick", "slow", "very-slow"],
+)
+def test_a_flood_of_connections_lets_other_tasks_run(
+    accept_seconds: float, most: int
+) -> None:
+    """Guards against timers and control that wait until a flood is accepted."""
+    flood = 3 * MAX_ACCEPTS_PER_TURN
+    accepted, now = 0, 0.0
+    accepted_by_pass: list[int] = []
+
+    def refuse(sock: Any) -> bool:
+        nonlocal accepted, now
+        accepted += 1
+        now += accept_seconds
+        return True
+
+    async def main() -> None:
+        listening = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=flood)
+        acceptor = Acceptor(
+            listening, echo, name="test", end_at_once=refuse, read_time=lambda: now
+        )
+        callers = [socket.create_connection(acceptor.address) for _ in range(flood)]
+        task = await curio.spawn(acceptor.run, daemon=True)
+        async with curio.timeout_after(TIMEOUT_SECONDS):
+            while accepted < flood:
+                before = accepted
+                await curio.sleep(0)
+                accepted_by_pass.append(accepted - before)
+        await task.cancel()
+        for caller in callers:
+            caller.close()
+
+    curio.run(main)
+    assert max(accepted_by_pass) == most
