Close a displaced connection without a request at once

What callers saw: fewer refusals while a router is at its connection limit. Each connection that was closed to make room stayed open for 2 s more (up to 100 a second, of 256 places for refusals), unless its caller sent something.

Cause: since the end of the data is no longer taken for a close by the caller, so the clean close waited for one that it cannot see after SHUT_RD.

Evidence: the new test finds the connection open 0.2 s after its caller saw the end before, and passes after.

Nothing was sent that a reset could discard, so the connection is closed like an idle one. A request that arrives later is left unread and reset.

--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -117,12 +117,14 @@
             RefusalError: If the request is malformed, too large or too slow.
         """
         if self._h11.trailing_data == (b"", False):
-            if not await self._receive_within(idle_timeout):
+            has_received = await self._receive_within(idle_timeout)
+            has_data = self._h11.trailing_data[0] != b""
+            if not has_received or (self._is_idle_ended and not has_data):
                 # Reading on, as a clean close does, would take a request that arrives
                 # now. Left unread, it is reset, so its caller knows that it never ran.
                 await self.close()
                 return None
-            if self._h11.trailing_data[0] == b"":
+            if not has_data:
                 return None
         self._receive_timeout = receive_timeout
         self._receive_ends_at = time.monotonic() + receive_timeout
@@ -333,7 +335,7 @@
         """Makes the task that waits for the next request see a close.
 
         A request that arrives whole before that is still received. One of which only a
-        part has arrived is refused as malformed.
+        part has arrived is refused as malformed, and a later one is not read.
         """
         self._is_idle_ended = True
         with contextlib.suppress(OSError):
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 from typing import Any
@@ -320,6 +321,30 @@
     run_limited(session, 1)
 
 
+@pytest.mark.usefixtures("short_idle_time")
+def test_displaced_connection_without_a_request_ends_at_once() -> None:
+    """Guards against displaced connections that take the room of refusals.
+
+    A request that arrives later is not read, so its caller knows that it never ran.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(answer_whole, service="look")
+        kept = await connect_kept(harness, "a")
+        assert harness.listener._make_room()
+        assert await kept.receive_all() == b""
+        # The caller does not close its side.
+        await curio.sleep(0.2)
+        assert harness.listener.excess_connections == 0
+        with contextlib.suppress(ConnectionError):
+            await kept.send(request("look", stream=False))
+        reason = listener.ConnectionEnd.DISPLACED
+        assert harness.counter("caller_connections_ended", reason=reason) == 1
+        assert harness.counter("caller_connections_cut", reason=reason) == 0
+
+    run_limited(session, 1)
+
+
 def test_organisation_over_its_share_gives_connections_back() -> None:
     """Guards against one organisation that holds the connections of the others."""
 
