Receive a request in pieces on a displaced connection before it is refused

What callers saw: the connection failed while they sent the request (EPIPE), after a refusal that a caller or a proxy that is still sending need not read.

Cause: the refusal was sent after the first piece, and the sending side was shut down after it. With SHUT_RD from end_idle before, both directions are shut down; Linux resets such a connection as soon as more data arrives, so the linger of 2 s read nothing (seen with plain sockets: the send after the next one fails).

Evidence: test_refusal_of_a_request_in_pieces_is_not_reset failed with BrokenPipeError before. The older test of this sends one further piece, whose reset its caller cannot see after the end of the data.

The end of the data is not taken for one while a request is incomplete; the rest is awaited for at most 2 s, and the whole request is refused as not run.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -301,7 +301,7 @@
                     receive_timeout=self._limits.receive_timeout,
                 )
             except RefusalError as err:
-                # The rest of a request on a displaced connection cannot be received.
+                # A displaced connection is not read for long.
                 is_displaced = self._is_displaced(connection)
                 error = self._build_refusal() if is_displaced else err
                 await self._refuse(connection, error)
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -95,6 +95,10 @@
 
     async def _receive(self) -> None:
         data = await self._sock.recv(RECEIVE_BYTES)
+        while not data and self._is_idle_ended and self._is_in_request:
+            # More may arrive, although the receiving side was shut down.
+            await curio.sleep(DISCARD_INTERVAL_SECONDS)
+            data = await self._sock.recv(RECEIVE_BYTES)
         self.active_at = time.monotonic()
         # After end_idle the end of the data says nothing about the peer.
         self.is_peer_closed = not data and not self._is_idle_ended
@@ -126,6 +130,8 @@
                 return None
             if not has_data:
                 return None
+        if self._is_idle_ended:
+            receive_timeout = min(receive_timeout, CLOSE_LINGER_SECONDS)
         self._receive_timeout = receive_timeout
         self._receive_ends_at = time.monotonic() + receive_timeout
         return await self._receive_complete()
@@ -149,11 +155,20 @@
                 await self._receive()
             if not timer.expired:
                 return True
-        if peek(self._raw_sock) is None:
+        arrived = peek(self._raw_sock)
+        is_hidden_end = arrived == b"" and self._is_idle_ended and self._is_in_request
+        if arrived is None or is_hidden_end:
             return False
         await self._receive()
         return True
 
+    @property
+    def _is_in_request(self) -> bool:
+        """Whether a part of the next request was received."""
+        return (
+            self._h11.their_state is not h11.IDLE or self._h11.trailing_data[0] != b""
+        )
+
     def _check_head(self) -> None:
         buffered = self._h11.trailing_data[0]
         match = HEAD_END_PATTERN.search(buffered)
@@ -334,8 +349,9 @@
     def end_idle(self) -> None:
         """Makes the task that waits for the next request see a close.
 
-        A request that arrives whole before that is still received. One of which only a
-        part has arrived is refused as malformed, and a later one is not read.
+        A request that has begun to arrive before that is still received, within
+        ``CLOSE_LINGER_SECONDS``; the end of its data is not seen. A later one is not
+        read.
         """
         self._is_idle_ended = True
         with contextlib.suppress(OSError):
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -12,7 +12,7 @@
 import pytest
 
 from sequoiamoor.daemon import listener
-from sequoiamoor.net import refusal_lane
+from sequoiamoor.net import http_server, refusal_lane
 from sequoiamoor.net.acceptor import Acceptor
 
 from ..listener_harness import (
@@ -345,6 +345,48 @@
     run_limited(session, 1)
 
 
+@pytest.mark.usefixtures("short_idle_time")
+def test_refusal_of_a_request_in_pieces_is_not_reset() -> None:
+    """Guards against a caller whose connection fails while it sends its request.
+
+    The kernel resets a connection of which both directions were shut down as soon as
+    more data arrives.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(answer_whole, service="look")
+        kept = await connect_kept(harness, "a")
+        data = request("look", stream=False, body=b"x" * 1_000)
+        assert harness.listener._make_room()
+        for part in (data[:10], data[10:-500], data[-500:-2], data[-2:]):
+            kept.sock._socket.send(part)
+            await curio.sleep(0.1)
+        await check_refused(kept)
+
+    run_limited(session, 1)
+
+
+@pytest.mark.usefixtures("short_idle_time")
+@pytest.mark.parametrize("is_closing", [False, True])
+def test_request_that_stays_incomplete_on_a_displaced_connection_is_refused(
+    is_closing: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections that are held open for a request that never ends."""
+    monkeypatch.setattr(http_server, "CLOSE_LINGER_SECONDS", 0.2)
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(answer_whole, service="look")
+        kept = await connect_kept(harness, "a")
+        assert harness.listener._make_room()
+        kept.sock._socket.send(request("look", stream=False)[:10])
+        if is_closing:
+            kept.sock._socket.shutdown(socket.SHUT_WR)
+        await check_refused(kept)
+        await harness.wait_for(lambda: harness.listener.excess_connections == 0)
+
+    run_limited(session, 1)
+
+
 def test_organisation_over_its_share_gives_connections_back() -> None:
     """Guards against one organisation that holds the connections of the others."""
 
