--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -110,6 +110,10 @@
     async def _receive(self) -> None:
         try:
             data = await self._sock.recv(RECEIVE_BYTES)
+            while not data and self._is_idle_ended and self._is_in_request:
+                # More may arrive, although the receiving side was shut down.
+                await curio.sleep(DISCARD_INTERVAL_SECONDS)
+                data = await self._sock.recv(RECEIVE_BYTES)
         except OSError as err:
             self._note_failure(err)
             raise
@@ -156,13 +160,17 @@
             RefusalError: If the request is malformed, too large or too slow.
         """
         if self._h11.trailing_data == (b"", False):
-            if not await self._receive_within(idle_timeout):
+            has_received = await self._receive_within(idle_timeout)
+            has_data = self._h11.trailing_data[0] != b""
+            if not has_received or (self._is_idle_ended and not has_data):
                 # Reading on, as a clean close does, would take a request that arrives
                 # now. Left unread, it is reset, so its caller knows that it never ran.
                 await self.close()
                 return None
-            if self._h11.trailing_data[0] == b"":
+            if not has_data:
                 return None
+        if self._is_idle_ended:
+            receive_timeout = min(receive_timeout, CLOSE_LINGER_SECONDS)
         self._receive_timeout = receive_timeout
         self._receive_ends_at = time.monotonic() + receive_timeout
         return await self._receive_complete()
@@ -186,11 +194,20 @@
                 await self._receive()
             if not timer.expired:
                 return True
-        if self._peek() is None:
+        arrived = self._peek()
+        is_hidden_end = arrived == b"" and self._is_idle_ended and self._is_in_request
+        if arrived is None or is_hidden_end:
             return False
         await self._receive()
         return True
 
+    @property
+    def _is_in_request(self) -> bool:
+        """Whether a part of the next request was received."""
+        return (
+            self._h11.their_state is not h11.IDLE or self._h11.trailing_data[0] != b""
+        )
+
     def _check_head(self) -> None:
         buffered = self._h11.trailing_data[0]
         match = HEAD_END_PATTERN.search(buffered)
@@ -406,8 +423,9 @@
     def end_idle(self) -> None:
         """Makes the task that waits for the next request see a close.
 
-        A request that arrives whole before that is still received. One of which only a
-        part has arrived is refused as malformed.
+        A request that has begun to arrive before that is still received, within
+        ``CLOSE_LINGER_SECONDS``; the end of its data is not seen. A later one is not
+        read.
         """
         self._is_idle_ended = True
         with contextlib.suppress(OSError):
