End a connection after an answer that was cut while it was sent

What callers saw: if the deadline passed, or the caller read nothing for the send timeout, while a whole answer was being sent, the connection stayed open: nothing of the rest came, and the answer to the next request on it was written where the rest of the first body was due.

Cause: h11 counts a response as done once it is composed, before the socket has taken all of it, so start_next_cycle went on.

Evidence: test_connection_ends_after_an_answer_that_was_cut_while_it_was_sent fails before (the body ends with "HTTP/1.1 200 ... second", two requests reached the replica) and passes now.

Why it works: ServerConnection notes whether its last write was whole, and a connection whose last one was not has no further cycle.

--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -77,6 +77,7 @@
         self._is_head_request = False
         self._is_request_whole = False
         self._is_response_begun = False
+        self._is_write_whole = True
         self._is_streaming = False
         self._is_closed = False
         self._receive_timeout = 0.0
@@ -255,6 +256,7 @@
             )
 
     async def _write(self, data: bytes) -> None:
+        self._is_write_whole = False
         try:
             try:
                 sent = self._raw_sock.send(data)
@@ -264,6 +266,7 @@
             self.active_at = time.monotonic()
             if sent < len(data):
                 await self._write_rest(memoryview(data)[sent:])
+            self._is_write_whole = True
         except OSError as err:
             self.has_send_failed = True
             self._note_failure(err)
@@ -442,9 +445,10 @@
 
     def start_next_cycle(self) -> bool:
         """Prepares for the next request; returns False if the connection must close."""
-        if self._h11.our_state is not h11.DONE or (
-            self._h11.their_state is not h11.DONE
-        ):
+        # For h11 a response is done before the socket has taken all of it.
+        if not self._is_write_whole or self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
         self._is_request_whole = self._is_response_begun = False
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -250,6 +250,28 @@
     run(session)
 
 
+def test_connection_ends_after_an_answer_that_was_cut_while_it_was_sent() -> None:
+    """Guards against a further answer in the place of the rest of this one's body.
+
+    The caller reads nothing until the deadline, so a part of the answer is sent.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        upstream = await harness.add_upstream(
+            lambda _: [answer(b"x" * 12_000_000)], lambda _: [answer(b"second")]
+        )
+        caller = await harness.connect()
+        await caller.send(route_request("/quick/1"))
+        await harness.wait_for(lambda: harness.counter("refusals", code="deadline") > 0)
+        await caller.send(route_request("/look/1"))
+        response = parse(await caller.receive_all())
+        assert (response.status, response.is_whole) == (200, False)
+        assert response.body.strip(b"x") == b""
+        assert len(upstream.requests) == 1
+
+    run(session)
+
+
 @pytest.mark.parametrize("error", [LookupError("gone"), OSError("not the caller's")])
 def test_exception_while_a_refusal_is_prepared_is_answered(
     error: Exception, monkeypatch: pytest.MonkeyPatch
