Let a replica of the soak end without waiting for a late connection

The replicas and proxies ran curio's run_server. When that is cancelled, it cancels the tasks that it has at that moment, then joins its group. A connection that arrives in the same pass of the event loop is accepted after that and gets a task that nobody cancels. The join waits for it: an idle connection of a router ends after 30 s, the idle limit of the replica, which is the time limit of a fault. Meanwhile the crashed replica even serves requests on it.

A server of the soak's own cancels the accept loop first and waits for it, then cancels all connections. The limit of 30 s and what it reports stay as they are.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -13,6 +13,8 @@
 from sequoiamoor.standin.processes import reserve_port
 from sequoiamoor.types import Address
 
+from .server import Server
+
 CHUNK_BYTES = 65_536
 
 
@@ -38,7 +40,7 @@
     def __init__(self, find_target: Callable[[], Address]) -> None:
         self._find_target = find_target
         self._connections: dict[Any, tuple[Any, Any]] = {}
-        self._server: Any = None
+        self._server: Server | None = None
         self._reservation: Any = None
         self._changed = curio.Condition()
         self.state = LinkState.OPEN
@@ -52,16 +54,15 @@
             self.address = Address(*self._reservation.getsockname()[:2])
         if self._server is None:
             sock = curio.network.tcp_server_socket(self.address.host, self.address.port)
-            self._server = await curio.spawn(
-                curio.network.run_server, sock, self._serve, daemon=True
-            )
+            self._server = Server(sock, self._serve)
+            await self._server.start()
         return self.address
 
     async def close(self) -> None:
         """Resets all connections and refuses new ones, like a process that ended."""
         server, self._server = self._server, None
         if server is not None:
-            await server.cancel()
+            await server.close()
         await self.reset_all()
 
     async def set_state(self, state: LinkState) -> None:
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -20,6 +20,7 @@
 
 from ..platform.standin import StandInStore
 from .proxy import LinkState, Proxy
+from .server import Server
 from .statements import DRAIN_NOTICE_LIMIT_SECONDS, Statements, Traffic
 
 HEARTBEAT_SECONDS = 1.0
@@ -134,7 +135,8 @@
         self._is_router_undisturbed_since = is_undisturbed_since
         self.link_disturbed_at = float("-inf")
         self._target = Address("127.0.0.1", 0)
-        self._tasks: Any = None
+        self._server: Server | None = None
+        self._heartbeats: Any = None
         self._started_at_ms = 0
         self._sequence = 0
         self.service = service
@@ -181,15 +183,16 @@
         self._started_at_ms = time.time_ns() // 1_000_000
         self.statements = self._create_statements()
         self.drain_acknowledged_at, self.fault, self.is_listed = None, None, True
-        self._tasks = curio.TaskGroup(wait=None)
-        await self._tasks.spawn(curio.network.run_server, sock, self._serve)
-        await self._tasks.spawn(self._send_heartbeats)
+        self._server = Server(sock, self._serve)
+        await self._server.start()
+        self._heartbeats = await curio.spawn(self._send_heartbeats, daemon=True)
 
     async def crash(self) -> None:
         """Ends at once and resets its connections; its entry stays in the store."""
-        tasks, self._tasks = self._tasks, None
-        if tasks is not None:
-            await tasks.cancel_remaining()
+        server, self._server = self._server, None
+        if server is not None:
+            await self._heartbeats.cancel(blocking=False)
+            await server.close()
             await self.proxy.close()
 
     async def end_and_restart(self, bad_part: str = "") -> None:
@@ -246,7 +249,7 @@
     @property
     def is_running(self) -> bool:
         """Whether it listens and serves."""
-        return self._tasks is not None
+        return self._server is not None
 
     def _write(self, state: str) -> None:
         self._sequence += 1
