Pass over closed sockets when an address prefix is blocked

`test_cut_zones_serve_while_the_platform_is_out_and_a_router_dies` failed once: a router closed the connection of POST /debug/partition without an answer.

A link keeps the error that ended its connection until it opens the next one. The traceback of that error refers to the socket, so the socket is still tracked though it is closed, and a closed curio socket has no socket inside. Blocking its address raised AttributeError, which ended the request, and left the connections behind it in the list open. That takes a reset by the router that was cut first, right before the second cut.

Traced by hand: a link whose peer resets its connection, then a block of that peer's address, raised it; with the change it does not. The logs of the failed run were not kept, so that it was this is inferred from where it stopped.

--- a/sequoiamoor/net/reachability.py
+++ b/sequoiamoor/net/reachability.py
@@ -56,7 +56,8 @@
         """Replaces the blocked prefixes and closes connections to these addresses."""
         self.prefixes = tuple(prefixes)
         for sock, host in list(self._open_socks.items()):
-            if self.is_blocked(host):
+            # A closed socket may not be collected yet.
+            if sock._socket is not None and self.is_blocked(host):
                 # A shutdown wakes the tasks that wait for the socket, which then close
                 # it. Closing it here would leave them waiting.
                 with contextlib.suppress(OSError):
