--- a/sequoiamoor/daemon/calls.py
+++ b/sequoiamoor/daemon/calls.py
@@ -26,6 +26,7 @@
     UpstreamUnreachableError,
 )
 from ..metrics import Metrics
+from ..net.caller import send_refusal
 from ..net.exchange import Answer, Attempt, ConnectionPool
 from ..net.http_server import ServerConnection
 from ..net.relay import StreamCheck
@@ -33,7 +34,8 @@
 from ..types import Address, CallRequest, Execution, ServiceKind
 from .dispatcher import Dispatcher
 from .records import CallRecord, Records
-from .sink import CallerGoneError, CallerSink
+from .serving import build_closed_error, serve_until_closed
+from .sink import CallerGoneError, CallerSink, build_disconnect_fields
 
 _LOG = logging.getLogger(__name__)
 
@@ -118,11 +120,13 @@
     async def serve(self, connection: ServerConnection, call: CallRequest) -> None:
         """Serves an accepted call until it ends or its caller disconnects."""
         try:
-            async with curio.TaskGroup(wait=any) as tasks:
-                await tasks.spawn(self._serve, connection, call)
-                await tasks.spawn(connection.wait_closed)
+            await serve_until_closed(connection, self._serve, connection, call)
         finally:
             await self.forget(call)
+        if connection.is_left_unanswered:
+            error = build_closed_error(may_have_run=call.is_sent)
+            self._metrics.refusals.labels(error.code).inc()
+            await send_refusal(connection, error, call.request_id, call_id=call.call_id)
 
     async def forget(self, call: CallRequest) -> None:
         """Removes a call that ended and frees the slot that it may hold."""
@@ -145,17 +149,18 @@
         except curio.CancelledError:
             if connection.is_peer_closed:
                 self._record_caller_disconnect(
-                    connection, call, "the caller closed its connection"
+                    connection, call, "the call was in service"
                 )
             raise
 
     def _record_caller_disconnect(
-        self, connection: ServerConnection, call: CallRequest, reason: str
+        self, connection: ServerConnection, call: CallRequest, detail: str
     ) -> None:
         self._metrics.callers_gone.inc()
         if connection.is_peer_slow:
             self._metrics.callers_slow.inc()
-        _LOG.info("caller disconnected", extra=build_log_fields(call, reason=reason))
+        extra = build_log_fields(call) | build_disconnect_fields(connection, detail)
+        _LOG.info("caller disconnected", extra=extra)
 
     async def _run_or_refuse(self, call: CallRequest, sink: CallerSink) -> None:
         try:
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -35,6 +35,7 @@
     UpstreamUnreachableError,
     WaitLimitError,
 )
+from ..logs import LineLimits
 from ..metrics import Metrics
 from ..net.caller import to_refusal_body
 from ..net.events import Events, EventSequence
@@ -43,13 +44,15 @@
 from ..net.forward import ForwardAttempt, ReceivedHead, StreamHead, WholeAnswer
 from ..net.http import Request
 from ..net.http_server import ServerConnection
+from ..timeouts import timeout_after
 from ..types import Address, CallRequest, Execution, RouteKind
 from .dispatcher import Dispatcher
 from .end_check import EndCheck
 from .part_guard import PartGuard
 from .route_calls import RouteCalls
 from .route_sink import RouteSink
-from .sink import CallerGoneError
+from .serving import build_closed_error, serve_until_closed
+from .sink import CallerGoneError, UnsendableAnswerError, build_disconnect_fields
 from .statements import StatementReader
 
 _LOG = logging.getLogger(__name__)
@@ -66,6 +69,12 @@
 """Largest fraction by which Retry-After is shortened or lengthened at random, so that
 retries spread out."""
 
+REFUSAL_LINES_PER_SECOND = 30.0
+"""Sustained rate of lines about refusals with the same code."""
+
+REFUSAL_BURST_LINES = 100.0
+"""Such lines that may be written at once after a time with few of them."""
+
 OUTDATED_CHECK_SECONDS = 0.02
 """Interval between two checks whether an answer of the store has arrived."""
 
@@ -141,6 +150,9 @@
         self.guard.refuse_waiting = dispatcher.refuse_waiting
         self.drain = DrainTimes()
         self._serving: dict[str, tuple[RoutedCall, Any]] = {}
+        self._refusal_lines = LineLimits(
+            rate=REFUSAL_LINES_PER_SECOND, burst=REFUSAL_BURST_LINES
+        )
 
     async def watch(self) -> None:
         """Watches the connections to replicas until cancelled."""
@@ -195,17 +207,24 @@
             return
         self._repeat_budget.record_request(call.service, now)
         try:
-            async with curio.TaskGroup(wait=any) as tasks:
-                serving = await tasks.spawn(self._serve, connection, call)
-                self._serving[call.call_id] = (call, serving)
-                await tasks.spawn(connection.wait_closed)
-            # A task group does not raise the exception of a failed task.
-            if isinstance(serving.exception, Exception):
-                raise serving.exception
+            await serve_until_closed(
+                connection,
+                self._serve,
+                connection,
+                call,
+                on_start=partial(self._note_serving, call),
+            )
         finally:
             self._serving.pop(call.call_id, None)
             self.guard.forget(call)
             await self._dispatcher.forget(call)
+        if connection.is_left_unanswered:
+            refusal = build_closed_error(may_have_run=call.may_have_run)
+            self._metrics.refusals.labels(refusal.code).inc()
+            await self._send_refusal(connection, refusal, request_id)
+
+    def _note_serving(self, call: RoutedCall, task: Any) -> None:
+        self._serving[call.call_id] = (call, task)
 
     async def refuse_unsent(self) -> None:
         """Refuses the waiting requests once it is too late to send them."""
@@ -242,17 +261,25 @@
     ) -> None:
         """Logs and counts a refusal, and sends it if no response has begun."""
         self._metrics.refusals.labels(error.code).inc()
-        _LOG.info(
-            "refused",
-            extra={
-                "request_id": request_id,
-                "reason": error.code,
-                "detail": str(error),
-                "status": error.status,
-                "version": self._board.configuration.version,
-                "key_age_ms": self._freshness.age_ms,
-            },
-        )
+        left_out = self._refusal_lines.take(error.code, time.monotonic())
+        if left_out is not None:
+            _LOG.info(
+                "refused",
+                extra={
+                    "request_id": request_id,
+                    "reason": error.code,
+                    "detail": str(error),
+                    "status": error.status,
+                    "version": self._board.configuration.version,
+                    "key_age_ms": self._freshness.age_ms,
+                    "left_out": left_out or None,
+                },
+            )
+        await self._send_refusal(connection, error, request_id)
+
+    async def _send_refusal(
+        self, connection: ServerConnection, error: RefusalError, request_id: str | None
+    ) -> None:
         if not connection.can_refuse:
             return
         fields = self._caller_format.build_refusal(error, request_id)
@@ -267,25 +294,31 @@
         try:
             await self._run_within_deadline(connection, call, sink)
         except CallerGoneError as err:
-            self._record_caller_disconnect(call, str(err))
+            self._record_caller_disconnect(connection, call, str(err))
         except curio.CancelledError:
             if connection.is_peer_closed:
-                self._record_caller_disconnect(call, "the caller closed its connection")
+                self._record_caller_disconnect(
+                    connection, call, "the request was in service"
+                )
             raise
         except OSError as err:
             if not connection.has_send_failed:
                 raise
-            self._record_caller_disconnect(call, str(err))
+            self._record_caller_disconnect(connection, call, str(err))
 
-    def _record_caller_disconnect(self, call: RoutedCall, reason: str) -> None:
+    def _record_caller_disconnect(
+        self, connection: ServerConnection, call: RoutedCall, detail: str
+    ) -> None:
         self._metrics.callers_gone.inc()
-        _LOG.info("caller disconnected", extra=_build_log_fields(call, reason=reason))
+        extra = _build_log_fields(call, reason="closed")
+        extra |= build_disconnect_fields(connection, detail)
+        _LOG.info("caller disconnected", extra=extra)
 
     async def _run_within_deadline(
         self, connection: ServerConnection, call: RoutedCall, sink: RouteSink
     ) -> None:
         try:
-            async with curio.timeout_after(max(call.ends_at - time.monotonic(), 0.0)):
+            async with timeout_after(max(call.ends_at - time.monotonic(), 0.0)):
                 await self._run_attempts(call, sink)
         except curio.TaskTimeout:
             error: RefusalError = DeadlineError(
@@ -303,6 +336,10 @@
             return
         except CallerGoneError:
             raise
+        except UnsendableAnswerError as err:
+            # Callers can provoke this with CONNECT: no line beyond the rate limit.
+            await self._finish_failed(connection, call, sink, InternalError(str(err)))
+            return
         except Exception as err:
             _LOG.exception(
                 "request ended by an unexpected exception",
@@ -336,7 +373,7 @@
         sink: RouteSink,
         error: RefusalError,
     ) -> None:
-        if sink.is_started:
+        if sink.is_started and not connection.has_unanswered_request:
             # The missing last chunk tells the caller that the answer is incomplete. The
             # connection is closed later by the listener, since a task of this request
             # still reads from it.
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -216,13 +216,22 @@
     ) -> None:
         """Counts the end of a connection; logs one that cuts off its caller.
 
+        A caller that closed the connection itself was not cut off, unlike one whose
+        connection failed.
+
         Args:
             connection: The connection, which is closed.
             end: Why it ended.
             idle_seconds: Time since the last byte was sent or received.
         """
         self._metrics.caller_connections_ended.labels(end).inc()
-        if connection.is_peer_closed and end is not ConnectionEnd.DISPLACED:
+        if connection.failure_name is not None:
+            self._metrics.caller_connections_failed.labels(
+                connection.failure_name
+            ).inc()
+        elif end is ConnectionEnd.PEER_CLOSED or (
+            connection.is_peer_closed and end is not ConnectionEnd.DISPLACED
+        ):
             return
         if connection.has_unanswered_request:
             detail = "read"
@@ -238,6 +247,7 @@
             extra={
                 "reason": end,
                 "detail": detail,
+                "error": connection.failure_name,
                 "unread_bytes": connection.unread_bytes + connection.discarded_bytes,
                 "idle_ms": round(idle_seconds * 1000),
             },
@@ -300,11 +310,14 @@
                     idle_timeout=self._limits.idle_timeout,
                     receive_timeout=self._limits.receive_timeout,
                 )
-            except RefusalError as error:
+            except RefusalError as err:
+                # The rest of a request on a displaced connection cannot be received.
+                is_displaced = self._is_displaced(connection)
+                error = self._build_refusal() if is_displaced else err
                 await self._refuse(connection, error)
                 return ConnectionEnd.REFUSED
             if request is None:
-                if connection not in self._served:
+                if self._is_displaced(connection):
                     return ConnectionEnd.DISPLACED
                 if connection.is_peer_closed:
                     return ConnectionEnd.PEER_CLOSED
@@ -318,15 +331,23 @@
                 _LOG.exception("request ended by an unexpected exception")
                 await self._refuse(connection, _build_internal_error())
                 return ConnectionEnd.FAULT
+            if _find_end(connection) is ConnectionEnd.FAULT:
+                _LOG.error("request ended without an answer")
+                await self._refuse(connection, _build_internal_error())
+                return ConnectionEnd.FAULT
             if not connection.start_next_cycle():
-                return ConnectionEnd.ANSWERED
+                return _find_end(connection)
+
+    def _is_displaced(self, connection: ServerConnection) -> bool:
+        """Returns whether a connection was closed to make room for another one."""
+        return connection not in self._served
 
     async def _serve_request(
         self, connection: ServerConnection, request: Request
     ) -> None:
         """Serves a request, or refuses one that holds a connection others need."""
-        if connection not in self._served:
-            # It was closed to make room while the request was on its way.
+        if self._is_displaced(connection):
+            # The request was on its way.
             connection.closes_after_response = True
             await self._refuse(connection, self._build_refusal())
             return
@@ -422,6 +443,16 @@
         await self._calls.serve(connection, call)
 
 
+def _find_end(connection: ServerConnection) -> ConnectionEnd:
+    """Returns why a connection ends after a request of it was served."""
+    if connection.failure is not None:
+        return ConnectionEnd.LOST
+    is_unanswered = connection.has_unanswered_request
+    if connection.is_peer_closed or (is_unanswered and connection.has_peer_left):
+        return ConnectionEnd.PEER_CLOSED
+    return ConnectionEnd.FAULT if is_unanswered else ConnectionEnd.ANSWERED
+
+
 def _build_internal_error() -> InternalError:
     return InternalError(
         "an internal error of the router ended the request; see its log",
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import time
 from typing import Any
@@ -16,6 +17,7 @@
     MalformedRequestError,
     RequestTimeoutError,
 )
+from ..timeouts import ignore_after, timeout_after, wait_for
 from .http import (
     HEAD_END_PATTERN,
     RECEIVE_BYTES,
@@ -24,7 +26,7 @@
     check_request_head,
     disable_send_delay,
     enable_dead_peer_detection,
-    peek,
+    peek_or_raise,
     peek_unread,
     to_h11_headers,
     to_header_dict,
@@ -36,6 +38,7 @@
 SEND_BUFFER_BYTES = 262_144
 CLOSE_LINGER_SECONDS = 2.0
 CLOSE_LINGER_LIMIT_BYTES = 4_194_304
+DISCARD_INTERVAL_SECONDS = 0.05
 
 
 class ServerConnection:
@@ -43,6 +46,8 @@
 
     Attributes:
         is_peer_closed: Whether the peer closed its side or the connection failed.
+        failure: First error with which receiving or sending failed; None as long as the
+            connection works, also after the peer closed it.
         is_peer_slow: Whether a send failed because the peer read nothing for too long.
         has_send_failed: Whether a send failed for any reason.
         bytes_sent: Number of bytes passed to the socket.
@@ -72,30 +77,68 @@
         self._send_timeout = send_timeout
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=header_limit)
         self._is_head_request = False
+        self._is_request_whole = False
+        self._is_response_begun = False
         self._is_streaming = False
         self._is_closed = False
+        self._is_idle_ended = False
         self._receive_timeout = 0.0
         self._receive_ends_at = 0.0
         self.is_peer_closed = False
+        self.failure: OSError | None = None
         self.is_peer_slow = False
         self.has_send_failed = False
         self.bytes_sent = 0
         self.active_at = time.monotonic()
         self.unread_bytes = self.discarded_bytes = 0
         self.closes_after_response = False
+        self._detects_dead_peer = detects_dead_peer
+        self._is_prepared = False
+
+    def _prepare_socket(self) -> None:
+        """Sets the options of the socket, which short refusals do without."""
+        if self._is_prepared:
+            return
+        self._is_prepared = True
         disable_send_delay(self._raw_sock)
-        if detects_dead_peer:
+        if self._detects_dead_peer:
             enable_dead_peer_detection(self._raw_sock)
         self._raw_sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
 
     async def _receive(self) -> None:
-        data = await self._sock.recv(RECEIVE_BYTES)
+        try:
+            data = await self._sock.recv(RECEIVE_BYTES)
+        except OSError as err:
+            self._note_failure(err)
+            raise
         self.active_at = time.monotonic()
-        self.is_peer_closed = not data
+        # After end_idle the end of the data says nothing about the peer.
+        self.is_peer_closed = not data and not self._is_idle_ended
         self._h11.receive_data(data)
 
+    def _note_failure(self, error: OSError) -> None:
+        if self.failure is None:
+            self.failure = error
+
+    @property
+    def failure_name(self) -> str | None:
+        """Short name of the failure: that of its errno, or ``send-timeout``."""
+        if self.failure is None:
+            return None
+        if self.is_peer_slow:
+            return "send-timeout"
+        return errno.errorcode.get(self.failure.errno or 0, "unknown")
+
+    def _peek(self) -> bytes | None:
+        # The kernel tells an error once, so it has to be kept here.
+        try:
+            return peek_or_raise(self._raw_sock)
+        except OSError as err:
+            self._note_failure(err)
+            return b""
+
     async def receive_request(
         self, *, idle_timeout: float, receive_timeout: float
     ) -> Request | None:
@@ -139,11 +182,11 @@
             Whether something was received.
         """
         if seconds > 0:
-            async with curio.ignore_after(seconds) as timer:
+            async with ignore_after(seconds) as timer:
                 await self._receive()
             if not timer.expired:
                 return True
-        if peek(self._raw_sock) is None:
+        if self._peek() is None:
             return False
         await self._receive()
         return True
@@ -210,6 +253,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
+                self._is_request_whole = True
                 request.body = b"".join(parts)
                 return request
             size += len(event.data)
@@ -232,14 +276,15 @@
             self.active_at = time.monotonic()
             if sent < len(data):
                 await self._write_rest(memoryview(data)[sent:])
-        except OSError:
+        except OSError as err:
             self.has_send_failed = True
+            self._note_failure(err)
             raise
 
     async def _write_rest(self, data: memoryview) -> None:
         try:
             while data:
-                async with curio.timeout_after(self._send_timeout):
+                async with timeout_after(self._send_timeout):
                     sent = await self._sock.send(data)
                 data = data[sent:]
         except curio.TaskTimeout as err:
@@ -253,6 +298,35 @@
         if data:
             await self._write(data)
 
+    def _compose(self, *events: Any) -> bytes:
+        """Returns the bytes of events of a response.
+
+        Raises:
+            h11.LocalProtocolError: If h11 rejects the response. A refusal can still be
+                sent if nothing of the response was.
+        """
+        try:
+            return b"".join(self._h11.send(event) for event in events)
+        except h11.LocalProtocolError:
+            if not self._is_response_begun:
+                self._reset_parser()
+            raise
+
+    def _reset_parser(self) -> None:
+        """Lets a response be sent after h11 rejected another one to the same request.
+
+        h11 sends nothing more after an error, so the request is replaced by a plain one
+        to the new parser. The connection ends with that response.
+        """
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._header_limit
+        )
+        method = b"HEAD" if self._is_head_request else b"GET"
+        self._h11.receive_data(method + b" / HTTP/1.1\r\nHost: x\r\n\r\n")
+        while self._h11.their_state is not h11.DONE:
+            self._h11.next_event()
+        self.closes_after_response = True
+
     async def send_response(
         self, status: int, headers: dict[str, str] | Headers, body: bytes
     ) -> None:
@@ -260,17 +334,18 @@
 
         Raises:
             OSError: If the connection fails or the peer does not read.
+            h11.LocalProtocolError: If h11 rejects the response.
         """
         fields = to_h11_headers(headers)
         fields.append((b"content-length", b"%d" % len(body)))
         if self.closes_after_response or self._h11.their_state is not h11.DONE:
             _append_close(fields)
-        head = self._h11.send(h11.Response(status_code=status, headers=fields))
-        data = b""
+        events: list[Any] = [h11.Response(status_code=status, headers=fields)]
         if body and not self._is_head_request:
-            data = self._h11.send(h11.Data(data=body))
-        end = self._h11.send(h11.EndOfMessage())
-        await self._write(b"".join((head, data, end)))
+            events.append(h11.Data(data=body))
+        data = self._compose(*events, h11.EndOfMessage())
+        self._is_response_begun = True
+        await self._write(data)
 
     async def start_stream(
         self, status: int, headers: dict[str, str] | Headers
@@ -279,12 +354,15 @@
 
         Raises:
             OSError: If the connection fails or the peer does not read.
+            h11.LocalProtocolError: If h11 rejects the response.
         """
         fields = to_h11_headers(headers)
         fields.append((b"transfer-encoding", b"chunked"))
         if self.closes_after_response:
             _append_close(fields)
-        await self._send(h11.Response(status_code=status, headers=fields))
+        data = self._compose(h11.Response(status_code=status, headers=fields))
+        self._is_response_begun = True
+        await self._write(data)
         self._is_streaming = True
 
     async def send_data(self, data: bytes) -> None:
@@ -314,7 +392,7 @@
     @property
     def has_peer_left(self) -> bool:
         """Whether the peer closed the connection, even if that was not read yet."""
-        return peek(self._raw_sock) == b""
+        return self._peek() == b""
 
     @property
     def is_idle(self) -> bool:
@@ -322,24 +400,27 @@
         return (
             self._h11.their_state is h11.IDLE
             and self._h11.trailing_data == (b"", False)
-            and peek(self._raw_sock) is None
+            and self._peek() is None
         )
 
     def end_idle(self) -> None:
         """Makes the task that waits for the next request see a close.
 
-        A request that arrives before that is still received.
+        A request that arrives whole before that is still received. One of which only a
+        part has arrived is refused as malformed.
         """
+        self._is_idle_ended = True
         with contextlib.suppress(OSError):
             self._raw_sock.shutdown(socket.SHUT_RD)
 
     @property
     def has_unread(self) -> bool:
         """Whether data of the peer is in the socket."""
-        return bool(peek(self._raw_sock))
+        return bool(self._peek())
 
     async def wait_closed(self) -> None:
         """Waits until the peer closes its side; buffers data received before that."""
+        self._prepare_socket()
         while len(self._h11.trailing_data[0]) <= self._header_limit:
             try:
                 await self._receive()
@@ -355,9 +436,19 @@
     @property
     def has_unanswered_request(self) -> bool:
         """Whether a request was received whole and no response has begun."""
-        return self._h11.our_state is h11.SEND_RESPONSE and (
-            self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-        )
+        return self._is_request_whole and not self._is_response_begun
+
+    @property
+    def is_left_unanswered(self) -> bool:
+        """Whether the peer closed its side before a response to its whole request.
+
+        It may still read: one that closed only its sending side looks like one that
+        closed both. This is not so if the connection failed.
+        """
+        if not self.has_unanswered_request:
+            return False
+        has_left = self.is_peer_closed or self.has_peer_left
+        return has_left and self.failure is None
 
     @property
     def can_refuse(self) -> bool:
@@ -371,6 +462,7 @@
         ):
             return False
         self._h11.start_next_cycle()
+        self._is_request_whole = self._is_response_begun = False
         return True
 
     async def close(self) -> None:
@@ -394,7 +486,7 @@
             )
             if self.bytes_sent and is_peer_reading:
                 self._raw_sock.shutdown(socket.SHUT_WR)
-                await curio.ignore_after(CLOSE_LINGER_SECONDS, self._discard_received)
+                await wait_for(CLOSE_LINGER_SECONDS, self._discard_received)
         except OSError:
             pass
         finally:
@@ -402,7 +494,13 @@
 
     async def _discard_received(self) -> None:
         remaining_bytes = CLOSE_LINGER_LIMIT_BYTES
-        while remaining_bytes > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
+        while remaining_bytes > 0:
+            data = await self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                if not self._is_idle_ended:
+                    return
+                # More may arrive, although the receiving side was shut down.
+                await curio.sleep(DISCARD_INTERVAL_SECONDS)
             remaining_bytes -= len(data)
             self.discarded_bytes += len(data)
 
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from typing import Any
 
 import curio
@@ -107,6 +108,32 @@
     run_limited(session, 1)
 
 
+def test_request_that_arrives_as_the_timer_fires_is_read_before_its_refusal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refused connections that are held open on a late event loop.
+
+    The timer is noticed before the request arrives. The caller does not close.
+    """
+    monkeypatch.setattr(refusal_lane, "FIRST_BYTES_TIMEOUT_SECONDS", 0.05)
+    monkeypatch.setattr(refusal_lane, "LINGER_SECONDS", 60.0)
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.connect()
+        await curio.sleep(0)
+        caller = await harness.connect()
+        await harness.wait_for(lambda: harness.listener.excess_connections == 1)
+        # The connection's task gets to its wait.
+        await curio.sleep(0.01)
+        time.sleep(0.1)
+        await curio.sleep(0)
+        await caller.send(HEALTH)
+        await check_refused(caller)
+        await harness.wait_for(lambda: harness.listener.excess_connections == 0)
+
+    run_limited(session, 1)
+
+
 def test_flood_of_connections_displaces_few_idle_ones(
     short_idle_time: None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -259,19 +286,36 @@
 
 
 @pytest.mark.usefixtures("short_idle_time")
-def test_request_that_crosses_the_close_of_its_connection_is_refused() -> None:
-    """Guards against a request without an answer on a connection that made room."""
+@pytest.mark.parametrize("arrived", [10, -2, None], ids=["head", "body", "whole"])
+def test_request_that_crosses_the_close_of_its_connection_is_refused(
+    arrived: int | None,
+) -> None:
+    """Guards against a request without an answer on a connection that made room.
+
+    Only a part of it may have arrived when the router comes to it.
+    """
 
     async def session(harness: ListenerHarness) -> None:
         await harness.add_upstream(answer_whole, service="look")
         kept = await connect_kept(harness, "a")
+        data = request("look", stream=False)
         # Nothing else runs between these two lines.
         assert harness.listener._make_room()
-        kept.sock._socket.send(request("look", stream=False))
+        kept.sock._socket.send(data[:arrived])
+        if arrived is not None:
+            # The router has come to it when the rest arrives.
+            await curio.sleep(0.05)
+            kept.sock._socket.send(data[arrived:])
+            await curio.sleep(0.05)
         response = parse(await kept.receive_until(b"}\n"))
+        assert (response.status, response.refusal["code"]) == (
+            503,
+            "too-many-connections",
+        )
         assert response.refusal["execution"] == "was not run"
         assert response.headers["connection"] == "close"
         assert await kept.receive_all() == kept.received
+        assert not kept.is_reset
 
     run_limited(session, 1)
 
