Bear a caller's silence for 10 s instead of 1.5 to 2 s

What callers see: a link or caller that acknowledges nothing for 1.5 s with data on its way, or for 2 s without, has its connection ended by the kernel of the router, with the request in service and without an answer.

Cause: one limit for callers and upstreams. That of upstreams has a reason that callers do not have: a stream resumes at another replica.

Evidence: test_only_upstreams_are_given_up_after_a_short_silence reads the options of both sockets; it fails before ("1.5 >= 10.0") and passes now.

Why it works: the deadline bounds a request in service, send_timeout a caller that does not read, idle_timeout an idle connection. What remains for this limit is to free what callers hold that vanished without a reset. Their requests may run for up to 10 s instead of 2 s, within their deadlines. The rule on callers that left counts from when the close has reached the router, so it is not affected. Upstreams, the store and their limits are unchanged.

--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -10,11 +10,6 @@
 from ..errors import MalformedRequestError
 
 RECEIVE_BYTES = 65_536
-# A partitioned zone does not respond at all. These limits detect that within about two
-# seconds, before callers give up on a silent stream.
-UNACKNOWLEDGED_DATA_LIMIT_MS = 1_500
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_PROBES = 2
 HEAD_END_PATTERN = re.compile(rb"\n\r?\n")
 
 _BODY_FRAMING_FIELDS = (b"content-length", b"transfer-encoding")
@@ -22,6 +17,39 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceLimit:
+    """How long the kernel bears a peer that acknowledges neither data nor probes.
+
+    Attributes:
+        unacknowledged_ms: Milliseconds for which sent data or probes may stay
+            unacknowledged.
+        idle_seconds: Seconds without data from the peer before the first probe.
+        interval_seconds: Seconds between two probes.
+        probes: Unanswered probes after which the connection ends, if the system does
+            not go by ``unacknowledged_ms``.
+    """
+
+    unacknowledged_ms: int
+    idle_seconds: int
+    interval_seconds: int
+    probes: int
+
+
+UPSTREAM_SILENCE = SilenceLimit(
+    unacknowledged_ms=1_500, idle_seconds=1, interval_seconds=1, probes=2
+)
+"""A partitioned zone does not respond at all. This detects it within about two seconds,
+before callers give up on a silent stream, which can then resume elsewhere."""
+
+CALLER_SILENCE = SilenceLimit(
+    unacknowledged_ms=10_000, idle_seconds=4, interval_seconds=3, probes=2
+)
+"""A caller whose link is silent for a few seconds still waits for its answer, and has
+nobody else to get it from. Its deadline bounds the request, and the send timeout bounds
+a caller that does not read. So this only frees what vanished callers still hold."""
+
+
 @dataclass(slots=True)
 class Request:
     """A request whose head and body were received completely.
@@ -115,15 +143,15 @@
         )
 
 
-def enable_dead_peer_detection(sock: Any) -> None:
+def limit_silence(sock: Any, limit: SilenceLimit) -> None:
     """Lets the kernel end a TCP connection whose peer disappeared without a reset."""
     if sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_DATA_LIMIT_MS),
-        (socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, limit.unacknowledged_ms),
+        (socket.TCP_KEEPIDLE, limit.idle_seconds),
+        (socket.TCP_KEEPINTVL, limit.interval_seconds),
+        (socket.TCP_KEEPCNT, limit.probes),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -18,10 +18,11 @@
 from .http import (
     HEAD_END_PATTERN,
     RECEIVE_BYTES,
+    UPSTREAM_SILENCE,
     Headers,
     Response,
     disable_send_delay,
-    enable_dead_peer_detection,
+    limit_silence,
     peek,
     to_h11_headers,
     to_header_dict,
@@ -76,7 +77,7 @@
         self.is_aborted = False
         disable_send_delay(self._raw_sock)
         if detects_dead_peer:
-            enable_dead_peer_detection(self._raw_sock)
+            limit_silence(self._raw_sock, UPSTREAM_SILENCE)
 
     @classmethod
     async def connect(
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -18,13 +18,14 @@
     RequestTimeoutError,
 )
 from .http import (
+    CALLER_SILENCE,
     HEAD_END_PATTERN,
     RECEIVE_BYTES,
     Headers,
     Request,
     check_request_head,
     disable_send_delay,
-    enable_dead_peer_detection,
+    limit_silence,
     peek_or_raise,
     peek_unread,
     to_h11_headers,
@@ -92,7 +93,7 @@
         self.closes_after_response = False
         disable_send_delay(self._raw_sock)
         if detects_dead_peer:
-            enable_dead_peer_detection(self._raw_sock)
+            limit_silence(self._raw_sock, CALLER_SILENCE)
         self._raw_sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import socket
+from functools import partial
 from typing import Any
 
 import curio
@@ -250,6 +252,41 @@
     run(session)
 
 
+def test_only_upstreams_are_given_up_after_a_short_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that a silence of its caller's link ends.
+
+    A sound peer may be silent for a second or so. A silent upstream has to be noticed
+    before the caller of a stream gives up, after two seconds.
+    """
+    limits: dict[str, tuple[float, float]] = {}
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_upstream(lambda _: [answer()])
+        assert (await ask(harness, route_request("/look/1"))).status == 200
+
+    for kind in (ServerConnection, ClientConnection):
+        create = kind.__init__
+
+        def note(
+            self: Any, sock: Any, *arguments: Any, create: Any = create, **options: Any
+        ) -> None:
+            create(self, sock, *arguments, **options)
+            read = partial(sock.getsockopt, socket.IPPROTO_TCP)
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            idle, interval = read(socket.TCP_KEEPIDLE), read(socket.TCP_KEEPINTVL)
+            unacknowledged = read(socket.TCP_USER_TIMEOUT) / 1000
+            probed = idle + interval * read(socket.TCP_KEEPCNT)
+            ends = (min(unacknowledged, probed), max(unacknowledged, idle + interval))
+            limits[type(self).__name__] = ends
+
+        monkeypatch.setattr(kind, "__init__", note)
+    run(session)
+    assert limits["ServerConnection"][0] >= 10.0
+    assert limits["ClientConnection"][1] <= 2.0
+
+
 def test_connection_ends_after_an_answer_that_was_cut_while_it_was_sent() -> None:
     """Guards against a further answer in the place of the rest of this one's body.
 
