Refuse a request that making room cuts off with 503 and not 400

What callers saw: a connection that had been idle was chosen to make room just as the next request began to arrive. The router read the part that was there, then the end that it had caused itself, and answered 400 `request-malformed`. Callers do not try again after 400, though the request is sound and was not run.

Evidence: test_request_that_is_cut_by_making_room_is_not_called_malformed, a part of a head and of a body, fails before ((400, 'request-malformed')) and passes now.

Why it works: a connection that was removed to make room gets the refusal of the limit, which is true of it.

Looked at besides: a request that was read whole on such a connection is refused before it is served, so that has_peer_left, which is always true after SHUT_RD, is never asked for it. A connection with a request in service is not idle and is not chosen.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -311,7 +311,11 @@
                     receive_timeout=self._limits.receive_timeout,
                 )
             except RefusalError as error:
-                await self._refuse(connection, error)
+                # This side ends the reading to make room; such a request is cut off and
+                # not malformed.
+                is_served = connection in self._served
+                refusal = error if is_served else self._build_refusal()
+                await self._refuse(connection, refusal)
                 return ConnectionEnd.REFUSED
             if request is None:
                 if connection not in self._served:
--- a/tests/daemon/test_connection_limit.py
+++ b/tests/daemon/test_connection_limit.py
@@ -107,6 +107,26 @@
     run_limited(session, 1)
 
 
+@pytest.mark.parametrize("sent_bytes", [9, -5])
+def test_request_that_is_cut_by_making_room_is_not_called_malformed(
+    short_idle_time: None, sent_bytes: int
+) -> None:
+    """Guards against a 400, after which callers do not try again, for a sound request.
+
+    A part of its head or body arrives just after its connection was chosen.
+    """
+
+    async def session(harness: ListenerHarness) -> None:
+        await harness.add_upstream(answer_whole, service="look")
+        caller = await connect_kept(harness, "a")
+        assert harness.listener._make_room()
+        data = request("look", stream=False, body=b"x" * 100)
+        caller.sock._socket.send(data[:sent_bytes])
+        await check_refused(caller)
+
+    run_limited(session, 1)
+
+
 def test_flood_of_connections_displaces_few_idle_ones(
     short_idle_time: None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
