Do not take a stray timeout in a connection's task for a shutdown

What callers saw: a closed connection without an answer, counted as `shutdown`.

The listener took each CancelledError for the end of the process.

Evidence: test_timeout_that_reaches_the_task_of_the_connection_is_no_shutdown, 4 cases with injected exceptions, fails before ("incomplete response head: b''", or no end counted as a fault) and passes now.

Why it works: only a cancellation proper ends the connection at once; a timeout is logged as an unexpected exception and its request answered with 500.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -54,6 +54,10 @@
 
 READ_CHECK_INTERVAL_SECONDS = 0.01
 
+STRAY_TIMEOUTS = (curio.TaskTimeout, curio.TimeoutCancellationError)
+"""Cancellations that do not end the process: a timeout that reached no context of its
+own, which curio may deliver to a later wait."""
+
 # Fraction of the connection limit above which the router is not ready. The load
 # balancer takes about two seconds to notice; the rest of the limit is for connections
 # that arrive until then.
@@ -325,7 +329,7 @@
                 return ConnectionEnd.IDLE
             try:
                 await self._serve_request(connection, request)
-            except Exception as err:
+            except (Exception, *STRAY_TIMEOUTS) as err:
                 if isinstance(err, OSError) and connection.has_send_failed:
                     raise
                 # Without an answer, the caller could not tell this from a lost request.
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -309,6 +309,33 @@
     run(session)
 
 
+@pytest.mark.parametrize(
+    "error", [curio.TaskTimeout("stray"), curio.TimeoutCancellationError("stray")]
+)
+@pytest.mark.parametrize("method", ["accept", "forget"])
+def test_timeout_that_reaches_the_task_of_the_connection_is_no_shutdown(
+    method: str, error: BaseException, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that a stray timeout ends without an answer."""
+
+    def fail(*arguments: object) -> None:
+        raise error
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_upstream(lambda _: [answer()])
+        monkeypatch.setattr(harness.forwarder._dispatcher, method, fail)
+        caller = await harness.connect()
+        await caller.send(route_request("/look/1"))
+        response = parse(await caller.receive_all())
+        # The request was answered before it is forgotten.
+        assert response.status == (200 if method == "forget" else 500)
+        await harness.wait_for(
+            lambda: harness.counter("caller_connections_ended", reason="fault") == 1
+        )
+
+    run(session)
+
+
 @pytest.mark.parametrize("error", [LookupError("gone"), OSError("not the caller's")])
 def test_exception_while_a_refusal_is_prepared_is_answered(
     error: Exception, monkeypatch: pytest.MonkeyPatch
