--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import replace
+from itertools import product
 from typing import Any
 
 import curio
@@ -187,18 +188,24 @@
     run(session)
 
 
+FAULTS = [LookupError("the organisation was removed"), OSError("not the caller's")]
+STRAY = [curio.TaskTimeout("stray"), curio.TimeoutCancellationError("stray")]
+
+
 @pytest.mark.parametrize(
-    "error", [LookupError("the organisation was removed"), OSError("not the caller's")]
-)
-@pytest.mark.parametrize(
-    "method", ["parse", "find_wait_limit", "accept", "wait_start", "forget"]
+    ("method", "error"),
+    [
+        *product(["parse", "find_wait_limit", "wait_start"], FAULTS),
+        *product(["accept", "forget"], FAULTS + STRAY),
+    ],
 )
 def test_unexpected_exception_is_answered(
-    method: str, error: Exception, monkeypatch: pytest.MonkeyPatch
+    method: str, error: BaseException, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a connection that a fault of the router ends without an answer.
 
-    An OSError counts as the caller's only if it is one of the caller's connection.
+    An OSError counts as the caller's only if it is one of the caller's connection, and
+    a timeout that belongs to no context is no shutdown.
     """
 
     def fail(*arguments: object) -> None:
@@ -217,22 +224,19 @@
         response = parse(await caller.receive_all())
         # The request was answered before it is forgotten.
         assert response.status == (200 if method == "forget" else 500)
+        if method in ("accept", "forget"):
+            await harness.wait_for(
+                lambda: harness.counter("caller_connections_ended", reason="fault") == 1
+            )
         assert harness.counter("callers_gone") == 0
         assert harness.crashes == []
 
     run(session)
 
 
-@pytest.mark.parametrize(
-    ("path", "script"),
-    [
-        ("/look/1", [answer()]),
-        ("/hold/1", [answer()]),
-        ("/chat/1", [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]),
-    ],
-)
+@pytest.mark.parametrize("path", ["/look/1", "/hold/1", "/chat/1"])
 def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(
-    path: str, script: list[Step]
+    path: str,
 ) -> None:
     """Guards against an answer that h11 rejects and that counts as a caller that left.
 
@@ -240,6 +244,8 @@
     """
 
     async def session(harness: RouteListenerHarness) -> None:
+        stream = [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]
+        script = stream if path == "/chat/1" else [answer()]
         upstream = await harness.add_upstream(lambda _: script)
         caller = await harness.connect()
         await caller.send(route_request(path).replace(b"POST", b"CONNECT", 1))
