--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -44,12 +44,13 @@
     """
     caller, upstream = socket.socket(), socket.socket()
     with caller, upstream:
+        # The options are set once a request of the connection is served.
         ServerConnection(
             curio.io.Socket(caller),
             header_limit=1,
             body_limit=1,
             detects_dead_peer=True,
-        )
+        )._prepare_socket()
         ClientConnection(
             curio.io.Socket(upstream), Address("", 0), detects_dead_peer=True
         )
