--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import selectors
 import socket
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
+from random import Random
+from typing import Any
 
 import curio
 import curio.io
+import curio.kernel
 import pytest
 from curio.timequeue import TimeQueue
 
@@ -19,6 +23,7 @@
 INNER_SECONDS = 0.02
 OUTER_SECONDS = 0.06
 CUTOFF_SECONDS = 0.04
+SIMULATED_SECONDS = 1_000.0
 
 NextWait = Callable[[], Awaitable[object]]
 
@@ -213,6 +218,128 @@
     curio.run(session)
 
 
+class SimulatedLoop:
+    """Clock and selector of an event loop whose time passes only as it is told."""
+
+    def __init__(self) -> None:
+        self.now = 1_000.0
+        self._selector = selectors.DefaultSelector()
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._selector, name)
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def select(self, timeout: float | None) -> list[Any]:
+        events: list[Any] = self._selector.select(0)
+        if not events:
+            assert timeout is not None
+            self.now += timeout
+        return events
+
+
+class RandomProgram:
+    """Nested blocks, waits and pauses of the event loop, drawn from a seed.
+
+    Attributes:
+        faults: Timeouts that came from no enclosing block whose time was over.
+    """
+
+    def __init__(self, loop: SimulatedLoop, rng: Random) -> None:
+        self._loop = loop
+        self._rng = rng
+        self._events = [curio.Event() for _ in range(3)]
+        self.faults: list[str] = []
+
+    async def run(self) -> None:
+        for _ in range(3):
+            await self._run_block((), 5.0)
+
+    async def _run_block(self, deadlines: tuple[float, ...], seconds: float) -> None:
+        ends_at = self._loop.now + seconds
+        kind = self._rng.choice([ignore_after, timeout_after])
+        try:
+            async with kind(seconds):
+                try:
+                    await self._run_body((*deadlines, ends_at))
+                finally:
+                    if self._rng.random() < 0.3:
+                        async with ignore_after(self._rng.choice([0.01, 0.5, 4.0])):
+                            await curio.Event().wait()
+        except curio.TaskTimeout:
+            if kind is ignore_after or self._loop.now < ends_at:
+                self.faults.append("a block was ended before its time")
+        except curio.UncaughtTimeoutError:
+            self.faults.append("a timeout belonged to no block")
+        except ValueError:
+            pass
+
+    async def _run_body(self, deadlines: tuple[float, ...]) -> None:
+        for _ in range(self._rng.randint(1, 3)):
+            # Nothing else runs meanwhile: the event loop is late.
+            self._loop.now += self._rng.choice([0.0, 0.0, 0.01, 0.05, 0.3])
+            draw = self._rng.random()
+            if draw < 0.45 and len(deadlines) < 5:
+                seconds = self._rng.choice([0.0, 0.005, 0.02, 0.06, 0.3, 1.0, 2.5, 9.0])
+                await self._run_block(deadlines, seconds)
+            elif draw < 0.9:
+                await self._wait(deadlines)
+            else:
+                await self._rng.choice(self._events).set()
+            draw = self._rng.random()
+            if draw < 0.08:
+                raise ValueError
+            if draw < 0.16:
+                return
+
+    async def _wait(self, deadlines: tuple[float, ...]) -> None:
+        wait = self._rng.choice(
+            [
+                self._rng.choice(self._events).wait,
+                curio.Event().wait,
+                partial(curio.sleep, self._rng.choice([0.0, 0.001, 0.02, 0.4, 3.0])),
+            ]
+        )
+        try:
+            await wait()
+        except curio.TaskTimeout as err:
+            if min(deadlines) > err.args[0]:
+                self.faults.append("a wait was ended before its time")
+            raise
+
+
+# Guards against requests that never end, or end early, for a combination of nested
+# times, late passes and cancellations that no other test has.
+@pytest.mark.parametrize("is_cancelled", [False, True])
+@pytest.mark.parametrize("first_seed", range(0, 400, 100))
+def test_each_wait_ends_by_the_time_of_an_enclosing_block(
+    first_seed: int, is_cancelled: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def session(loop: SimulatedLoop, rng: Random) -> list[str]:
+        programs = [RandomProgram(loop, rng) for _ in range(4)]
+        tasks = [await curio.spawn(program.run) for program in programs]
+        for task in tasks if is_cancelled else []:
+            await curio.sleep(rng.choice([0.0, 0.01, 0.3]))
+            await task.cancel(blocking=False)
+        await curio.sleep(SIMULATED_SECONDS)
+        faults = [fault for program in programs for fault in program.faults]
+        while waiting := [task for task in tasks if not task.terminated]:
+            faults.append("a wait never ends")
+            for task in waiting:
+                # Set only once by curio; without this the task could not be ended.
+                task.cancelled = None
+                await task.cancel(blocking=False)
+            await curio.sleep(SIMULATED_SECONDS)
+        return faults
+
+    for seed in range(first_seed, first_seed + 100):
+        loop = SimulatedLoop()
+        monkeypatch.setattr(curio.kernel, "time", loop)
+        faults = curio.run(session, loop, Random(seed), selector=loop)
+        assert (seed, faults) == (seed, [])
+
+
 @pytest.mark.parametrize(("seconds", "result"), [(10.0, "done"), (0.01, None)])
 def test_wait_ends_with_a_result_or_after_its_time(
     seconds: float, result: str | None
