End the connections of a soak's server with its accept loop

At the end of the event loop, which cancels the tasks that it knows, the accept loop may still take a connection, and its new task was left. The accept loop now cancels them when it ends, for whatever reason.

The test of a crash that a connection meets passes as before.

--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -34,18 +34,21 @@
     async def close(self) -> None:
         """Refuses new connections and cancels the tasks of the others."""
         await self._accepting.cancel()
-        tasks = list(self._connections)
-        for task in tasks:
-            await task.cancel(blocking=False)
-        for task in tasks:
-            await task.wait()
 
     async def _accept(self) -> None:
-        async with self._sock:
-            while True:
-                connection, peer = await self._sock.accept()
-                task = await curio.spawn(self._run, connection, peer, daemon=True)
-                self._connections.add(task)
+        try:
+            async with self._sock:
+                while True:
+                    connection, peer = await self._sock.accept()
+                    task = await curio.spawn(self._run, connection, peer, daemon=True)
+                    self._connections.add(task)
+        finally:
+            # Also at the end of the event loop, which knows no tasks of its last pass.
+            tasks = list(self._connections)
+            for task in tasks:
+                await task.cancel(blocking=False)
+            for task in tasks:
+                await task.wait()
 
     async def _run(self, connection: Any, peer: Any) -> None:
         try:
--- a/tests/soak/test_replicas.py
+++ b/tests/soak/test_replicas.py
@@ -14,19 +14,23 @@
 END_LIMIT_SECONDS = 5.0
 
 
+def build_replica() -> Replica:
+    return Replica(
+        StandInStore(),
+        RunLog(),
+        "talk",
+        "i-talk-0",
+        rng=Random(1),
+        is_undisturbed=lambda: False,
+        is_undisturbed_since=lambda since, router: False,
+    )
+
+
 def test_replica_ends_though_a_connection_arrives_meanwhile() -> None:
     """Guards against a crash that waits for an idle connection, up to 30 s."""
 
     async def main() -> None:
-        replica = Replica(
-            StandInStore(),
-            RunLog(),
-            "talk",
-            "i-talk-0",
-            rng=Random(1),
-            is_undisturbed=lambda: False,
-            is_undisturbed_since=lambda since, router: False,
-        )
+        replica = build_replica()
         await replica.start()
         await curio.sleep(0.05)
         # Without a switch of tasks in between, the event loop sees the connection in
@@ -40,3 +44,16 @@
                 assert late.recv(1) == b""
 
     curio.run(main)
+
+
+def test_event_loop_ends_though_a_connection_arrives_meanwhile() -> None:
+    """Guards against a soak that fails after its checks, at the end of its loop."""
+
+    async def main() -> socket.socket:
+        replica = build_replica()
+        await replica.start()
+        await curio.sleep(0.05)
+        address = replica._target
+        return socket.create_connection((address.host, address.port))
+
+    curio.run(main).close()
