Let all requests of the drain test arrive before SIGTERM

`test_drain_answers_all_requests_while_an_upstream_leaves` failed once beside load: some of its 12 calls got 503.

The router is right. It refuses requests that arrive after SIGTERM, and the test sent SIGTERM as soon as one request waited, whether or not the others had arrived.

The test now sends SIGTERM once the requests that run, that wait and that were answered make up all 12 and one waits at least, so more of them are in the drain than before. Each call works for 3 s in place of 1.5 s, so that all arrive meanwhile also without much processor time. What it asks for is unchanged: 200 for all 12, exit code 0, no late start at the upstream that leaves.

--- a/tests/daemon/test_two_faults.py
+++ b/tests/daemon/test_two_faults.py
@@ -10,14 +10,13 @@
 import curio
 import pytest
 
-from sequoiamoor.standin.client import fetch
+from sequoiamoor.standin.client import fetch, read_metrics
 from sequoiamoor.standin.launcher import Fleet
 from sequoiamoor.types import Address
 
 from .fleet import (
     call,
     call_async,
-    read_counter,
     read_executions,
     read_record,
     run_small_fleet,
@@ -29,6 +28,9 @@
 
 LEAVING_LIMIT_SECONDS = 3.0
 WORK_MS = 1_500
+LONG_WORK_MS = 3_000
+"""Work during which all requests arrive, also on a VM short of processor time."""
+
 REPEATS = 4
 
 
@@ -186,17 +188,23 @@
     calls = 12
 
     async def book(router: Address, told: list[int]) -> None:
-        status, _, _ = await call_async(router, None, work_ms=WORK_MS)
+        status, _, _ = await call_async(router, None, work_ms=LONG_WORK_MS)
         told.append(status)
 
     async def run(fleet: Fleet, router: Address) -> list[int]:
         told: list[int] = []
         process = fleet.processes["router-0"]
 
+        def have_all_arrived() -> bool:
+            answered = len(told)
+            page = read_metrics(router)
+            (running,) = page.read("sequoiamoor_running_requests")
+            (waiting,) = page.read("sequoiamoor_waiting_requests")
+            return waiting > 0 and answered + running + waiting == calls
+
         def leave_and_drain() -> None:
-            # All slots are in use and further requests wait.
-            waiting = "sequoiamoor_waiting_requests"
-            wait_until(lambda: read_counter(router, waiting))
+            # A request that arrives after SIGTERM is refused, rightly.
+            wait_until(have_all_arrived)
             leaving = fleet.upstreams["desk-1"]
             fetch(leaving, "POST", "/admin/leaving", {"leaving": True})
             process.send_signal(signal.SIGTERM)
