Charge streams when they start, and bound the lead over the fair order

Cause, from a temporary log of each router's view: a stream was charged, prompt and expected output, at its first event, and its full cost was added to the key of its organisation again for as long as it ran. At 14.2 s bale830 had a key of 40,659 for recent work and 237,884 for 29 running streams, mizi221 46,504 and 162,626; others with short requests had about 30,000, and the limit was about 87,000. Second, an organisation that had used idle capacity led by up to 400,000 where 60,000 to 80,000 were allowed, and waited until that had faded.

Ruled out: admission (the requests queued; 8 to 16 waited at each router all the while), and placement (they were held back before a replica was looked for: in each half second 120 to 220 times by the order, far less often by the replicas). Landing at one or two routers of a zone, as noje150 and mizi221 did, made it worse but was not the cause.

Change: shared-load charges a stream at its start and counts no running streams in the key. Units of a request that did not run are deducted from what its organisation starts next. Recent work is cut to twice what the organisation may have to start more when the order holds it back, so that a lead holds it back for about 1.4 s.

Two tests in test_shared_load.py, which fail before.

--- a/sequoiamoor/core/routed_call.py
+++ b/sequoiamoor/core/routed_call.py
@@ -97,9 +97,10 @@
         return self.prompt_tokens - self.own_tokens
 
     def prepay(self, units_per_token: float) -> float:
-        """Returns the service units to charge at the first event of the first attempt.
+        """Returns the service units to charge, if nothing has been charged yet.
 
-        The prompt and the expected output are charged when the stream begins. If they
+        The prompt and the expected output are charged at once: when the request starts,
+        or at its first event under a policy that does not charge starts. If they
         were charged as tokens are generated, long streams would delay the requests that
         their organisation starts later.
 
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -237,7 +237,7 @@
                 names, key=lambda candidate: view.organisations[candidate].key
             )
             names.remove(name)
-            if not self._may_start(name, view, placeable):
+            if not self._may_start(service, name, view, placeable):
                 continue
             for request in self._list_candidates(board, service, name, free, now):
                 usable = [
@@ -250,6 +250,7 @@
 
     def _may_start(
         self,
+        service: ServiceName,
         name: OrganisationName,
         view: ServiceView,
         placeable: int,
@@ -257,6 +258,7 @@
         """Returns whether work of the organisation may start on a free slot now.
 
         Args:
+            service: Service of the work.
             name: An organisation with waiting work at this router.
             view: All organisations with waiting or running requests.
             placeable: Requests that the replicas can take now.
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -9,7 +9,9 @@
 
 from ..core.actions import Action
 from ..core.blackboard import Blackboard
+from ..core.charges import StartCharges, is_charged_at_start
 from ..core.fairness import (
+    GRANTED_SLOT_GAP_FACTOR,
     RecentWork,
     ServiceView,
     may_use_slot,
@@ -76,6 +78,11 @@
 """Time constant with which served work fades from the shares, which must hold within a
 few seconds."""
 
+MAX_LEAD_FACTOR = 2.0
+"""Recent work that is held against an organisation, as a multiple of that up to which
+it may start more. While that amount stays the same, it is held back for at most
+``SHARE_DECAY_SECONDS`` times the logarithm of this, whatever it used before."""
+
 PACE_REFRESH_SECONDS = 1.0
 """Interval between two computations of the pace that streams need."""
 
@@ -102,6 +109,7 @@
         super().__init__(rng=rng)
         self._peers = PeerLoads()
         self._recent = RecentWork(SHARE_DECAY_SECONDS)
+        self._start_charges = StartCharges()
         self._reads = PromptReads()
         self._pace = StreamPace()
         self._pace_refreshed_at = float("-inf")
@@ -208,7 +216,13 @@
     ) -> ServiceView:
         # Replaces the total in each key by the recent work, which decides the order.
         view = super()._build_view(board, service, now)
+        is_prepaid = is_charged_at_start(board, service)
         for name, organisation in view.organisations.items():
+            if is_prepaid:
+                # Counted again, long streams would hold their organisation back until
+                # they end.
+                organisation.key -= organisation.running * organisation.running_cost
+                organisation.running_cost = 0.0
             total = board.ledger.total(service, name)
             served = total - board.ledger.lift(service, name)
             organisation.key += self._recent.units(service, name, served) - total
@@ -229,6 +243,7 @@
 
     def _may_start(
         self,
+        service: ServiceName,
         name: OrganisationName,
         view: ServiceView,
         placeable: int,
@@ -236,7 +251,14 @@
         waiting = sum(state.waiting for state in view.organisations.values())
         is_contested = waiting > placeable
         # No arbiter grants slots here; ``is_granted`` selects the larger allowed gap.
-        return not is_contested or may_use_slot(name, view, is_granted=True)
+        if not is_contested or may_use_slot(name, view, is_granted=True):
+            return True
+        lowest_key = min(
+            state.key for state in view.organisations.values() if state.waiting > 0
+        )
+        limit = lowest_key + GRANTED_SLOT_GAP_FACTOR * view.allowed_gap
+        self._recent.limit(service, name, MAX_LEAD_FACTOR * limit)
+        return False
 
     def _count_placeable(
         self,
@@ -396,6 +418,7 @@
         replica_id: ReplicaId,
         now: float,
     ) -> None:
+        self._start_charges.start(board, request)
         part = _find_shared_part(request)
         if part is not None:
             self._record_part_use(part, replica_id, now)
@@ -421,6 +444,7 @@
     ) -> list[Action]:
         """Records that an attempt ended and its slot is free."""
         self._reads.finish(request.call_id, now, is_answered=False)
+        self._start_charges.finish(board, request)
         if isinstance(request, RoutedCall) and request.events:
             self._record_pace(board, request, replica_id, now)
         return super().finish(board, request, replica_id, now)
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -336,6 +336,22 @@
     assert fleet.board.queues.count("talk", "short") == 1
 
 
+@pytest.mark.parametrize(("may_have_run", "expected"), [(False, 6_100), (True, 12_200)])
+def test_request_that_did_not_run_is_not_charged(
+    may_have_run: bool, expected: int
+) -> None:
+    """Load: release. Guards against an organisation that pays for refused requests."""
+    fleet = Fleet(targets=(0.4,))
+    for _ in range(2):
+        call = fleet.add()
+        call.output_tokens = 100
+        replica_id = fleet.start()
+        assert replica_id is not None
+        call.may_have_run = may_have_run
+        fleet.policy.finish(fleet.board, call, replica_id, 0.0)
+    assert fleet.board.ledger.served("talk", "a") == expected
+
+
 def test_organisation_that_used_idle_slots_is_not_held_back_later() -> None:
     """Load: a flood alone, then a second one.
 
@@ -354,6 +370,24 @@
         assert fleet.start(now) == REPLICAS[0]
 
 
+@pytest.mark.parametrize("units", [100_000.0, 5_000_000.0])
+def test_lead_holds_an_organisation_back_for_two_seconds_at_most(units: float) -> None:
+    """Load: a flood of many after one used idle slots.
+
+    Guards against an organisation that starts nothing for seconds while others do.
+    """
+    fleet = Fleet(replicas=1, options={"slot_floor_factor": 0, "slot_cap_factor": 1000})
+    fleet.charge("early", units)
+    fleet.policy.step(fleet.board, 0.0)
+    fleet.report({}, late=30)
+    call = fleet.add(organisation="early")
+    assert fleet.start(0.0) is None
+    for step in range(1, 11):
+        fleet.policy.step(fleet.board, step / 5)
+    call.arrival, call.deadline = 2.0, 2.4
+    assert fleet.start(2.0) == REPLICAS[0]
+
+
 def test_routers_agree_on_the_window_of_a_replica() -> None:
     """Load: long streams at one router.
 
