--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -14,6 +14,7 @@
 import curio
 
 from ..core.blackboard import Blackboard
+from ..core.charges import UNITS_PER_GENERATED_TOKEN
 from ..core.directory import UpstreamDirectory
 from ..core.freshness import KeyFreshness
 from ..core.repeats import RepeatBudget, decide_repeat, find_retry_limit
@@ -78,9 +79,6 @@
 OUTDATED_CHECK_SECONDS = 0.02
 """Interval between two checks whether an answer of the store has arrived."""
 
-UNITS_PER_GENERATED_TOKEN = 2.0
-"""Service units of a generated token; a processed prompt token counts as one unit."""
-
 
 @dataclass(slots=True)
 class DrainTimes:
