Count requests that wait for a pass as in service in a drain

What callers would see: a closed connection without an answer, if the router ends while their request, which it has read, waits for a pass of the event loop. Found by reading; the drain counted only requests that the dispatcher knows.

Change: those that wait count as in service, so a drain ends once they have begun, and are refused by then.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -341,7 +341,7 @@
         await self._forwarder.cut(reason)
 
     def _count_in_service(self) -> int:
-        return self._forwarder.in_service
+        return self._forwarder.in_service + len(self._listener.turns)
 
     async def _answer_readiness(self, sock: Any, peer: Any) -> None:
         await self._serve_page_connection(sock, is_readiness=True)
--- a/sequoiamoor/daemon/request_turns.py
+++ b/sequoiamoor/daemon/request_turns.py
@@ -21,6 +21,10 @@
         self._has_begun = curio.Event()
         self._runner: Any = None
 
+    def __len__(self) -> int:
+        """Returns the number of requests that wait."""
+        return len(self._turns)
+
     def find_wait(self, now: float) -> float:
         """Returns for how many seconds a request has waited at most."""
         return self._turns.find_wait(now)
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -153,7 +153,7 @@
         }
 
     def _count_in_service(self) -> int:
-        return self._calls.in_service
+        return self._calls.in_service + len(self._listener.turns)
 
     def _count_unwritten_records(self) -> int:
         return self._records.unfinished_writes
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -61,3 +61,20 @@
         assert begun == [*range(MAX_REQUESTS_PER_PASS), FLOOD - 1]
 
     curio.run(main)
+
+
+def test_waiting_requests_are_counted_until_they_begin() -> None:
+    """Guards against a drain that ends while requests it has read wait for a turn."""
+
+    async def main() -> None:
+        turns = RequestTurns()
+        counts = []
+        tasks = [await curio.spawn(turns.wait, "captains") for _ in range(FLOOD)]
+        while not counts or counts[-1]:
+            await curio.sleep(0)
+            counts.append(len(turns))
+        assert max(counts) == FLOOD - MAX_REQUESTS_PER_PASS
+        for task in tasks:
+            await task.join()
+
+    curio.run(main)
