Start processes of stand-ins beside over 1,024 open descriptors

Cause: the address of a stand-in is waited for with select, which takes no descriptor over 1,023. Tests that open many connections leave them to the garbage collector, before this change too (306 of one test), so whether a test process has so many depends on the order of its tests.

Evidence: test_address_is_read_in_a_process_with_many_descriptors failed with the same error before.

--- a/sequoiamoor/standin/processes.py
+++ b/sequoiamoor/standin/processes.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import json
-import select
+import selectors
 import signal
 import socket
 import subprocess
@@ -69,8 +69,10 @@
     """
     stdout = process.stdout
     assert stdout is not None
-    readable, _, _ = select.select([stdout], [], [], LISTENING_TIMEOUT_SECONDS)
-    line = stdout.readline() if readable else b""
+    with selectors.DefaultSelector() as selector:
+        selector.register(stdout, selectors.EVENT_READ)
+        is_readable = bool(selector.select(LISTENING_TIMEOUT_SECONDS))
+    line = stdout.readline() if is_readable else b""
     if not line:
         raise RuntimeError(
             "the stand-in ended or did not print its address in time; see its log"
