Keep one list of stray timeouts, and no wait that the kernel makes useless

Read once more: three places listed the timeouts that end no task, and the acceptor lacked one; the linger of a connection that made room waited for data that the kernel resets once both directions are shut down; the option to find dead peers had no effect on the operators' pages, whose idle timeout is 5 s; what h11 rejects of a plain request was no typed error.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -308,8 +308,7 @@
         self, connection: ServerConnection, call: RoutedCall, detail: str
     ) -> None:
         self._metrics.callers_gone.inc()
-        extra = _build_log_fields(call, reason="closed")
-        extra |= build_disconnect_fields(connection, detail)
+        extra = _build_log_fields(call) | build_disconnect_fields(connection, detail)
         _LOG.info("caller disconnected", extra=extra)
 
     async def _run_within_deadline(
@@ -648,7 +647,9 @@
     )
 
 
-def _build_log_fields(call: RoutedCall, *, reason: str) -> dict[str, object]:
+def _build_log_fields(
+    call: RoutedCall, *, reason: str | None = None
+) -> dict[str, object]:
     """Returns the fields that log lines about a request share."""
     return {
         "request_id": call.request_id,
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -354,7 +354,6 @@
             sock,
             header_limit=PAGE_HEADER_LIMIT_BYTES,
             body_limit=0,
-            detects_dead_peer=True,
         )
         try:
             while True:
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -26,6 +26,7 @@
 from ..net.http import Request
 from ..net.http_server import ServerConnection
 from ..settings import LimitSettings
+from ..timeouts import STRAY_TIMEOUTS
 from ..types import Execution
 from .calls import CallServer
 from .debug import DebugPages
@@ -55,10 +56,6 @@
 
 READ_CHECK_INTERVAL_SECONDS = 0.01
 
-STRAY_TIMEOUTS = (curio.TaskTimeout, curio.TimeoutCancellationError)
-"""Cancellations that do not end the process: a timeout that reached no context of its
-own, which curio may deliver to a later wait."""
-
 # Fraction of the connection limit above which the router is not ready. The load
 # balancer takes about two seconds to notice; the rest of the limit is for connections
 # that arrive until then.
@@ -453,11 +450,13 @@
 
 def _find_end(connection: ServerConnection) -> ConnectionEnd:
     """Returns why a connection ends after a request of it was served."""
+    has_left = connection.is_peer_closed or connection.is_left_unanswered
+    # Looking at the socket may have told that the connection failed.
     if connection.failure is not None:
         return ConnectionEnd.LOST
-    is_unanswered = connection.has_unanswered_request
-    if connection.is_peer_closed or (is_unanswered and connection.has_peer_left):
+    if has_left:
         return ConnectionEnd.PEER_CLOSED
+    is_unanswered = connection.has_unanswered_request
     return ConnectionEnd.FAULT if is_unanswered else ConnectionEnd.ANSWERED
 
 
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -19,7 +19,7 @@
 from ..net.signals import SignalWatch
 from ..policies import create_policy
 from ..settings import RouterSettings
-from ..timeouts import wait_for
+from ..timeouts import STRAY_TIMEOUTS, wait_for
 from ..types import RouterIdentity
 from .budget import fit_settings
 from .control import Control
@@ -95,7 +95,7 @@
                     "background task failed; restarting it",
                     extra={"reason": f"{name} ended"},
                 )
-            except (Exception, curio.TaskTimeout, curio.TimeoutCancellationError):
+            except (Exception, *STRAY_TIMEOUTS):
                 # The last two are no subclasses of Exception.
                 _LOG.exception(
                     "background task failed; restarting it", extra={"reason": name}
--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -10,6 +10,8 @@
 
 import curio
 
+from ..timeouts import STRAY_TIMEOUTS
+
 _LOG = logging.getLogger(__name__)
 
 EXHAUSTION_PAUSE_SECONDS = 0.02
@@ -230,7 +232,7 @@
                 await sock.close()
         except OSError as err:
             _LOG.debug("connection of %s lost: %s", self.name, err)
-        except (Exception, curio.TaskTimeout):
+        except (Exception, *STRAY_TIMEOUTS):
             self._observer.count_connection_failure(self.name)
             _LOG.exception(
                 "connection ended by an unexpected exception",
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -36,12 +36,16 @@
 
 SEND_TIMEOUT_SECONDS = 30.0
 MIN_REFUSAL_STATUS = 400
+"""Lowest status of the responses that are sent to a request which is not served."""
+
 # Bounds the data that the kernel buffers for a peer that does not read. With the
 # default of a few megabytes, a slow peer appears to make no progress for long.
 SEND_BUFFER_BYTES = 262_144
 CLOSE_LINGER_SECONDS = 2.0
 CLOSE_LINGER_LIMIT_BYTES = 4_194_304
-DISCARD_INTERVAL_SECONDS = 0.05
+ENDED_POLL_INTERVAL_SECONDS = 0.05
+"""Interval between two looks at a socket whose receiving side was shut down, which says
+that it is readable all the time."""
 
 
 class ServerConnection:
@@ -119,7 +123,7 @@
             data = await self._sock.recv(RECEIVE_BYTES)
             while not data and self._is_idle_ended and self._is_in_request:
                 # More may arrive, although the receiving side was shut down.
-                await curio.sleep(DISCARD_INTERVAL_SECONDS)
+                await curio.sleep(ENDED_POLL_INTERVAL_SECONDS)
                 data = await self._sock.recv(RECEIVE_BYTES)
         except OSError as err:
             self._note_failure(err)
@@ -197,22 +201,32 @@
         Without this, only a refusal can be sent. What h11 reads is what counts.
 
         Raises:
-            MalformedRequestError: If h11 reads it differently.
+            MalformedRequestError: If h11 reads it differently, or not at all.
         """
         request, self._unparsed = self._unparsed, None
         if request is None:
             return
-        event = self._h11.next_event()
-        parsed = _build_request(event)
-        while not isinstance(event, h11.EndOfMessage):
-            event = self._h11.next_event()
-            if isinstance(event, h11.Data):
-                parsed.body += event.data
+        try:
+            parsed = self._parse_whole()
+        except h11.RemoteProtocolError as err:
+            raise MalformedRequestError(
+                f"{err}; send a request that follows HTTP/1.1"
+            ) from err
         if parsed != request:
             raise MalformedRequestError(
                 "the request can be read in two ways; send one that follows HTTP/1.1"
             )
 
+    def _parse_whole(self) -> Request:
+        """Returns the request that h11 has whole in its buffer."""
+        event = self._h11.next_event()
+        request = _build_request(event)
+        while not isinstance(event, h11.EndOfMessage):
+            event = self._h11.next_event()
+            if isinstance(event, h11.Data):
+                request.body += event.data
+        return request
+
     async def _receive_within(self, seconds: float) -> bool:
         """Receives data, or the peer's close, within a time.
 
@@ -532,9 +546,8 @@
             self._is_request_whole = self._is_response_begun = False
             return self._is_write_whole and not self._ends_after_refusal
         # For h11 a response is done before the socket has taken all of it.
-        if not self._is_write_whole or self._h11.our_state is not h11.DONE:
-            return False
-        if self._h11.their_state is not h11.DONE:
+        is_done = self._is_write_whole and self._h11.our_state is h11.DONE
+        if not is_done or self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
         self._is_request_whole = self._is_response_begun = False
@@ -569,13 +582,7 @@
 
     async def _discard_received(self) -> None:
         remaining_bytes = CLOSE_LINGER_LIMIT_BYTES
-        while remaining_bytes > 0:
-            data = await self._sock.recv(RECEIVE_BYTES)
-            if not data:
-                if not self._is_idle_ended:
-                    return
-                # More may arrive, although the receiving side was shut down.
-                await curio.sleep(DISCARD_INTERVAL_SECONDS)
+        while remaining_bytes > 0 and (data := await self._sock.recv(RECEIVE_BYTES)):
             remaining_bytes -= len(data)
             self.discarded_bytes += len(data)
 
--- a/sequoiamoor/timeouts.py
+++ b/sequoiamoor/timeouts.py
@@ -19,6 +19,10 @@
 import curio
 from curio.traps import _unset_timeout
 
+STRAY_TIMEOUTS = (curio.TaskTimeout, curio.TimeoutCancellationError)
+"""Timeouts that left every block. They are no ``Exception``, and unlike the other
+cancellations they are not meant to end a task."""
+
 
 class _Timeout:
     def __init__(self, context: Any) -> None:
