Join the tests of callers that leave, and shorten those of failed answers

The tests of half-closed callers and of failed connections are one table: 24 cases, with calls and without a replica also for a close and a reset, where there were 12. The counters of failed connections are checked for half-closed callers, too. The tests of answers that cannot be sent and of requests that h11 reads differently use the harness's add_replicas and ask. Two fmt: skip are gone.

--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -235,27 +235,24 @@
 
 
 @pytest.mark.parametrize("path", ["/look/1", "/hold/1", "/chat/1"])
-def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(
-    path: str,
-) -> None:
+def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(path: str) -> None:
     """Guards against an answer that h11 rejects and that counts as a caller that left.
 
     A 2xx to CONNECT would begin a tunnel, so h11 takes no body after it.
     """
+    stream = [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]
 
     async def session(harness: RouteListenerHarness) -> None:
-        stream = [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]
-        script = stream if path == "/chat/1" else [answer()]
-        upstream = await harness.add_upstream(lambda _: script)
-        caller = await harness.connect()
-        await caller.send(route_request(path).replace(b"POST", b"CONNECT", 1))
-        response = parse(await caller.receive_all())
+        (upstream,) = await harness.add_replicas(
+            1, stream if path == "/chat/1" else [answer()]
+        )
+        data = route_request(path).replace(b"POST", b"CONNECT", 1)
+        response = parse(await harness.ask(data))
         assert (response.status, response.is_whole) == (502, True)
         assert response.refusal["execution"] == "may have run"
         assert harness.counter("callers_gone") == 0
         assert len(upstream.requests) == 1
-        replica = harness.board.upstreams.replicas["replica-1"]
-        assert replica.failures == 0
+        assert harness.board.upstreams.replicas["replica-1"].failures == 0
 
     run(session)
 
@@ -267,18 +264,15 @@
     """
 
     async def session(harness: RouteListenerHarness) -> None:
-        upstream = await harness.add_upstream(
-            lambda _: [answer(b"x" * 12_000_000)], lambda _: [answer(b"second")]
-        )
+        scripts = [answer(b"x" * 12_000_000)], [answer(b"second")]
+        (upstream,) = await harness.add_replicas(1, *scripts)
         caller = await harness.connect()
-        late = route_request("/hold/1").replace(b"Ms: 3000", b"Ms: 1000")
-        await caller.send(late)
+        await caller.send(route_request("/hold/1").replace(b"Ms: 3000", b"Ms: 1000"))
         await harness.wait_for(lambda: harness.counter("refusals", code="deadline") > 0)
         await caller.send(route_request("/look/1"))
         response = parse(await caller.receive_all())
         assert (response.status, response.is_whole) == (200, False)
-        assert response.body.strip(b"x") == b""
-        assert len(upstream.requests) == 1
+        assert response.body.strip(b"x") == b"" and len(upstream.requests) == 1
 
     run(session)
 
@@ -292,17 +286,16 @@
 ) -> None:
     """Guards against a replica that runs what only the plain parser read."""
 
-    def parse_wrongly(data: bytes, **limits: int) -> Request | None:
+    def parse_wrongly(data: bytes, **limits: int) -> Request:
         request = parse_plain_request(data, **limits)
-        return None if request is None else replace(request, **change)
+        assert request is not None
+        return replace(request, **change)
 
     monkeypatch.setattr(http_server, "parse_plain_request", parse_wrongly)
 
     async def session(harness: RouteListenerHarness) -> None:
-        upstream = await harness.add_upstream(lambda _: [answer()])
-        caller = await harness.connect()
-        await caller.send(route_request("/look/1"))
-        assert parse(await caller.receive_until(b"}\n")).status >= 400
+        (upstream,) = await harness.add_replicas(1, [answer()])
+        assert (await ask(harness, route_request("/look/1"))).status >= 400
         assert not upstream.requests
 
     run(session)
--- a/tests/daemon/test_listener.py
+++ b/tests/daemon/test_listener.py
@@ -5,6 +5,7 @@
 import logging
 import socket
 import time
+from typing import Any
 
 import curio
 import pytest
@@ -31,7 +32,7 @@
     token,
 )
 
-from ..route_listener_harness import RouteListenerHarness, route_request
+from ..route_listener_harness import route_request
 from ..route_listener_harness import run as run_routes
 
 HEAD = (
@@ -531,40 +532,59 @@
 @pytest.mark.parametrize("is_late", [False, True])
 @pytest.mark.parametrize("is_route", [False, True])
 @pytest.mark.parametrize("has_replica", [False, True])
-def test_caller_that_closes_its_sending_side_is_refused(
-    has_replica: bool, is_route: bool, is_late: bool
+@pytest.mark.parametrize("end", ["half-closed", "closed", "reset"])
+def test_caller_that_leaves_is_refused_and_told_from_a_failed_connection(
+    end: str, has_replica: bool, is_route: bool, is_late: bool, caplog: Any
 ) -> None:
-    """Guards against a half-closed caller that waits and gets a closed connection.
+    """Guards against a half-closed caller without an answer, and miscounted failures.
 
-    On a late event loop, the close is there before the request is read.
+    On a late event loop, the end is there before the request is read.
     """
+    caplog.set_level(logging.INFO)
     expected = {
         503: ("caller-closed", "was not run"),
         502: ("caller-closed-late", "may have run"),
     }
 
     async def session(harness: ListenerHarness) -> None:
-        upstreams = []
-        if has_replica:
-            upstreams.append(await harness.add_upstream(lambda _: [Hang()]))
+        scripts = [lambda _: [Hang()]] * has_replica
+        upstreams = [await harness.add_upstream(it) for it in scripts]
         caller = await harness.connect()
-        await caller.send(route_request("/look/1") if is_route else request())
+        sock = caller.sock._socket
+        sock.send(route_request("/look/1") if is_route else request())
         if not is_late:
+            queues = harness.board.queues
             await harness.wait_for(
-                lambda: (
-                    len(harness.board.queues) > 0
-                    or any(upstream.requests for upstream in upstreams)
-                )
+                lambda: any(it.requests for it in upstreams) or len(queues) > 0
             )
-        caller.sock._socket.shutdown(socket.SHUT_WR)
-        response = parse(await caller.receive_all())
-        assert not caller.is_reset and response.is_whole
-        refusal = response.refusal
-        assert (refusal["code"], refusal["execution"]) == expected[response.status]
-        assert is_late or response.status == (502 if has_replica else 503)
+        if end == "half-closed":
+            sock.shutdown(socket.SHUT_WR)
+            response = parse(await caller.receive_all())
+            assert not caller.is_reset and response.is_whole
+            assert is_late or response.status == (502 if has_replica else 503)
+            told = (response.refusal["code"], response.refusal["execution"])
+            assert told == expected[response.status]
+            await harness.wait_idle()
+            assert response.status == 502 or not any(it.requests for it in upstreams)
+        else:
+            if end == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.close()
+            caller.is_closed = True
+        await harness.wait_for(lambda: harness.counter("callers_gone") == 1)
+        await harness.wait_for(lambda: harness.listener._connections == 0)
         await harness.wait_idle()
-        assert response.status == 502 or not any(it.requests for it in upstreams)
         assert harness.counter("callers_gone") == 1
+        is_lost = end == "reset"
+        reason = "lost" if is_lost else "peer-closed"
+        assert harness.counter("caller_connections_ended", reason=reason) == 1
+        assert harness.counter("caller_connections_cut", reason=reason) == is_lost
+        assert (
+            harness.counter("caller_connections_failed", error="ECONNRESET") == is_lost
+        )
+        line = next(it for it in caplog.records if it.message == "caller disconnected")
+        told = vars(line)["reason"], vars(line)["error"]
+        assert told == (("failed", "ECONNRESET") if is_lost else ("closed", None))
 
     (run_routes if is_route else run)(session)
 
@@ -581,15 +601,11 @@
         ("_serve", curio.TimeoutCancellationError("stray")),
         ("_serve", None),
     ],
-)  # fmt: skip
+)
 def test_request_is_answered_however_a_task_of_it_ends(
-    target: str, error: BaseException | None, has_started: bool, is_route: bool,
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
-    """Guards against a request whose task ends and leaves neither answer nor line.
-
-    That of the other task is cancelled then, as for a caller that left.
-    """
+    target: str, error: Any, has_started: bool, is_route: bool, monkeypatch: Any
+) -> None:
+    """Guards against a request whose task ends and leaves neither answer nor line."""
 
     async def end(*arguments: object) -> None:
         if has_started:
@@ -601,10 +617,12 @@
         await harness.add_upstream(lambda _: [Hang()])
         kind = ServerConnection if target == "wait_closed" else type(harness.calls)
         monkeypatch.setattr(kind, target, end)
-        data = route_request("/look/1") if is_route else request()
-        response = parse(await harness.ask(data))
-        assert (response.status, response.refusal["code"]) == (500, "internal")
-        assert response.refusal["execution"] == "may have run"
+        response = parse(
+            await harness.ask(route_request("/look/1") if is_route else request())
+        )
+        refusal = response.refusal
+        told = (response.status, refusal["code"], refusal["execution"])
+        assert told == (500, "internal", "may have run")
         assert harness.counter("callers_gone") == 0
         await harness.wait_for(
             lambda: harness.counter("caller_connections_ended", reason="fault") == 1
@@ -618,19 +636,15 @@
     stream: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a head that h11 rejects and that counts as a caller that left."""
-    monkeypatch.setattr(
-        CallerSink, "_build_headers", lambda sink, content_type: {"a b": content_type}
-    )
+    monkeypatch.setattr(CallerSink, "_build_headers", lambda *_: {"a b": "c"})
+    service = "talk" if stream else "look"
+    streamed = stream_head("call-1") + chunk(events("call-1", 1)[0])
+    script = [streamed if stream else complete_response("call-1", b"{}")]
 
     async def session(harness: ListenerHarness) -> None:
-        script = [complete_response("call-1", b"{}")]
-        if stream:
-            script = [stream_head("call-1") + chunk(events("call-1", 1)[0])]
-        await harness.add_upstream(
-            lambda _: script, service="talk" if stream else "look"
-        )
+        await harness.add_upstream(lambda _: script, service=service)
         caller = await harness.connect()
-        await caller.send(request("talk" if stream else "look", stream=stream))
+        await caller.send(request(service, stream=stream))
         response = parse(await caller.receive_until(b"}"))
         assert (response.status, response.refusal["code"]) == (500, "internal")
         assert harness.counter("callers_gone") == 0
@@ -639,41 +653,6 @@
     run(session)
 
 
-@pytest.mark.parametrize("is_late", [False, True])
-@pytest.mark.parametrize("is_reset", [False, True])
-def test_failed_connection_is_told_from_one_that_its_caller_closed(
-    is_reset: bool, is_late: bool, caplog: pytest.LogCaptureFixture
-) -> None:
-    """Guards against a lost request that counts as one whose caller left by itself.
-
-    On a late event loop, the end is there before the request is read.
-    """
-    caplog.set_level(logging.INFO)
-
-    async def session(harness: RouteListenerHarness) -> None:
-        upstream = await harness.add_upstream(lambda _: [Hang()])
-        caller = await harness.connect()
-        caller.sock._socket.send(route_request("/look/1"))
-        if not is_late:
-            await harness.wait_for(lambda: bool(upstream.requests))
-        if is_reset:
-            caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        caller.sock._socket.close()
-        caller.is_closed = True
-        await harness.wait_for(lambda: harness.counter("callers_gone") == 1)
-        await harness.wait_for(lambda: harness.listener._connections == 0)
-        end = "lost" if is_reset else "peer-closed"
-        assert harness.counter("caller_connections_ended", reason=end) == 1
-        assert harness.counter("caller_connections_cut", reason=end) == int(is_reset)
-        failed = harness.counter("caller_connections_failed", error="ECONNRESET")
-        assert failed == int(is_reset)
-        line = next(it for it in caplog.records if it.message == "caller disconnected")
-        told = (vars(line)["reason"], vars(line)["error"])
-        assert told == (("failed", "ECONNRESET") if is_reset else ("closed", None))
-
-    run_routes(session)
-
-
 def test_caller_that_does_not_read_is_disconnected() -> None:
     """Guards against a slot held by a caller that does not read.
 
