Shorten the tests of turns, statements and control

Two tests of RequestTurns use one set-up; the counts of waiting requests are checked before and after. ScriptedUpstream.listen takes a port, for a process that starts again at its address.

--- a/tests/core/test_turns.py
+++ b/tests/core/test_turns.py
@@ -12,13 +12,13 @@
     [
         ("", [""]),
         ("aaaaa", ["aaa", "aa", ""]),
-        # One request of an organisation is not behind the flood of another one.
         ("aaaaab", ["aba", "aaa", ""]),
         ("aaaabbbbc", ["abc", "aba", "bab", ""]),
         ("aaaa-bb", ["a-b", "aba", "a", ""]),
     ],
 )
 def test_organisations_begin_in_turn(waiting: str, passes: list[str]) -> None:
+    """Guards against a flood of one organisation that delays the others."""
     turns = Turns[str](3)
     for name in waiting:
         turns.add(None if name == "-" else name, name, 0.0)
@@ -32,10 +32,8 @@
     turns.add("a", "first", 1.0)
     turns.add("b", "second", 2.0)
     turns.remove("b", "second")
-    assert turns.find_wait(5.0) == 4.0
-    assert not turns.begin()
-    assert turns.start_pass() == ["first"]
-    assert turns.find_wait(5.0) == 0.0
+    assert (turns.find_wait(5.0), turns.begin()) == (4.0, False)
+    assert (turns.start_pass(), turns.find_wait(5.0)) == (["first"], 0.0)
     assert [turns.begin() for _ in range(3)] == [True, True, False]
     turns.start_pass()
     assert turns.begin()
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -342,9 +342,8 @@
     """
 
     async def test() -> None:
-        first, second = await start_pair(
-            reconnect_base_delay=60.0, reconnect_max_delay=60.0
-        )
+        delays = {"reconnect_base_delay": 60.0, "reconnect_max_delay": 60.0}
+        first, second = await start_pair(**delays)
         assert first.control.membership.ended() == frozenset()
         await second.task.cancel()
         await wait_until(lambda: bool(first.control.membership.ended()))
@@ -360,9 +359,8 @@
 
     async def test() -> None:
         first, second = await start_pair()
-        foreign = Node(
-            "router-3", *first.control.membership.candidates(), fleet="other"
-        )
+        known = first.control.membership.candidates()
+        foreign = Node("router-3", *known, fleet="other")
         entry = ListedUpstream("talk-0", "talk", "zone-a", Address("127.0.0.1", 9))
         foreign.control.apply_vm_list([entry], made_at_ms=1, source="platform")
         foreign.control.offer_configuration(9, {"document": DECLARATION}, "platform")
--- a/tests/daemon/test_replica_statements.py
+++ b/tests/daemon/test_replica_statements.py
@@ -162,20 +162,14 @@
         upstreams = harness.board.upstreams
         (replica,) = upstreams.replicas.values()
         assert upstream.address is not None
-        listed = ListedUpstream(
-            replica.replica_id, "talk", "zone-a", upstream.address, False
-        )
+        at = upstream.address
+        listed = ListedUpstream(replica.replica_id, "talk", "zone-a", at, False)
         upstreams.put(listed, LoadReport(1, 4, 0, 0, 0.0, False), time.monotonic())
         for _ in range(2):
             assert (await ask(harness, route_request("/hold/1"))).status != 200
-        sock = curio.network.tcp_server_socket(
-            upstream.address.host, upstream.address.port
-        )
-        upstream.tasks = await curio.spawn(
-            curio.network.run_server, sock, upstream._serve, daemon=True
-        )
-        born_ms = time.time_ns() // 1_000_000
+        await upstream.listen(at.port)
         await harness.wait_for(lambda: replica.is_available(time.monotonic()))
+        born_ms = time.time_ns() // 1_000_000
         assert (await ask(harness, route_request("/look/1"))).status == 200
         assert replica.is_leaving
         load = LoadReport(born_ms, 4, 0, 0, 0.0, False)
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import curio
 
 from sequoiamoor.daemon.request_turns import MAX_REQUESTS_PER_PASS, RequestTurns
 
-from ..listener_harness import Caller
+from ..listener_harness import parse
 from ..route_listener_harness import RouteListenerHarness, route_request, run
 
 FLOOD = 3 * MAX_REQUESTS_PER_PASS + 1
@@ -16,32 +18,27 @@
     """Guards against timers and control that wait until a flood is answered."""
 
     async def session(harness: RouteListenerHarness) -> None:
-        def count() -> float:
-            return harness.counter("refusals", code="key-unknown")
-
-        callers: list[Caller] = [await harness.connect() for _ in range(FLOOD)]
+        callers = [await harness.connect() for _ in range(FLOOD)]
         # Until here each connection waits for its request.
         await curio.sleep(0)
         for caller in callers:
             caller.sock._socket.send(route_request("/keyed/1"))
-        answered_by_pass = []
-        while count() < FLOOD:
-            before = count()
+        counts = [0.0]
+        while counts[-1] < FLOOD:
             await curio.sleep(0)
-            answered_by_pass.append(count() - before)
-        assert max(answered_by_pass) == MAX_REQUESTS_PER_PASS
+            counts.append(harness.counter("refusals", code="key-unknown"))
+        assert max(b - a for a, b in pairwise(counts)) == MAX_REQUESTS_PER_PASS
         for caller in callers:
-            received = await caller.receive_until(b"}\n")
-            assert received.startswith(b"HTTP/1.1 401 ")
-            assert received.count(b"HTTP/1.1") == 1
+            response = parse(await caller.receive_until(b"}\n"))
+            assert (response.status, response.rest) == (401, b"")
             await caller.close()
         await harness.wait_for(lambda: not harness.listener._connections)
 
     run(session)
 
 
-def test_requests_that_are_cancelled_hold_up_no_others() -> None:
-    """Guards against turns that are lost when callers' tasks end as they wait."""
+def test_requests_wait_counted_and_cancelled_ones_hold_up_no_others() -> None:
+    """Guards against a drain that misses waiting requests, and against lost turns."""
 
     async def main() -> None:
         turns = RequestTurns()
@@ -51,30 +48,13 @@
             await turns.wait("captains")
             begun.append(number)
 
-        tasks = [
-            await curio.spawn(begin, number, daemon=True) for number in range(FLOOD)
-        ]
+        tasks = [await curio.spawn(begin, it, daemon=True) for it in range(FLOOD)]
         await curio.sleep(0)
+        assert len(turns) == FLOOD - MAX_REQUESTS_PER_PASS
         for task in tasks[MAX_REQUESTS_PER_PASS:-1]:
             await task.cancel(blocking=False)
         await tasks[-1].join()
         assert begun == [*range(MAX_REQUESTS_PER_PASS), FLOOD - 1]
-
-    curio.run(main)
-
-
-def test_waiting_requests_are_counted_until_they_begin() -> None:
-    """Guards against a drain that ends while requests it has read wait for a turn."""
-
-    async def main() -> None:
-        turns = RequestTurns()
-        counts = []
-        tasks = [await curio.spawn(turns.wait, "captains") for _ in range(FLOOD)]
-        while not counts or counts[-1]:
-            await curio.sleep(0)
-            counts.append(len(turns))
-        assert max(counts) == FLOOD - MAX_REQUESTS_PER_PASS
-        for task in tasks:
-            await task.join()
+        assert len(turns) == 0
 
     curio.run(main)
--- a/tests/listener_harness.py
+++ b/tests/listener_harness.py
@@ -172,8 +172,8 @@
     tasks: Any = None
     reads_bodies: bool = True
 
-    async def listen(self) -> None:
-        sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+    async def listen(self, port: int = 0) -> None:
+        sock = curio.network.tcp_server_socket("127.0.0.1", port)
         self.address = Address(*sock.getsockname()[:2])
         self.tasks = await curio.spawn(
             curio.network.run_server, sock, self._serve, daemon=True
