Test accepts without descriptors beside any number of open ones

Seen: test_accepting_goes_on_when_descriptors_are_free_again failed once in a run of all tests, with IndexError: pop from empty list.

Cause: the test lowers the limit of descriptors to 256 and fills what is free. Over 256 were open in the process: harnesses of tests before it leave those of their callers and of other sockets until the garbage collector comes to them (up to 2 a test of the forwarder, 82 at a time in a run of the tests of the daemon on 3 processes). None was free then, and there was none to give back.

Evidence: beside 300 open descriptors the test fails each time with this error.

Change: the limit is 16 above the highest open descriptor, so the test runs out of descriptors wherever it starts; what it checks is the same. The harness of the listeners closes its callers at the end of a session.

--- a/tests/listener_harness.py
+++ b/tests/listener_harness.py
@@ -363,6 +363,11 @@
         self.board.upstreams.replicas[name] = Replica(name, service, "zone-a", address)
         return name
 
+    async def close_callers(self) -> None:
+        """Frees the descriptors of callers that are left, which later tests count."""
+        for caller in self._callers:
+            await caller.sock.close()
+
     def close_bound_sockets(self) -> None:
         """Releases the ports of the dead upstreams."""
         for sock in self._bound_sockets:
@@ -456,6 +461,7 @@
         await tick.cancel()
         await harness.calls.close()
         harness.close_bound_sockets()
+        await harness.close_callers()
         assert not harness.crashes
         return result
 
--- a/tests/net/test_acceptor.py
+++ b/tests/net/test_acceptor.py
@@ -21,6 +21,7 @@
 )
 
 TIMEOUT_SECONDS = 10.0
+FREE_DESCRIPTORS = 16
 
 
 class FaultySocket:
@@ -151,7 +152,10 @@
     async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
         caller = curio.socket.socket()
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (256, hard))
+        # Tests before this one may have left descriptors open.
+        highest = max(int(name) for name in os.listdir("/dev/fd"))
+        limit = highest + FREE_DESCRIPTORS
+        resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
         fillers = []
         try:
             while True:
