Build the model of a service's first events once, not at each look-up

Routers of the grown site spend their processor time in a flood on deciding what may start.

The model is now built when the service has none.

The test fails without the change: two models are built.

--- a/sequoiamoor/core/prefill.py
+++ b/sequoiamoor/core/prefill.py
@@ -113,7 +113,10 @@
 
     def model(self, service: ServiceName) -> FirstEventModel:
         """Returns the model of the service's replicas."""
-        return self.models.setdefault(service, FirstEventModel())
+        model = self.models.get(service)
+        if model is None:
+            model = self.models[service] = FirstEventModel()
+        return model
 
     def find_mean_seconds(self, service: ServiceName) -> float:
         """Returns the mean seconds that reading a prompt takes, 0 before the first."""
--- a/tests/core/test_prefill.py
+++ b/tests/core/test_prefill.py
@@ -44,3 +44,14 @@
     assert reads.count_unread_tokens("i-1") == 1_000
     reads.finish("b", 0.3, is_answered=False)
     assert reads.count_unread_tokens("i-1") == 0
+
+
+def test_model_of_a_service_is_built_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against fitting a new model at each look-up, for each free replica."""
+    built: list[FirstEventModel] = []
+    monkeypatch.setattr(
+        FirstEventModel, "__post_init__", lambda model: built.append(model)
+    )
+    reads = PromptReads()
+    assert reads.model("talk") is reads.model("talk")
+    assert len(built) == 1
