Weigh a request once for all replicas, and keep the order of each prompt part

In a flood a waiting request is tried at every free replica on each decision.

Slack depends on the request and on whether the part is cached, and not on the replica. It is now turned once into the number of tokens ahead with which the request is still in time, and each replica's count is compared with that. The order of all replicas for a part is kept for the 512 parts used last; those that take no requests are passed over in it, which gives the same order as sorting the others. The decisions are unchanged.

--- a/sequoiamoor/core/rendezvous.py
+++ b/sequoiamoor/core/rendezvous.py
@@ -16,6 +16,18 @@
     return int(xxhash.xxh64_intdigest(f"{key}\0{candidate}".encode()))
 
 
+@lru_cache(maxsize=512)
+def rank_candidates(key: str, candidates: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the candidates by descending weight for a key."""
+    return tuple(
+        sorted(
+            candidates,
+            key=lambda candidate: hash_pair(key, candidate),
+            reverse=True,
+        )
+    )
+
+
 def choose_router(
     key: str, zone: ZoneName, routers: Iterable[RouterIdentity]
 ) -> RouterIdentity | None:
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -19,7 +19,7 @@
 from ..core.messages import Grants, Report, SlotRow
 from ..core.peer_loads import PeerLoads
 from ..core.prefill import PromptReads
-from ..core.rendezvous import hash_pair
+from ..core.rendezvous import rank_candidates
 from ..core.routed_call import RoutedCall
 from ..core.stream_pace import StreamPace
 from ..core.upstreams import Replica
@@ -151,16 +151,15 @@
         peer_load = self._peers.get(replica_id)
         return self._reads.count_unread_tokens(replica_id) + peer_load.prompt_tokens
 
-    def _can_meet_target(
+    def _find_token_limit(
         self,
         request: RoutedCall,
-        replica_id: ReplicaId,
         tokens: int,
         now: float,
         *,
         backlog_limit: float,
-    ) -> bool:
-        """Returns whether the first event would arrive within the target.
+    ) -> float:
+        """Returns the tokens ahead with which the first event is still in time.
 
         A prompt that takes most of the target by itself may start when the prompts
         ahead of it take at most ``LARGE_PROMPT_FRACTION`` of the target, however long
@@ -168,8 +167,7 @@
 
         Args:
             request: Request to place.
-            replica_id: Replica at which it would start.
-            tokens: Prompt tokens that the replica would read for it.
+            tokens: Prompt tokens that a replica would read for it.
             now: Monotonic time in seconds.
             backlog_limit: Longest time in seconds that prompts ahead may take, for
                 any request of the service.
@@ -181,8 +179,10 @@
             slack = LARGE_PROMPT_FRACTION * target
         else:
             slack -= now - request.arrival
-        backlog_seconds = model.seconds_per_token * self._count_tokens_ahead(replica_id)
-        return backlog_seconds <= max(min(slack, backlog_limit), 0.0)
+        seconds = max(min(slack, backlog_limit), 0.0)
+        if not model.seconds_per_token:
+            return math.inf
+        return seconds / model.seconds_per_token
 
     def find_wait_limit(self, request: CallRequest) -> float | None:
         """Returns how many seconds a request may wait and still meet its target."""
@@ -312,36 +312,37 @@
         free_by_id = {
             candidate.replica_id: (candidate, count) for candidate, count in free
         }
-        ranked = sorted(
-            (member.replica_id for member in pool.replicas if member.is_available(now)),
-            key=lambda member_id: hash_pair(part, member_id),
-            reverse=True,
-        )
         waited_seconds = now - request.arrival
         backlog_limit = _find_backlog_limit(board, request)
+        cached_limit = self._find_token_limit(
+            request, request.own_tokens, now, backlog_limit=backlog_limit
+        )
+        uncached_limit = self._find_token_limit(
+            request,
+            request.prompt_tokens,
+            now,
+            backlog_limit=backlog_limit * SPILL_BACKLOG_FRACTION,
+        )
         # Waiting for the cached part costs at most as much as reading it again.
         spill_wait = max(
             SPILL_WAIT_SECONDS,
             self._reads.model(request.service).seconds_per_token
             * request.shared_tokens,
         )
-        for index, replica_id in enumerate(ranked):
+        members = {member.replica_id: member for member in pool.replicas}
+        index = -1
+        for replica_id in rank_candidates(part, tuple(members)):
             entry = free_by_id.get(replica_id)
             if entry is None:
+                index += members[replica_id].is_available(now)
                 continue
+            index += 1
             replica, count = entry
             is_assumed_cached = index == 0 or self._is_part_cached(
                 part, replica_id, now
             )
-            tokens = request.own_tokens if is_assumed_cached else request.prompt_tokens
-            if not self._can_meet_target(
-                request,
-                replica_id,
-                tokens,
-                now,
-                backlog_limit=backlog_limit
-                * (1.0 if is_assumed_cached else SPILL_BACKLOG_FRACTION),
-            ):
+            limit = cached_limit if is_assumed_cached else uncached_limit
+            if self._count_tokens_ahead(replica_id) > limit:
                 continue
             if is_assumed_cached:
                 return replica
@@ -369,17 +370,17 @@
         fewest tokens left to read is chosen, then the one with the most free slots.
         """
         expected_events = self._count_events(board, request)
-        backlog_limit = _find_backlog_limit(board, request)
+        token_limit = self._find_token_limit(
+            request,
+            request.prompt_tokens,
+            now,
+            backlog_limit=_find_backlog_limit(board, request),
+        )
         candidates = []
         for replica, count in free:
             replica_id = replica.replica_id
-            if not self._can_meet_target(
-                request,
-                replica_id,
-                request.prompt_tokens,
-                now,
-                backlog_limit=backlog_limit,
-            ):
+            tokens_ahead = self._count_tokens_ahead(replica_id)
+            if tokens_ahead > token_limit:
                 continue
             interval = self._pace.find_event_interval(replica_id)
             is_in_time = now + expected_events * interval <= request.ends_at
@@ -387,7 +388,7 @@
             candidates.append(
                 (
                     penalty,
-                    self._count_tokens_ahead(replica_id),
+                    tokens_ahead,
                     -count,
                     replica_id,
                     replica,
--- a/tests/core/test_rendezvous.py
+++ b/tests/core/test_rendezvous.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sequoiamoor.core.rendezvous import choose_router
+from sequoiamoor.core.rendezvous import choose_router, rank_candidates
 from sequoiamoor.types import RouterIdentity
 
 ROUTERS = [
@@ -28,3 +28,15 @@
         from_reversed = choose_router(key, "zone-2", ROUTERS[::-1])
         assert from_reversed == choose_router(key, "zone-2", ROUTERS)
     assert choose_router("a", "zone-2", []) is None
+
+
+def test_order_of_candidates_stays_when_one_is_removed() -> None:
+    """Guards against prompts that lose their cached parts when a replica leaves."""
+    candidates = tuple(f"replica-{number}" for number in range(9))
+    for key in ("a", "b", "c"):
+        ranked = rank_candidates(key, candidates)
+        assert sorted(ranked) == list(candidates)
+        for removed in candidates:
+            rest = tuple(name for name in candidates if name != removed)
+            kept = tuple(name for name in ranked if name != removed)
+            assert rank_candidates(key, rest) == kept
