Sum again only the demand that changed, and keep the windows of replicas

Every report discarded the sum of all peers' requests, so each decision added up the rows of 69 peers; and each replica's own window was computed again, though it changes when the pool is refreshed (0.2 s) or a stream ends.

The sum is kept, and only the organisations with a new row are summed again. Own windows are kept with the pool and computed again when a stream of the service ends or the pace is refreshed. The decisions are unchanged.

--- a/sequoiamoor/core/demand.py
+++ b/sequoiamoor/core/demand.py
@@ -43,14 +43,27 @@
     demands: Demands = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class _CachedSum:
+    """Sum of the requests at some peers for one service.
+
+    Attributes:
+        routers: The peers.
+        demands: Their requests by organisation.
+        outdated: Organisations with a report since the sum was built.
+    """
+
+    routers: set[RouterId]
+    demands: dict[OrganisationName, Demand]
+    outdated: set[OrganisationName] = field(default_factory=set)
+
+
 class DemandTable:
     """Waiting and running requests of the peers, from their reports."""
 
     def __init__(self) -> None:
         self._peers: dict[RouterId, _PeerDemand] = {}
-        self._cached_sums: dict[
-            ServiceName, tuple[set[RouterId], dict[OrganisationName, Demand]]
-        ] = {}
+        self._cached_sums: dict[ServiceName, _CachedSum] = {}
 
     def apply_report(
         self,
@@ -72,7 +85,9 @@
             return False
         peer.sequence = sequence
         for row in rows:
-            self._cached_sums.pop(row.service, None)
+            cached = self._cached_sums.get(row.service)
+            if cached is not None:
+                cached.outdated.add(row.organisation)
             peer.demands.setdefault(row.service, {})[row.organisation] = Demand(
                 row.waiting,
                 row.running,
@@ -99,25 +114,24 @@
     ) -> Mapping[OrganisationName, Demand]:
         """Returns the requests at the given peers together, by organisation.
 
-        The sum is cached until a peer reports a change; callers must not modify it.
+        Only organisations with a report since the last call are summed again; callers
+        must not modify or keep the result.
         """
         cached = self._cached_sums.get(service)
-        if cached is not None and cached[0] == routers:
-            return cached[1]
-        demand_by_organisation: dict[OrganisationName, Demand] = {}
-        self._cached_sums[service] = (set(routers), demand_by_organisation)
-        for router_id in routers:
-            for name, peer_demand in self.of(router_id, service).items():
-                if not peer_demand.waiting and not peer_demand.running:
-                    continue
-                total = demand_by_organisation.get(name)
-                if total is None:
-                    total = demand_by_organisation[name] = Demand()
-                total.waiting += peer_demand.waiting
-                total.running += peer_demand.running
-                if peer_demand.waiting and peer_demand.deadline < total.deadline:
-                    total.deadline = peer_demand.deadline
-        return demand_by_organisation
+        if cached is None or cached.routers != routers:
+            names = {name for router in routers for name in self.of(router, service)}
+            cached = _CachedSum(set(routers), {}, names)
+            self._cached_sums[service] = cached
+        if cached.outdated:
+            by_peer = [self.of(router_id, service) for router_id in cached.routers]
+            for name in cached.outdated:
+                total = _add_up(peer[name] for peer in by_peer if name in peer)
+                if total.waiting or total.running:
+                    cached.demands[name] = total
+                else:
+                    cached.demands.pop(name, None)
+            cached.outdated.clear()
+        return cached.demands
 
     def forget_except(self, routers: Iterable[RouterId]) -> None:
         """Discards all peers except the given ones."""
@@ -127,3 +141,13 @@
         ]:
             del self._peers[router_id]
             self._cached_sums.clear()
+
+
+def _add_up(demands: Iterable[Demand]) -> Demand:
+    total = Demand()
+    for demand in demands:
+        total.waiting += demand.waiting
+        total.running += demand.running
+        if demand.waiting and demand.deadline < total.deadline:
+            total.deadline = demand.deadline
+    return total
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(slots=True)
-class _Pool:
+class Pool:
     """Replicas of a service and their capacity, refreshed every report interval.
 
     Attributes:
@@ -71,7 +71,7 @@
         self._running_counts: dict[ServiceName, dict[OrganisationName, int]] = {}
         self._average_running: dict[ServiceName, dict[OrganisationName, float]] = {}
         self._last_waiting_at: dict[tuple[ServiceName, OrganisationName], float] = {}
-        self._pools: dict[ServiceName, _Pool] = {}
+        self._pools: dict[ServiceName, Pool] = {}
         self._prefix_replicas: OrderedDict[tuple[ServiceName, str], ReplicaId] = (
             OrderedDict()
         )
@@ -107,7 +107,7 @@
 
     # Shared decisions.
 
-    def _get_pool(self, board: Blackboard, service: ServiceName, now: float) -> _Pool:
+    def _get_pool(self, board: Blackboard, service: ServiceName, now: float) -> Pool:
         """Returns the pool of a service.
 
         It is refreshed in each report interval, and as soon as a replica wants no
@@ -133,7 +133,7 @@
             [now + board.options.report_interval]
             + [end for end in hold_ends if end > now]
         )
-        pool = _Pool(
+        pool = Pool(
             replicas, windows, slots, capacity, valid_until, availability_version
         )
         self._pools[service] = pool
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -17,7 +17,7 @@
     may_use_slot,
 )
 from ..core.messages import Grants, Report, SlotRow
-from ..core.peer_loads import PeerLoads
+from ..core.peer_loads import PeerLoad, PeerLoads
 from ..core.prefill import PromptReads
 from ..core.rendezvous import rank_candidates
 from ..core.routed_call import RoutedCall
@@ -32,6 +32,7 @@
     ServiceKind,
     ServiceName,
 )
+from .fair import Pool
 from .reporting import ReportingPolicy
 
 MAX_TRIED_REQUESTS = 24
@@ -113,38 +114,56 @@
         self._reads = PromptReads()
         self._pace = StreamPace()
         self._pace_refreshed_at = float("-inf")
+        self._own_windows: dict[ServiceName, tuple[Pool, dict[ReplicaId, int]]] = {}
         self._reported_in_use: dict[ReplicaId, int] = {}
         self._part_used_at: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
 
     # Slots.
 
-    def _count_free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
-        window = self._compute_agreed_window(board, replica, now)
-        return window - replica.in_use - self._peers.get(replica.replica_id).in_use
+    def _find_free_replicas(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> list[tuple[Replica, int]]:
+        windows = self._get_own_windows(board, service, now)
+        found = []
+        for replica in self._get_pool(board, service, now).replicas:
+            peer_load = self._peers.get(replica.replica_id)
+            window = _agree_on_window(windows[replica.replica_id], peer_load)
+            free = window - replica.in_use - peer_load.in_use
+            if free > 0 and replica.is_available(now):
+                found.append((replica, 1 if replica.stated.is_returning else free))
+        return found
+
+    def _get_own_windows(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> dict[ReplicaId, int]:
+        """Returns how many requests this router would let each replica run at once.
+
+        They are kept until the pool is refreshed or the pace of streams changes.
+        """
+        pool = self._get_pool(board, service, now)
+        kept = self._own_windows.get(service)
+        if kept is not None and kept[0] is pool:
+            return kept[1]
+        windows = {
+            replica_id: int(window * self._pace.find_slot_fraction(service, replica_id))
+            for replica_id, window in pool.windows.items()
+        }
+        self._own_windows[service] = (pool, windows)
+        return windows
 
     def _compute_own_window(
         self, board: Blackboard, replica: Replica, now: float
     ) -> int:
         """Returns how many requests this router would let the replica run at once."""
-        pool = self._get_pool(board, replica.service, now)
-        window = pool.windows.get(replica.replica_id, 0)
-        return int(
-            window * self._pace.find_slot_fraction(replica.service, replica.replica_id)
-        )
+        windows = self._get_own_windows(board, replica.service, now)
+        return windows.get(replica.replica_id, 0)
 
     def _compute_agreed_window(
         self, board: Blackboard, replica: Replica, now: float
     ) -> int:
-        """Returns the mean of the windows that this router and its peers compute.
-
-        A router that computed a smaller window than its peers and used its own would
-        see no free slot while the peers keep starting requests.
-        """
+        """Returns the mean of the windows that this router and its peers compute."""
         own = self._compute_own_window(board, replica, now)
-        peer_load = self._peers.get(replica.replica_id)
-        if not own or not peer_load.window_count:
-            return own
-        return round((own + peer_load.window) / (1 + peer_load.window_count))
+        return _agree_on_window(own, self._peers.get(replica.replica_id))
 
     def _count_tokens_ahead(self, replica_id: ReplicaId) -> int:
         """Returns the prompt tokens of all routers that the replica has yet to read."""
@@ -475,6 +494,7 @@
             length=max(events, self._count_events(board, request)),
             seconds=request.last_event_at - request.first_event_at,
         )
+        self._own_windows.pop(request.service, None)
 
     # Reports.
 
@@ -487,6 +507,7 @@
         if now - self._pace_refreshed_at >= PACE_REFRESH_SECONDS:
             self._pace_refreshed_at = now
             self._pace.refresh()
+            self._own_windows.clear()
         return actions
 
     def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
@@ -525,6 +546,17 @@
         self._demands.forget_except(routers)
 
 
+def _agree_on_window(own: int, peer_load: PeerLoad) -> int:
+    """Returns the mean of the windows that this router and its peers compute.
+
+    A router that computed a smaller window than its peers and used its own would see no
+    free slot while the peers keep starting requests.
+    """
+    if not own or not peer_load.window_count:
+        return own
+    return round((own + peer_load.window) / (1 + peer_load.window_count))
+
+
 def _find_shared_part(request: CallRequest) -> str | None:
     """Returns the last shared prompt part, or None if the shared ones are small."""
     if not isinstance(request, RoutedCall) or len(request.parts) < 2:
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -14,6 +14,7 @@
 from sequoiamoor.core.routed_call import PromptPart, RoutedCall
 from sequoiamoor.core.routes import Route
 from sequoiamoor.core.statements import Statement
+from sequoiamoor.core.stream_pace import StreamPace
 from sequoiamoor.core.upstreams import LoadReport, Replica
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.options import Options
@@ -153,6 +154,20 @@
             assert fleet.start() == rank_replicas(part)[0]
 
 
+def test_window_follows_the_pace_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against windows that are kept although slow streams call for less."""
+    fleet = Fleet(replicas=1)
+    call = fleet.add()
+    replica_id = fleet.start()
+    assert replica_id is not None
+    assert [row.window for row in fleet.policy.build_slots(fleet.board, 0.0)] == [SLOTS]
+    monkeypatch.setattr(StreamPace, "find_slot_fraction", lambda *_: 0.5)
+    call.events = 20
+    fleet.policy.finish(fleet.board, call, replica_id, 0.0)
+    rows = fleet.policy.build_slots(fleet.board, 0.0)
+    assert [row.window for row in rows] == [SLOTS // 2]
+
+
 @pytest.mark.parametrize(
     ("busy", "waited", "expected"),
     [
