--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -17,9 +17,9 @@
     may_use_slot,
 )
 from ..core.messages import Grants, Report, SlotRow
-from ..core.peer_loads import PeerLoads
+from ..core.peer_loads import PeerLoad, PeerLoads
 from ..core.prefill import PromptReads
-from ..core.rendezvous import hash_pair
+from ..core.rendezvous import rank_candidates
 from ..core.routed_call import RoutedCall
 from ..core.stream_pace import StreamPace
 from ..core.upstreams import Replica
@@ -32,6 +32,7 @@
     ServiceKind,
     ServiceName,
 )
+from .fair import Pool
 from .reporting import ReportingPolicy
 
 MAX_TRIED_REQUESTS = 24
@@ -113,54 +114,71 @@
         self._reads = PromptReads()
         self._pace = StreamPace()
         self._pace_refreshed_at = float("-inf")
+        self._own_windows: dict[ServiceName, tuple[Pool, dict[ReplicaId, int]]] = {}
         self._reported_in_use: dict[ReplicaId, int] = {}
         self._part_used_at: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
 
     # Slots.
 
-    def _count_free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
-        window = self._compute_agreed_window(board, replica, now)
-        return window - replica.in_use - self._peers.get(replica.replica_id).in_use
+    def _find_free_replicas(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> list[tuple[Replica, int]]:
+        windows = self._get_own_windows(board, service, now)
+        found = []
+        for replica in self._get_pool(board, service, now).replicas:
+            peer_load = self._peers.get(replica.replica_id)
+            window = _agree_on_window(windows[replica.replica_id], peer_load)
+            free = window - replica.in_use - peer_load.in_use
+            if free > 0 and replica.is_available(now):
+                found.append((replica, 1 if replica.stated.is_returning else free))
+        return found
+
+    def _get_own_windows(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> dict[ReplicaId, int]:
+        """Returns how many requests this router would let each replica run at once.
+
+        They are kept until the pool is refreshed or the pace of streams changes.
+        """
+        pool = self._get_pool(board, service, now)
+        kept = self._own_windows.get(service)
+        if kept is not None and kept[0] is pool:
+            return kept[1]
+        windows = {
+            replica_id: int(window * self._pace.find_slot_fraction(service, replica_id))
+            for replica_id, window in pool.windows.items()
+        }
+        self._own_windows[service] = (pool, windows)
+        return windows
 
     def _compute_own_window(
         self, board: Blackboard, replica: Replica, now: float
     ) -> int:
         """Returns how many requests this router would let the replica run at once."""
-        pool = self._get_pool(board, replica.service, now)
-        window = pool.windows.get(replica.replica_id, 0)
-        return int(
-            window * self._pace.find_slot_fraction(replica.service, replica.replica_id)
-        )
+        windows = self._get_own_windows(board, replica.service, now)
+        return windows.get(replica.replica_id, 0)
 
     def _compute_agreed_window(
         self, board: Blackboard, replica: Replica, now: float
     ) -> int:
-        """Returns the mean of the windows that this router and its peers compute.
-
-        A router that computed a smaller window than its peers and used its own would
-        see no free slot while the peers keep starting requests.
-        """
+        """Returns the mean of the windows that this router and its peers compute."""
         own = self._compute_own_window(board, replica, now)
-        peer_load = self._peers.get(replica.replica_id)
-        if not own or not peer_load.window_count:
-            return own
-        return round((own + peer_load.window) / (1 + peer_load.window_count))
+        return _agree_on_window(own, self._peers.get(replica.replica_id))
 
     def _count_tokens_ahead(self, replica_id: ReplicaId) -> int:
         """Returns the prompt tokens of all routers that the replica has yet to read."""
         peer_load = self._peers.get(replica_id)
         return self._reads.count_unread_tokens(replica_id) + peer_load.prompt_tokens
 
-    def _can_meet_target(
+    def _find_token_limit(
         self,
         request: RoutedCall,
-        replica_id: ReplicaId,
         tokens: int,
         now: float,
         *,
         backlog_limit: float,
-    ) -> bool:
-        """Returns whether the first event would arrive within the target.
+    ) -> float:
+        """Returns the tokens ahead with which the first event is still in time.
 
         A prompt that takes most of the target by itself may start when the prompts
         ahead of it take at most ``LARGE_PROMPT_FRACTION`` of the target, however long
@@ -168,8 +186,7 @@
 
         Args:
             request: Request to place.
-            replica_id: Replica at which it would start.
-            tokens: Prompt tokens that the replica would read for it.
+            tokens: Prompt tokens that a replica would read for it.
             now: Monotonic time in seconds.
             backlog_limit: Longest time in seconds that prompts ahead may take, for
                 any request of the service.
@@ -181,8 +198,10 @@
             slack = LARGE_PROMPT_FRACTION * target
         else:
             slack -= now - request.arrival
-        backlog_seconds = model.seconds_per_token * self._count_tokens_ahead(replica_id)
-        return backlog_seconds <= max(min(slack, backlog_limit), 0.0)
+        seconds = max(min(slack, backlog_limit), 0.0)
+        if not model.seconds_per_token:
+            return math.inf
+        return seconds / model.seconds_per_token
 
     def find_wait_limit(self, request: CallRequest) -> float | None:
         """Returns how many seconds a request may wait and still meet its target."""
@@ -312,36 +331,37 @@
         free_by_id = {
             candidate.replica_id: (candidate, count) for candidate, count in free
         }
-        ranked = sorted(
-            (member.replica_id for member in pool.replicas if member.is_available(now)),
-            key=lambda member_id: hash_pair(part, member_id),
-            reverse=True,
-        )
         waited_seconds = now - request.arrival
         backlog_limit = _find_backlog_limit(board, request)
+        cached_limit = self._find_token_limit(
+            request, request.own_tokens, now, backlog_limit=backlog_limit
+        )
+        uncached_limit = self._find_token_limit(
+            request,
+            request.prompt_tokens,
+            now,
+            backlog_limit=backlog_limit * SPILL_BACKLOG_FRACTION,
+        )
         # Waiting for the cached part costs at most as much as reading it again.
         spill_wait = max(
             SPILL_WAIT_SECONDS,
             self._reads.model(request.service).seconds_per_token
             * request.shared_tokens,
         )
-        for index, replica_id in enumerate(ranked):
+        members = {member.replica_id: member for member in pool.replicas}
+        index = -1
+        for replica_id in rank_candidates(part, tuple(members)):
             entry = free_by_id.get(replica_id)
             if entry is None:
+                index += members[replica_id].is_available(now)
                 continue
+            index += 1
             replica, count = entry
             is_assumed_cached = index == 0 or self._is_part_cached(
                 part, replica_id, now
             )
-            tokens = request.own_tokens if is_assumed_cached else request.prompt_tokens
-            if not self._can_meet_target(
-                request,
-                replica_id,
-                tokens,
-                now,
-                backlog_limit=backlog_limit
-                * (1.0 if is_assumed_cached else SPILL_BACKLOG_FRACTION),
-            ):
+            limit = cached_limit if is_assumed_cached else uncached_limit
+            if self._count_tokens_ahead(replica_id) > limit:
                 continue
             if is_assumed_cached:
                 return replica
@@ -369,17 +389,17 @@
         fewest tokens left to read is chosen, then the one with the most free slots.
         """
         expected_events = self._count_events(board, request)
-        backlog_limit = _find_backlog_limit(board, request)
+        token_limit = self._find_token_limit(
+            request,
+            request.prompt_tokens,
+            now,
+            backlog_limit=_find_backlog_limit(board, request),
+        )
         candidates = []
         for replica, count in free:
             replica_id = replica.replica_id
-            if not self._can_meet_target(
-                request,
-                replica_id,
-                request.prompt_tokens,
-                now,
-                backlog_limit=backlog_limit,
-            ):
+            tokens_ahead = self._count_tokens_ahead(replica_id)
+            if tokens_ahead > token_limit:
                 continue
             interval = self._pace.find_event_interval(replica_id)
             is_in_time = now + expected_events * interval <= request.ends_at
@@ -387,7 +407,7 @@
             candidates.append(
                 (
                     penalty,
-                    self._count_tokens_ahead(replica_id),
+                    tokens_ahead,
                     -count,
                     replica_id,
                     replica,
@@ -474,6 +494,7 @@
             length=max(events, self._count_events(board, request)),
             seconds=request.last_event_at - request.first_event_at,
         )
+        self._own_windows.pop(request.service, None)
 
     # Reports.
 
@@ -486,6 +507,7 @@
         if now - self._pace_refreshed_at >= PACE_REFRESH_SECONDS:
             self._pace_refreshed_at = now
             self._pace.refresh()
+            self._own_windows.clear()
         return actions
 
     def build_slots(self, board: Blackboard, now: float) -> tuple[SlotRow, ...]:
@@ -524,6 +546,17 @@
         self._demands.forget_except(routers)
 
 
+def _agree_on_window(own: int, peer_load: PeerLoad) -> int:
+    """Returns the mean of the windows that this router and its peers compute.
+
+    A router that computed a smaller window than its peers and used its own would see no
+    free slot while the peers keep starting requests.
+    """
+    if not own or not peer_load.window_count:
+        return own
+    return round((own + peer_load.window) / (1 + peer_load.window_count))
+
+
 def _find_shared_part(request: CallRequest) -> str | None:
     """Returns the last shared prompt part, or None if the shared ones are small."""
     if not isinstance(request, RoutedCall) or len(request.parts) < 2:
