Keep the order of organisations when their lead is bounded

Each router cuts only those that it holds back itself. At 8.2 s boda51 counted 72,300 at c-2, where it waited, and 838,000 at routers where it did not; nycu650 counted 68,000 at its own router and 144,000 to 159,000 at the others. So boda51 came before nycu650 wherever it waited. As the least was that of organisations with one or two waiting requests (1,267), both were held back equally, and in each 1.4 s boda51 had a burst at each of its routers, nycu650 at one.

Ruled out: refusal at the entry (12 to 15 requests of nycu650 waited all the while and were reported), and placement (94 of 94 tries in half a second were held by the order).

Change: recent work is cut to twice that of the waiting organisation with the next less plus the allowed gap, so that no cut puts an organisation before one with less work.

Tests: a pattern in test_shares_under_floods.py and test_bound_of_the_lead_keeps_the_order in test_shared_load.py; both fail before.

--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -79,9 +79,11 @@
 few seconds."""
 
 MAX_LEAD_FACTOR = 2.0
-"""Recent work that is held against an organisation, as a multiple of that up to which
-it may start more. While that amount stays the same, it is held back for at most
-``SHARE_DECAY_SECONDS`` times the logarithm of this, whatever it used before."""
+"""Recent work that is held against an organisation, as a multiple of the allowed gap
+above the waiting organisation with the next less. While that amount stays the same, it
+gives way to that one for at most ``SHARE_DECAY_SECONDS`` times the logarithm of this.
+Bounded by the organisation with the least, it would come before others with less work
+than its own."""
 
 PACE_REFRESH_SECONDS = 1.0
 """Interval between two computations of the pace that streams need."""
@@ -253,10 +255,14 @@
         # No arbiter grants slots here; ``is_granted`` selects the larger allowed gap.
         if not is_contested or may_use_slot(name, view, is_granted=True):
             return True
-        lowest_key = min(
-            state.key for state in view.organisations.values() if state.waiting > 0
-        )
-        limit = lowest_key + GRANTED_SLOT_GAP_FACTOR * view.allowed_gap
+        own_key = view.organisations[name].key
+        lower_keys = [
+            state.key
+            for state in view.organisations.values()
+            if state.waiting > 0 and state.key < own_key
+        ]
+        limit = max(lower_keys, default=own_key)
+        limit += GRANTED_SLOT_GAP_FACTOR * view.allowed_gap
         self._recent.limit(service, name, MAX_LEAD_FACTOR * limit)
         return False
 
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -336,6 +336,22 @@
     assert fleet.board.queues.count("talk", "short") == 1
 
 
+def test_bound_of_the_lead_keeps_the_order() -> None:
+    """Load: a flood at all routers, a smaller one at one, and others that ask little.
+
+    Guards against a flood that comes before organisations with a third of its recent
+    work, since routers that hold it back forget more of it than of theirs.
+    """
+    fleet = Fleet(replicas=1, options={"slot_floor_factor": 0, "slot_cap_factor": 1000})
+    fleet.charge("flood", 600_000.0)
+    fleet.charge("elsewhere", 200_000.0)
+    fleet.report({}, small=30, elsewhere=30)
+    fleet.add(organisation="flood")
+    assert fleet.start() is None
+    fleet.report({}, small=0, elsewhere=30)
+    assert fleet.start() is None
+
+
 @pytest.mark.parametrize(("may_have_run", "expected"), [(False, 6_100), (True, 12_200)])
 def test_request_that_did_not_run_is_not_charged(
     may_have_run: bool, expected: int
--- a/tests/policies/test_shares_under_floods.py
+++ b/tests/policies/test_shares_under_floods.py
@@ -5,7 +5,7 @@
 import heapq
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 from random import Random
 
@@ -194,6 +194,8 @@
 EARLY = Load(early_rate=60.0, rate=60.0)
 EARLY_LONG = Load(early_rate=50.0, rate=60.0, output=400, seconds=4.0)
 UNEVEN = Load(early_rate=15.0, rate=40.0, routers=(1, 2))
+FLOOD = Load(early_rate=10.0, rate=250.0, output=300, seconds=4.0)
+AT_ONE_LATE = replace(FLOOD, early_rate=4.0, rate=60.0, routers=(0,))
 AT_ONE = Load(early_rate=30.0, rate=60.0, output=300, seconds=4.0, routers=(0,))
 
 
@@ -214,6 +216,14 @@
             {"early": EARLY_LONG, "uneven": UNEVEN, **make_loads(4, Load(rate=15.0))},
             id="lead, long streams and uneven landing",
         ),
+        pytest.param(
+            {
+                "flood": FLOOD,
+                "one": AT_ONE_LATE,
+                **make_loads(12, Load(rate=3.0, prompt=2_000)),
+            },
+            id="floods at one router and at all, beside little work of many",
+        ),
     ],
 )
 def test_flooding_organisations_get_half_of_the_best_served_one(
