Keep a router until the requests that it has read have begun

What callers saw: at the end of a planned stop, a request that was read and waited for a pass of the event loop was closed without an answer.

Cause: the end of a drain waits until nothing lies unread in the sockets of callers. Since requests wait for a pass, one that was read is in no socket and not answered yet. One that was given its turn counted nowhere until its task ran, so a drain could also take the router for idle between the two.

Change: a request counts as waiting until its task runs, and the router does not end while one waits, for the time that unread requests had before.

--- a/sequoiamoor/core/turns.py
+++ b/sequoiamoor/core/turns.py
@@ -23,10 +23,6 @@
         self._begun = 0
         self._waiting: dict[str | None, deque[tuple[WaiterT, float]]] = {}
 
-    def __len__(self) -> int:
-        """Returns the number of requests that wait."""
-        return sum(len(waiting) for waiting in self._waiting.values())
-
     def begin(self) -> bool:
         """Returns whether a request begins now; if not, it is to be added."""
         if self._waiting or self._begun >= self.limit:
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -132,14 +132,14 @@
         return self._connections - len(self._served)
 
     async def wait_until_read(self, seconds: float) -> None:
-        """Waits until nothing lies unread in the sockets of callers.
+        """Waits until nothing lies unread in sockets and no request waits for a pass.
 
         Args:
             seconds: Longest time to wait.
         """
         ends_at = time.monotonic() + seconds
-        while time.monotonic() < ends_at and any(
-            connection.has_unread for connection in self._served
+        while time.monotonic() < ends_at and (
+            len(self.turns) or any(connection.has_unread for connection in self._served)
         ):
             await curio.sleep(READ_CHECK_INTERVAL_SECONDS)
 
--- a/sequoiamoor/daemon/request_turns.py
+++ b/sequoiamoor/daemon/request_turns.py
@@ -20,10 +20,14 @@
         self._turns: Turns[Any] = Turns(MAX_REQUESTS_PER_PASS)
         self._has_begun = curio.Event()
         self._runner: Any = None
+        self._waiting_count = 0
 
     def __len__(self) -> int:
-        """Returns the number of requests that wait."""
-        return len(self._turns)
+        """Returns the number of requests that have not begun.
+
+        One that was given its turn counts until its task runs.
+        """
+        return self._waiting_count
 
     def find_wait(self, now: float) -> float:
         """Returns for how many seconds a request has waited at most."""
@@ -39,11 +43,14 @@
             return
         may_begin = curio.Event()
         self._turns.add(organisation, may_begin, time.monotonic())
+        self._waiting_count += 1
         try:
             await may_begin.wait()
         except curio.CancelledError:
             self._turns.remove(organisation, may_begin)
             raise
+        finally:
+            self._waiting_count -= 1
 
     async def _run(self) -> None:
         while True:
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -8,7 +8,7 @@
 
 from sequoiamoor.daemon.request_turns import MAX_REQUESTS_PER_PASS, RequestTurns
 
-from ..listener_harness import parse
+from ..listener_harness import Caller, parse
 from ..route_listener_harness import RouteListenerHarness, route_request, run
 
 FLOOD = 3 * MAX_REQUESTS_PER_PASS + 1
@@ -37,6 +37,31 @@
     run(session)
 
 
+async def send_flood(harness: RouteListenerHarness, path: str) -> list[Caller]:
+    """Sends requests on open connections; some of them then wait for a pass."""
+    callers = [await harness.connect() for _ in range(FLOOD)]
+    await curio.sleep(0)
+    for caller in callers:
+        caller.sock._socket.send(route_request(path))
+    while not len(harness.listener.turns):
+        await curio.sleep(0)
+    return callers
+
+
+def test_requests_that_wait_for_a_pass_are_answered_before_the_router_ends() -> None:
+    """Guards against a drain that ends while requests that were read wait."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        harness.forwarder.drain.refuse_from = 0.0
+        callers = await send_flood(harness, "/look/1")
+        await harness.listener.wait_until_read(5.0)
+        for caller in callers:
+            # Sent by now, since the tasks of the connections may be cancelled next.
+            assert b'"leaving"' in caller.sock._socket.recv(65_536)
+
+    run(session)
+
+
 def test_requests_wait_counted_and_cancelled_ones_hold_up_no_others() -> None:
     """Guards against a drain that misses waiting requests, and against lost turns."""
 
