Answer requests that a shutdown ends before anything else did

What callers saw: a second SIGTERM, or the limit of a drain, closed the connections of requests that waited for a pass of the event loop, or were still in service after their cut, without an answer.

Cause: the cut of a drain ends the requests in service only. The others are ended with the tasks of their connections, and a cancelled task closed its connection at once, whatever its request was told.

Change: a request that was read whole and has no answer when its task is cancelled is refused: as not run if it had not begun, with 500 and `may have run` if it had. A caller that does not read holds the shutdown up for 0.1 s at most, all callers together.

Evidence: the new test sends 97 requests and cancels the tasks of their connections. Before, the first caller got no byte; now 65 get 503 and `was not run`, and 32, whose replica hangs, get 500 and `may have run`.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import logging
 import time
@@ -26,7 +27,7 @@
 from ..net.http import Request
 from ..net.http_server import ServerConnection
 from ..settings import LimitSettings
-from ..timeouts import STRAY_TIMEOUTS
+from ..timeouts import STRAY_TIMEOUTS, wait_for
 from ..types import Execution
 from .calls import CallServer
 from .debug import DebugPages
@@ -56,6 +57,9 @@
 
 READ_CHECK_INTERVAL_SECONDS = 0.01
 
+SHUTDOWN_REFUSAL_SECONDS = 0.1
+"""Longest time for the refusal of a request that a shutdown ends."""
+
 # Fraction of the connection limit above which the router is not ready. The load
 # balancer takes about two seconds to notice; the rest of the limit is for connections
 # that arrive until then.
@@ -356,6 +360,7 @@
             await self._refuse(connection, self._build_refusal())
             return
         self._served.start_request(connection)
+        is_begun = False
         try:
             if self._served.find_organisation(connection) is None:
                 organisation = self._find_organisation(request)
@@ -370,7 +375,20 @@
                     await self._refuse(connection, self._build_refusal())
                     return
             self._served.start_service(connection)
+            is_begun = True
             await self._answer_request(connection, request)
+        except curio.CancelledError as err:
+            if (
+                not isinstance(err, STRAY_TIMEOUTS)
+                and connection.has_unanswered_request
+            ):
+                connection.closes_after_response = True
+                error = _build_shutdown_error(may_have_run=is_begun)
+                with contextlib.suppress(OSError):
+                    await wait_for(
+                        SHUTDOWN_REFUSAL_SECONDS, self._refuse, connection, error
+                    )
+            raise
         finally:
             self._served.end_request(connection, time.monotonic())
 
@@ -460,6 +478,19 @@
     return ConnectionEnd.FAULT if is_unanswered else ConnectionEnd.ANSWERED
 
 
+def _build_shutdown_error(*, may_have_run: bool) -> RefusalError:
+    if may_have_run:
+        return InternalError(
+            "this router shut down before the request was answered; if it may be "
+            "repeated, send it to another one",
+            execution=Execution.MAY_HAVE_RUN,
+        )
+    return RouterShuttingDownError(
+        "this router shut down before the request could start; send it to another one",
+        retry_after=0.0,
+    )
+
+
 def _build_internal_error() -> InternalError:
     return InternalError(
         "an internal error of the router ended the request; see its log",
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from itertools import pairwise
 
 import curio
 
 from sequoiamoor.daemon.request_turns import MAX_REQUESTS_PER_PASS, RequestTurns
 
-from ..listener_harness import Caller, parse
+from ..listener_harness import Caller, Hang, parse
 from ..route_listener_harness import RouteListenerHarness, route_request, run
 
 FLOOD = 3 * MAX_REQUESTS_PER_PASS + 1
@@ -62,6 +63,27 @@
     run(session)
 
 
+def test_requests_that_a_shutdown_ends_are_answered() -> None:
+    """Guards against connections that a forced shutdown closes without an answer."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_upstream(*[lambda _: [Hang()]] * FLOOD)
+        callers = await send_flood(harness, "/hold/1")
+        for task in harness.tasks:
+            await task.cancel(blocking=False)
+        told: Counter[tuple[int, str]] = Counter()
+        for caller in callers:
+            response = parse(await caller.receive_all())
+            told[response.status, response.refusal["execution"]] += 1
+        waited = FLOOD - MAX_REQUESTS_PER_PASS
+        assert told == {
+            (503, "was not run"): waited,
+            (500, "may have run"): MAX_REQUESTS_PER_PASS,
+        }
+
+    run(session)
+
+
 def test_requests_wait_counted_and_cancelled_ones_hold_up_no_others() -> None:
     """Guards against a drain that misses waiting requests, and against lost turns."""
 
--- a/tests/listener_harness.py
+++ b/tests/listener_harness.py
@@ -304,6 +304,7 @@
 
     Attributes:
         crashes: Exceptions that the listener let escape from a connection.
+        tasks: Tasks of the connections.
     """
 
     def __init__(
@@ -332,6 +333,7 @@
         )
         self.upstreams: list[ScriptedUpstream] = []
         self.crashes: list[Exception] = []
+        self.tasks: list[Any] = []
         self._callers: list[Caller] = []
         self._bound_sockets: list[socket.socket] = []
         self._progress = curio.Condition()
@@ -372,7 +374,9 @@
         caller_sock, router_sock = _connect_pair()
         caller = Caller(self, curio.io.Socket(caller_sock))
         self._callers.append(caller)
-        await curio.spawn(self._accept, curio.io.Socket(router_sock), daemon=True)
+        self.tasks.append(
+            await curio.spawn(self._accept, curio.io.Socket(router_sock), daemon=True)
+        )
         return caller
 
     async def _accept(self, sock: Any) -> None:
