Begin no request on a route once a drain was cut short

What callers saw: a request that began after a second SIGTERM was sent to a replica and cut off when the process ended, a fraction of a second later.

Cause: the cut ends the requests in service. New ones are refused only from 2.6 s after the first SIGTERM on, so requests that waited for a pass, or lay unread in sockets, were still accepted after an early second signal.

Change: from the cut on, requests on routes are refused as not run, and none that waits is sent. The same holds if the second signal finds the router idle (by reading; no test starts a process for it).

Evidence: the test of a drain that is cut short asks once more after the cut.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -235,12 +235,21 @@
         is_begun = isinstance(call, RoutedCall) and call.events > 0
         return None if is_begun else _build_shutdown_error()
 
+    def refuse_new(self) -> None:
+        """Refuses requests that begin from now on, and sends none that waits."""
+        now = time.monotonic()
+        self.drain.refuse_from = min(self.drain.refuse_from, now)
+        self.drain.send_until = min(self.drain.send_until, now)
+
     async def cut(self, reason: str) -> None:
         """Ends all requests: those that were not sent are refused as not run.
 
+        Those that begin from now on are refused, too.
+
         Args:
             reason: Why the drain was cut short, for the log and the metric.
         """
+        self.refuse_new()
         for call, task in list(self._serving.values()):
             _LOG.warning(
                 "request cut off by shutdown",
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -224,6 +224,8 @@
             end = await self._drain(signals)
             await self._sources.remove_own_address()
             if end is DrainEndReason.IDLE:
+                # A second signal may come before new requests are refused.
+                self._forwarder.refuse_new()
                 await self._listener.wait_until_read(READ_BEFORE_EXIT_SECONDS)
             await tasks.cancel_remaining()
         return end
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -358,6 +358,9 @@
         response = parse(await caller.receive_all())
         assert (response.status, response.is_whole) == (status, is_whole)
         assert harness.counter("requests_cut", reason="drain-limit") == 1
+        # One that begins only now is refused, and not cut off in its turn.
+        response = await ask(harness, route_request(path))
+        assert (response.status, response.refusal["code"]) == (503, "leaving")
         await harness.wait_idle()
 
     run(session)
