Do not take the end that an abort makes for the end of an answer

What callers saw: an answer without a length whose replica fell silent was passed on cut, as a whole one: with 200 and a matching length, or as a stream with its last chunk.

Cause: after the silence limit the receiving side of the connection is shut down, so that the task that receives sees a close. The body of an answer without length ends with the close of its replica, and the two were not told apart. The same end was seen if the answer began between the look at the socket and the shutdown.

Change: no data on a connection that this side aborted is an error. What arrived before is still received, so a framed answer that came meanwhile is whole.

Evidence: the test of answers without length has a replica that hangs after the first bytes, for a whole answer and a stream. Both were whole before (200, and a last chunk); now the caller gets 502, and a stream without its end. The cases of an orderly close and a reset are kept, now for streams as well.

--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -175,6 +175,9 @@
         except BlockingIOError:
             data = await self._sock.recv(RECEIVE_BYTES)
         self.waiting_since = None
+        if not data and self.is_aborted:
+            # The end that abort makes is not the peer's, which may end a body.
+            raise h11.RemoteProtocolError("the peer sent nothing for too long")
         self.bytes_received += len(data)
         return data
 
@@ -355,9 +358,10 @@
         self._chunk_decoder = None
 
     def abort(self) -> None:
-        """Shuts the receiving side down, so that a pending receive sees a close.
+        """Shuts the receiving side down, so that a pending receive fails.
 
-        The sending side stays open, so that ``close`` resets the connection.
+        What has arrived before is still received. The sending side stays open, so that
+        ``close`` resets the connection.
         """
         self.is_aborted = True
         try:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -549,21 +549,27 @@
     run(session)
 
 
-@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("path", ["/hold/1", "/chat/1"])
+@pytest.mark.parametrize(
+    ("end", "is_whole"),
+    [(Close(), True), (Close(is_reset=True), False), (Hang(), False)],
+)
 def test_answer_without_length_is_valid_only_after_an_orderly_close(
-    is_reset: bool,
+    path: str, end: Step, is_whole: bool
 ) -> None:
-    """Guards against a body truncated by a reset that is taken for a complete one."""
+    """Guards against a body that a reset or this router cuts, taken for a whole one."""
 
     async def session(harness: RouteListenerHarness) -> None:
-        head = (
-            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Signature: 3e1b\r\n\r\n"
-        )
-        await harness.add_upstream(lambda _: [head + b"do", Close(is_reset=is_reset)])
-        response = await ask(harness, route_request("/hold/1"))
-        assert response.status == (502 if is_reset else 200)
+        data = event(1) if path == "/chat/1" else b"do"
+        script = [UNFRAMED_STREAM_HEAD + data, end]
+        await harness.add_upstream(lambda _: script)
+        response = await ask(harness, route_request(path))
+        if path == "/hold/1":
+            assert response.status == (200 if is_whole else 502)
+        else:
+            assert (response.body, response.is_whole) == (data, is_whole)
 
-    run(session)
+    run(session, options={"upstream_idle_timeout": 0.2})
 
 
 @pytest.mark.parametrize("end", [Close(), Close(is_reset=True), End()])
