Expect and send no body in the answer to HEAD

What callers saw: HEAD on a stream route whose replica sent events put chunks where the caller's next answer begins. If the replica sent none, as it should, HEAD on any route was answered with 504 after its deadline where the replica's answer was chunked, and with 502 on a stream route where it had no length.

Cause: the chunks of an answer were read and written past h11, which knows that the answer to HEAD has no body.

Change: nothing is read as a body of such an answer. On a stream route it is no stream, so a missing length does not make it a broken one.

Evidence: the new test asks HEAD and then POST on one connection, with five answers on two kinds of route. Five of the ten cases failed before: 504 twice, a chunk in place of the next answer once, 502 twice. All pass now, and the replica is not counted as failing.

--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -173,7 +173,10 @@
         """
         try:
             response = await self._request(event_order)
-            is_stream = self._call.route.kind is RouteKind.STREAM
+            is_stream = (
+                self._call.route.kind is RouteKind.STREAM
+                and self._call.method != "HEAD"
+            )
             if not is_stream or response.status != 200:
                 return await self._read_answer(response)
             if _is_other_document(response):
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -69,6 +69,7 @@
         self._chunk_decoder: ChunkDecoder | None = None
         self._send_task: Any = None
         self._may_peek_response = False
+        self._is_head_request = False
         self.idle_limit = float("inf")
         self.silence_limit: float | None = None
         self.refused_ids: set[str] = set()
@@ -136,6 +137,7 @@
                 was handed to the kernel before that.
         """
         self._may_peek_response = True
+        self._is_head_request = method == "HEAD"
         fields = to_h11_headers(headers)
         if not any(name == b"host" for name, _ in fields):
             fields.insert(0, (b"host", str(self.address).encode()))
@@ -204,6 +206,7 @@
                 response = _build_response(event)
                 if (
                     "transfer-encoding" in response.headers
+                    and not self._is_head_request
                     and self._h11.their_state is h11.SEND_BODY
                 ):
                     self._chunk_decoder = ChunkDecoder()
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -572,6 +572,37 @@
     run(session, options={"upstream_idle_timeout": 0.2})
 
 
+@pytest.mark.parametrize("path", ["/look/1", "/chat/1"])
+@pytest.mark.parametrize(
+    "script",
+    [
+        [STREAM_HEAD],
+        [STREAM_HEAD, chunk(event(1)) + b"0\r\n\r\n"],
+        [UNFRAMED_STREAM_HEAD],
+        [UNFRAMED_STREAM_HEAD, event(1), Close()],
+        [answer(b"").replace(b"Length: 0", b"Length: 9")],
+    ],
+)
+def test_answer_to_head_has_no_body(path: str, script: list[Step]) -> None:
+    """Guards against events in the place of the caller's next answer."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_replicas(1, script, [answer()])
+        caller = await harness.connect()
+        await caller.send(route_request(path).replace(b"POST", b"HEAD", 1))
+        await caller.receive_until(b"\r\n\r\n")
+        await harness.wait_idle()
+        await caller.send(route_request("/look/1"))
+        received = await caller.receive_until(b"done")
+        head, _, rest = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert parse(rest).body == b"done"
+        (replica,) = harness.board.upstreams.replicas.values()
+        assert replica.failures == 0
+
+    run(session)
+
+
 @pytest.mark.parametrize("end", [Close(), Close(is_reset=True), End()])
 @pytest.mark.parametrize("received", [b"", b": begun\n", b"id: 1\nda"])
 def test_stream_without_length_that_ends_before_its_first_event_is_broken(
