Refuse CONNECT on routes before it reaches a replica

What callers saw: CONNECT on a route was sent to a replica and answered with 502 and `may have run`, since no form of a 2xx to it can be passed on.

Cause: any method was forwarded, and the answer was found out to be unsendable only when it was there.

Change: CONNECT is refused with 405 as not run, before it is queued.

Evidence: two rows of the test of refused requests got 502 before and a replica had received the request; now 405, nothing is received, and each row states that the request was not run. The test of answers that cannot be sent takes CONNECT as its trigger. It takes the refusal out and checks what it did before.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -343,7 +343,7 @@
         except CallerGoneError:
             raise
         except UnsendableAnswerError as err:
-            # Callers can provoke this with CONNECT: no line beyond the rate limit.
+            # Callers or replicas may provoke this: no line beyond the rate limit.
             await self._finish_failed(connection, call, sink, InternalError(str(err)))
             return
         except Exception as err:
--- a/sequoiamoor/daemon/route_calls.py
+++ b/sequoiamoor/daemon/route_calls.py
@@ -12,6 +12,7 @@
 from ..errors import (
     KeyUnconfirmedError,
     MalformedRequestError,
+    MethodNotAllowedError,
     NotFoundError,
     NotReadyError,
     UnknownKeyError,
@@ -34,6 +35,9 @@
 """Time before its timeout at which a request is ended, so that the caller still gets
 the refusal."""
 
+REFUSED_METHODS = frozenset({"CONNECT"})
+"""Methods whose successful answers have no form in which they can be passed on."""
+
 
 class RouteCalls:
     """Converts requests into calls by the configuration in force."""
@@ -90,6 +94,10 @@
             raise MalformedRequestError(
                 f"HTTP/{request.http_version} cannot carry a stream; send HTTP/1.1"
             )
+        if request.method in REFUSED_METHODS:
+            raise MethodNotAllowedError(
+                f"method {request.method} begins a tunnel; use another one"
+            )
         table = self._get_route_table()
         host = self._caller_format.read_host(request)
         route = table.find(host, request.path)
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -11,6 +11,7 @@
 import curio.io
 import pytest
 
+from sequoiamoor.daemon import route_calls
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.net import http_server
 from sequoiamoor.net.http import Request
@@ -235,11 +236,14 @@
 
 
 @pytest.mark.parametrize("path", ["/look/1", "/hold/1", "/chat/1"])
-def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(path: str) -> None:
+def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against an answer that h11 rejects and that counts as a caller that left.
 
     A 2xx to CONNECT would begin a tunnel, so h11 takes no body after it.
     """
+    monkeypatch.setattr(route_calls, "REFUSED_METHODS", frozenset())
     stream = [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]
 
     async def session(harness: RouteListenerHarness) -> None:
@@ -403,6 +407,8 @@
         (route_request("/look/1", extra=b"Transfer-Encoding: chunked\r\n"), 400),
         (route_request("/look/1", extra=b"Content-Length: 9\r\n"), 400),
         (route_request("/look/1").replace(b"\r\n", b"\n"), 400),
+        (route_request("/look/1").replace(b"POST", b"CONNECT", 1), 405),
+        (route_request("/chat/1").replace(b"POST", b"CONNECT", 1), 405),
     ],
 )
 def test_bad_requests_are_refused_and_not_forwarded(
@@ -414,6 +420,7 @@
         upstream = await harness.add_upstream(lambda _: [answer()])
         response = await ask(harness, request_bytes)
         assert response.status == status
+        assert response.refusal["execution"] == "was not run"
         assert upstream.requests == []
 
     run(session)
