Go on beginning requests after an exception of the task that does

What callers would see: no request of the router is answered any more, while it looks ready. No path to it was found by reading; the test injects the exceptions.

Cause: one task gives waiting requests their turns. It is not among the supervised ones, so an exception would end it, and each later request would wait for it.

Change: it logs the exception and goes on with the requests that wait.

Evidence: the new test raises an error and a stray timeout in the task. Before, all requests waited until the time of the test was over; now all of them begin.

--- a/sequoiamoor/daemon/request_turns.py
+++ b/sequoiamoor/daemon/request_turns.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import Any
 
 import curio
 
 from ..core.turns import Turns
+from ..timeouts import STRAY_TIMEOUTS
+
+_LOG = logging.getLogger(__name__)
 
 MAX_REQUESTS_PER_PASS = 32
 """Requests that begin before timers, control and requests in service run again."""
 
+RETRY_DELAY_SECONDS = 0.05
+"""Pause after an exception, so that one that returns does not occupy the loop."""
+
 
 class RequestTurns:
     """Lets a bounded number of requests begin in each pass of the event loop."""
@@ -54,10 +61,19 @@
 
     async def _run(self) -> None:
         while True:
-            # A task that is woken runs in the next pass, and so do those that it wakes.
-            await self._has_begun.wait()
-            self._has_begun.clear()
+            try:
+                await self._start_passes()
+            except (Exception, *STRAY_TIMEOUTS):
+                # Otherwise all later requests would wait without an end.
+                _LOG.exception("waiting requests were not begun; trying again")
+            await curio.sleep(RETRY_DELAY_SECONDS)
+
+    async def _start_passes(self) -> None:
+        while True:
             while begun := self._turns.start_pass():
                 for may_begin in begun:
                     await may_begin.set()
                 await curio.sleep(0)
+            # A task that is woken runs in the next pass, and so do those that it wakes.
+            await self._has_begun.wait()
+            self._has_begun.clear()
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -6,7 +6,9 @@
 from itertools import pairwise
 
 import curio
+import pytest
 
+from sequoiamoor.core.turns import Turns
 from sequoiamoor.daemon.request_turns import MAX_REQUESTS_PER_PASS, RequestTurns
 
 from ..listener_harness import Caller, Hang, parse
@@ -105,3 +107,27 @@
         assert len(turns) == 0
 
     curio.run(main)
+
+
+def test_requests_begin_after_an_exception_of_the_task_that_begins_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that wait without an end for a task that has ended."""
+    start_pass = Turns.start_pass
+    errors = [ValueError("once"), curio.TaskTimeout("stray")]
+
+    def fail_first(turns: Turns[object]) -> list[object]:
+        if turns._waiting and errors:
+            raise errors.pop()
+        return start_pass(turns)
+
+    monkeypatch.setattr(Turns, "start_pass", fail_first)
+
+    async def main() -> None:
+        turns = RequestTurns()
+        async with curio.timeout_after(5.0), curio.TaskGroup() as tasks:
+            for _ in range(FLOOD):
+                await tasks.spawn(turns.wait, "captains")
+        assert len(tasks.results) == FLOOD
+
+    curio.run(main)
