Let a request's time run while it waits for a pass

What callers saw: on a flooded router a request could be sent to a replica, or queued, for a caller that waited no longer.

Cause: the deadline of a request counted from when it began, although it may wait for a pass of the event loop after it was read, for a second and more in a flood.

Change: it counts from the last byte of the request, and so do the target and the limit of its wait. One whose time is over is refused as not run.

Evidence: in the new test a request with 150 ms waits 200 ms for its pass, on a route and on the own interface. Time that a request spends unread in the kernel still does not count.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -457,7 +457,7 @@
                 request,
                 self._board,
                 call_id=self._make_call_id(),
-                now=time.monotonic(),
+                now=connection.active_at,
             )
             self._calls.accept(call)
         except RefusalError as error:
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -11,8 +11,21 @@
 from sequoiamoor.core.turns import Turns
 from sequoiamoor.daemon.request_turns import MAX_REQUESTS_PER_PASS, RequestTurns
 
-from ..listener_harness import Caller, Hang, parse
-from ..route_listener_harness import RouteListenerHarness, route_request, run
+from ..listener_harness import (
+    Caller,
+    Hang,
+    ListenerHarness,
+    complete_response,
+    parse,
+    request,
+)
+from ..listener_harness import run as run_calls
+from ..route_listener_harness import (
+    RouteListenerHarness,
+    answer,
+    route_request,
+    run,
+)
 
 FLOOD = 3 * MAX_REQUESTS_PER_PASS + 1
 
@@ -131,3 +144,32 @@
         assert len(tasks.results) == FLOOD
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("is_route", [False, True])
+def test_time_of_a_request_runs_while_it_waits_for_a_pass(
+    is_route: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against work for callers that wait no longer."""
+
+    async def wait(turns: RequestTurns, organisation: str | None) -> None:
+        await curio.sleep(0.2)
+
+    monkeypatch.setattr(RequestTurns, "wait", wait)
+
+    async def session(harness: ListenerHarness) -> None:
+        script = [answer()] if is_route else [complete_response("call-1", b"{}")]
+        service = "talk" if is_route else "look"
+        upstream = await harness.add_upstream(lambda _: script, service=service)
+        if is_route:
+            data = route_request("/quick/1")
+        else:
+            data = request("look", stream=False, extra=b"X-Deadline-Ms: 150\r\n")
+        caller = await harness.connect()
+        await caller.send(data)
+        response = parse(await caller.receive_until(b"}"))
+        assert response.status == 503
+        assert response.refusal["execution"] == "was not run"
+        assert not upstream.requests
+
+    (run if is_route else run_calls)(session)
