--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -189,11 +189,12 @@
             # task that was to wake up at that time.
             if now >= self.drain.refuse_from:
                 raise _build_shutdown_error()
-            call = self._calls.parse(request, request_id, now)
+            # It may have waited for a pass of the event loop since it was read.
+            call = self._calls.parse(request, request_id, connection.active_at)
             self.guard.admit(call)
             wait_seconds = self._dispatcher.find_wait_limit(call)
             if wait_seconds is not None:
-                call.wait_limit_at = min(now + wait_seconds, call.ends_at)
+                call.wait_limit_at = min(call.arrival + wait_seconds, call.ends_at)
             try:
                 self._dispatcher.accept(call)
             except RefusalError as error:
@@ -235,12 +236,21 @@
         is_begun = isinstance(call, RoutedCall) and call.events > 0
         return None if is_begun else _build_shutdown_error()
 
+    def refuse_new(self) -> None:
+        """Refuses requests that begin from now on, and sends none that waits."""
+        now = time.monotonic()
+        self.drain.refuse_from = min(self.drain.refuse_from, now)
+        self.drain.send_until = min(self.drain.send_until, now)
+
     async def cut(self, reason: str) -> None:
         """Ends all requests: those that were not sent are refused as not run.
 
+        Those that begin from now on are refused, too.
+
         Args:
             reason: Why the drain was cut short, for the log and the metric.
         """
+        self.refuse_new()
         for call, task in list(self._serving.values()):
             _LOG.warning(
                 "request cut off by shutdown",
@@ -334,7 +344,7 @@
         except CallerGoneError:
             raise
         except UnsendableAnswerError as err:
-            # Callers can provoke this with CONNECT: no line beyond the rate limit.
+            # Callers or replicas may provoke this: no line beyond the rate limit.
             await self._finish_failed(connection, call, sink, InternalError(str(err)))
             return
         except Exception as err:
--- a/sequoiamoor/daemon/request_turns.py
+++ b/sequoiamoor/daemon/request_turns.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import Any
 
 import curio
 
 from ..core.turns import Turns
+from ..timeouts import STRAY_TIMEOUTS
+
+_LOG = logging.getLogger(__name__)
 
 MAX_REQUESTS_PER_PASS = 32
 """Requests that begin before timers, control and requests in service run again."""
 
+RETRY_DELAY_SECONDS = 0.05
+"""Pause after an exception, so that one that returns does not occupy the loop."""
+
 
 class RequestTurns:
     """Lets a bounded number of requests begin in each pass of the event loop."""
@@ -20,10 +27,14 @@
         self._turns: Turns[Any] = Turns(MAX_REQUESTS_PER_PASS)
         self._has_begun = curio.Event()
         self._runner: Any = None
+        self._waiting_count = 0
 
     def __len__(self) -> int:
-        """Returns the number of requests that wait."""
-        return len(self._turns)
+        """Returns the number of requests that have not begun.
+
+        One that was given its turn counts until its task runs.
+        """
+        return self._waiting_count
 
     def find_wait(self, now: float) -> float:
         """Returns for how many seconds a request has waited at most."""
@@ -39,18 +50,30 @@
             return
         may_begin = curio.Event()
         self._turns.add(organisation, may_begin, time.monotonic())
+        self._waiting_count += 1
         try:
             await may_begin.wait()
         except curio.CancelledError:
             self._turns.remove(organisation, may_begin)
             raise
+        finally:
+            self._waiting_count -= 1
 
     async def _run(self) -> None:
         while True:
-            # A task that is woken runs in the next pass, and so do those that it wakes.
-            await self._has_begun.wait()
-            self._has_begun.clear()
+            try:
+                await self._start_passes()
+            except (Exception, *STRAY_TIMEOUTS):
+                # Otherwise all later requests would wait without an end.
+                _LOG.exception("waiting requests were not begun; trying again")
+            await curio.sleep(RETRY_DELAY_SECONDS)
+
+    async def _start_passes(self) -> None:
+        while True:
             while begun := self._turns.start_pass():
                 for may_begin in begun:
                     await may_begin.set()
                 await curio.sleep(0)
+            # A task that is woken runs in the next pass, and so do those that it wakes.
+            await self._has_begun.wait()
+            self._has_begun.clear()
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -11,6 +11,7 @@
 import curio.io
 import pytest
 
+from sequoiamoor.daemon import route_calls
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.net import http_server
 from sequoiamoor.net.http import Request
@@ -235,11 +236,14 @@
 
 
 @pytest.mark.parametrize("path", ["/look/1", "/hold/1", "/chat/1"])
-def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(path: str) -> None:
+def test_answer_that_cannot_be_sent_is_replaced_by_a_failure(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against an answer that h11 rejects and that counts as a caller that left.
 
     A 2xx to CONNECT would begin a tunnel, so h11 takes no body after it.
     """
+    monkeypatch.setattr(route_calls, "REFUSED_METHODS", frozenset())
     stream = [STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]
 
     async def session(harness: RouteListenerHarness) -> None:
@@ -358,6 +362,9 @@
         response = parse(await caller.receive_all())
         assert (response.status, response.is_whole) == (status, is_whole)
         assert harness.counter("requests_cut", reason="drain-limit") == 1
+        # One that begins only now is refused, and not cut off in its turn.
+        response = await ask(harness, route_request(path))
+        assert (response.status, response.refusal["code"]) == (503, "leaving")
         await harness.wait_idle()
 
     run(session)
@@ -400,6 +407,8 @@
         (route_request("/look/1", extra=b"Transfer-Encoding: chunked\r\n"), 400),
         (route_request("/look/1", extra=b"Content-Length: 9\r\n"), 400),
         (route_request("/look/1").replace(b"\r\n", b"\n"), 400),
+        (route_request("/look/1").replace(b"POST", b"CONNECT", 1), 405),
+        (route_request("/chat/1").replace(b"POST", b"CONNECT", 1), 405),
     ],
 )
 def test_bad_requests_are_refused_and_not_forwarded(
@@ -411,6 +420,7 @@
         upstream = await harness.add_upstream(lambda _: [answer()])
         response = await ask(harness, request_bytes)
         assert response.status == status
+        assert response.refusal["execution"] == "was not run"
         assert upstream.requests == []
 
     run(session)
@@ -546,19 +556,56 @@
     run(session)
 
 
-@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("path", ["/hold/1", "/chat/1"])
+@pytest.mark.parametrize(
+    ("end", "is_whole"),
+    [(Close(), True), (Close(is_reset=True), False), (Hang(), False)],
+)
 def test_answer_without_length_is_valid_only_after_an_orderly_close(
-    is_reset: bool,
+    path: str, end: Step, is_whole: bool
 ) -> None:
-    """Guards against a body truncated by a reset that is taken for a complete one."""
+    """Guards against a body that a reset or this router cuts, taken for a whole one."""
 
     async def session(harness: RouteListenerHarness) -> None:
-        head = (
-            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Signature: 3e1b\r\n\r\n"
-        )
-        await harness.add_upstream(lambda _: [head + b"do", Close(is_reset=is_reset)])
-        response = await ask(harness, route_request("/hold/1"))
-        assert response.status == (502 if is_reset else 200)
+        data = event(1) if path == "/chat/1" else b"do"
+        script = [UNFRAMED_STREAM_HEAD + data, end]
+        await harness.add_upstream(lambda _: script)
+        response = await ask(harness, route_request(path))
+        if path == "/hold/1":
+            assert response.status == (200 if is_whole else 502)
+        else:
+            assert (response.body, response.is_whole) == (data, is_whole)
+
+    run(session, options={"upstream_idle_timeout": 0.2})
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/chat/1"])
+@pytest.mark.parametrize(
+    "script",
+    [
+        [STREAM_HEAD],
+        [STREAM_HEAD, chunk(event(1)) + b"0\r\n\r\n"],
+        [UNFRAMED_STREAM_HEAD],
+        [UNFRAMED_STREAM_HEAD, event(1), Close()],
+        [answer(b"").replace(b"Length: 0", b"Length: 9")],
+    ],
+)
+def test_answer_to_head_has_no_body(path: str, script: list[Step]) -> None:
+    """Guards against events in the place of the caller's next answer."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_replicas(1, script, [answer()])
+        caller = await harness.connect()
+        await caller.send(route_request(path).replace(b"POST", b"HEAD", 1))
+        await caller.receive_until(b"\r\n\r\n")
+        await harness.wait_idle()
+        await caller.send(route_request("/look/1"))
+        received = await caller.receive_until(b"done")
+        head, _, rest = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert parse(rest).body == b"done"
+        (replica,) = harness.board.upstreams.replicas.values()
+        assert replica.failures == 0
 
     run(session)
 
