Give each process of the soak a loopback address of its own

Cause: a reserved port is bound with SO_REUSEADDR and does not listen, so that the router can bind it by number. So can any other program with SO_REUSEADDR that has chosen the port before and binds it by number later, as test_orders.py and an upstream that listens again in test_replica_statements.py do. Which program it was at that time is not known.

Ruled out: an outgoing connection took none of 40 reserved ports, nor any of 19 that a connection from another address already used when they were reserved, while it took a free port.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -74,9 +74,9 @@
             {"table": table, "key": key, "deleted": True, "schemaVersion": self.version}
         )
 
-    async def listen(self) -> Address:
-        """Starts listening and returns the address."""
-        sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+    async def listen(self, host: str = "127.0.0.1") -> Address:
+        """Starts listening on a free port and returns the address."""
+        sock = curio.network.tcp_server_socket(host, 0)
         self.address = Address(*sock.getsockname()[:2])
         await curio.spawn(curio.network.run_server, sock, self._serve, daemon=True)
         return self.address
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,7 @@
 from sequoiamoor.net.http_client import exchange
 
 from ..platform.standin import StandInStore
+from .addresses import find_own_host
 from .callers import HOST
 from .replicas import Replica, RunLog
 from .routers import SHUTDOWN_GRACE_SECONDS, Router
@@ -73,7 +74,7 @@
 
     async def start(self) -> None:
         """Starts store, replicas and routers; waits until the routers are ready."""
-        address = await self.store.listen()
+        address = await self.store.listen(find_own_host())
         self.write_configuration()
         for service, count in self._services.items():
             for number in range(count):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -13,6 +13,7 @@
 from sequoiamoor.standin.processes import reserve_port
 from sequoiamoor.types import Address
 
+from .addresses import find_own_host
 from .server import Server
 
 CHUNK_BYTES = 65_536
@@ -45,12 +46,12 @@
         self._changed = curio.Condition()
         self.state = LinkState.OPEN
         self.delay = 0.0
-        self.address = Address("127.0.0.1", 0)
+        self.address = Address(find_own_host(), 0)
 
     async def listen(self) -> Address:
         """Listens on a free port, later on the same one, and returns the address."""
         if self._reservation is None:
-            self._reservation = reserve_port("127.0.0.1")
+            self._reservation = reserve_port(self.address.host)
             self.address = Address(*self._reservation.getsockname()[:2])
         if self._server is None:
             sock = curio.network.tcp_server_socket(self.address.host, self.address.port)
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -19,6 +19,7 @@
 from sequoiamoor.types import Address
 
 from ..platform.standin import StandInStore
+from .addresses import find_own_host
 from .proxy import LinkState, Proxy
 from .server import Server
 from .statements import DRAIN_NOTICE_LIMIT_SECONDS, Statements, Traffic
@@ -178,7 +179,7 @@
         if self.is_running:
             return
         await self.proxy.listen()
-        sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+        sock = curio.network.tcp_server_socket(find_own_host(), 0)
         self._target = Address(*sock.getsockname()[:2])
         self._started_at_ms = time.time_ns() // 1_000_000
         self.statements = self._create_statements()
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -15,11 +15,11 @@
 from sequoiamoor.standin.processes import reserve_port, start_process
 from sequoiamoor.types import Address
 
+from .addresses import find_own_host
 from .proxy import LinkState, Proxy
 
 SHUTDOWN_GRACE_SECONDS = 6.0
 REVOCATION_LIMIT_SECONDS = 5.0
-HOST = "127.0.0.1"
 
 
 class Router:
@@ -49,9 +49,9 @@
         self.disturbed_at = time.monotonic()
         # Without a reservation, an outgoing connection of any process may take a port
         # while the router is down, which then cannot start again.
-        self._reservations = [reserve_port(HOST) for _ in range(4)]
+        self._reservations = [reserve_port(find_own_host()) for _ in range(4)]
         self.http, self.ready, self.control, self.metrics = (
-            Address(HOST, sock.getsockname()[1]) for sock in self._reservations
+            Address(*sock.getsockname()) for sock in self._reservations
         )
         self.caller_proxy = Proxy(lambda: self.http)
         self.store = Proxy(lambda: store)
