Supervise the task that gives waiting requests their turns

What callers would see: more than 32 requests in one pass of the event loop, or one that came after them, wait until their callers give up, because the task that lets them begin has ended. No path to such an end is known; the tests make it fail.

Change: it is the task "turns" of both kinds of routers: an end is logged and counted, it is started again, and a router in which it keeps failing drains and exits. It begins with requests that wait since an earlier run. Without a router process, as in tests of a listener, the first request still starts it.

The rows "turns" of test_supervision.py failed before for both kinds (4 tests), as did the new test of test_request_turns.py.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -251,6 +251,7 @@
 
     def _list_tasks(self) -> dict[str, TaskFunction]:
         return {
+            "turns": self._listener.turns.run,
             "pool": self._forwarder.watch,
             "feeds": self._sources.follow,
             "routers": self._sources.follow_routers,
--- a/sequoiamoor/daemon/request_turns.py
+++ b/sequoiamoor/daemon/request_turns.py
@@ -32,7 +32,8 @@
     async def wait(self, organisation: str | None) -> None:
         """Waits until a request of an organisation may begin."""
         if self._runner is None:
-            self._runner = await curio.spawn(self._run, daemon=True)
+            # A listener that no router process serves has no supervised task for it.
+            self._runner = await curio.spawn(self.run, daemon=True)
         if not self._has_begun.is_set():
             await self._has_begun.set()
         if self._turns.begin():
@@ -45,12 +46,15 @@
             self._turns.remove(organisation, may_begin)
             raise
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Lets waiting requests begin, pass by pass, until cancelled."""
+        self._runner = await curio.current_task()
         while True:
-            # A task that is woken runs in the next pass, and so do those that it wakes.
-            await self._has_begun.wait()
-            self._has_begun.clear()
+            # First, as requests may wait since an earlier run that failed.
             while begun := self._turns.start_pass():
                 for may_begin in begun:
                     await may_begin.set()
                 await curio.sleep(0)
+            # A task that is woken runs in the next pass, and so do those that it wakes.
+            await self._has_begun.wait()
+            self._has_begun.clear()
--- a/sequoiamoor/daemon/router.py
+++ b/sequoiamoor/daemon/router.py
@@ -134,6 +134,7 @@
 
     def _list_tasks(self) -> dict[str, TaskFunction]:
         return {
+            "turns": self._listener.turns.run,
             "pool": self._calls.watch,
             "platform": self._pollers.poll_platform,
             "loads": self._pollers.poll_loads,
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -5,6 +5,7 @@
 from itertools import pairwise
 
 import curio
+import pytest
 
 from sequoiamoor.daemon.request_turns import MAX_REQUESTS_PER_PASS, RequestTurns
 
@@ -58,3 +59,31 @@
         assert len(turns) == 0
 
     curio.run(main)
+
+
+def test_waiting_requests_begin_when_the_failed_runner_runs_again() -> None:
+    """Guards against requests that wait until another one comes, or for good."""
+
+    async def main() -> None:
+        turns = RequestTurns()
+        start_pass = turns._turns.start_pass
+        failures = iter([RuntimeError("a fault of the runner")])
+
+        def fail_once_with_waiting_requests() -> list[curio.Event]:
+            if len(turns):
+                for error in failures:
+                    raise error
+            return start_pass()
+
+        turns._turns.start_pass = fail_once_with_waiting_requests  # type: ignore[method-assign]
+        runner = await curio.spawn(turns.run)
+        await curio.sleep(0)
+        tasks = [await curio.spawn(turns.wait, "captains") for _ in range(FLOOD)]
+        with pytest.raises(curio.TaskError):
+            await runner.join()
+        await curio.spawn(turns.run, daemon=True)
+        async with curio.timeout_after(10.0):
+            for task in tasks:
+                await task.join()
+
+    curio.run(main)
--- a/tests/daemon/test_supervision.py
+++ b/tests/daemon/test_supervision.py
@@ -24,10 +24,19 @@
 TIMEOUT_SECONDS = 10.0
 ANY_PORT = "127.0.0.1:0"
 GATEWAY_TASKS = [
-    *("callers", "readiness", "metrics", "pool", "feeds", "routers", "readers"),
-    *("directory", "control", "parts", "part rows", "settings", "lag", "probe"),
+    *("callers", "readiness", "metrics", "turns", "pool", "feeds", "routers"),
+    *(
+        "readers",
+        "directory",
+        "control",
+        "parts",
+        "part rows",
+        "settings",
+        "lag",
+        "probe",
+    ),
 ]
-ROUTER_TASKS = ["callers", "pool", "platform", "loads", "control", "probe"]
+ROUTER_TASKS = ["callers", "turns", "pool", "platform", "loads", "control", "probe"]
 TASKS = [(Gateway, name) for name in GATEWAY_TASKS]
 TASKS += [(Router, name) for name in ROUTER_TASKS]
 
