Keep a link to another router over faults outside its connection

What callers would see: shares and leaving replicas that one router no longer hears of from another, until either restarts. No path to it is known; the tests inject it.

Cause: the task of a link caught an unexpected exception of the connection only.

The two new rows of test_link_outlives_an_unexpected_exception failed before with the test's timeout of 10 s. The test checks the counter now, too, and its first connection is refused.

--- a/sequoiamoor/net/peers.py
+++ b/sequoiamoor/net/peers.py
@@ -29,7 +29,7 @@
 from ..errors import ForeignRouterError, ProtocolError
 from ..metrics import Metrics
 from ..options import Options
-from ..timeouts import ignore_after, timeout_after
+from ..timeouts import STRAY_TIMEOUTS, ignore_after, timeout_after
 from ..types import Address, RouterIdentity
 from .acceptor import Acceptor
 from .decoder import Decoder
@@ -231,15 +231,14 @@
             except (OSError, ProtocolError, curio.TaskTimeout) as err:
                 _LOG.debug("connection to router at %s failed: %s", self.address, err)
                 self._connection_error = err
+            except (Exception, *STRAY_TIMEOUTS):
+                self._note_fault()
+            try:
+                state = classify_failure(self._connection_error)
+                if state is not None:
+                    handler.record_link_state(self.address, state)
             except Exception:
-                _LOG.exception(
-                    "connection to router ended by an unexpected exception",
-                    extra={"peer": str(self.address)},
-                )
-                self._metrics.task_failures.labels("link").inc()
-            state = classify_failure(self._connection_error)
-            if state is not None:
-                handler.record_link_state(self.address, state)
+                self._note_fault()
             if time.monotonic() - started_at > self._options.dead_after:
                 self._delay = self._options.reconnect_base_delay
             seconds = self._delay * rng.uniform(0.5, 1.0)
@@ -248,6 +247,13 @@
                 await self._retry.wait()
             self._retry.clear()
 
+    def _note_fault(self) -> None:
+        _LOG.exception(
+            "connection to router ended by an unexpected exception",
+            extra={"peer": str(self.address)},
+        )
+        self._metrics.task_failures.labels("link").inc()
+
     async def _run_connection(self, handler: Handler) -> None:
         REACHABILITY.check(self.address.host)
         async with timeout_after(self._options.connect_timeout):
--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -30,33 +30,61 @@
         self.states.append(state)
 
 
-def test_link_outlives_an_unexpected_exception(caplog: Any) -> None:
-    """Guards against a peer that gets no reports any more, with no line in the log."""
+@pytest.mark.parametrize(
+    ("error", "is_in_first_messages"),
+    [
+        (RuntimeError, True),
+        (curio.TimeoutCancellationError, True),
+        (RuntimeError, False),
+    ],
+)
+def test_link_outlives_an_unexpected_exception(
+    error: type[BaseException], is_in_first_messages: bool, caplog: Any
+) -> None:
+    """Guards against a peer that gets no reports any more, with no line in the log.
+
+    The handler fails as it builds the first messages, or as it records a refusal.
+    """
     options = Options.model_validate({"reconnect_base_delay": 0.001})
     recorder, metrics = Recorder(), Metrics()
-    failures = iter([RuntimeError("a fault of the handler")])
+    failures = iter([error("a fault of the handler")])
+
+    def fail_once(is_due: bool) -> None:
+        for failure in failures if is_due else ():
+            raise failure
 
     def build_first_messages(address: Address) -> list[object]:
-        for error in failures:
-            raise error
+        fail_once(is_in_first_messages)
         return []
 
+    def record_link_state(address: Address, state: LinkState) -> None:
+        recorder.states.append(state)
+        if state is LinkState.REFUSED:
+            listener.listen()
+            fail_once(not is_in_first_messages)
+
     recorder.build_first_messages = build_first_messages  # type: ignore[method-assign]
+    recorder.record_link_state = record_link_state  # type: ignore[method-assign]
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    connected = 1 + is_in_first_messages
 
     async def main() -> None:
-        listener = socket.create_server(("127.0.0.1", 0))
         address = Address(*listener.getsockname())
         link = Link(address, source="127.0.0.1", options=options, metrics=metrics)
         handler = cast(Handler, recorder)
         task = await curio.spawn(link.run, handler, Random(1), daemon=True)
         async with curio.timeout_after(10.0):
-            while recorder.states.count(LinkState.CONNECTED) < 2:
+            while recorder.states.count(LinkState.CONNECTED) < connected:
                 await curio.sleep(0.001)
         await task.cancel()
         listener.close()
 
     curio.run(main)
     assert "a fault of the handler" in caplog.text
+    labels = {"task": "link"}
+    name = "sequoiamoor_task_failures_total"
+    assert metrics.registry.get_sample_value(name, labels) == 1
 
 
 def test_paused_router_is_neither_unreachable_nor_refused() -> None:
