--- a/sequoiamoor/daemon/request_turns.py
+++ b/sequoiamoor/daemon/request_turns.py
@@ -2,23 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from typing import Any
 
 import curio
 
 from ..core.turns import Turns
-from ..timeouts import STRAY_TIMEOUTS
-
-_LOG = logging.getLogger(__name__)
 
 MAX_REQUESTS_PER_PASS = 32
 """Requests that begin before timers, control and requests in service run again."""
 
-RETRY_DELAY_SECONDS = 0.05
-"""Pause after an exception, so that one that returns does not occupy the loop."""
-
 
 class RequestTurns:
     """Lets a bounded number of requests begin in each pass of the event loop."""
@@ -43,7 +36,8 @@
     async def wait(self, organisation: str | None) -> None:
         """Waits until a request of an organisation may begin."""
         if self._runner is None:
-            self._runner = await curio.spawn(self._run, daemon=True)
+            # A listener that no router process serves has no supervised task for it.
+            self._runner = await curio.spawn(self.run, daemon=True)
         if not self._has_begun.is_set():
             await self._has_begun.set()
         if self._turns.begin():
@@ -59,17 +53,11 @@
         finally:
             self._waiting_count -= 1
 
-    async def _run(self) -> None:
-        while True:
-            try:
-                await self._start_passes()
-            except (Exception, *STRAY_TIMEOUTS):
-                # Otherwise all later requests would wait without an end.
-                _LOG.exception("waiting requests were not begun; trying again")
-            await curio.sleep(RETRY_DELAY_SECONDS)
-
-    async def _start_passes(self) -> None:
+    async def run(self) -> None:
+        """Lets waiting requests begin, pass by pass, until cancelled."""
+        self._runner = await curio.current_task()
         while True:
+            # First, as requests may wait since an earlier run that failed.
             while begun := self._turns.start_pass():
                 for may_begin in begun:
                     await may_begin.set()
--- a/tests/daemon/test_request_turns.py
+++ b/tests/daemon/test_request_turns.py
@@ -8,7 +8,6 @@
 import curio
 import pytest
 
-from sequoiamoor.core.turns import Turns
 from sequoiamoor.daemon.request_turns import MAX_REQUESTS_PER_PASS, RequestTurns
 
 from ..listener_harness import (
@@ -122,30 +121,6 @@
     curio.run(main)
 
 
-def test_requests_begin_after_an_exception_of_the_task_that_begins_them(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against requests that wait without an end for a task that has ended."""
-    start_pass = Turns.start_pass
-    errors = [ValueError("once"), curio.TaskTimeout("stray")]
-
-    def fail_first(turns: Turns[object]) -> list[object]:
-        if turns._waiting and errors:
-            raise errors.pop()
-        return start_pass(turns)
-
-    monkeypatch.setattr(Turns, "start_pass", fail_first)
-
-    async def main() -> None:
-        turns = RequestTurns()
-        async with curio.timeout_after(5.0), curio.TaskGroup() as tasks:
-            for _ in range(FLOOD):
-                await tasks.spawn(turns.wait, "captains")
-        assert len(tasks.results) == FLOOD
-
-    curio.run(main)
-
-
 @pytest.mark.parametrize("is_route", [False, True])
 def test_time_of_a_request_runs_while_it_waits_for_a_pass(
     is_route: bool, monkeypatch: pytest.MonkeyPatch
@@ -173,3 +148,31 @@
         assert not upstream.requests
 
     (run if is_route else run_calls)(session)
+
+
+def test_waiting_requests_begin_when_the_failed_runner_runs_again() -> None:
+    """Guards against requests that wait until another one comes, or for good."""
+
+    async def main() -> None:
+        turns = RequestTurns()
+        start_pass = turns._turns.start_pass
+        failures = iter([RuntimeError("a fault of the runner")])
+
+        def fail_once_with_waiting_requests() -> list[curio.Event]:
+            if len(turns):
+                for error in failures:
+                    raise error
+            return start_pass()
+
+        turns._turns.start_pass = fail_once_with_waiting_requests  # type: ignore[method-assign]
+        runner = await curio.spawn(turns.run)
+        await curio.sleep(0)
+        tasks = [await curio.spawn(turns.wait, "captains") for _ in range(FLOOD)]
+        with pytest.raises(curio.TaskError):
+            await runner.join()
+        await curio.spawn(turns.run, daemon=True)
+        async with curio.timeout_after(10.0):
+            for task in tasks:
+                await task.join()
+
+    curio.run(main)
