Try the refusal of unsent requests in a drain again after an exception

What callers would see: requests that wait for a replica when it is too late to send them wait on for the cut at the end of the drain. No path to it is known; the test injects it.

Change: an exception or stray timeout is logged and counted under "refusals", and the refusal is tried again after 0.1 s for the requests that still wait.

Looked at as well, in daemon/ and net/, by reading: tasks of connections (acceptor, serving) log and count any end; pollers and control raise what their tasks raised into a supervised task; the thread of the feeds ends its supervised task; writes of records, polls of loads and the rest of a long body end with their request or time and log what is an Exception; the signals of a drain are not supervised, its limit ends it.

Both rows of the new test failed before with its timeout of 10 s.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -28,6 +28,7 @@
     LimitSettings,
     RouterSettings,
 )
+from ..timeouts import STRAY_TIMEOUTS
 from .accept_probe import AcceptProbe
 from .dispatcher import Dispatcher
 from .forwarder import Forwarder
@@ -318,7 +319,18 @@
             ACCEPT_AFTER_SIGTERM_SECONDS,
         )
         await curio.sleep(drain.send_until - now)
-        await self._forwarder.refuse_unsent()
+        while True:
+            try:
+                await self._forwarder.refuse_unsent()
+                return
+            except (Exception, *STRAY_TIMEOUTS):
+                # Nobody would see it: the task group of a drain raises no exception.
+                _LOG.exception(
+                    "background task failed; restarting it",
+                    extra={"reason": "refusals"},
+                )
+                self.metrics.task_failures.labels("refusals").inc()
+            await curio.sleep(STEP_INTERVAL_SECONDS)
 
     async def _step_directory(self) -> None:
         while True:
--- a/tests/daemon/test_supervision.py
+++ b/tests/daemon/test_supervision.py
@@ -15,7 +15,7 @@
     MAX_FAILURES,
     RestartRecord,
 )
-from sequoiamoor.daemon import process
+from sequoiamoor.daemon import gateway, process
 from sequoiamoor.daemon.gateway import Gateway
 from sequoiamoor.daemon.router import BROKEN_EXIT_CODE, Router, find_exit_code
 from sequoiamoor.net.acceptor import Acceptor
@@ -164,6 +164,33 @@
     assert find_exit_code(end, router.broken_task) == 0
 
 
+@pytest.mark.parametrize("error", [RuntimeError, curio.TaskTimeout])
+def test_refusal_of_unsent_requests_in_a_drain_is_tried_again(
+    monkeypatch: pytest.MonkeyPatch, error: type[BaseException]
+) -> None:
+    """Guards against requests that wait for the cut though none is sent any more."""
+    monkeypatch.setattr(gateway, "ACCEPT_AFTER_SIGTERM_SECONDS", 0.0)
+    monkeypatch.setattr(gateway, "STEP_INTERVAL_SECONDS", 0.001)
+    router = build_router(Gateway)
+    limits = {"drain_limit": 0.01, "drain_announce_time": TIMEOUT_SECONDS}
+    router._options = router._options.model_copy(update=limits)
+    refused = curio.Event()
+    fault = Fault(1, error)
+    monkeypatch.setattr(router._forwarder, "refuse_unsent", fault.wrap(refused.set))
+
+    async def main() -> None:
+        task = await curio.spawn(router.serve)
+        await curio.sleep(0)
+        signal.raise_signal(signal.SIGTERM)
+        async with curio.timeout_after(TIMEOUT_SECONDS):
+            await refused.wait()
+        signal.raise_signal(signal.SIGTERM)
+        await task.join()
+
+    curio.run(main)
+    assert count_failures(router, "refusals") == 1
+
+
 def test_list_of_tasks_is_complete() -> None:
     """Guards against a task that no test here makes fail."""
     assert build_router(Gateway)._list_tasks().keys() <= set(GATEWAY_TASKS)
