Keep the ports of test_orders.py from their choice to their use

What was wrong: run_orders found two free ports, closed them and bound them by number later.

Change: platform and engine listen at once on ports that the system chooses.

--- a/tests/commands/test_orders.py
+++ b/tests/commands/test_orders.py
@@ -22,8 +22,7 @@
 from sequoiamoor.net.http import Request
 from sequoiamoor.net.http_server import ServerConnection
 from sequoiamoor.standin.platform import PlatformFaults, PlatformStandIn, WriteBody
-from sequoiamoor.standin.processes import find_free_port
-from sequoiamoor.standin.server import send_json, serve_http
+from sequoiamoor.standin.server import listen, send_json, serve_socket
 from sequoiamoor.types import Address
 
 TERMS = LeaseTerms(duration_seconds=1.0, max_order_seconds=0.5)
@@ -58,15 +57,7 @@
 def run_orders(
     engine: Engine, steps: Callable[[Address], Awaitable[None]], *, lose: float = 0.0
 ) -> PlatformStandIn:
-    host = "127.0.0.1"
-    ports = find_free_port(host), find_free_port(host)
     platform = PlatformStandIn(Random(7), list_lag=0.0)
-    vm = {"role": "upstream", "zone": "z", "address": host, "state": "live"}
-    vms = [
-        {**vm, "id": "talk-0", "port": ports[1], "service": "talk"},
-        {**vm, "id": "desk-0", "port": ports[1], "service": "desk"},
-    ]
-    platform._vm_lists.append((0.0, vms))
     declaration = {
         "organisations": {},
         "classes": {},
@@ -77,11 +68,20 @@
     platform._faults = PlatformFaults(lose_answers=lose)
 
     async def run() -> None:
+        any_port = Address("127.0.0.1", 0)
+        platform_sock, address = listen(any_port)
+        engine_sock, at = listen(any_port)
+        vm = {"role": "upstream", "zone": "z", "state": "live"}
+        vm |= {"address": at.host, "port": at.port}
+        vms = [
+            {**vm, "id": "talk-0", "service": "talk"},
+            {**vm, "id": "desk-0", "service": "desk"},
+        ]
+        platform._vm_lists.append((0.0, vms))
         async with curio.TaskGroup(wait=None) as tasks:
-            await tasks.spawn(serve_http, Address(host, ports[0]), platform.handle)
-            await tasks.spawn(serve_http, Address(host, ports[1]), engine.handle)
-            await curio.sleep(0)
-            await steps(Address(host, ports[0]))
+            await tasks.spawn(serve_socket, platform_sock, platform.handle)
+            await tasks.spawn(serve_socket, engine_sock, engine.handle)
+            await steps(address)
 
     curio.run(run)
     return platform
