Count only the caller's time from the end of its request on routes

With the target and the limit of the wait of a request on a route counted from its last byte, too. They decide which requests are refused early and how long one waits for a cached prefix, which that change was not about.

Change: only the time for which the caller waits counts from the last byte; the rest counts from the begin of the request again. On the own interface all of them count from the last byte.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -190,11 +190,13 @@
             if now >= self.drain.refuse_from:
                 raise _build_shutdown_error()
             # It may have waited for a pass of the event loop since it was read.
-            call = self._calls.parse(request, request_id, connection.active_at)
+            call = self._calls.parse(
+                request, request_id, now, received_at=connection.active_at
+            )
             self.guard.admit(call)
             wait_seconds = self._dispatcher.find_wait_limit(call)
             if wait_seconds is not None:
-                call.wait_limit_at = min(call.arrival + wait_seconds, call.ends_at)
+                call.wait_limit_at = min(now + wait_seconds, call.ends_at)
             try:
                 self._dispatcher.accept(call)
             except RefusalError as error:
--- a/sequoiamoor/daemon/route_calls.py
+++ b/sequoiamoor/daemon/route_calls.py
@@ -79,13 +79,22 @@
             return None
         return self._get_route_table().find_organisation(key)
 
-    def parse(self, request: Request, request_id: str, now: float) -> RoutedCall:
+    def parse(
+        self,
+        request: Request,
+        request_id: str,
+        now: float,
+        *,
+        received_at: float | None = None,
+    ) -> RoutedCall:
         """Converts a request into a call.
 
         Args:
             request: Request on a route.
             request_id: Identifier that the caller gave the request.
             now: Monotonic time in seconds.
+            received_at: Monotonic time in seconds from which its timeout counts; now
+                by default.
 
         Raises:
             RefusalError: If the request cannot be accepted.
@@ -112,7 +121,9 @@
         remaining = (
             self._caller_format.read_remaining(request) or DEFAULT_TIMEOUT_SECONDS
         )
-        ends_at = now + min(remaining, route.timeout)
+        ends_at = min(remaining, route.timeout) + (
+            now if received_at is None else received_at
+        )
         if route.kind is RouteKind.STREAM:
             wait_seconds = min(route.target * STREAM_WAIT_FRACTION, ends_at - now)
         else:
