--- a/sequoiamoor/daemon/request_turns.py
+++ b/sequoiamoor/daemon/request_turns.py
@@ -36,7 +36,7 @@
     async def wait(self, organisation: str | None) -> None:
         """Waits until a request of an organisation may begin."""
         if self._runner is None:
-            # A listener that no router process serves has no supervised task for it.
+            # Outside a router process, no supervised task does it.
             self._runner = await curio.spawn(self.run, daemon=True)
         if not self._has_begun.is_set():
             await self._has_begun.set()
