Show that paused streams are cut around a SIGHUP

Engines that preempt their newest request pause a stream for 2 s. The router takes that for a failure, runs the stream again elsewhere, where it pauses too, and ends the answer before its last event (LOST).

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,19 +1,20 @@
-"""Channels that were opened right after a restart keep limits of no manifest."""
+"""Engines that preempt their newest requests pause streams, around a SIGHUP."""
 
 from __future__ import annotations
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins import RESTART_SECONDS, Record, Replica, Router, Store  # noqa: E402
+from standins import Message, Record, Replica, Router, Store  # noqa: E402
 from traffic import (  # noqa: E402
-    APP_SLOTS,
     MODEL_SLOTS,
     Outcomes,
     Requester,
@@ -24,32 +25,67 @@
 )
 
 MEMORY_LIMIT_MB = 150
-REQUESTERS = 60
-CONTACT_SECONDS = 3.0
-CALM_SECONDS = 2.0
-RETURN_SECONDS = 5.0
-BODY_BYTES = 1_200_000
-"""Less than a third of the largest body that the manifest allows."""
-BODY_GAP_SECONDS = 0.1
-ALLOWED = 5
-"""Requests that may be denied, beyond one in 500."""
-
-
-async def keep_channel(requester: Requester, has_returned: asyncio.Event) -> None:
-    """Opens a channel as soon as the router listens, and uses it now and then."""
-    while not requester.is_connected:
-        if not await requester.connect():
-            await asyncio.sleep(0.005)
-    while not has_returned.is_set():
-        await requester.send("/crew-booking/2f", {}, b"x" * 600, timeout=0.6)
-        await asyncio.sleep(0.5)
-
-
-async def send_report(requester: Requester, session: str) -> None:
-    """Sends one report."""
+MODELS = 4
+ROUTERS = 4
+REPORTERS = 4
+EVENTS = 40
+PREEMPTED_AFTER_EVENTS = 10
+PREEMPTED_SECONDS = 2.0
+"""Requesters leave a stream after a gap of 3.2 s, four times its objective."""
+TIME_LIMIT_SECONDS = 15.0
+CONFIG_APPLY_SECONDS = 2.0
+CALM_SECONDS = 4.0
+SIGHUPS = 3
+SIGHUP_INTERVAL_SECONDS = 8.0
+
+
+class Engine:
+    """Runs streams; each is preempted once and goes on after a while."""
+
+    def __init__(self, runs: Runs, *, is_preempting: bool) -> None:
+        self._runs = runs
+        self._is_preempting = is_preempting
+
+    async def run_stream(
+        self, replica: Replica, request: Message, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers with a stream, from the event after ``Last-Event-Id``."""
+        self._runs.note(replica, request)
+        request_id = request.headers["x-attempt-id"]
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        writer.write(
+            (
+                f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request_id}\r\n"
+                "X-Server-Signature: 3e1b.07.5a2\r\nContent-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n"
+            ).encode()
+        )
+        for number in range(first, EVENTS + 1):
+            if self._is_preempting and number == first + PREEMPTED_AFTER_EVENTS:
+                await asyncio.sleep(PREEMPTED_SECONDS)
+            await asyncio.sleep(0.03)
+            if writer.is_closing():
+                self._runs.record.write(f"{request_id} ended by the router")
+                return
+            event = f"id: {number}\ndata: {request_id}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        writer.write(b"0\r\n\r\n")
+
+
+async def send_reports(requester: Requester, session: str) -> None:
+    """Sends reports one after the other until cancelled."""
     headers = build_report_headers("tenant-0", session)
-    body = b"r" * BODY_BYTES
-    await requester.send("/grant-report/2f", headers, body, timeout=12.0)
+    try:
+        while True:
+            await requester.send(
+                "/grant-report/2f",
+                headers,
+                b"r" * 12_000,
+                timeout=TIME_LIMIT_SECONDS,
+            )
+            await asyncio.sleep(0.1)
+    finally:
+        requester.close()
 
 
 async def run(is_troubled: bool, folder: Path) -> int:
@@ -57,63 +93,56 @@
     record = Record(HERE / "record.txt")
     store = Store()
     await store.start()
-    runs, bookings, reports = Runs(record), Outcomes(), Outcomes()
-    for number in range(4):
+    runs = Runs(record)
+    outcomes = [Outcomes() for _ in range(ROUTERS)]
+    engine = Engine(runs, is_preempting=is_troubled)
+    for number in range(MODELS):
         name = f"model-{number}"
-        replica = Replica(store, "vrba-model", name, runs.run_stream, slots=MODEL_SLOTS)
-        await replica.start()
-    for number in range(3):
-        name = f"app-{number}"
-        await Replica(store, "vrba-app", name, runs.run_plain, slots=APP_SLOTS).start()
-    router = Router("router-0", store, folder, record, MEMORY_LIMIT_MB)
+        await Replica(
+            store, "vrba-model", name, engine.run_stream, slots=MODEL_SLOTS
+        ).start()
+    routers = [
+        Router(f"router-{number}", store, folder, record, MEMORY_LIMIT_MB)
+        for number in range(ROUTERS)
+    ]
     tasks: list[asyncio.Task[None]] = []
+    signalled_at: list[float] = []
     try:
-        if not await start_fleet(store, [router]):
-            record.write("the router was not ready")
+        if not await start_fleet(store, routers):
+            record.write("the routers were not ready")
             return 2
+        for i, router in enumerate(routers):
+            for j in range(REPORTERS):
+                reporter = Requester(f"report-{i}-{j}", router, runs, outcomes[i])
+                work = send_reports(reporter, f"a{i}{j:02d}")
+                tasks.append(asyncio.create_task(work))
         await asyncio.sleep(CALM_SECONDS)
-        has_returned = asyncio.Event()
-        requesters = [
-            Requester(f"r-{number}", router, runs, bookings)
-            for number in range(REQUESTERS)
-        ]
-        if is_troubled:
-            record.write("the router is killed")
-            router.kill()
-            await asyncio.sleep(RESTART_SECONDS)
-            router.start()
-        tasks = [
-            asyncio.create_task(keep_channel(requester, has_returned))
-            for requester in requesters
-        ]
-        if not await router.wait_ready():
-            record.write("the router was not ready again")
-            return 2
-        await asyncio.sleep(CONTACT_SECONDS + RETURN_SECONDS)
-        has_returned.set()
-        await asyncio.gather(*tasks)
-        record.write("reports are sent on the channels that are open")
-        tasks = []
-        for number, requester in enumerate(requesters):
-            if requester.is_connected:
-                requester.out = reports
-                session = f"a{number:02d}"
-                tasks.append(asyncio.create_task(send_report(requester, session)))
-                await asyncio.sleep(BODY_GAP_SECONDS)
-        await asyncio.gather(*tasks)
-        for requester in requesters:
-            requester.close()
+        for _ in range(SIGHUPS):
+            process = routers[0].process
+            assert process is not None
+            record.write("SIGHUP to router-0")
+            process.send_signal(signal.SIGHUP)
+            signalled_at.append(time.monotonic())
+            await asyncio.sleep(SIGHUP_INTERVAL_SECONDS)
     finally:
         await cancel_all(tasks)
-        router.stop()
-    record.write(f"bookings {bookings.statuses}")
-    record.write(f"reports {reports.statuses}")
-    denied = reports.statuses.get("413", 0)
-    total = sum(bookings.statuses.values()) + sum(reports.statuses.values())
-    is_broken = denied > ALLOWED + total / 500
-    verdict = "broken" if is_broken else "held"
-    record.write(f"DENIED {verdict}: {denied} of {total} requests got 413")
-    return int(is_broken)
+        for router in routers:
+            router.stop()
+    cut = [
+        result
+        for result, wait, sent_at in outcomes[0].waits
+        if result in ("closed", "broken off")
+        and wait < TIME_LIMIT_SECONDS
+        and any(0 <= sent_at - at <= CONFIG_APPLY_SECONDS for at in signalled_at)
+    ]
+    for router, out in zip(routers, outcomes, strict=True):
+        record.write(f"{router.name}: {out.statuses}")
+    verdict = "broken" if cut else "held"
+    record.write(
+        f"LOST {verdict}: {len(cut)} streams that were sent up to "
+        f"{CONFIG_APPLY_SECONDS} s after a SIGHUP ended without their last event"
+    )
+    return int(bool(cut))
 
 
 def main() -> int:
--- a/review/traffic.py
+++ b/review/traffic.py
@@ -140,14 +140,14 @@
     """Results of the requests of one kind.
 
     Attributes:
-        waits: Results with the seconds from the send to the answer, or to the end of
-            the wait for it.
+        waits: Results with the seconds from the send to the end of the answer, or of
+            the wait for it, and the monotonic time of the send.
         lost: Requests that were sent on a kept channel, ran at a sound replica, and
             whose channel was closed before the first byte of an answer.
     """
 
     statuses: dict[str, int] = field(default_factory=dict)
-    waits: list[tuple[str, float]] = field(default_factory=list)
+    waits: list[tuple[str, float, float]] = field(default_factory=list)
     lost: list[str] = field(default_factory=list)
 
     def count(self, result: str) -> None:
@@ -225,7 +225,7 @@
         } | headers
         record = self._runs.record
         record.write(f"sent {request_id} {path} of {len(body)} bytes")
-        result = "closed"
+        result, ends = "closed", False
         sent_at = time.monotonic()
         try:
             async with asyncio.timeout(timeout):
@@ -236,6 +236,7 @@
                 answer = await read_message(self._reader)
             if answer is not None:
                 result = answer.start.split(" ")[1]
+                ends = "close" in answer.headers.get("connection", "").lower()
         except TimeoutError:
             result = "gave up"
         except asyncio.IncompleteReadError as error:
@@ -245,12 +246,14 @@
         milliseconds = (time.monotonic() - sent_at) * 1000
         record.write(f"answered {request_id}: {result} after {milliseconds:.0f} ms")
         self.out.count(result)
-        self.out.waits.append((result, milliseconds / 1000))
+        self.out.waits.append((result, milliseconds / 1000, sent_at))
         if result == "closed" and self._is_kept and request_id in self._runs.begun:
             self.out.lost.append(request_id)
         if not result.isdigit():
             self.close()
             await asyncio.sleep(0.2)
+        elif ends:
+            self.close()
         self._is_kept = self._writer is not None
 
 
