--- a/review/standins.py
+++ b/review/standins.py
@@ -98,12 +98,12 @@
     return f"{start}\r\n{lines}\r\n".encode("latin-1") + body
 
 
-def find_free_port() -> int:
-    """Returns a port that was free at the time of the call."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
+def reserve_port() -> socket.socket:
+    """Returns a bound socket that keeps its port free for one that listens there."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((HOST, 0))
+    return sock
 
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -329,8 +329,10 @@
     process: subprocess.Popen[bytes] | None = None
 
     def __post_init__(self) -> None:
+        # Kept while the process is down, so that no other one takes its ports.
+        self._reservations = [reserve_port() for _ in range(4)]
         self.http, self.ready, self.control, self.metrics = (
-            f"{HOST}:{find_free_port()}" for _ in range(4)
+            f"{HOST}:{sock.getsockname()[1]}" for sock in self._reservations
         )
         self._path = self.folder / f"{self.name}.json"
         # The fields of deploy/router.json.tmpl, with the bounds of pinfall-yard.
@@ -423,7 +425,9 @@
         self.process.wait()
 
     def stop(self) -> None:
-        """Ends the process."""
+        """Ends the process and frees its ports."""
+        for sock in self._reservations:
+            sock.close()
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
