--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Engines that preempt their newest requests pause streams, around a SIGHUP."""
+"""Sound servers fall silent for a moment, around a SIGHUP."""
 
 from __future__ import annotations
 
@@ -27,11 +27,14 @@
 MEMORY_LIMIT_MB = 300
 MODELS = 4
 ROUTERS = 4
-REPORTERS = 4
-EVENTS = 40
-PREEMPTED_AFTER_EVENTS = 10
-PREEMPTED_SECONDS = 1.5
-"""Requesters leave a stream after a gap of 2 s."""
+REPORTERS = 8
+EVENTS = 55
+EVENT_SECONDS = 0.03
+SILENT_SECONDS = 1.4
+SILENCE_INTERVAL_SECONDS = 4.0
+"""Each server is silent once in this time, at another moment than the others."""
+GAP_SECONDS = 2.0
+"""Pause after which requesters leave a stream."""
 SEASON_SUMMARY = {
     "timeoutMs": 12000,
     "targetLatencyMs": 400,
@@ -41,16 +44,23 @@
 TIME_LIMIT_SECONDS = 12.0
 CONFIG_APPLY_SECONDS = 2.0
 CALM_SECONDS = 4.0
-SIGHUPS = 3
-SIGHUP_INTERVAL_SECONDS = 8.0
+SIGHUPS = 6
+SIGHUP_INTERVAL_SECONDS = 5.0
 
 
 class Engine:
-    """Runs streams; each is preempted once and goes on after a while."""
+    """Runs the streams of one server, which may fall silent and go on."""
 
-    def __init__(self, runs: Runs, *, is_preempting: bool) -> None:
+    def __init__(self, runs: Runs, *, offset: float | None) -> None:
         self._runs = runs
-        self._is_preempting = is_preempting
+        self._offset = offset
+
+    async def _wait_for_turn(self) -> None:
+        if self._offset is None:
+            return
+        phase = (time.monotonic() + self._offset) % SILENCE_INTERVAL_SECONDS
+        if phase < SILENT_SECONDS:
+            await asyncio.sleep(SILENT_SECONDS - phase)
 
     async def run_stream(
         self, replica: Replica, request: Message, writer: asyncio.StreamWriter
@@ -67,9 +77,8 @@
             ).encode()
         )
         for number in range(first, EVENTS + 1):
-            if self._is_preempting and number == first + PREEMPTED_AFTER_EVENTS:
-                await asyncio.sleep(PREEMPTED_SECONDS)
-            await asyncio.sleep(0.03)
+            await asyncio.sleep(EVENT_SECONDS)
+            await self._wait_for_turn()
             if writer.is_closing():
                 self._runs.record.write(f"{request_id} ended by the router")
                 return
@@ -88,6 +97,7 @@
                 headers,
                 b"r" * 12_000,
                 timeout=TIME_LIMIT_SECONDS,
+                gap=GAP_SECONDS,
             )
             await asyncio.sleep(0.1)
     finally:
@@ -101,8 +111,9 @@
     await store.start()
     runs = Runs(record)
     outcomes = [Outcomes() for _ in range(ROUTERS)]
-    engine = Engine(runs, is_preempting=is_troubled)
     for number in range(MODELS):
+        offset = number * SILENCE_INTERVAL_SECONDS / MODELS
+        engine = Engine(runs, offset=offset if is_troubled else None)
         name = f"model-{number}"
         await Replica(
             store, "vrba-model", name, engine.run_stream, slots=MODEL_SLOTS
--- a/review/standins.py
+++ b/review/standins.py
@@ -51,8 +51,18 @@
     body: bytes
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message | None:
-    """Reads one message with a length or in chunks; None at the end of the channel."""
+async def read_message(
+    reader: asyncio.StreamReader, *, gap: float | None = None
+) -> Message | None:
+    """Reads one message with a length or in chunks; None at the end of the channel.
+
+    Args:
+        reader: Where it comes from.
+        gap: Longest pause in seconds between two chunks; None without a limit.
+
+    Raises:
+        TimeoutError: If a pause is longer.
+    """
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
@@ -65,7 +75,9 @@
     body = b""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
-            size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+            async with asyncio.timeout(gap):
+                line = await reader.readuntil(b"\r\n")
+            size = int(line.split(b";")[0], 16)
             body += (await reader.readexactly(size + 2))[:-2]
             if not size:
                 break
@@ -124,10 +136,15 @@
 
 
 class Store:
-    """The platform's metadata store: rows, transactions with conditions, feeds."""
+    """The platform's metadata store: rows, transactions with conditions, feeds.
+
+    Attributes:
+        is_down: Whether it answers each call with 503.
+    """
 
     def __init__(self) -> None:
         self.address = ""
+        self.is_down = False
         self._rows: dict[tuple[str, str], dict[str, Any]] = {}
         self._changes: list[dict[str, Any]] = []
         self._version = 100
@@ -183,6 +200,8 @@
         while (request := await read_message(reader)) is not None:
             await asyncio.sleep(STORE_SECONDS)
             status, document = await self._handle(request)
+            if self.is_down:
+                status, document = 503, {}
             body = json.dumps(document).encode()
             headers = {"Content-Type": "application/json"}
             writer.write(build_message(f"HTTP/1.1 {status} OK", headers, body))
@@ -213,7 +232,8 @@
             if rows or left <= 0:
                 return self._answer(rows=rows)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
 
     def _apply(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for condition in document["expectedRevision"]:
@@ -387,7 +407,7 @@
         return False
 
     def read_memory_mb(self) -> float:
-        """Returns the resident memory of the process; 0 if it has ended."""
+        """Returns the resident memory of the process in MiB; 0 if it has ended."""
         assert self.process is not None
         try:
             text = Path(f"/proc/{self.process.pid}/status").read_text()
@@ -395,7 +415,7 @@
             return 0.0
         for line in text.splitlines():
             if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024 / 1e6
+                return int(line.split()[1]) / 1024
         return 0.0
 
     async def watch(self) -> None:
--- a/review/traffic.py
+++ b/review/traffic.py
@@ -182,9 +182,10 @@
         """Opens a channel; returns whether it could."""
         port = int(self._router.http.rpartition(":")[2])
         try:
-            self._reader, self._writer = await asyncio.wait_for(
-                asyncio.open_connection(HOST, port, limit=1 << 16), 1.0
-            )
+            async with asyncio.timeout(1.0):
+                self._reader, self._writer = await asyncio.open_connection(
+                    HOST, port, limit=1 << 16
+                )
         except OSError:
             return False
         self._is_kept = False
@@ -204,6 +205,7 @@
         *,
         timeout: float,
         chunk_bytes: int | None = None,
+        gap: float | None = None,
     ) -> None:
         """Sends one request and reads its answer.
 
@@ -213,6 +215,7 @@
             body: Its body.
             timeout: Seconds that the requester waits.
             chunk_bytes: Size of the chunks of the body; None to send a length.
+            gap: Pause of a stream after which the requester leaves, in seconds.
         """
         if self._writer is None and not await self.connect():
             self.out.count("no channel")
@@ -237,7 +240,7 @@
                     build_message(f"POST {path} HTTP/1.1", fields, body, chunk_bytes)
                 )
                 await self._writer.drain()
-                answer = await read_message(self._reader)
+                answer = await read_message(self._reader, gap=gap)
             if answer is not None:
                 result = answer.start.split(" ")[1]
                 ends = "close" in answer.headers.get("connection", "").lower()
@@ -284,9 +287,11 @@
 
 async def cancel_all(tasks: list[asyncio.Task[None]]) -> None:
     """Cancels tasks and waits for their end."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=1.0)
 
 
 async def start_fleet(
