--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -44,6 +44,7 @@
 from ..net.formats import CallerFormat, UpstreamFormat
 from ..net.forward import ForwardAttempt, ReceivedHead, StreamHead, WholeAnswer
 from ..net.http import Request
+from ..net.http_client import GivenUpExchange
 from ..net.http_server import ServerConnection
 from ..timeouts import timeout_after
 from ..types import Address, CallRequest, Execution, RouteKind
@@ -547,6 +548,7 @@
             metrics=self._metrics,
             check_before_send=partial(self._check_before_send, call, replica, sink),
             note_head=self._note_head,
+            note_given_up=partial(self._note_given_up, call, replica),
         )
         try:
             # Saves the connection to the upstream.
@@ -596,6 +598,22 @@
         self._metrics.start_to_send.observe(call.sent_after)
         self._metrics.upstream_view_age.observe(call.view_age)
 
+    def _note_given_up(
+        self, call: RoutedCall, replica: Replica, exchange: GivenUpExchange
+    ) -> None:
+        """Logs and counts an attempt that ends before its answer is complete."""
+        is_reset = exchange.is_reset
+        self._metrics.exchanges_given_up.labels("reset" if is_reset else "ended").inc()
+        extra = _build_log_fields(call, reason="reset" if is_reset else "ended")
+        extra["upstream"] = replica.replica_id
+        extra["connection"] = exchange.local_address
+        extra["unacknowledged_bytes"] = exchange.unacknowledged_bytes
+        extra["error"] = exchange.error
+        if call.sent_after is not None:
+            sent_at = call.started_at + call.sent_after
+            extra["elapsed_ms"] = round((time.monotonic() - sent_at) * 1000)
+        _LOG.info("exchange given up", extra=extra)
+
     async def _note_head(self, head: ReceivedHead) -> None:
         """Applies a head, and refuses the requests that no replica can serve then."""
         replica = self._board.upstreams.replicas.get(head.process.replica_id)
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -37,6 +37,8 @@
     "elapsed_ms",
     "idle_ms",
     "unread_bytes",
+    "unacknowledged_bytes",
+    "connection",
     "hold_ms",
     "events",
     "pause_ms",
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -77,6 +77,12 @@
             "Attempts whose late answer is dropped because the caller is gone.",
             registry=self.registry,
         )
+        self.exchanges_given_up = Counter(
+            "sequoiamoor_exchanges_given_up",
+            "Attempts that ended after the send and before the end of the answer.",
+            ["connection"],
+            registry=self.registry,
+        )
         self.mismatches = Counter(
             "sequoiamoor_answer_mismatches",
             "Upstream answers or parts of them that belong to no present attempt.",
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -29,7 +29,7 @@
 from .exchange import RESPONSE_END_TIMEOUT_SECONDS, ConnectionPool
 from .formats import UpstreamFormat
 from .http import Response
-from .http_client import ClientConnection
+from .http_client import ClientConnection, GivenUpExchange
 
 # Answers to other requests that are skipped while waiting for the answer to this one.
 MISMATCHED_RESPONSES_LIMIT = 2
@@ -91,6 +91,7 @@
 
 SendEvents = Callable[[StreamHead, Events], Awaitable[None]]
 NoteHead = Callable[[ReceivedHead], Awaitable[None]]
+NoteGivenUp = Callable[[GivenUpExchange], None]
 
 
 async def _ignore_head(head: ReceivedHead) -> None:
@@ -123,6 +124,7 @@
         metrics: Metrics,
         check_before_send: Callable[[Address], None] = lambda address: None,
         note_head: NoteHead = _ignore_head,
+        note_given_up: NoteGivenUp = lambda exchange: None,
     ) -> None:
         """Initialises the attempt.
 
@@ -136,9 +138,12 @@
                 the request is sent; an error that it raises prevents the send.
             note_head: Called with each head that the replica sends, before its body is
                 read and before it is checked.
+            note_given_up: Called if the attempt ends after it was sent and before its
+                answer is complete, right before the connection is closed.
         """
         self._check_before_send = check_before_send
         self._note_head = note_head
+        self._note_given_up = note_given_up
         self.process = replica.process
         self.address = replica.address
         self._sent_at = self._opened_at = 0.0
@@ -199,6 +204,9 @@
         finally:
             if self._connection is not None:
                 connection, self._connection = self._connection, None
+                given_up = connection.describe_given_up() if self.is_sent else None
+                if given_up is not None:
+                    self._note_given_up(given_up)
                 await self._pool.discard(connection)
 
     async def _request(self, event_order: EventSequence) -> Response:
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import struct
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import curio
@@ -29,6 +31,7 @@
     to_header_dict,
 )
 from .reachability import REACHABILITY
+from .tcp_state import count_unacknowledged, has_ended
 
 RESPONSE_HEAD_LIMIT_BYTES = 65_536
 INFORMATIONAL_RESPONSES_LIMIT = 8
@@ -36,6 +39,25 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class GivenUpExchange:
+    """How a connection stood when its exchange was given up.
+
+    Attributes:
+        local_address: Host and port of this side.
+        unacknowledged_bytes: Bytes sent that the peer's kernel had not acknowledged;
+            None if the kernel does not tell.
+        is_reset: Whether closing the connection resets it. If the kernel had ended it
+            before, nothing is sent, and bytes that are on the way may still arrive.
+        error: Name of the error with which receiving failed; None without one.
+    """
+
+    local_address: str
+    unacknowledged_bytes: int | None
+    is_reset: bool
+    error: str | None
+
+
 async def _ignore_response(response: Response) -> None:
     """Ignores an informational response."""
 
@@ -79,6 +101,7 @@
         self.bytes_received = 0
         self.waiting_since: float | None = None
         self.is_aborted = False
+        self._failure: OSError | None = None
         disable_send_delay(self._raw_sock)
         if detects_dead_peer:
             limit_silence(self._raw_sock, UPSTREAM_SILENCE)
@@ -173,9 +196,10 @@
         # without a wait, as curio tries to, would nearly always block.
         await _read_wait(self._sock._fileno)
         try:
-            data: bytes = self._raw_sock.recv(RECEIVE_BYTES)
-        except BlockingIOError:
-            data = await self._sock.recv(RECEIVE_BYTES)
+            data = await self._receive_arrived()
+        except OSError as err:
+            self._failure = err
+            raise
         self.waiting_since = None
         if not data and self.is_aborted:
             # The end that abort makes is not the peer's, which may end a body.
@@ -183,6 +207,13 @@
         self.bytes_received += len(data)
         return data
 
+    async def _receive_arrived(self) -> bytes:
+        try:
+            data: bytes = self._raw_sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            data = await self._sock.recv(RECEIVE_BYTES)
+        return data
+
     async def receive_response(
         self,
         on_interim: Callable[[Response], Awaitable[None]] = _ignore_response,
@@ -380,6 +411,22 @@
             or self._h11.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
         )
 
+    def describe_given_up(self) -> GivenUpExchange | None:
+        """Returns how the connection stands; None if no exchange is incomplete."""
+        if not self._is_exchange_incomplete:
+            return None
+        try:
+            host, port = self._raw_sock.getsockname()[:2]
+        except OSError:
+            host, port = "", 0
+        number = self._failure.errno if self._failure is not None else None
+        return GivenUpExchange(
+            local_address=str(Address(host, port)),
+            unacknowledged_bytes=count_unacknowledged(self._raw_sock),
+            is_reset=not has_ended(self._raw_sock),
+            error=errno.errorcode.get(number or 0),
+        )
+
     async def close(self) -> None:
         """Closes the connection; resets it if an exchange is incomplete.
 
