--- a/tests/net/test_given_up_exchanges.py
+++ b/tests/net/test_given_up_exchanges.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
 import curio
+import h11
 import pytest
 
+from sequoiamoor.metrics import Metrics
+from sequoiamoor.net.exchange import ConnectionPool
+from sequoiamoor.net.http import UPSTREAM_SILENCE
 from sequoiamoor.net.http_client import ClientConnection, GivenUpExchange
+from sequoiamoor.net.tcp_state import count_unacknowledged
+from sequoiamoor.options import Options
 from sequoiamoor.types import Address
 
 LARGE_BODY = b"x" * 8_000_000
@@ -93,3 +100,112 @@
         return given_up
 
     assert run(describe) is None
+
+
+@contextmanager
+def open_pool() -> Iterator[tuple[ConnectionPool, socket.socket]]:
+    """Opens a pool, and a socket whose connections nobody reads."""
+    with listen() as listener:
+        yield (
+            ConnectionPool(
+                options=Options(), metrics=Metrics(), detects_dead_peers=True
+            ),
+            listener,
+        )
+
+
+async def _send_unread(
+    pool: ConnectionPool, connection: ClientConnection
+) -> GivenUpExchange | None:
+    """Sends more than an upstream takes and returns how the exchange ends."""
+    watch = await curio.spawn(pool.close_expired_periodically)
+    await connection.send_request("POST", "/", {}, LARGE_BODY)
+    with pytest.raises((OSError, h11.RemoteProtocolError)):
+        await connection.receive_response()
+    given_up = connection.describe_given_up()
+    await pool.discard(connection)
+    await watch.cancel()
+    return given_up
+
+
+def test_exchange_that_is_not_acknowledged_is_reset_before_the_kernel_ends_it() -> None:
+    """Guards against requests that arrive after a partition though given up in it.
+
+    When the kernel ends a connection it sends no reset, and what is on the way stays.
+    """
+
+    async def send() -> GivenUpExchange | None:
+        with open_pool() as (pool, listener):
+            connection, _ = await pool.acquire(get_address(listener), force_new=True)
+            with listener.accept()[0]:
+                return await _send_unread(pool, connection)
+
+    given_up = run(send)
+    assert given_up.unacknowledged_bytes
+    assert (given_up.is_reset, given_up.error) == (True, None)
+
+
+def test_idle_connections_to_a_silent_upstream_are_not_used() -> None:
+    """Guards against requests sent on kept connections into a partition."""
+
+    async def send() -> tuple[int, bool]:
+        with open_pool() as (pool, listener):
+            address = get_address(listener)
+            connections = [
+                (await pool.acquire(address, force_new=True))[0] for _ in range(3)
+            ]
+            peers = [listener.accept()[0] for _ in connections]
+            for idle in connections[1:]:
+                await _answer(idle, peers[connections.index(idle)])
+                await pool.release(idle)
+            kept = len(pool)
+            await _send_unread(pool, connections[0])
+            is_left = len(pool) > 0
+            await pool.close()
+            for peer in peers:
+                peer.close()
+        return kept, is_left
+
+    assert run(send) == (2, False)
+
+
+async def _answer(connection: ClientConnection, peer: socket.socket) -> None:
+    await connection.send_request("GET", "/", {}, b"")
+    peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    await connection.receive_response()
+    await connection.receive_body()
+
+
+def _has_keepalive(connection: ClientConnection) -> bool:
+    option = socket.SOL_SOCKET, socket.SO_KEEPALIVE
+    return bool(connection._raw_sock.getsockopt(*option))
+
+
+def test_probes_of_an_idle_connection_do_not_end_a_request_sent_on_it() -> None:
+    """Guards against the kernel's end of a connection right after a send.
+
+    Its probes count the silence from before the send. Once the request has arrived,
+    they find out again whether the upstream is there.
+    """
+
+    async def send() -> list[bool]:
+        with open_pool() as (pool, listener):
+            address = get_address(listener)
+            connection, _ = await pool.acquire(address, force_new=True)
+            with listener.accept()[0] as peer:
+                await _answer(connection, peer)
+                await pool.release(connection)
+                await curio.sleep(UPSTREAM_SILENCE.idle_seconds)
+                states = [_has_keepalive(connection)]
+                reused, _ = await pool.acquire(address, force_new=False)
+                assert reused is connection
+                await reused.send_request("GET", "/", {}, b"")
+                states.append(_has_keepalive(reused))
+                while count_unacknowledged(reused._raw_sock):
+                    await curio.sleep(0.01)
+                await pool.close_expired(time.monotonic())
+                states.append(_has_keepalive(reused))
+                await pool.discard(reused)
+        return states
+
+    assert run(send) == [True, False, True]
