--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -43,6 +43,12 @@
 MAX_CHECK_INTERVAL_SECONDS = 0.25
 
 
+UNACKNOWLEDGED_LIMIT_SECONDS = 1.0
+"""Time without an acknowledgement of what was sent after which an exchange is reset.
+
+The reset takes back what a partition holds up. Left to the kernel's own limits, the
+connection would end without one, and the request could arrive seconds later."""
+
 # Refusals that a connection remembers; it is closed after so many.
 REFUSED_IDS_LIMIT = 1_000
 
@@ -212,6 +218,7 @@
             return
         self._in_use.discard(connection)
         connection.start_next_cycle()
+        connection.set_probed(False)
         connection.silence_limit = None
         entry = (time.monotonic(), connection)
         self._idle.setdefault(connection.address, deque()).append(entry)
@@ -222,24 +229,40 @@
         self._in_use.discard(connection)
         await connection.close()
 
+    def _is_silent(self, connection: ClientConnection, now: float) -> bool:
+        """Returns whether a connection in use has been silent for too long."""
+        is_unacknowledged = (
+            self._detects_dead_peers
+            and connection.find_unacknowledged_time(now) >= UNACKNOWLEDGED_LIMIT_SECONDS
+        )
+        limit = connection.silence_limit or self._options.upstream_idle_timeout
+        since = connection.waiting_since
+        is_late = since is not None and now - since >= limit
+        # A late event loop may not have read what has arrived.
+        return (is_unacknowledged or is_late) and connection.is_quiet
+
+    async def _close_idle(self, address: Address) -> None:
+        """Closes the idle connections to a peer that does not acknowledge anything.
+
+        A request sent on one of them would be held up as well; a new connection shows
+        that the peer can be reached before anything is sent.
+        """
+        for _, connection in self._idle.pop(address, ()):
+            self._idle_count -= 1
+            await connection.close()
+
     async def close_expired(self, now: float) -> None:
         """Aborts receives that wait too long and closes old idle connections.
 
         Args:
             now: Monotonic time in seconds.
         """
-        for connection in self._in_use:
-            waiting_since = connection.waiting_since
-            silence_limit = (
-                connection.silence_limit or self._options.upstream_idle_timeout
-            )
-            if (
-                waiting_since is not None
-                and now - waiting_since >= silence_limit
-                # A late event loop may not have read what has arrived.
-                and connection.is_quiet
-            ):
-                connection.abort()
+        for connection in list(self._in_use):
+            if not self._is_silent(connection, now):
+                continue
+            connection.abort()
+            if self._detects_dead_peers and connection.find_unacknowledged_time(now):
+                await self._close_idle(connection.address)
         idle_before = now - self._options.pool_idle_time
         for address, idle in list(self._idle.items()):
             while idle and idle[0][0] <= idle_before:
--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -37,10 +37,12 @@
 
 
 UPSTREAM_SILENCE = SilenceLimit(
-    unacknowledged_ms=1_500, idle_seconds=1, interval_seconds=1, probes=2
+    unacknowledged_ms=1_900, idle_seconds=1, interval_seconds=1, probes=2
 )
-"""A partitioned zone does not respond at all. This detects it within about two seconds,
-before callers give up on a silent stream, which can then resume elsewhere."""
+"""Ends a connection to a partitioned upstream that has taken all that was sent.
+
+The probes begin once it has. Before, the router resets the connection itself
+(``UNACKNOWLEDGED_LIMIT_SECONDS``)."""
 
 CALLER_SILENCE = SilenceLimit(
     unacknowledged_ms=10_000, idle_seconds=4, interval_seconds=3, probes=2
@@ -143,8 +145,14 @@
         )
 
 
-def limit_silence(sock: Any, limit: SilenceLimit) -> None:
-    """Lets the kernel end a TCP connection whose peer disappeared without a reset."""
+def limit_silence(sock: Any, limit: SilenceLimit, *, is_probed: bool = True) -> None:
+    """Lets the kernel end a TCP connection whose peer disappeared without a reset.
+
+    Args:
+        sock: Socket of the connection.
+        limit: When it ends.
+        is_probed: Whether the kernel probes it from the start while nothing is sent.
+    """
     if sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
     for option, value in (
@@ -154,7 +162,12 @@
         (socket.TCP_KEEPCNT, limit.probes),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    set_keepalive(sock, is_probed)
+
+
+def set_keepalive(sock: Any, is_on: bool) -> None:
+    """Lets the kernel probe a connection on which nothing is sent, or not."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(is_on))
 
 
 def peek(sock: Any) -> bytes | None:
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -27,6 +27,7 @@
     disable_send_delay,
     limit_silence,
     peek,
+    set_keepalive,
     to_h11_headers,
     to_header_dict,
 )
@@ -103,8 +104,12 @@
         self.is_aborted = False
         self._failure: OSError | None = None
         disable_send_delay(self._raw_sock)
+        self._detects_dead_peer = detects_dead_peer
+        self._is_probed = False
+        self._sent_at = self._acknowledged_at = float("-inf")
+        self._acknowledged_bytes = self._received_before = 0
         if detects_dead_peer:
-            limit_silence(self._raw_sock, UPSTREAM_SILENCE)
+            limit_silence(self._raw_sock, UPSTREAM_SILENCE, is_probed=False)
 
     @classmethod
     async def connect(
@@ -160,6 +165,8 @@
                 was handed to the kernel before that.
         """
         self._may_peek_response = True
+        self._sent_at = time.monotonic()
+        self._received_before = self.bytes_received
         self._is_head_request = method == "HEAD"
         fields = to_h11_headers(headers)
         if not any(name == b"host" for name, _ in fields):
@@ -411,6 +418,36 @@
             or self._h11.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
         )
 
+    def set_probed(self, is_probed: bool) -> None:
+        """Lets the kernel probe whether the peer is still there, or not.
+
+        The kernel counts the silence from before a send. Probes that began before it
+        could end the connection right after the send.
+        """
+        if self._detects_dead_peer and is_probed != self._is_probed:
+            self._is_probed = is_probed
+            set_keepalive(self._raw_sock, is_probed)
+
+    def find_unacknowledged_time(self, now: float) -> float:
+        """Returns for how many seconds the peer has acknowledged nothing more.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            0 if all that was sent is acknowledged, or if an answer has begun to arrive.
+        """
+        unacknowledged = 0
+        if self.bytes_received == self._received_before:
+            unacknowledged = count_unacknowledged(self._raw_sock) or 0
+        if not unacknowledged:
+            self.set_probed(True)
+            return 0.0
+        acknowledged = self.bytes_sent - unacknowledged
+        if acknowledged > self._acknowledged_bytes:
+            self._acknowledged_bytes, self._acknowledged_at = acknowledged, now
+        return now - max(self._sent_at, self._acknowledged_at)
+
     def describe_given_up(self) -> GivenUpExchange | None:
         """Returns how the connection stands; None if no exchange is incomplete."""
         if not self._is_exchange_incomplete:
--- a/sequoiamoor/platform/store.py
+++ b/sequoiamoor/platform/store.py
@@ -235,6 +235,8 @@
             connection = await ClientConnection.connect(
                 self._address, timeout=self.timeout, detects_dead_peer=True
             )
+            # The timeout of a call is shorter than the limits of the kernel.
+            connection.set_probed(True)
             self._connection = connection
         await connection.send_request(
             method, target, {"content-type": "application/json"}, body
