--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -109,11 +109,13 @@
         organisation: str = "a",
         shared: int = 5_000,
         deadline: float = 0.4,
+        arrival: float = 0.0,
         route: Route = ROUTE,
     ) -> RoutedCall:
         self.call_count += 1
         call = RoutedCall(
-            f"c-{self.call_count}", "q", organisation, "r", "talk", 0.0, deadline, 0.4,
+            f"c-{self.call_count}", "q", organisation, "r", "talk", arrival, deadline,
+            arrival + 0.4,
             b"", route=route,
             parts=(PromptPart(part, shared), PromptPart(f"own-{self.call_count}", 900)),
         )  # fmt: skip
@@ -534,3 +536,38 @@
     assert fleet.start(2.04) is None, "one request at a time until it has answered"
     upstreams.record_answer(second.process, sent_at=2.03)
     assert fleet.start(2.05) == second.replica_id
+
+
+@pytest.mark.parametrize(
+    ("now", "is_started"), [(0.0, False), (0.15, False), (0.5, True)]
+)
+def test_prompts_that_peers_reported_are_read_after_a_while(
+    now: float, is_started: bool
+) -> None:
+    """Guards against replicas without work that count as busy until the next reports.
+
+    The routers of a large fleet report about once a second and replicas read a prompt
+    in a tenth of that, so that a router with much work would find no replica for it.
+    """
+    fleet = Fleet(targets=(0.4,))
+    fleet.report(
+        dict.fromkeys(REPLICAS, 1), to_read=dict.fromkeys(REPLICAS, 60_000), a=1
+    )
+    fleet.add(deadline=now + 0.4, arrival=now)
+    assert (fleet.start(now) is not None) == is_started
+
+
+def test_places_that_the_work_ahead_leaves_are_used() -> None:
+    """Guards against idle replicas while an organisation ahead of its share waits.
+
+    It gives way to the waiting work of the others, not to what it has waiting itself.
+    """
+    fleet = Fleet(options={"slot_floor_factor": 0})
+    fleet.charge("a", 500_000.0)
+    fleet.report({}, b=3)
+    for number in range(6 * SLOTS + 1):
+        fleet.add(f"subject-{number}", shared=0)
+    started = 0
+    while fleet.start(is_read=True) is not None:
+        started += 1
+    assert started == 6 * SLOTS - 3
