--- a/sequoiamoor/core/routed_call.py
+++ b/sequoiamoor/core/routed_call.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..types import CallRequest, ReplicaId
+from .held_bytes import Holding
 from .part_cases import PartKey
 from .routes import Route
 
@@ -52,6 +53,7 @@
             did not run the request.
         may_end_replicas: Whether a replica ended under the request, and others may.
         is_proof_noted: Whether an answer was counted in favour of its prompt parts.
+        holdings: Room taken for its answers, until the call ends.
     """
 
     route: Route
@@ -74,6 +76,7 @@
     may_have_run: bool = False
     may_end_replicas: bool = False
     is_proof_noted: bool = False
+    holdings: list[Holding] = field(default_factory=list)
 
     @property
     def shared_keys(self) -> tuple[PartKey, ...]:
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -134,7 +134,10 @@
         self._rng = rng
         self._calls = RouteCalls(board, caller_format, freshness, rng=rng)
         self._pool = ConnectionPool(
-            options=board.options, metrics=metrics, detects_dead_peers=True
+            options=board.options,
+            metrics=metrics,
+            detects_dead_peers=True,
+            held_bytes=board.held_bytes,
         )
         self._statements = StatementReader(
             board,
@@ -219,6 +222,8 @@
             )
         finally:
             self._serving.pop(call.call_id, None)
+            for holding in call.holdings:
+                holding.release()
             self.guard.forget(call)
             await self._dispatcher.forget(call)
         if connection.is_left_unanswered:
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -11,6 +11,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ..core.blackboard import Blackboard
+from ..core.held_bytes import HeldKind
 from ..metrics import Metrics
 from ..net.http_server import ServerConnection
 from ..policies import Policy
@@ -81,9 +82,18 @@
                 self._metrics.utilisation.labels(service).set(figures.utilisation)
         for use, count in self._count_descriptors().items():
             self._metrics.descriptors.labels(use).set(count)
+        self._set_held_bytes()
         body = generate_latest(self._metrics.registry)
         await connection.send_response(200, {"content-type": CONTENT_TYPE_LATEST}, body)
 
+    def _set_held_bytes(self) -> None:
+        account = self._board.held_bytes
+        for kind in HeldKind:
+            self._metrics.held_bytes.labels(kind).set(account.by_kind[kind])
+            self._metrics.held_bytes_refused.labels(kind).set(account.refused[kind])
+        self._metrics.held_bytes.labels("limit").set(account.limit)
+        self._metrics.held_bytes.labels("peak").set(account.peak)
+
     def _set_upstreams_out(self, now: float) -> None:
         replicas = self._board.upstreams.replicas.values()
         leaving = sum(replica.is_leaving for replica in replicas)
--- a/sequoiamoor/daemon/process.py
+++ b/sequoiamoor/daemon/process.py
@@ -14,6 +14,7 @@
 
 from ..core.blackboard import create_blackboard
 from ..core.drain import Drain, DrainEndReason
+from ..core.held_bytes import MEGABYTE, find_limit
 from ..core.restarts import RestartRecord
 from ..metrics import Metrics
 from ..net.signals import SignalWatch
@@ -58,6 +59,10 @@
             settings.router_id, time.time_ns() // 1_000_000, settings.zone
         )
         self.board = create_blackboard(identity, settings.options)
+        memory_mb = settings.memory_mb
+        self.board.held_bytes.limit = find_limit(
+            None if memory_mb is None else memory_mb * MEGABYTE
+        )
         self.metrics = Metrics()
         for use, count in self.budget.to_parts().items():
             self.metrics.descriptor_budget.labels(use).set(count)
--- a/sequoiamoor/errors.py
+++ b/sequoiamoor/errors.py
@@ -173,6 +173,12 @@
     status = 413
 
 
+class NoRoomError(RefusalError):
+    """The request body did not fit into the memory that the router has for requests."""
+
+    code = "no-room"
+
+
 class RequestTimeoutError(RefusalError):
     """The caller did not send the whole request in time."""
 
@@ -306,6 +312,12 @@
     execution = Execution.MAY_HAVE_RUN
 
 
+class AnswerTooLargeError(UpstreamFailedError):
+    """An answer did not fit into the memory that the router has for answers."""
+
+    code = "answer-too-large"
+
+
 class CallerClosedError(RefusalError):
     """The caller closed its side before its request was sent to a replica."""
 
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -237,6 +237,18 @@
             ["use"],
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "sequoiamoor_held_bytes",
+            "Bytes held for requests and answers; also their limit and their peak.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.held_bytes_refused = Gauge(
+            "sequoiamoor_held_bytes_refused",
+            "Requests and answers that found no room since the start.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.accept_errors = Counter(
             "sequoiamoor_accept_errors",
             "Connections that could not be accepted, by error.",
--- a/sequoiamoor/net/events.py
+++ b/sequoiamoor/net/events.py
@@ -59,6 +59,11 @@
         """Whether the bytes received so far end with a complete event."""
         return not self._buffer.strip()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes kept of an event that is not complete."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Events:
         """Adds received bytes and returns the events that are now complete.
 
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -14,6 +14,7 @@
 import curio
 import h11
 
+from ..core.held_bytes import HeldBytes
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
@@ -81,12 +82,21 @@
     One periodic check aborts receives that wait too long and closes connections that
     were idle for too long. A timeout object per receive would cost more than the
     receive itself.
+
+    Attributes:
+        held_bytes: Account of the answers that are collected.
     """
 
     def __init__(
-        self, *, options: Options, metrics: Metrics, detects_dead_peers: bool = False
+        self,
+        *,
+        options: Options,
+        metrics: Metrics,
+        detects_dead_peers: bool = False,
+        held_bytes: HeldBytes | None = None,
     ) -> None:
         self._options = options
+        self.held_bytes = held_bytes or HeldBytes()
         self._detects_dead_peers = detects_dead_peers
         self._metrics = metrics
         self._idle: dict[Address, deque[tuple[float, ClientConnection]]] = {}
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -11,12 +11,14 @@
 import curio
 import h11
 
+from ..core.held_bytes import HeldKind, Holding
 from ..core.routed_call import Fields, RoutedCall
 from ..core.statements import ReplicaProcess
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
     AnswerMismatchError,
+    AnswerTooLargeError,
     RefusalError,
     UpstreamFailedError,
     UpstreamRefusedError,
@@ -26,7 +28,11 @@
 from ..timeouts import timeout_after
 from ..types import Address, RouteKind
 from .events import Events, EventSequence
-from .exchange import RESPONSE_END_TIMEOUT_SECONDS, ConnectionPool
+from .exchange import (
+    FAILURE_BODY_LIMIT_BYTES,
+    RESPONSE_END_TIMEOUT_SECONDS,
+    ConnectionPool,
+)
 from .formats import UpstreamFormat
 from .http import Response
 from .http_client import ClientConnection, GivenUpExchange
@@ -341,7 +347,7 @@
         assert connection is not None
         try:
             async with timeout_after(RESPONSE_END_TIMEOUT_SECONDS):
-                await connection.receive_body(limit=self._pool.answer_limit_bytes)
+                await connection.receive_body(limit=FAILURE_BODY_LIMIT_BYTES)
         except (OSError, h11.ProtocolError, curio.TaskTimeout):
             await self._pool.discard(connection)
             return
@@ -361,7 +367,7 @@
     async def _read_answer(self, response: Response) -> WholeAnswer:
         connection = self._connection
         assert connection is not None
-        body = await connection.receive_body(limit=self._pool.answer_limit_bytes)
+        body = await self._receive_answer_body(connection)
         if _STATUS_LINE.match(body):
             raise AnswerMismatchError(
                 f"replica {self._replica.replica_id!r} sent another answer where the "
@@ -374,6 +380,36 @@
             response.status, self._format.select_answer_fields(response), body
         )
 
+    def _open_holding(self) -> Holding:
+        return Holding(self._pool.held_bytes, HeldKind.ANSWER, self._call.organisation)
+
+    def _hold(self, holding: Holding, size: int) -> None:
+        """Takes room for what is kept of an answer.
+
+        Raises:
+            AnswerTooLargeError: If there is none.
+        """
+        if not holding.resize(size):
+            raise AnswerTooLargeError(
+                f"this router has no room for the {size} bytes that replica "
+                f"{self._replica.replica_id!r} has sent; if the request may be "
+                "repeated, send it again"
+            )
+
+    async def _receive_answer_body(self, connection: ClientConnection) -> bytes:
+        """Collects the body of an answer, which counts until the call has ended."""
+        holding = self._open_holding()
+        try:
+            body = await connection.receive_body(
+                limit=self._pool.answer_limit_bytes,
+                check_room=lambda count: self._hold(holding, holding.size + count),
+            )
+        except BaseException:
+            holding.release()
+            raise
+        self._call.holdings.append(holding)
+        return body
+
     async def _copy_stream(
         self, response: Response, event_order: EventSequence, send_events: SendEvents
     ) -> WholeAnswer | None:
@@ -387,16 +423,21 @@
             )
         head = StreamHead(response.status, self._format.select_answer_fields(response))
         event_order.start_attempt()
-        last_event_at = time.monotonic()
-        while (data := await connection.receive_data()) is not None:
-            events = event_order.feed(data)
-            now = time.monotonic()
-            if events.count:
-                last_event_at = now
-            elif route.is_resumable:
-                self._check_progress(connection, now - last_event_at)
-            if events.data:
-                await send_events(head, events)
+        holding = self._open_holding()
+        try:
+            last_event_at = time.monotonic()
+            while (data := await connection.receive_data()) is not None:
+                events = event_order.feed(data)
+                self._hold(holding, event_order.pending_bytes)
+                now = time.monotonic()
+                if events.count:
+                    last_event_at = now
+                elif route.is_resumable:
+                    self._check_progress(connection, now - last_event_at)
+                if events.data:
+                    await send_events(head, events)
+        finally:
+            holding.release()
         if not event_order.is_between_events:
             self.is_broken = True
             raise AnswerIncompleteError(
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -346,9 +346,19 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
 
-    async def receive_body(self, *, limit: int | None = None) -> bytes:
+    async def receive_body(
+        self,
+        *,
+        limit: int | None = None,
+        check_room: Callable[[int], None] = lambda count: None,
+    ) -> bytes:
         """Receives the rest of the body.
 
+        Args:
+            limit: Largest size in bytes; None for any.
+            check_room: Called with the bytes of each part before it is kept; an error
+                that it raises ends the body.
+
         Raises:
             OSError: If the connection fails.
             h11.RemoteProtocolError: If the body ends early or is over ``limit``
@@ -360,6 +370,7 @@
             size += len(data)
             if limit is not None and size > limit:
                 raise h11.RemoteProtocolError(f"the body is over {limit} bytes")
+            check_room(len(data))
             parts.append(data)
         return b"".join(parts)
 
--- a/sequoiamoor/settings.py
+++ b/sequoiamoor/settings.py
@@ -122,6 +122,9 @@
     descriptors: int | None = Field(
         None, ge=1, description="file descriptors that the process may open"
     )
+    memory_mb: int | None = Field(
+        None, ge=64, description="megabytes of memory that the process may use"
+    )
     limits: LimitSettings = LimitSettings.model_validate({})
     options: Options = Options.model_validate({})
     gateway: GatewaySettings | None = None
