--- a/sequoiamoor/core/peer_loads.py
+++ b/sequoiamoor/core/peer_loads.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..types import ReplicaId, RouterIdentity
 from .messages import SlotRow
@@ -36,6 +37,13 @@
 
 _NO_LOAD = PeerLoad()
 
+PROMPT_LIFETIME_SECONDS = 0.15
+"""Time for which reported prompts count as unread.
+
+Reports are sent when a prompt is sent and not when it is read, and the routers of a
+large fleet report less often than a replica reads. Nothing is sent to a replica that
+has more to read than it can in about this time."""
+
 
 @dataclass(slots=True)
 class PeerLoads:
@@ -49,13 +57,39 @@
         default_factory=dict
     )
     _loads_by_replica: dict[ReplicaId, PeerLoad] = field(default_factory=dict)
+    _unread: deque[tuple[float, RouterIdentity, tuple[SlotRow, ...]]] = field(
+        default_factory=deque
+    )
 
     def get(self, replica_id: ReplicaId) -> PeerLoad:
         """Returns the use of a replica by all peers together."""
         return self._loads_by_replica.get(replica_id, _NO_LOAD)
 
-    def take(self, peer: RouterIdentity, rows: tuple[SlotRow, ...]) -> None:
-        """Replaces the rows of a peer by those of its latest report."""
+    def take(self, peer: RouterIdentity, rows: tuple[SlotRow, ...], now: float) -> None:
+        """Replaces the rows of a peer by those of its latest report.
+
+        Args:
+            peer: Router that sent the report.
+            rows: Its rows.
+            now: Monotonic time in seconds.
+        """
+        self._replace(peer, rows)
+        if any(row.prompt_tokens for row in rows):
+            self._unread.append((now + PROMPT_LIFETIME_SECONDS, peer, rows))
+
+    def forget_read_prompts(self, now: float) -> None:
+        """Counts prompts that were reported long ago as read.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        while self._unread and self._unread[0][0] <= now:
+            _, peer, rows = self._unread.popleft()
+            if self._rows_by_peer.get(peer) is rows:
+                read = tuple([replace(row, prompt_tokens=0) for row in rows])
+                self._replace(peer, read)
+
+    def _replace(self, peer: RouterIdentity, rows: tuple[SlotRow, ...]) -> None:
         self._add_rows(self._rows_by_peer.pop(peer, ()), -1)
         self._rows_by_peer[peer] = rows
         self._add_rows(rows, 1)
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -125,6 +125,7 @@
     def _find_free_replicas(
         self, board: Blackboard, service: ServiceName, now: float
     ) -> list[tuple[Replica, int]]:
+        self._peers.forget_read_prompts(now)
         windows = self._get_own_windows(board, service, now)
         found = []
         for replica in self._get_pool(board, service, now).replicas:
@@ -538,7 +539,7 @@
     ) -> list[Action]:
         """Applies a report from a peer."""
         self._merge_counters(board, origin, report, now)
-        self._peers.take(origin, report.slots)
+        self._peers.take(origin, report.slots, now)
         return []
 
     def apply_grants(
