--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -15,6 +15,7 @@
 from ..core.blackboard import Blackboard
 from ..core.connections import CallerConnections
 from ..core.descriptors import REFUSALS
+from ..core.held_bytes import HeldKind, Holding
 from ..errors import (
     InternalError,
     RefusalError,
@@ -197,6 +198,7 @@
             body_limit=self._limits.body_bytes,
             send_timeout=self._limits.send_timeout,
             detects_dead_peer=self._detects_dead_peers,
+            open_holding=self._open_holding,
         )
         self._served.add(connection)
         end = ConnectionEnd.FAULT
@@ -346,6 +348,11 @@
             if not connection.start_next_cycle():
                 return _find_end(connection)
 
+    def _open_holding(self, request: Request) -> Holding:
+        """Returns the account of a body, which its organisation owns."""
+        owner = self._find_organisation(request)
+        return Holding(self._board.held_bytes, HeldKind.REQUEST, owner)
+
     def _is_displaced(self, connection: ServerConnection) -> bool:
         """Returns whether a connection was closed to make room for another one."""
         return connection not in self._served
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -6,15 +6,18 @@
 import errno
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 
 import curio
 import h11
 
+from ..core.held_bytes import Holding
 from ..errors import (
     BodyTooLargeError,
     HeadersTooLargeError,
     MalformedRequestError,
+    NoRoomError,
     RequestTimeoutError,
 )
 from ..timeouts import ignore_after, timeout_after, wait_for
@@ -49,6 +52,11 @@
 that it is readable all the time."""
 
 
+NO_ROOM_RETRY_AFTER_SECONDS = 1.0
+"""Retry-After of a request whose body does not fit now. Bodies are held for about as
+long as a stream takes to begin and end."""
+
+
 class ServerConnection:
     """Server side of one connection.
 
@@ -75,7 +83,22 @@
         body_limit: int,
         send_timeout: float = SEND_TIMEOUT_SECONDS,
         detects_dead_peer: bool = False,
+        open_holding: Callable[[Request], Holding] | None = None,
     ) -> None:
+        """Initialises the connection.
+
+        Args:
+            sock: Curio socket.
+            header_limit: Largest request head in bytes.
+            body_limit: Largest request body in bytes.
+            send_timeout: Seconds without progress after which a send fails.
+            detects_dead_peer: Whether the kernel ends the connection when the peer
+                acknowledges nothing for a while.
+            open_holding: Called with the head of a request; returns the account of its
+                body, from the head to the end of the answer. None keeps no account.
+        """
+        self._open_holding = open_holding
+        self._holding: Holding | None = None
         self._sock = sock
         # The standard socket inside the curio socket. Sending on it needs no coroutine;
         # only a send to a peer that does not read needs one, with a timeout.
@@ -236,6 +259,7 @@
                 self._held, header_limit=self._header_limit, body_limit=self._body_limit
             )
             if request is not None:
+                self._hold(request, len(request.body))
                 self._unparsed, self._is_head_request = request, False
                 self._is_request_whole = True
                 return request
@@ -360,7 +384,9 @@
         request = _build_request(event)
         # Checked before 100 Continue is sent, so that the peer does not send a body
         # over the limit.
-        self._check_size(int(request.headers.get("content-length", "0")))
+        length = int(request.headers.get("content-length", "0"))
+        self._check_size(length)
+        self._hold(request, length)
         parts: list[bytes] = []
         size = 0
         while True:
@@ -371,8 +397,32 @@
                 return request
             size += len(event.data)
             self._check_size(size)
+            self._hold(request, max(size, length))
             parts.append(bytes(event.data))
 
+    def _hold(self, request: Request, size: int) -> None:
+        """Takes room for the body of a request.
+
+        Raises:
+            NoRoomError: If there is none.
+        """
+        if self._open_holding is None or not size:
+            return
+        if self._holding is None:
+            self._holding = self._open_holding(request)
+        if not self._holding.resize(size):
+            raise NoRoomError(
+                f"this router has no room for {size} bytes of a body now; try again "
+                "or send it to another one",
+                retry_after=NO_ROOM_RETRY_AFTER_SECONDS,
+            )
+
+    def _release_body(self) -> None:
+        """Gives back the room of the request that was answered last."""
+        holding, self._holding = self._holding, None
+        if holding is not None:
+            holding.release()
+
     def _check_size(self, size: int) -> None:
         if size > self._body_limit:
             raise BodyTooLargeError(
@@ -587,6 +637,7 @@
 
     def start_next_cycle(self) -> bool:
         """Prepares for the next request; returns False if the connection must close."""
+        self._release_body()
         if self._is_refused_unparsed:
             self._is_refused_unparsed = False
             self._is_request_whole = self._is_response_begun = False
@@ -601,6 +652,7 @@
 
     async def close(self) -> None:
         """Closes the connection."""
+        self._release_body()
         if not (self._is_closed or self.is_peer_closed):
             self.unread_bytes += peek_unread(self._raw_sock)
         self._is_closed = True
--- a/tests/daemon/test_held_bytes.py
+++ b/tests/daemon/test_held_bytes.py
@@ -1,15 +1,17 @@
-"""Tests of what a router holds for answers, whatever replicas send."""
+"""Tests of what a router holds for requests and answers, whatever comes."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from sequoiamoor.core.held_bytes import HeldKind
 
-from ..listener_harness import Repeat, Step
+from ..listener_harness import Repeat, Step, parse
 from ..route_listener_harness import (
+    KEY,
     RouteListenerHarness,
     answer,
     ask,
@@ -79,3 +81,68 @@
     assert [len(answered.body) for answered in answers] == [size] * 8
     assert held == 0
     assert size <= peak < size + 100
+
+
+def chunked(path: str, body: bytes) -> bytes:
+    start, _, _ = route_request(path).partition(b"Content-Length")
+    framing = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body)
+    return start + framing + body + b"\r\n0\r\n\r\n"
+
+
+def with_length(path: str, body: bytes) -> bytes:
+    return route_request(path, body=body)
+
+
+@pytest.mark.parametrize("build", [with_length, chunked])
+@pytest.mark.parametrize(
+    ("size", "status"), [(ROOM_BYTES - 1_000, 200), (ROOM_BYTES + 1_000, 503)]
+)
+def test_body_without_room_is_refused_and_none_stays_held(
+    build: Callable[[str, bytes], bytes], size: int, status: int
+) -> None:
+    """Guards against a router that ends by its memory under large bodies."""
+
+    async def session(harness: RouteListenerHarness) -> tuple[Any, int]:
+        account = harness.board.held_bytes
+        account.limit = LIMIT_BYTES
+        await harness.add_replicas(1, [answer()])
+        answered = await ask(harness, build("/look/1", b"x" * size))
+        await harness.wait_for(lambda: account.total == 0)
+        return answered, account.peak
+
+    answered, peak = run(session)
+    assert answered.status == status
+    assert ("retry-after" in answered.headers) == (status == 503)
+    assert peak <= ROOM_BYTES
+
+
+def test_body_is_refused_by_its_announced_length() -> None:
+    """Guards against a body that is read only to be refused."""
+
+    async def session(harness: RouteListenerHarness) -> Any:
+        harness.board.held_bytes.limit = LIMIT_BYTES
+        caller = await harness.connect()
+        request = route_request("/look/1", body=b"x" * 2 * LIMIT_BYTES)
+        await caller.send(request[: request.index(b"\r\n\r\n") + 4])
+        return parse(await caller.receive_until(b"}"))
+
+    assert run(session).status == 503
+
+
+def test_large_bodies_of_one_organisation_leave_room_for_the_others() -> None:
+    """Guards against a flood of large bodies that refuses everybody's requests."""
+
+    async def session(harness: RouteListenerHarness) -> tuple[Any, Any]:
+        account = harness.board.held_bytes
+        account.limit = LIMIT_BYTES
+        while account.take(HeldKind.REQUEST, "captains", 1_000):
+            pass
+        await harness.add_replicas(1, [answer()])
+        key = b"Authorization: Bearer %b\r\n" % KEY.encode()
+        body = b"x" * 1_000
+        own = await ask(harness, route_request("/keyed/1", extra=key, body=body))
+        other = await ask(harness, route_request("/look/1", body=body))
+        return own, other
+
+    own, other = run(session)
+    assert (own.status, other.status) == (503, 200)
