--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -26,7 +26,7 @@
 from ..net import refusal_lane
 from ..net.caller import parse_call, read_request_id, send_refusal
 from ..net.http import Request
-from ..net.http_server import ServerConnection
+from ..net.http_server import RequestLimits, ServerConnection
 from ..settings import LimitSettings
 from ..timeouts import STRAY_TIMEOUTS, wait_for
 from ..types import Execution
@@ -199,6 +199,7 @@
             send_timeout=self._limits.send_timeout,
             detects_dead_peer=self._detects_dead_peers,
             open_holding=self._open_holding,
+            find_limits=self._find_limits,
         )
         self._served.add(connection)
         end = ConnectionEnd.FAULT
@@ -348,6 +349,13 @@
             if not connection.start_next_cycle():
                 return _find_end(connection)
 
+    def _find_limits(self) -> RequestLimits:
+        """Returns the limits of a request that begins now."""
+        limits = self._limits
+        return RequestLimits(
+            limits.header_bytes, limits.body_bytes, limits.receive_timeout
+        )
+
     def _open_holding(self, request: Request) -> Holding:
         """Returns the account of a body, which its organisation owns."""
         owner = self._find_organisation(request)
--- a/sequoiamoor/daemon/route_listener.py
+++ b/sequoiamoor/daemon/route_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from ..core.blackboard import Blackboard
@@ -9,7 +10,7 @@
 from ..errors import RefusalError
 from ..metrics import Metrics
 from ..net.http import Request
-from ..net.http_server import ServerConnection
+from ..net.http_server import RequestLimits, ServerConnection
 from ..settings import LimitSettings
 from .forwarder import Forwarder
 from .listener import Listener
@@ -41,6 +42,11 @@
         self._apply_limits()
         await super().accept(sock, peer)
 
+    def _find_limits(self) -> RequestLimits:
+        self._apply_limits()
+        is_configured = self._board.configuration.declaration is not None
+        return replace(super()._find_limits(), are_known=is_configured)
+
     def _apply_limits(self) -> None:
         declaration = self._board.configuration.declaration
         source = self._limits_source
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import curio
@@ -18,6 +19,8 @@
     HeadersTooLargeError,
     MalformedRequestError,
     NoRoomError,
+    NotReadyError,
+    RefusalError,
     RequestTimeoutError,
 )
 from ..timeouts import ignore_after, timeout_after, wait_for
@@ -52,11 +55,31 @@
 that it is readable all the time."""
 
 
+UNKNOWN_LIMITS_RETRY_AFTER_SECONDS = 0.2
+"""Retry-After of a request that may be within the limits, once they are known."""
+
 NO_ROOM_RETRY_AFTER_SECONDS = 1.0
 """Retry-After of a request whose body does not fit now. Bodies are held for about as
 long as a stream takes to begin and end."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Limits of a request, in force when it begins.
+
+    Attributes:
+        header_bytes: Largest head.
+        body_bytes: Largest body.
+        receive_timeout: Seconds from the first byte to the end of the request.
+        are_known: Whether they were set, and are no defaults until they are.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    receive_timeout: float
+    are_known: bool = True
+
+
 class ServerConnection:
     """Server side of one connection.
 
@@ -84,6 +107,7 @@
         send_timeout: float = SEND_TIMEOUT_SECONDS,
         detects_dead_peer: bool = False,
         open_holding: Callable[[Request], Holding] | None = None,
+        find_limits: Callable[[], RequestLimits] | None = None,
     ) -> None:
         """Initialises the connection.
 
@@ -96,7 +120,11 @@
                 acknowledges nothing for a while.
             open_holding: Called with the head of a request; returns the account of its
                 body, from the head to the end of the answer. None keeps no account.
+            find_limits: Called when a request begins to arrive; returns the limits that
+                hold for it. None keeps those of the connection.
         """
+        self._find_limits = find_limits
+        self._are_limits_known = True
         self._open_holding = open_holding
         self._holding: Holding | None = None
         self._sock = sock
@@ -252,6 +280,10 @@
                 return None
             if not has_data:
                 return None
+        if self._find_limits is not None:
+            limits = self._find_limits()
+            self._set_limits(limits)
+            receive_timeout = limits.receive_timeout
         if self._is_idle_ended:
             receive_timeout = min(receive_timeout, CLOSE_LINGER_SECONDS)
         if self._held:
@@ -268,6 +300,19 @@
         self._receive_ends_at = time.monotonic() + receive_timeout
         return await self._receive_complete()
 
+    def _set_limits(self, limits: RequestLimits) -> None:
+        """Applies the limits of a request of which nothing was parsed yet."""
+        self._body_limit = limits.body_bytes
+        self._are_limits_known = limits.are_known
+        if limits.header_bytes == self._header_limit:
+            return
+        self._header_limit = limits.header_bytes
+        if self._parser is not None and self._parser.their_state is h11.IDLE:
+            # The limit of a parser is set as it is created.
+            rest, has_ended = self._parser.trailing_data
+            if not has_ended:
+                self._parser, self._held = None, bytes(rest) + self._held
+
     def parse_received(self) -> None:
         """Lets h11 parse a request that was returned before h11 parsed it.
 
@@ -343,9 +388,11 @@
         buffered = self._h11.trailing_data[0]
         match = HEAD_END_PATTERN.search(buffered)
         if (match.end() if match else len(buffered)) > self._header_limit:
-            raise HeadersTooLargeError(
-                f"the request head is over {self._header_limit} bytes; send fewer or "
-                "shorter header fields"
+            raise self._build_size_error(
+                HeadersTooLargeError(
+                    f"the request head is over {self._header_limit} bytes; send fewer "
+                    "or shorter header fields"
+                )
             )
         if match:
             check_request_head(buffered[: match.start()])
@@ -358,9 +405,11 @@
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as err:
                 if err.error_status_hint == 431:
-                    raise HeadersTooLargeError(
-                        f"the request head, a chunk's head or the trailer is over "
-                        f"{self._header_limit} bytes; send fewer or shorter fields"
+                    raise self._build_size_error(
+                        HeadersTooLargeError(
+                            "the request head, a chunk's head or the trailer is over "
+                            f"{self._header_limit} bytes; send fewer or shorter fields"
+                        )
                     ) from err
                 raise MalformedRequestError(
                     f"{err}; send a request that follows HTTP/1.1"
@@ -425,10 +474,22 @@
 
     def _check_size(self, size: int) -> None:
         if size > self._body_limit:
-            raise BodyTooLargeError(
-                f"the request body is over {self._body_limit} bytes; send less"
+            raise self._build_size_error(
+                BodyTooLargeError(
+                    f"the request body is over {self._body_limit} bytes; send less"
+                )
             )
 
+    def _build_size_error(self, error: RefusalError) -> RefusalError:
+        """Returns the error for a request that is over a limit."""
+        if self._are_limits_known:
+            return error
+        return NotReadyError(
+            "this router has no configuration yet, so it does not know the limits of "
+            "requests; try again or send it to another one",
+            retry_after=UNKNOWN_LIMITS_RETRY_AFTER_SECONDS,
+        )
+
     async def _write(self, data: bytes) -> None:
         self._is_write_whole = False
         try:
