--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -268,7 +268,8 @@
             now: Monotonic time in seconds.
         """
         for connection in list(self._in_use):
-            if not self._is_silent(connection, now):
+            # It may have been closed while idle ones were.
+            if connection not in self._in_use or not self._is_silent(connection, now):
                 continue
             connection.abort()
             if self._detects_dead_peers and connection.find_unacknowledged_time(now):
--- a/tests/net/test_given_up_exchanges.py
+++ b/tests/net/test_given_up_exchanges.py
@@ -13,7 +13,7 @@
 import pytest
 
 from sequoiamoor.metrics import Metrics
-from sequoiamoor.net.exchange import ConnectionPool
+from sequoiamoor.net.exchange import UNACKNOWLEDGED_LIMIT_SECONDS, ConnectionPool
 from sequoiamoor.net.http_client import ClientConnection, GivenUpExchange
 from sequoiamoor.net.tcp_state import count_unacknowledged
 from sequoiamoor.options import Options
@@ -214,3 +214,33 @@
         return states
 
     assert run(send) == [False, False, True, False]
+
+
+def test_connection_that_closes_during_the_check_is_passed_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a check that fails, and ends the router if it does so often."""
+
+    async def check() -> int:
+        with open_pool() as (pool, listener):
+            address = get_address(listener)
+            connections = [
+                (await pool.acquire(address, force_new=True))[0] for _ in range(3)
+            ]
+            peers = [listener.accept()[0] for _ in connections]
+            for connection in connections:
+                await connection.send_request("POST", "/", {}, LARGE_BODY)
+
+            async def close_all(silent: Address) -> None:
+                for connection in connections:
+                    await pool.discard(connection)
+
+            monkeypatch.setattr(pool, "_close_idle", close_all)
+            now = time.monotonic()
+            await pool.close_expired(now)
+            await pool.close_expired(now + UNACKNOWLEDGED_LIMIT_SECONDS)
+            for peer in peers:
+                peer.close()
+            return pool.open_count
+
+    assert run(check) == 0
