--- a/sequoiamoor/core/peer_loads.py
+++ b/sequoiamoor/core/peer_loads.py
@@ -73,6 +73,8 @@
             rows: Its rows.
             now: Monotonic time in seconds.
         """
+        # A router that starts nothing itself asks for no sums.
+        self.forget_read_prompts(now)
         self._replace(peer, rows)
         if any(row.prompt_tokens for row in rows):
             self._unread.append((now + PROMPT_LIFETIME_SECONDS, peer, rows))
--- a/tests/core/test_peer_loads.py
+++ b/tests/core/test_peer_loads.py
@@ -74,3 +74,12 @@
     loads.keep_only([])
     loads.forget_read_prompts(9.0)
     assert loads.get("i-1").prompt_tokens == loads.get("i-1").in_use == 0
+
+
+def test_reports_to_a_router_that_starts_nothing_are_not_kept() -> None:
+    """Guards against memory that grows with each report of the other routers."""
+    loads = PeerLoads()
+    row = SlotRow("i-1", 0, 0, 0, 2, 9_000, 12)
+    for number in range(1_000):
+        loads.take(PEERS[0], (row,), number * PROMPT_LIFETIME_SECONDS / 10)
+    assert len(loads._unread) <= 11
