Count what choosing starts looks at, and log why calls are left waiting

The counts are exported as sequoiamoor_choices; a line is written at most once a second while calls are left waiting. No decision changes.

--- a/sequoiamoor/core/blackboard.py
+++ b/sequoiamoor/core/blackboard.py
@@ -8,6 +8,7 @@
 from ..declaration import Declaration
 from ..options import Options
 from ..types import CallRequest, RouteKind, RouterId, RouterIdentity, ServiceName
+from .choices import Choices
 from .held_bytes import HeldBytes
 from .ledger import Ledger
 from .placement import TreePosition
@@ -69,6 +70,7 @@
     Attributes:
         quarantine: Prompt parts under which replicas ended.
         held_bytes: Bytes held for requests and answers.
+        choices: What choosing starts has cost, and why requests wait.
         running: Requests with an attempt in progress, by call identifier.
         members: Live peers, without this router.
         unreachable: Routers to which no connection can be opened or kept open.
@@ -89,6 +91,7 @@
     ledger: Ledger = field(default_factory=Ledger)
     quarantine: Quarantine = field(default_factory=Quarantine)
     held_bytes: HeldBytes = field(default_factory=HeldBytes)
+    choices: Choices = field(default_factory=Choices)
     running: dict[str, CallRequest] = field(default_factory=dict)
     members: dict[RouterId, RouterIdentity] = field(default_factory=dict)
     unreachable: frozenset[RouterIdentity] = frozenset()
--- /dev/null
+++ b/sequoiamoor/core/choices.py
@@ -0,0 +1,75 @@
+"""What choosing the next starts costs, and why waiting requests do not start."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field, replace
+
+from ..types import OrganisationName
+
+
+@dataclass(slots=True)
+class ChoiceCounts:
+    """Work done to choose starts, and its outcomes.
+
+    Attributes:
+        passes: Searches for a start while requests waited.
+        starts: Requests that were started.
+        replicas: Replicas that were looked at.
+        requests: Waiting requests that were looked at.
+        full: Passes that found no replica with a free slot.
+        held_back: Organisations that gave way to others in a pass.
+        unplaced: Requests for which no replica was found in a pass.
+    """
+
+    passes: int = 0
+    starts: int = 0
+    replicas: int = 0
+    requests: int = 0
+    full: int = 0
+    held_back: int = 0
+    unplaced: int = 0
+
+    @property
+    def left_waiting(self) -> int:
+        """Number of times that a pass left a request or an organisation waiting."""
+        return self.full + self.held_back + self.unplaced
+
+    def subtract(self, earlier: ChoiceCounts) -> ChoiceCounts:
+        """Returns the counts since an earlier copy."""
+        before = asdict(earlier)
+        return ChoiceCounts(
+            **{name: count - before[name] for name, count in asdict(self).items()}
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class HeldBack:
+    """State in which an organisation last gave way to others.
+
+    Attributes:
+        organisation: The organisation.
+        lead: Its key above the lowest one, in service units.
+        lowest: Organisation with the lowest key of those with waiting requests.
+        lowest_waiting: Its waiting requests, as known to this router.
+        waiting: Waiting requests of all organisations, as known to this router.
+        placeable: Requests that the replicas can take.
+    """
+
+    organisation: OrganisationName
+    lead: float
+    lowest: OrganisationName
+    lowest_waiting: int
+    waiting: int
+    placeable: int
+
+
+@dataclass(slots=True)
+class Choices:
+    """Counts of one router's choices, and the last one against an organisation."""
+
+    counts: ChoiceCounts = field(default_factory=ChoiceCounts)
+    last_held_back: HeldBack | None = None
+
+    def copy_counts(self) -> ChoiceCounts:
+        """Returns a copy of the counts."""
+        return replace(self.counts)
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import curio
 
 from ..core.actions import Action
 from ..core.blackboard import Blackboard
+from ..core.choices import ChoiceCounts
 from ..core.overload import Overload, bound_retry_after
 from ..core.upstreams import Replica
 from ..errors import QueueFullError, RefusalError, UpstreamsUnavailableError
@@ -18,6 +20,11 @@
 from ..timeouts import wait_for
 from ..types import CallRequest
 
+_LOG = logging.getLogger(__name__)
+
+CHOICES_LOG_SECONDS = 1.0
+"""Shortest time between two lines on calls that were left waiting."""
+
 
 @dataclass(slots=True)
 class _PendingStart:
@@ -62,6 +69,8 @@
         self._overload = Overload(board.options, min_queued_requests)
         self._pending_starts: dict[str, _PendingStart] = {}
         self._refuses_unserved = refuses_unserved
+        self._choices_logged_at = float("-inf")
+        self._logged_counts = ChoiceCounts()
 
     @property
     def in_service(self) -> int:
@@ -134,9 +143,27 @@
             await pending.event.set()
         if self._refuses_unserved:
             await self._refuse_unserved(service, now)
+        self._log_choices(now)
         # The policy may have marked a report as due because calls are still waiting.
         self._perform(())
 
+    def _log_choices(self, now: float) -> None:
+        """Logs why calls were left waiting, at most once per interval."""
+        choices = self._board.choices
+        if now - self._choices_logged_at < CHOICES_LOG_SECONDS:
+            return
+        counts = choices.counts.subtract(self._logged_counts)
+        if not counts.left_waiting:
+            return
+        self._choices_logged_at, self._logged_counts = now, choices.copy_counts()
+        held_back = choices.last_held_back if counts.held_back else None
+        extra = {
+            "choices": asdict(counts),
+            "queued": len(self._board.queues),
+            "held_back": None if held_back is None else asdict(held_back),
+        }
+        _LOG.info("calls were left waiting", extra=extra)
+
     async def _refuse_unserved(self, service: str, now: float) -> None:
         """Refuses waiting calls that no replica will take within their wait limit."""
         return_time = self._board.upstreams.find_return_time(service, now)
--- a/sequoiamoor/daemon/pages.py
+++ b/sequoiamoor/daemon/pages.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -83,6 +84,8 @@
         for use, count in self._count_descriptors().items():
             self._metrics.descriptors.labels(use).set(count)
         self._set_held_bytes()
+        for kind, number in asdict(self._board.choices.counts).items():
+            self._metrics.choices.labels(kind).set(number)
         body = generate_latest(self._metrics.registry)
         await connection.send_response(200, {"content-type": CONTENT_TYPE_LATEST}, body)
 
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -45,6 +45,9 @@
     "prompt_tokens",
     "output_tokens",
     "left_out",
+    "choices",
+    "queued",
+    "held_back",
 )
 
 MAX_LINES_PER_SECOND = 200.0
--- a/sequoiamoor/metrics.py
+++ b/sequoiamoor/metrics.py
@@ -300,6 +300,12 @@
             "Requests with an attempt under way.",
             registry=self.registry,
         )
+        self.choices = Gauge(
+            "sequoiamoor_choices",
+            "Work done to choose starts since the start, and its outcomes.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "sequoiamoor_configuration_version",
             "Version of the configuration in force; 0 means none.",
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -11,6 +11,7 @@
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.charges import ElapsedCharges
+from ..core.choices import HeldBack
 from ..core.demand import Demand
 from ..core.fairness import (
     CostEstimates,
@@ -224,10 +225,13 @@
         names = board.queues.organisations(service)
         if not names:
             return None
+        counts = board.choices.counts
+        counts.passes += 1
         self._record_waiting(board, service, names, now)
         free = self._find_free_replicas(board, service, now)
         if not free:
             if not self._handle_no_free_slot(board, service, now):
+                counts.full += 1
                 return None
             free = self._find_free_replicas(board, service, now)
         view = self._build_view(board, service, now)
@@ -238,14 +242,22 @@
             )
             names.remove(name)
             if not self._may_start(service, name, view, placeable):
+                counts.held_back += 1
+                board.choices.last_held_back = _describe_held_back(
+                    name, view, placeable
+                )
                 continue
             for request in self._list_candidates(board, service, name, free, now):
+                counts.requests += 1
+                counts.replicas += len(free)
                 usable = [
                     pair for pair in free if request.may_use(pair[0].replica_id, now)
                 ]
                 replica = self._find_replica(board, request, usable, now)
                 if replica is not None:
+                    counts.starts += 1
                     return self._start(board, request, replica, now)
+                counts.unplaced += 1
         return None
 
     def _may_start(
@@ -308,9 +320,11 @@
         self, board: Blackboard, service: ServiceName, now: float
     ) -> list[tuple[Replica, int]]:
         """Returns the available replicas with free slots and how many each has."""
+        replicas = self._get_pool(board, service, now).replicas
+        board.choices.counts.replicas += len(replicas)
         return [
             (replica, 1 if replica.stated.is_returning else free)
-            for replica in self._get_pool(board, service, now).replicas
+            for replica in replicas
             if (free := self._count_free_slots(board, replica, now)) > 0
             and replica.is_available(now)
         ]
@@ -430,3 +444,18 @@
                 )
             )
         return figures
+
+
+def _describe_held_back(
+    name: OrganisationName, view: ServiceView, placeable: int
+) -> HeldBack:
+    waiting = {n: state for n, state in view.organisations.items() if state.waiting}
+    lowest = min(waiting, key=lambda candidate: waiting[candidate].key)
+    return HeldBack(
+        organisation=name,
+        lead=waiting[name].key - waiting[lowest].key,
+        lowest=lowest,
+        lowest_waiting=waiting[lowest].waiting,
+        waiting=sum(state.waiting for state in waiting.values()),
+        placeable=placeable,
+    )
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -128,7 +128,9 @@
         self._peers.forget_read_prompts(now)
         windows = self._get_own_windows(board, service, now)
         found = []
-        for replica in self._get_pool(board, service, now).replicas:
+        pool = self._get_pool(board, service, now)
+        board.choices.counts.replicas += len(pool.replicas)
+        for replica in pool.replicas:
             peer_load = self._peers.get(replica.replica_id)
             window = _agree_on_window(windows[replica.replica_id], peer_load)
             free = window - replica.in_use - peer_load.in_use
@@ -304,6 +306,7 @@
         limit = BACKLOG_TARGET_FRACTION * shortest_target
         seconds_per_token = self._reads.model(service).seconds_per_token
         placeable = 0
+        board.choices.counts.replicas += len(free)
         for replica, count in free:
             ahead = self._count_tokens_ahead(replica.replica_id)
             room = (limit - seconds_per_token * ahead) / mean_seconds
@@ -358,6 +361,7 @@
         members = {member.replica_id: member for member in pool.replicas}
         index = -1
         for replica_id in rank_candidates(part, tuple(members)):
+            board.choices.counts.replicas += 1
             entry = free_by_id.get(replica_id)
             if entry is None:
                 index += members[replica_id].is_available(now)
@@ -403,6 +407,7 @@
             backlog_limit=_find_backlog_limit(board, request),
         )
         candidates = []
+        board.choices.counts.replicas += len(free)
         for replica, count in free:
             replica_id = replica.replica_id
             tokens_ahead = self._count_tokens_ahead(replica_id)
