--- /dev/null
+++ b/tests/policies/test_cost_of_starts.py
@@ -0,0 +1,126 @@
+"""Tests of what choosing a start costs, counted in replicas and requests looked at."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from sequoiamoor.core.blackboard import create_blackboard
+from sequoiamoor.core.messages import Report, SlotRow
+from sequoiamoor.core.routed_call import PromptPart, RoutedCall
+from sequoiamoor.core.routes import Route
+from sequoiamoor.core.upstreams import LoadReport, Replica
+from sequoiamoor.declaration import parse_declaration
+from sequoiamoor.options import Options
+from sequoiamoor.policies.shared_load import SharedLoadPolicy
+from sequoiamoor.types import Address, RouteKind, RouterIdentity
+
+REPLICAS, SLOTS, ORGANISATIONS, WAITING = 45, 12, 3, 24
+EVENT_SECONDS = 0.001
+ROUTE = Route(
+    "r", "h", "/", RouteKind.STREAM, True, True, 9.0, 0.4, 0.25, 2, (("talk", 1.0),)
+)
+DECLARATION = {
+    "organisations": {},
+    "classes": {},
+    "services": {"talk": {"kind": "engine"}},
+    "routes": {
+        "r": {"host": "h", "prefix": "/", "kind": "stream", "timeout_ms": 9_000,
+              "target_ms": 400, "services": [("talk", 1.0)]},
+    },
+    "limits": {"tokens_per_second": 2_000_000},
+}  # fmt: skip
+PEER = RouterIdentity("router-1", 1, "zone")
+
+
+class Router:
+    """A router before replicas that still read prompts of a peer."""
+
+    def __init__(self, *, shared: int) -> None:
+        self.shared = shared
+        options = Options(
+            slot_cap_factor=1_000.0,
+            slot_floor_factor=0.0,
+            queue_limit_per_organisation=1_000,
+        )
+        identity = RouterIdentity("router-0", 1, "zone")
+        self.board = create_blackboard(identity, options)
+        self.board.configuration.declaration = parse_declaration(DECLARATION)
+        self.board.members[PEER.router_id] = PEER
+        self.policy = SharedLoadPolicy(rng=Random(1))
+        for index in range(REPLICAS):
+            address = Address("10.0.0.1", 1 + index)
+            replica = Replica(f"i-{index}", "talk", "zone", address)
+            replica.load = LoadReport(1, SLOTS, 0, 0, 0.0, False)
+            self.board.upstreams.replicas[replica.replica_id] = replica
+        self.policy.step(self.board, 0.0)
+        self.arrivals = 0
+
+    def report(self, *, unread: int) -> None:
+        rows = [SlotRow(f"i-{i}", 0, 0, 0, 1, unread, 0) for i in range(REPLICAS)]
+        report = Report(1, 1, False, (), tuple(rows))
+        self.policy.apply_report(self.board, PEER, report, 0.0)
+
+    def add(self, now: float) -> None:
+        self.arrivals += 1
+        name = f"o-{self.arrivals % ORGANISATIONS}"
+        own = PromptPart(f"own-{self.arrivals}", 900)
+        shared = PromptPart(f"subject-{self.arrivals % 7}", self.shared)
+        call = RoutedCall(
+            f"c-{self.arrivals}", "q", name, "r", "talk", now, now + 0.4, now + 0.4,
+            b"", route=ROUTE, ends_at=now + 9.0, parts=(shared, own), output_tokens=100,
+        )  # fmt: skip
+        self.board.queues.add(call)
+
+    def start_all(self, now: float) -> list[tuple[RoutedCall, str]]:
+        started = []
+        while (start := self.policy.choose_start(self.board, "talk", now)) is not None:
+            call = self.board.queues.remove(start.call_id)
+            assert isinstance(call, RoutedCall)
+            self.board.upstreams.replicas[start.replica_id].in_use += 1
+            started.append((call, start.replica_id))
+        return started
+
+
+@pytest.mark.parametrize("shared", [0, 4_000])
+def test_arrival_costs_the_same_however_many_requests_wait(shared: int) -> None:
+    """Guards against a pass that looks for a replica for all that wait, at each event.
+
+    A router that does so under a flood has no time left to read, so that more waits.
+    """
+    router = Router(shared=shared)
+    router.report(unread=1_000_000)
+    for _ in range(ORGANISATIONS * WAITING):
+        router.add(0.0)
+    assert router.start_all(0.0) == []
+    counts = router.board.choices.counts
+    before = router.board.choices.copy_counts()
+    arrivals = 15
+    for number in range(arrivals):
+        now = (1 + number) * EVENT_SECONDS
+        router.add(now)
+        assert router.start_all(now) == []
+    cost = counts.subtract(before)
+    assert cost.requests <= arrivals + ORGANISATIONS * WAITING
+    assert cost.replicas <= 2 * REPLICAS * (1 + ORGANISATIONS)
+
+
+@pytest.mark.parametrize("shared", [0, 4_000])
+def test_start_costs_the_same_however_many_requests_wait(shared: int) -> None:
+    """Guards against a start that looks at each replica for each request that waits."""
+    router = Router(shared=shared)
+    for _ in range(REPLICAS * SLOTS + ORGANISATIONS * WAITING):
+        router.add(0.0)
+    running = router.start_all(0.0)
+    before = router.board.choices.copy_counts()
+    started = 0
+    for number, (call, replica_id) in enumerate(running[:15]):
+        now = (1 + number) * EVENT_SECONDS
+        router.policy.record_first_event(router.board, call, now)
+        router.board.upstreams.replicas[replica_id].in_use -= 1
+        router.policy.finish(router.board, call, replica_id, now)
+        started += len(router.start_all(now))
+    cost = router.board.choices.counts.subtract(before)
+    assert started > 0
+    assert cost.replicas <= 2 * REPLICAS * (started + 1)
