Choose starts with one look at all replicas in 20 ms

What choices share is now kept for 20 ms in a round. In between only the replicas at which something ended or was read are looked at, a request that found no replica is tried only at those, and one for which every replica has too much to read is not tried at any. A report or a step ends the round.

--- a/sequoiamoor/core/prefill.py
+++ b/sequoiamoor/core/prefill.py
@@ -156,11 +156,17 @@
             self.count_unread_tokens(replica_id) + tokens
         )
 
-    def finish(self, call_id: str, now: float, *, is_answered: bool) -> None:
-        """Records that the first event arrived, or that none will arrive."""
+    def finish(
+        self, call_id: str, now: float, *, is_answered: bool
+    ) -> ReplicaId | None:
+        """Records that the first event arrived, or that none will arrive.
+
+        Returns:
+            The replica that was reading the prompt, None if none was.
+        """
         read = self._reads_by_call_id.pop(call_id, None)
         if read is None:
-            return
+            return None
         remaining_tokens = self.count_unread_tokens(read.replica_id) - read.tokens
         if remaining_tokens > 0:
             self._unread_tokens_by_replica[read.replica_id] = remaining_tokens
@@ -170,3 +176,4 @@
             self.model(read.service).record_sample(
                 read.ahead + read.tokens, now - read.started_at
             )
+        return read.replica_id
--- a/sequoiamoor/core/rendezvous.py
+++ b/sequoiamoor/core/rendezvous.py
@@ -28,6 +28,16 @@
     )
 
 
+@lru_cache(maxsize=512)
+def rank_positions(key: str, candidates: tuple[str, ...]) -> dict[str, int]:
+    """Returns the candidates by descending weight for a key, with their positions.
+
+    Callers must not modify the result.
+    """
+    ranked = rank_candidates(key, candidates)
+    return {candidate: position for position, candidate in enumerate(ranked)}
+
+
 def choose_router(
     key: str, zone: ZoneName, routers: Iterable[RouterIdentity]
 ) -> RouterIdentity | None:
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -243,9 +243,7 @@
             names.remove(name)
             if not self._may_start(service, name, view, placeable):
                 counts.held_back += 1
-                board.choices.last_held_back = _describe_held_back(
-                    name, view, placeable
-                )
+                board.choices.last_held_back = describe_held_back(name, view, placeable)
                 continue
             for request in self._list_candidates(board, service, name, free, now):
                 counts.requests += 1
@@ -446,9 +444,10 @@
         return figures
 
 
-def _describe_held_back(
+def describe_held_back(
     name: OrganisationName, view: ServiceView, placeable: int
 ) -> HeldBack:
+    """Returns the state in which an organisation with waiting work gives way."""
     waiting = {n: state for n, state in view.organisations.items() if state.waiting}
     lowest = min(waiting, key=lambda candidate: waiting[candidate].key)
     return HeldBack(
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -4,22 +4,24 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
 from random import Random
 
-from ..core.actions import Action
+from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.charges import StartCharges, is_charged_at_start
 from ..core.fairness import (
     GRANTED_SLOT_GAP_FACTOR,
     RecentWork,
     ServiceView,
+    choose_organisation,
     may_use_slot,
 )
 from ..core.messages import Grants, Report, SlotRow
 from ..core.peer_loads import PeerLoad, PeerLoads
 from ..core.prefill import PromptReads
-from ..core.rendezvous import rank_candidates
+from ..core.rendezvous import rank_positions
 from ..core.routed_call import RoutedCall
 from ..core.stream_pace import StreamPace
 from ..core.upstreams import Replica
@@ -32,7 +34,7 @@
     ServiceKind,
     ServiceName,
 )
-from .fair import Pool
+from .fair import Pool, describe_held_back
 from .reporting import ReportingPolicy
 
 MAX_TRIED_REQUESTS = 24
@@ -101,6 +103,47 @@
 milliseconds, less than the prompts ahead of a request at a busy replica."""
 
 
+ROUND_SECONDS = 0.02
+"""Time for which starts are chosen with one look at all replicas and organisations.
+
+In between only what changes at this router is looked at: a router under a flood would
+otherwise look at everything for each arrival, first event and end."""
+
+
+@dataclass(slots=True)
+class Round:
+    """What the choices of starts for one service share for ``ROUND_SECONDS``.
+
+    Attributes:
+        pool: Replicas on which it is based.
+        ends_at: Monotonic time in seconds of the next look at everything.
+        view: All organisations with waiting or running requests.
+        available: Replicas that may get work, in the order of the pool.
+        rooms: Requests that each of them can take.
+        placeable: Sum of the rooms.
+        least_ahead: Lower bound of the prompt tokens that any of them has to read.
+        gains: Replicas that got room, or less to read, in order.
+        tried: Waiting requests that found no replica, each with the number of gains
+            that it has seen.
+    """
+
+    pool: Pool
+    ends_at: float
+    view: ServiceView
+    available: dict[ReplicaId, Replica]
+    rooms: dict[ReplicaId, int] = field(default_factory=dict)
+    placeable: int = 0
+    least_ahead: float = math.inf
+    gains: list[ReplicaId] = field(default_factory=list)
+    tried: dict[str, int] = field(default_factory=dict)
+
+    def set_room(self, replica_id: ReplicaId, room: int, ahead: int) -> None:
+        """Sets how many requests a replica can take and what it has to read."""
+        self.placeable += room - self.rooms.get(replica_id, 0)
+        self.rooms[replica_id] = room
+        self.least_ahead = min(self.least_ahead, ahead)
+
+
 class SharedLoadPolicy(ReportingPolicy):
     """Starts work at replicas with a free slot according to all routers' reports.
 
@@ -119,24 +162,18 @@
         self._own_windows: dict[ServiceName, tuple[Pool, dict[ReplicaId, int]]] = {}
         self._reported_in_use: dict[ReplicaId, int] = {}
         self._part_used_at: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
+        self._rounds: dict[ServiceName, Round] = {}
 
     # Slots.
 
-    def _find_free_replicas(
-        self, board: Blackboard, service: ServiceName, now: float
-    ) -> list[tuple[Replica, int]]:
-        self._peers.forget_read_prompts(now)
-        windows = self._get_own_windows(board, service, now)
-        found = []
-        pool = self._get_pool(board, service, now)
-        board.choices.counts.replicas += len(pool.replicas)
-        for replica in pool.replicas:
-            peer_load = self._peers.get(replica.replica_id)
-            window = _agree_on_window(windows[replica.replica_id], peer_load)
-            free = window - replica.in_use - peer_load.in_use
-            if free > 0 and replica.is_available(now):
-                found.append((replica, 1 if replica.stated.is_returning else free))
-        return found
+    def _count_free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
+        if not replica.is_available(now):
+            return 0
+        peer_load = self._peers.get(replica.replica_id)
+        own_window = self._compute_own_window(board, replica, now)
+        window = _agree_on_window(own_window, peer_load)
+        free = window - replica.in_use - peer_load.in_use
+        return min(free, 1) if replica.stated.is_returning else free
 
     def _get_own_windows(
         self, board: Blackboard, service: ServiceName, now: float
@@ -265,87 +302,152 @@
 
     # Starts.
 
-    def _may_start(
-        self,
-        service: ServiceName,
-        name: OrganisationName,
-        view: ServiceView,
-        placeable: int,
-    ) -> bool:
-        waiting = sum(state.waiting for state in view.organisations.values())
-        is_contested = waiting > placeable
-        # No arbiter grants slots here; ``is_granted`` selects the larger allowed gap.
-        if not is_contested or may_use_slot(name, view, is_granted=True):
-            return True
-        own_key = view.organisations[name].key
-        lower_keys = [
-            state.key
-            for state in view.organisations.values()
-            if state.waiting > 0 and state.key < own_key
-        ]
-        limit = max(lower_keys, default=own_key)
-        limit += GRANTED_SLOT_GAP_FACTOR * view.allowed_gap
-        self._recent.limit(service, name, MAX_LEAD_FACTOR * limit)
-        return False
+    def choose_start(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> Start | None:
+        """Returns the next start, or None without waiting work or a replica for it."""
+        names = board.queues.organisations(service)
+        if not names:
+            return None
+        board.choices.counts.passes += 1
+        self._record_waiting(board, service, names, now)
+        current = self._get_round(board, service, names, now)
+        if not current.placeable:
+            board.choices.counts.full += 1
+        while names:
+            name = choose_organisation(names, current.view, now) or min(
+                names,
+                key=lambda candidate: current.view.organisations[candidate].key,
+            )
+            names.remove(name)
+            if not self._may_start(service, name, current.view, current.placeable):
+                board.choices.counts.held_back += 1
+                board.choices.last_held_back = describe_held_back(
+                    name, current.view, current.placeable
+                )
+                continue
+            for request in board.queues.list_first(service, name, MAX_TRIED_REQUESTS):
+                replica = self._try_request(board, current, request, now)
+                if replica is not None:
+                    board.choices.counts.starts += 1
+                    return self._start(board, request, replica, now)
+        return None
 
-    def _count_placeable(
+    def _get_round(
         self,
         board: Blackboard,
         service: ServiceName,
-        free: list[tuple[Replica, int]],
+        names: Iterable[OrganisationName],
         now: float,
-    ) -> int:
-        """Returns how many requests the replicas can take now.
+    ) -> Round:
+        """Returns the round of a service, a new one if the last one is outdated."""
+        self._peers.forget_read_prompts(now)
+        pool = self._get_pool(board, service, now)
+        current = self._rounds.get(service)
+        if (
+            current is None
+            or not now < current.ends_at
+            or current.pool is not pool
+            or any(name not in current.view.organisations for name in names)
+        ):
+            current = self._begin_round(board, service, pool, now)
+            self._rounds[service] = current
+        return current
+
+    def _begin_round(
+        self, board: Blackboard, service: ServiceName, pool: Pool, now: float
+    ) -> Round:
+        available = {
+            replica.replica_id: replica
+            for replica in pool.replicas
+            if replica.is_available(now)
+        }
+        view = self._build_view(board, service, now)
+        current = Round(pool, now + ROUND_SECONDS, view, available)
+        board.choices.counts.replicas += len(pool.replicas)
+        for replica in available.values():
+            self._update_room(board, current, replica, now)
+        return current
+
+    def _update_room(
+        self, board: Blackboard, current: Round, replica: Replica, now: float
+    ) -> None:
+        """Looks again at the room of a replica.
 
         An engine with many slots takes only as many prompts as it can read in time.
         """
+        replica_id, service = replica.replica_id, replica.service
+        room = max(self._count_free_slots(board, replica, now), 0)
+        ahead = self._count_tokens_ahead(replica_id)
         shortest_target = board.configuration.find_shortest_stream_target(service)
         mean_seconds = self._reads.find_mean_seconds(service)
-        if math.isinf(shortest_target) or not mean_seconds:
-            return super()._count_placeable(board, service, free, now)
-        limit = BACKLOG_TARGET_FRACTION * shortest_target
-        seconds_per_token = self._reads.model(service).seconds_per_token
-        placeable = 0
-        board.choices.counts.replicas += len(free)
-        for replica, count in free:
-            ahead = self._count_tokens_ahead(replica.replica_id)
-            room = (limit - seconds_per_token * ahead) / mean_seconds
-            placeable += min(count, max(math.ceil(room), 0))
-        return placeable
-
-    def _list_candidates(
-        self,
-        board: Blackboard,
-        service: ServiceName,
-        name: OrganisationName,
-        free: list[tuple[Replica, int]],
-        now: float,
-    ) -> list[CallRequest]:
-        return board.queues.list_first(service, name, MAX_TRIED_REQUESTS)
+        if room and mean_seconds and not math.isinf(shortest_target):
+            limit = BACKLOG_TARGET_FRACTION * shortest_target
+            seconds_ahead = self._reads.model(service).seconds_per_token * ahead
+            readable = math.ceil((limit - seconds_ahead) / mean_seconds)
+            room = min(room, max(readable, 0))
+        current.set_room(replica_id, room, ahead)
+
+    def _note_change(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
+    ) -> None:
+        """Looks again at a replica at which a prompt was read or a request ended."""
+        current = self._rounds.get(request.service)
+        replica = None if current is None else current.available.get(replica_id)
+        if current is not None and replica is not None:
+            board.choices.counts.replicas += 1
+            self._update_room(board, current, replica, now)
+            current.gains.append(replica_id)
 
-    def _find_replica(
+    def _try_request(
+        self, board: Blackboard, current: Round, request: CallRequest, now: float
+    ) -> Replica | None:
+        """Returns the replica to start a request at, or None if it should wait.
+
+        One that found none in this round is tried at the replicas that gained room.
+        """
+        seen = current.tried.get(request.call_id)
+        current.tried[request.call_id] = len(current.gains)
+        candidates: dict[ReplicaId, Replica] = current.available
+        if seen is not None:
+            gained = dict.fromkeys(current.gains[seen:])
+            candidates = {
+                replica_id: current.available[replica_id] for replica_id in gained
+            }
+            if not candidates:
+                return None
+        board.choices.counts.requests += 1
+        replica = self._place_request(board, current, request, candidates, now)
+        board.choices.counts.unplaced += replica is None
+        return replica
+
+    def _place_request(
         self,
         board: Blackboard,
+        current: Round,
         request: CallRequest,
-        free: list[tuple[Replica, int]],
+        candidates: dict[ReplicaId, Replica],
         now: float,
     ) -> Replica | None:
-        if not free:
-            return None
+        """Returns the best of the candidates, or None if the request should wait."""
         if not isinstance(request, RoutedCall) or not request.parts:
-            return self._choose_replica(board, request, free)
+            board.choices.counts.replicas += len(candidates)
+            free = [
+                (replica, count)
+                for replica in candidates.values()
+                if request.may_use(replica.replica_id, now)
+                and (count := self._count_free_slots(board, replica, now)) > 0
+            ]
+            return self._choose_replica(board, request, free) if free else None
         part = _find_shared_part(request)
         if part is None:
-            return self._find_quickest(board, request, free, now)
-        pool = self._get_pool(board, request.service, now)
-        free_by_id = {
-            candidate.replica_id: (candidate, count) for candidate, count in free
-        }
-        waited_seconds = now - request.arrival
+            return self._find_quickest(board, current, request, candidates, now)
         backlog_limit = _find_backlog_limit(board, request)
         cached_limit = self._find_token_limit(
             request, request.own_tokens, now, backlog_limit=backlog_limit
         )
+        if cached_limit < current.least_ahead:
+            return None
         uncached_limit = self._find_token_limit(
             request,
             request.prompt_tokens,
@@ -358,27 +460,32 @@
             self._reads.model(request.service).seconds_per_token
             * request.shared_tokens,
         )
-        members = {member.replica_id: member for member in pool.replicas}
-        index = -1
-        for replica_id in rank_candidates(part, tuple(members)):
-            board.choices.counts.replicas += 1
-            entry = free_by_id.get(replica_id)
-            if entry is None:
-                index += members[replica_id].is_available(now)
-                continue
-            index += 1
-            replica, count = entry
+        waited_seconds = now - request.arrival
+        ranks = rank_positions(part, tuple(current.available))
+        if len(candidates) == len(ranks):
+            ordered: Iterable[ReplicaId] = ranks
+        else:
+            ordered = sorted(candidates, key=ranks.__getitem__)
+        for replica_id in ordered:
+            index = ranks[replica_id]
             is_assumed_cached = index == 0 or self._is_part_cached(
                 part, replica_id, now
             )
+            if not is_assumed_cached and (
+                waited_seconds < spill_wait * min(index, MAX_PREFERRED_REPLICAS)
+            ):
+                continue
+            board.choices.counts.replicas += 1
             limit = cached_limit if is_assumed_cached else uncached_limit
             if self._count_tokens_ahead(replica_id) > limit:
                 continue
+            replica = current.available[replica_id]
+            count = self._count_free_slots(board, replica, now)
+            if count <= 0 or not request.may_use(replica_id, now):
+                continue
             if is_assumed_cached:
                 return replica
             is_unpreferred = index >= MAX_PREFERRED_REPLICAS
-            if waited_seconds < spill_wait * min(index, MAX_PREFERRED_REPLICAS):
-                continue
             min_free = (
                 UNPREFERRED_FREE_FRACTION if is_unpreferred else SPILL_FREE_FRACTION
             )
@@ -389,8 +496,9 @@
     def _find_quickest(
         self,
         board: Blackboard,
+        current: Round,
         request: RoutedCall,
-        free: list[tuple[Replica, int]],
+        candidates: dict[ReplicaId, Replica],
         now: float,
     ) -> Replica | None:
         """Returns the best replica that meets the target, or None without one.
@@ -399,33 +507,53 @@
         by the interval between their events. Among equal ones the replica with the
         fewest tokens left to read is chosen, then the one with the most free slots.
         """
-        expected_events = self._count_events(board, request)
         token_limit = self._find_token_limit(
             request,
             request.prompt_tokens,
             now,
             backlog_limit=_find_backlog_limit(board, request),
         )
-        candidates = []
-        board.choices.counts.replicas += len(free)
-        for replica, count in free:
-            replica_id = replica.replica_id
+        if token_limit < current.least_ahead:
+            return None
+        expected_events = self._count_events(board, request)
+        board.choices.counts.replicas += len(candidates)
+        found = []
+        for replica_id, replica in candidates.items():
             tokens_ahead = self._count_tokens_ahead(replica_id)
             if tokens_ahead > token_limit:
                 continue
+            count = self._count_free_slots(board, replica, now)
+            if count <= 0 or not request.may_use(replica_id, now):
+                continue
             interval = self._pace.find_event_interval(replica_id)
             is_in_time = now + expected_events * interval <= request.ends_at
             penalty = 0.0 if is_in_time else interval
-            candidates.append(
-                (
-                    penalty,
-                    tokens_ahead,
-                    -count,
-                    replica_id,
-                    replica,
-                )
-            )
-        return min(candidates)[-1] if candidates else None
+            found.append((penalty, tokens_ahead, -count, replica_id, replica))
+        return min(found)[-1] if found else None
+
+    def _may_start(
+        self,
+        service: ServiceName,
+        name: OrganisationName,
+        view: ServiceView,
+        placeable: int,
+    ) -> bool:
+        """Returns whether work of the organisation may start on a free slot now."""
+        waiting = sum(state.waiting for state in view.organisations.values())
+        is_contested = waiting > placeable
+        # No arbiter grants slots here; ``is_granted`` selects the larger allowed gap.
+        if not is_contested or may_use_slot(name, view, is_granted=True):
+            return True
+        own_key = view.organisations[name].key
+        lower_keys = [
+            state.key
+            for state in view.organisations.values()
+            if state.waiting > 0 and state.key < own_key
+        ]
+        limit = max(lower_keys, default=own_key)
+        limit += GRANTED_SLOT_GAP_FACTOR * view.allowed_gap
+        self._recent.limit(service, name, MAX_LEAD_FACTOR * limit)
+        return False
 
     def _count_events(self, board: Blackboard, request: RoutedCall) -> int:
         """Returns how many events the stream of the request is expected to have."""
@@ -464,12 +592,29 @@
                 now=now,
             )
         self._request_report(board, now)
+        self._note_start(board, request, replica_id)
+
+    def _note_start(
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId
+    ) -> None:
+        """Counts a start in the current round; its slot is not in use yet."""
+        current = self._rounds.get(request.service)
+        if current is None:
+            return
+        if room := current.rooms.get(replica_id):
+            current.set_room(replica_id, room - 1, self._count_tokens_ahead(replica_id))
+        state = current.view.organisations[request.organisation]
+        state.add_running()
+        if is_charged_at_start(board, request.service):
+            state.key += request.charged
 
     def record_first_event(
         self, board: Blackboard, request: CallRequest, now: float
     ) -> None:
         """Records that the prompt of a request was read."""
-        self._reads.finish(request.call_id, now, is_answered=True)
+        replica_id = self._reads.finish(request.call_id, now, is_answered=True)
+        if replica_id is not None:
+            self._note_change(board, request, replica_id, now)
 
     def finish(
         self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
@@ -479,7 +624,9 @@
         self._start_charges.finish(board, request)
         if isinstance(request, RoutedCall) and request.events:
             self._record_pace(board, request, replica_id, now)
-        return super().finish(board, request, replica_id, now)
+        actions = super().finish(board, request, replica_id, now)
+        self._note_change(board, request, replica_id, now)
+        return actions
 
     def _handle_freed_slot(
         self, board: Blackboard, service: ServiceName, replica_id: ReplicaId, now: float
@@ -512,6 +659,7 @@
 
     def step(self, board: Blackboard, now: float) -> list[Action]:
         """Updates the averages, ledger, peer loads, recent work and stream pace."""
+        self._rounds.clear()
         actions = super().step(board, now)
         board.ledger.update_live({board.identity, *board.members.values()})
         self._peers.keep_only(board.members.values())
@@ -543,6 +691,7 @@
         self, board: Blackboard, origin: RouterIdentity, report: Report, now: float
     ) -> list[Action]:
         """Applies a report from a peer."""
+        self._rounds.clear()
         self._merge_counters(board, origin, report, now)
         self._peers.take(origin, report.slots, now)
         return []
