Let each router take its part of the free places, and limit the rest by rate

Cause: whether work may start was decided from what waits elsewhere and is free, as if all of it were known now and meant for this router. With reports that are up to 0.9 s old, one request of a small organisation that was reported as waiting held the large ones back at every router while 40 to 50 places were free; as soon as none was reported, all routers took the same places at once, and an organisation got a place for each of its routers.

Work may now start on the part of the free places that falls to this router: what the work ahead leaves, by the fraction of the organisation's requests that wait here, less what the other routers have begun alike and not reported. What is beyond that follows a rate: the max-min share of what the fleet begins, of which the router has the fraction that arrives at it. Rates rest on sums over two seconds, which reports that are a second old do not upset; 5 in 100 of the places are left free by those above their share, for the others. Recent work is no longer cut down for those held back.

--- a/sequoiamoor/core/fairness.py
+++ b/sequoiamoor/core/fairness.py
@@ -227,14 +227,6 @@
         recent = self._recent_work.get((service, organisation))
         return 0.0 if recent is None else recent.units + max(total - recent.total, 0.0)
 
-    def limit(
-        self, service: ServiceName, organisation: OrganisationName, units: float
-    ) -> None:
-        """Lowers the recent work of an organisation to at most ``units``."""
-        recent = self._recent_work.get((service, organisation))
-        if recent is not None:
-            recent.units = min(recent.units, units)
-
 
 class CostEstimates:
     """Moving average of the cost of a request per organisation."""
--- /dev/null
+++ b/sequoiamoor/core/rounds.py
@@ -0,0 +1,92 @@
+"""What the choices of starts within a short time share."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from ..types import ReplicaId
+from .fairness import ServiceView
+from .upstreams import Replica
+
+ROUND_SECONDS = 0.02
+"""Time for which starts are chosen with one look at all replicas and organisations.
+
+In between only what changes at this router is looked at: a router under a flood would
+otherwise look at everything for each arrival, first event and end."""
+
+
+@dataclass(slots=True)
+class Room:
+    """What a replica can take.
+
+    Attributes:
+        requests: Requests that it can take now.
+        excess: Requests above its window.
+        tokens_ahead: Prompt tokens that it has yet to read.
+    """
+
+    requests: int = 0
+    excess: int = 0
+    tokens_ahead: int = 0
+
+
+@dataclass(slots=True)
+class Round:
+    """What the choices of starts for one service share for ``ROUND_SECONDS``.
+
+    Attributes:
+        ends_at: Monotonic time in seconds of the next look at everything.
+        view: All organisations with waiting or running requests.
+        windows: Requests that this router would let each replica run at once.
+        available: Replicas that may get work.
+        most: Requests that they could take if they had none.
+        placeable: Requests that they can take.
+        excess: Requests that they have above their windows.
+        has_rates: Whether the rates of organisations were computed in it.
+        least_ahead: Lower bound of the prompt tokens that any of them has to read.
+        gains: Replicas that got room, or less to read, in order.
+        tried: Waiting requests that found no replica, each with the number of gains
+            that it has seen.
+    """
+
+    ends_at: float
+    view: ServiceView
+    windows: dict[ReplicaId, int]
+    available: dict[ReplicaId, Replica]
+    most: int = 0
+    placeable: int = 0
+    excess: int = 0
+    has_rates: bool = False
+    least_ahead: float = math.inf
+    gains: list[ReplicaId] = field(default_factory=list)
+    tried: dict[str, int] = field(default_factory=dict)
+    _rooms: dict[ReplicaId, Room] = field(default_factory=dict)
+
+    def set_room(self, replica_id: ReplicaId, room: Room) -> None:
+        """Sets what a replica can take."""
+        previous = self._rooms.get(replica_id, Room())
+        self.placeable += room.requests - previous.requests
+        self.excess += room.excess - previous.excess
+        self.least_ahead = min(self.least_ahead, room.tokens_ahead)
+        self._rooms[replica_id] = room
+
+    def take_place(self, replica_id: ReplicaId) -> None:
+        """Counts a request that starts at a replica."""
+        room = self._rooms[replica_id]
+        if room.requests:
+            room.requests -= 1
+            self.placeable -= 1
+
+    def may_try(self, call_id: str) -> bool:
+        """Returns whether a request was not tried at all replicas yet."""
+        return self.tried.get(call_id) != len(self.gains)
+
+    def list_candidates(self, call_id: str) -> dict[ReplicaId, Replica]:
+        """Returns the replicas at which a request was not tried in vain yet."""
+        seen = self.tried.get(call_id)
+        self.tried[call_id] = len(self.gains)
+        if seen is None:
+            return self.available
+        gained = dict.fromkeys(self.gains[seen:])
+        return {replica_id: self.available[replica_id] for replica_id in gained}
--- /dev/null
+++ b/sequoiamoor/core/start_limits.py
@@ -0,0 +1,218 @@
+"""Limits on the starts of one router for organisations that ask for most.
+
+All routers see the same free places, up to a report interval late. If each of them
+started all that these seem to allow, an organisation would get more the more routers it
+enters at, and the replicas would be full and idle by turns. So each router takes its
+part of them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from ..types import OrganisationName
+
+WAITING_SECONDS = 0.3
+"""Time in which the requests that wait should have started."""
+
+UPTAKE_SECONDS = 1.0
+"""Time in which the fleet takes up the places that are free; it is above the age of
+most reports, so that the places in use settle."""
+
+MAX_CREDIT_SECONDS = 0.25
+"""Time for which an organisation may save up a rate that it did not use."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationLoad:
+    """What one organisation asks of a service.
+
+    Attributes:
+        recent: Service units per second that the fleet began lately.
+        own_recent: Those of them that this router began.
+        waiting: Waiting requests in the fleet.
+        own_waiting: Those of them that wait here.
+        cost: Service units of a request.
+    """
+
+    recent: float
+    own_recent: float
+    waiting: int
+    own_waiting: int
+    cost: float
+
+    @property
+    def demand(self) -> float:
+        """Service units per second that it asks for."""
+        return self.recent + self.waiting * self.cost / WAITING_SECONDS
+
+    @property
+    def own_fraction(self) -> float:
+        """Fraction of its demand that arrives at this router."""
+        own = self.own_recent + self.own_waiting * self.cost / WAITING_SECONDS
+        return min(own / self.demand, 1.0) if self.demand else 1.0
+
+
+def find_level(demands: Iterable[float], capacity: float) -> float:
+    """Returns the max-min fair share of a capacity.
+
+    Args:
+        demands: What each organisation asks for.
+        capacity: What there is for all of them, in the same unit.
+
+    Returns:
+        What those get that ask for more; infinity if there is enough for all.
+    """
+    ordered = sorted(demands)
+    left = max(capacity, 0.0)
+    for index, demand in enumerate(ordered):
+        level = left / (len(ordered) - index)
+        if demand > level:
+            return level
+        left -= demand
+    return math.inf
+
+
+def compute_rates(
+    loads: Mapping[OrganisationName, OrganisationLoad], places: float
+) -> dict[OrganisationName, float]:
+    """Returns the rates of the organisations that ask for more than their share.
+
+    Args:
+        loads: Loads of all organisations.
+        places: Requests that the replicas can take now; negative if they have more than
+            they should.
+
+    Returns:
+        Service units per second that this router may begin, by organisation.
+    """
+    requests = sum(max(load.waiting, 1) for load in loads.values())
+    costs = sum(max(load.waiting, 1) * load.cost for load in loads.values())
+    mean_cost = costs / max(requests, 1)
+    capacity = sum(load.recent for load in loads.values())
+    capacity += places * mean_cost / UPTAKE_SECONDS
+    level = find_level((load.demand for load in loads.values()), capacity)
+    return {
+        name: level * load.own_fraction
+        for name, load in loads.items()
+        if load.demand > level
+    }
+
+
+@dataclass(slots=True)
+class _Credit:
+    """Service units that an organisation may begin.
+
+    Attributes:
+        rate: Units per second.
+        units: Units saved up; negative after a request that took more.
+        updated_at: Monotonic time in seconds.
+    """
+
+    rate: float
+    units: float
+    updated_at: float
+
+    def update(self, now: float) -> None:
+        """Adds the units of the time since the last update."""
+        elapsed = max(now - self.updated_at, 0.0)
+        self.updated_at = max(now, self.updated_at)
+        limit = self.rate * MAX_CREDIT_SECONDS
+        self.units = min(self.units + self.rate * elapsed, limit)
+
+
+@dataclass(slots=True)
+class _Starts:
+    """Starts of an organisation that peers may not know of yet.
+
+    Attributes:
+        count: Number of starts, older ones with less weight.
+        updated_at: Monotonic time in seconds.
+    """
+
+    count: float
+    updated_at: float
+
+    def update(self, now: float, report_interval: float) -> None:
+        """Lets the starts fade with the interval in which peers hear of them."""
+        elapsed = max(now - self.updated_at, 0.0)
+        self.updated_at = max(now, self.updated_at)
+        self.count *= math.exp(-elapsed / report_interval)
+
+
+@dataclass(slots=True)
+class StartLimits:
+    """What this router may start for each organisation of one service."""
+
+    _credits: dict[OrganisationName, _Credit] = field(default_factory=dict)
+    _starts: dict[OrganisationName, _Starts] = field(default_factory=dict)
+
+    def set_rates(
+        self,
+        rates: Mapping[OrganisationName, float],
+        now: float,
+        *,
+        report_interval: float,
+    ) -> None:
+        """Sets the rates; organisations that are left out have no limit.
+
+        Args:
+            rates: Service units per second by organisation.
+            now: Monotonic time in seconds.
+            report_interval: Seconds between two reports of a router.
+        """
+        for name in self._credits.keys() - rates.keys():
+            del self._credits[name]
+        for name, rate in rates.items():
+            credit = self._credits.setdefault(name, _Credit(rate, 0.0, now))
+            credit.update(now)
+            credit.rate = rate
+        for name, starts in list(self._starts.items()):
+            starts.update(now, report_interval)
+            if starts.count < 0.01:
+                del self._starts[name]
+
+    def may_take_part(
+        self,
+        name: OrganisationName,
+        now: float,
+        *,
+        places: float,
+        fraction: float,
+        report_interval: float,
+    ) -> bool:
+        """Returns whether a request may start as part of what is free for all routers.
+
+        The other routers are taken to have begun as much for their part of the
+        organisation's requests as this one, which their reports do not show yet.
+
+        Args:
+            name: The organisation.
+            now: Monotonic time in seconds.
+            places: Free places that the work before this organisation leaves.
+            fraction: Fraction of its waiting requests that wait here.
+            report_interval: Seconds between two reports of a router.
+        """
+        starts = self._starts.get(name)
+        unreported = 0.0
+        if starts is not None:
+            starts.update(now, report_interval)
+            unreported = starts.count
+        return places * fraction - unreported * (1 - fraction) >= 1.0
+
+    def is_within_rate(self, name: OrganisationName, now: float) -> bool:
+        """Returns whether a request of the organisation may start within its rate."""
+        credit = self._credits.get(name)
+        if credit is None:
+            return True
+        credit.update(now)
+        return credit.units > 0.0
+
+    def record_start(self, name: OrganisationName, units: float, now: float) -> None:
+        """Counts a request that starts, with its service units."""
+        self._starts.setdefault(name, _Starts(0.0, now)).count += 1
+        credit = self._credits.get(name)
+        if credit is not None:
+            credit.units -= units
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -3,26 +3,27 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections import OrderedDict
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
 from random import Random
 
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.charges import StartCharges, is_charged_at_start
 from ..core.fairness import (
-    GRANTED_SLOT_GAP_FACTOR,
     RecentWork,
     ServiceView,
     choose_organisation,
-    may_use_slot,
 )
 from ..core.messages import Grants, Report, SlotRow
 from ..core.peer_loads import PeerLoad, PeerLoads
 from ..core.prefill import PromptReads
 from ..core.rendezvous import rank_positions
+from ..core.reports import find_report_interval
+from ..core.rounds import ROUND_SECONDS, Room, Round
 from ..core.routed_call import RoutedCall
+from ..core.start_limits import OrganisationLoad, StartLimits, compute_rates
 from ..core.stream_pace import StreamPace
 from ..core.upstreams import Replica
 from ..types import (
@@ -81,12 +82,9 @@
 """Time constant with which served work fades from the shares, which must hold within a
 few seconds."""
 
-MAX_LEAD_FACTOR = 2.0
-"""Recent work that is held against an organisation, as a multiple of the allowed gap
-above the waiting organisation with the next less. While that amount stays the same, it
-gives way to that one for at most ``SHARE_DECAY_SECONDS`` times the logarithm of this.
-Bounded by the organisation with the least, it would come before others with less work
-than its own."""
+RESERVED_FRACTION = 0.05
+"""Part of the places that organisations above their share leave free, so that the work
+of the others finds one at once."""
 
 PACE_REFRESH_SECONDS = 1.0
 """Interval between two computations of the pace that streams need."""
@@ -103,47 +101,6 @@
 milliseconds, less than the prompts ahead of a request at a busy replica."""
 
 
-ROUND_SECONDS = 0.02
-"""Time for which starts are chosen with one look at all replicas and organisations.
-
-In between only what changes at this router is looked at: a router under a flood would
-otherwise look at everything for each arrival, first event and end."""
-
-
-@dataclass(slots=True)
-class Round:
-    """What the choices of starts for one service share for ``ROUND_SECONDS``.
-
-    Attributes:
-        pool: Replicas on which it is based.
-        ends_at: Monotonic time in seconds of the next look at everything.
-        view: All organisations with waiting or running requests.
-        available: Replicas that may get work, in the order of the pool.
-        rooms: Requests that each of them can take.
-        placeable: Sum of the rooms.
-        least_ahead: Lower bound of the prompt tokens that any of them has to read.
-        gains: Replicas that got room, or less to read, in order.
-        tried: Waiting requests that found no replica, each with the number of gains
-            that it has seen.
-    """
-
-    pool: Pool
-    ends_at: float
-    view: ServiceView
-    available: dict[ReplicaId, Replica]
-    rooms: dict[ReplicaId, int] = field(default_factory=dict)
-    placeable: int = 0
-    least_ahead: float = math.inf
-    gains: list[ReplicaId] = field(default_factory=list)
-    tried: dict[str, int] = field(default_factory=dict)
-
-    def set_room(self, replica_id: ReplicaId, room: int, ahead: int) -> None:
-        """Sets how many requests a replica can take and what it has to read."""
-        self.placeable += room - self.rooms.get(replica_id, 0)
-        self.rooms[replica_id] = room
-        self.least_ahead = min(self.least_ahead, ahead)
-
-
 class SharedLoadPolicy(ReportingPolicy):
     """Starts work at replicas with a free slot according to all routers' reports.
 
@@ -163,14 +120,22 @@
         self._reported_in_use: dict[ReplicaId, int] = {}
         self._part_used_at: OrderedDict[tuple[str, ReplicaId], float] = OrderedDict()
         self._rounds: dict[ServiceName, Round] = {}
+        self._own_recent = RecentWork(SHARE_DECAY_SECONDS)
+        self._limits: dict[ServiceName, StartLimits] = {}
 
     # Slots.
 
     def _count_free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
+        own_window = self._compute_own_window(board, replica, now)
+        return self._count_free_in_window(replica, own_window, now)
+
+    def _count_free_in_window(
+        self, replica: Replica, own_window: int, now: float
+    ) -> int:
+        """Returns how many more requests may start; negative if too many run."""
         if not replica.is_available(now):
             return 0
         peer_load = self._peers.get(replica.replica_id)
-        own_window = self._compute_own_window(board, replica, now)
         window = _agree_on_window(own_window, peer_load)
         free = window - replica.in_use - peer_load.in_use
         return min(free, 1) if replica.stated.is_returning else free
@@ -299,6 +264,33 @@
         self._recent.update(
             {key: ledger.total(*key) - ledger.lift(*key) for key in keys}, now
         )
+        self._own_recent.update({key: ledger.served(*key) for key in keys}, now)
+
+    def _set_rates(
+        self, board: Blackboard, service: ServiceName, current: Round, now: float
+    ) -> None:
+        """Sets the rates of organisations that ask for more than their share."""
+        ledger = board.ledger
+        loads = {}
+        for name, state in current.view.organisations.items():
+            own_served = ledger.served(service, name)
+            served = ledger.total(service, name) - ledger.lift(service, name)
+            own_recent = self._own_recent.units(service, name, own_served)
+            loads[name] = OrganisationLoad(
+                recent=self._recent.units(service, name, served) / SHARE_DECAY_SECONDS,
+                own_recent=own_recent / SHARE_DECAY_SECONDS,
+                waiting=state.waiting,
+                own_waiting=board.queues.count(service, name),
+                cost=self._costs.expect(service, name),
+            )
+        reserve = RESERVED_FRACTION * current.most
+        places = current.placeable - current.excess - reserve
+        self._limits[service].set_rates(
+            compute_rates(loads, places),
+            now,
+            report_interval=find_report_interval(board.options, len(board.members)),
+        )
+        current.has_rates = True
 
     # Starts.
 
@@ -320,13 +312,15 @@
                 key=lambda candidate: current.view.organisations[candidate].key,
             )
             names.remove(name)
-            if not self._may_start(service, name, current.view, current.placeable):
+            if not self._may_take_place(board, service, name, current, now):
                 board.choices.counts.held_back += 1
                 board.choices.last_held_back = describe_held_back(
                     name, current.view, current.placeable
                 )
                 continue
             for request in board.queues.list_first(service, name, MAX_TRIED_REQUESTS):
+                if not current.may_try(request.call_id):
+                    continue
                 replica = self._try_request(board, current, request, now)
                 if replica is not None:
                     board.choices.counts.starts += 1
@@ -342,80 +336,108 @@
     ) -> Round:
         """Returns the round of a service, a new one if the last one is outdated."""
         self._peers.forget_read_prompts(now)
-        pool = self._get_pool(board, service, now)
+        windows = self._get_own_windows(board, service, now)
         current = self._rounds.get(service)
         if (
             current is None
             or not now < current.ends_at
-            or current.pool is not pool
+            or current.windows is not windows
             or any(name not in current.view.organisations for name in names)
         ):
-            current = self._begin_round(board, service, pool, now)
+            current = self._begin_round(board, service, now)
             self._rounds[service] = current
         return current
 
     def _begin_round(
-        self, board: Blackboard, service: ServiceName, pool: Pool, now: float
+        self, board: Blackboard, service: ServiceName, now: float
     ) -> Round:
+        pool = self._get_pool(board, service, now)
+        windows = self._get_own_windows(board, service, now)
         available = {
             replica.replica_id: replica
             for replica in pool.replicas
             if replica.is_available(now)
         }
         view = self._build_view(board, service, now)
-        current = Round(pool, now + ROUND_SECONDS, view, available)
+        current = Round(now + ROUND_SECONDS, view, windows, available)
         board.choices.counts.replicas += len(pool.replicas)
-        for replica in available.values():
-            self._update_room(board, current, replica, now)
+        read_limit = self._count_readable(board, service, 0)
+        for replica_id, replica in available.items():
+            self._look_at_room(board, current, replica, now)
+            current.most += min(windows[replica_id], read_limit)
         return current
 
-    def _update_room(
-        self, board: Blackboard, current: Round, replica: Replica, now: float
-    ) -> None:
-        """Looks again at the room of a replica.
+    def _count_readable(
+        self, board: Blackboard, service: ServiceName, tokens_ahead: int
+    ) -> int:
+        """Returns how many prompts a replica can read in time after those ahead.
 
         An engine with many slots takes only as many prompts as it can read in time.
         """
-        replica_id, service = replica.replica_id, replica.service
-        room = max(self._count_free_slots(board, replica, now), 0)
-        ahead = self._count_tokens_ahead(replica_id)
         shortest_target = board.configuration.find_shortest_stream_target(service)
         mean_seconds = self._reads.find_mean_seconds(service)
-        if room and mean_seconds and not math.isinf(shortest_target):
-            limit = BACKLOG_TARGET_FRACTION * shortest_target
-            seconds_ahead = self._reads.model(service).seconds_per_token * ahead
-            readable = math.ceil((limit - seconds_ahead) / mean_seconds)
-            room = min(room, max(readable, 0))
-        current.set_room(replica_id, room, ahead)
-
-    def _note_change(
+        if math.isinf(shortest_target) or not mean_seconds:
+            return sys.maxsize
+        limit = BACKLOG_TARGET_FRACTION * shortest_target
+        limit -= self._reads.model(service).seconds_per_token * tokens_ahead
+        return max(math.ceil(limit / mean_seconds), 0)
+
+    def _look_at_room(
+        self, board: Blackboard, current: Round, replica: Replica, now: float
+    ) -> None:
+        replica_id = replica.replica_id
+        free = self._count_free_in_window(replica, current.windows[replica_id], now)
+        ahead = self._count_tokens_ahead(replica_id)
+        readable = self._count_readable(board, replica.service, ahead)
+        room = Room(min(max(free, 0), readable), max(-free, 0), ahead)
+        current.set_room(replica_id, room)
+
+    def _look_again(
         self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
     ) -> None:
-        """Looks again at a replica at which a prompt was read or a request ended."""
+        """Looks at a replica at which a prompt was read or a request ended."""
         current = self._rounds.get(request.service)
         replica = None if current is None else current.available.get(replica_id)
         if current is not None and replica is not None:
             board.choices.counts.replicas += 1
-            self._update_room(board, current, replica, now)
+            self._look_at_room(board, current, replica, now)
             current.gains.append(replica_id)
 
+    def _may_take_place(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        name: OrganisationName,
+        current: Round,
+        now: float,
+    ) -> bool:
+        """Returns whether this router may start work of an organisation now."""
+        organisations = current.view.organisations
+        state = organisations[name]
+        ahead = sum(
+            other.waiting
+            for other in organisations.values()
+            if other.waiting > 0 and other.key < state.key
+        )
+        own_waiting = board.queues.count(service, name)
+        limits = self._limits.setdefault(service, StartLimits())
+        if limits.may_take_part(
+            name,
+            now,
+            places=current.placeable - ahead,
+            fraction=own_waiting / max(state.waiting, own_waiting),
+            report_interval=find_report_interval(board.options, len(board.members)),
+        ):
+            return True
+        if not current.has_rates:
+            self._set_rates(board, service, current, now)
+        return limits.is_within_rate(name, now)
+
     def _try_request(
         self, board: Blackboard, current: Round, request: CallRequest, now: float
     ) -> Replica | None:
-        """Returns the replica to start a request at, or None if it should wait.
-
-        One that found none in this round is tried at the replicas that gained room.
-        """
-        seen = current.tried.get(request.call_id)
-        current.tried[request.call_id] = len(current.gains)
-        candidates: dict[ReplicaId, Replica] = current.available
-        if seen is not None:
-            gained = dict.fromkeys(current.gains[seen:])
-            candidates = {
-                replica_id: current.available[replica_id] for replica_id in gained
-            }
-            if not candidates:
-                return None
+        """Returns the replica to start a request at, or None if it should wait."""
+        candidates = current.list_candidates(request.call_id)
         board.choices.counts.requests += 1
         replica = self._place_request(board, current, request, candidates, now)
         board.choices.counts.unplaced += replica is None
@@ -531,30 +553,6 @@
             found.append((penalty, tokens_ahead, -count, replica_id, replica))
         return min(found)[-1] if found else None
 
-    def _may_start(
-        self,
-        service: ServiceName,
-        name: OrganisationName,
-        view: ServiceView,
-        placeable: int,
-    ) -> bool:
-        """Returns whether work of the organisation may start on a free slot now."""
-        waiting = sum(state.waiting for state in view.organisations.values())
-        is_contested = waiting > placeable
-        # No arbiter grants slots here; ``is_granted`` selects the larger allowed gap.
-        if not is_contested or may_use_slot(name, view, is_granted=True):
-            return True
-        own_key = view.organisations[name].key
-        lower_keys = [
-            state.key
-            for state in view.organisations.values()
-            if state.waiting > 0 and state.key < own_key
-        ]
-        limit = max(lower_keys, default=own_key)
-        limit += GRANTED_SLOT_GAP_FACTOR * view.allowed_gap
-        self._recent.limit(service, name, MAX_LEAD_FACTOR * limit)
-        return False
-
     def _count_events(self, board: Blackboard, request: RoutedCall) -> int:
         """Returns how many events the stream of the request is expected to have."""
         tokens_per_event = board.configuration.find_event_tokens(request.service)
@@ -592,21 +590,23 @@
                 now=now,
             )
         self._request_report(board, now)
-        self._note_start(board, request, replica_id)
+        self._note_start(board, request, replica_id, now)
 
     def _note_start(
-        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId
+        self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
     ) -> None:
-        """Counts a start in the current round; its slot is not in use yet."""
-        current = self._rounds.get(request.service)
-        if current is None:
-            return
-        if room := current.rooms.get(replica_id):
-            current.set_room(replica_id, room - 1, self._count_tokens_ahead(replica_id))
-        state = current.view.organisations[request.organisation]
+        """Counts a start in the round; the replica does not show it in use yet."""
+        service, name = request.service, request.organisation
+        current = self._rounds[service]
+        current.take_place(replica_id)
+        state = current.view.organisations[name]
         state.add_running()
-        if is_charged_at_start(board, request.service):
-            state.key += request.charged
+        if is_charged_at_start(board, service):
+            units = request.charged
+            state.key += units
+        else:
+            units = self._costs.expect(service, name)
+        self._limits[service].record_start(name, units, now)
 
     def record_first_event(
         self, board: Blackboard, request: CallRequest, now: float
@@ -614,7 +614,7 @@
         """Records that the prompt of a request was read."""
         replica_id = self._reads.finish(request.call_id, now, is_answered=True)
         if replica_id is not None:
-            self._note_change(board, request, replica_id, now)
+            self._look_again(board, request, replica_id, now)
 
     def finish(
         self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
@@ -625,7 +625,7 @@
         if isinstance(request, RoutedCall) and request.events:
             self._record_pace(board, request, replica_id, now)
         actions = super().finish(board, request, replica_id, now)
-        self._note_change(board, request, replica_id, now)
+        self._look_again(board, request, replica_id, now)
         return actions
 
     def _handle_freed_slot(
--- /dev/null
+++ b/tests/core/test_start_limits.py
@@ -0,0 +1,102 @@
+"""Tests of the limits on starts for organisations that ask for most."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from sequoiamoor.core.start_limits import (
+    MAX_CREDIT_SECONDS,
+    OrganisationLoad,
+    StartLimits,
+    compute_rates,
+    find_level,
+)
+
+
+@pytest.mark.parametrize(
+    ("demands", "capacity", "expected"),
+    [
+        ([], 0.0, math.inf),
+        ([1.0, 2.0], 3.0, math.inf),
+        ([4.0, 4.0], 4.0, 2.0),
+        ([1.0, 9.0], 4.0, 3.0),
+        ([1.0, 2.0, 9.0, 9.0], 9.0, 3.0),
+        ([5.0], -1.0, 0.0),
+    ],
+)
+def test_level_gives_small_demands_all_and_the_others_the_same(
+    demands: list[float], capacity: float, expected: float
+) -> None:
+    """Guards against a share of those that ask for little that nobody gets."""
+    assert find_level(demands, capacity) == expected
+
+
+def make_load(recent: float, own: float, waiting: int = 0) -> OrganisationLoad:
+    return OrganisationLoad(recent, own, waiting, waiting, cost=300.0)
+
+
+@pytest.mark.parametrize(
+    ("places", "expected"),
+    [
+        pytest.param(100.0, {}, id="room for all"),
+        pytest.param(0.0, {"all": 50.5, "one": 4_545.0}, id="no room"),
+        pytest.param(-10.0, {"all": 33.83, "one": 3_045.0}, id="too many run"),
+    ],
+)
+def test_rate_is_the_part_of_the_share_that_arrives_here(
+    places: float, expected: dict[str, float]
+) -> None:
+    """Guards against an organisation that gets more the more routers it enters at."""
+    loads = {
+        "all": make_load(9_000.0, 100.0),
+        "one": make_load(90.0, 90.0, waiting=8),
+        "small": make_load(10.0, 0.0),
+    }
+    rates = compute_rates(loads, places)
+    assert rates == pytest.approx(expected, rel=0.001)
+
+
+def test_organisation_without_other_demand_has_no_rate() -> None:
+    """Guards against a limit that leaves replicas idle for nobody."""
+    assert compute_rates({"a": make_load(100.0, 100.0, waiting=5)}, 50.0) == {}
+
+
+def test_credit_grows_with_the_rate_and_is_bounded() -> None:
+    """Guards against a burst after a pause, and against more starts than the rate."""
+    limits = StartLimits()
+    limits.set_rates({"a": 1_000.0}, 0.0, report_interval=0.5)
+    assert not limits.is_within_rate("a", 0.0)
+    assert limits.is_within_rate("b", 0.0)
+    assert limits.is_within_rate("a", 0.1)
+    limits.record_start("a", 300.0, 0.1)
+    assert not limits.is_within_rate("a", 0.2)
+    assert limits.is_within_rate("a", 0.35)
+    limits.set_rates({"a": 1_000.0}, 50.0, report_interval=0.5)
+    limits.record_start("a", 1_000.0 * MAX_CREDIT_SECONDS, 50.0)
+    assert not limits.is_within_rate("a", 50.0)
+
+
+@pytest.mark.parametrize(
+    ("places", "fraction", "expected"),
+    [(8, 1.0, 8), (8, 0.25, 2), (3, 0.25, 0), (0, 1.0, 0)],
+)
+def test_router_takes_its_part_of_the_places(
+    places: int, fraction: float, expected: int
+) -> None:
+    """Guards against routers that all take the places which each of them sees."""
+    limits = StartLimits()
+    started = 0
+    while limits.may_take_part(
+        "a",
+        0.0,
+        places=places - started,
+        fraction=fraction,
+        report_interval=0.5,
+    ):
+        limits.record_start("a", 1.0, 0.0)
+        started += 1
+    assert started == expected
+    later = {"places": places, "fraction": fraction, "report_interval": 0.5}
+    assert limits.may_take_part("a", 5.0, **later) == (expected > 0)
