--- a/sequoiamoor/core/peer_loads.py
+++ b/sequoiamoor/core/peer_loads.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field, replace
+from collections.abc import Collection
+from dataclasses import dataclass, field
 
 from ..types import ReplicaId, RouterIdentity
 from .messages import SlotRow
@@ -57,6 +57,7 @@
         default_factory=dict
     )
     _loads_by_replica: dict[ReplicaId, PeerLoad] = field(default_factory=dict)
+    _read_peers: set[RouterIdentity] = field(default_factory=set)
     _unread: deque[tuple[float, RouterIdentity, tuple[SlotRow, ...]]] = field(
         default_factory=deque
     )
@@ -88,29 +89,38 @@
         while self._unread and self._unread[0][0] <= now:
             _, peer, rows = self._unread.popleft()
             if self._rows_by_peer.get(peer) is rows:
-                read = tuple([replace(row, prompt_tokens=0) for row in rows])
-                self._replace(peer, read)
+                self._read_peers.add(peer)
+                for row in rows:
+                    self._loads_by_replica[
+                        row.replica_id
+                    ].prompt_tokens -= row.prompt_tokens
 
     def _replace(self, peer: RouterIdentity, rows: tuple[SlotRow, ...]) -> None:
-        self._add_rows(self._rows_by_peer.pop(peer, ()), -1)
+        self._remove(peer)
         self._rows_by_peer[peer] = rows
-        self._add_rows(rows, 1)
+        for row in rows:
+            load = self._loads_by_replica.get(row.replica_id)
+            if load is None:
+                load = self._loads_by_replica[row.replica_id] = PeerLoad()
+            load.add(row, 1)
+
+    def _remove(self, peer: RouterIdentity) -> None:
+        is_read = peer in self._read_peers
+        self._read_peers.discard(peer)
+        for row in self._rows_by_peer.pop(peer, ()):
+            load = self._loads_by_replica[row.replica_id]
+            load.add(row, -1)
+            if is_read:
+                load.prompt_tokens += row.prompt_tokens
 
     def keep_only(self, live: Collection[RouterIdentity]) -> None:
         """Discards the rows of routers that are not live."""
         removed_peers = self._rows_by_peer.keys() - set(live)
         for peer in removed_peers:
-            self._add_rows(self._rows_by_peer.pop(peer), -1)
+            self._remove(peer)
         if removed_peers:
             self._loads_by_replica = {
                 replica_id: load
                 for replica_id, load in self._loads_by_replica.items()
                 if load != _NO_LOAD
             }
-
-    def _add_rows(self, rows: Iterable[SlotRow], sign: int) -> None:
-        for row in rows:
-            load = self._loads_by_replica.get(row.replica_id)
-            if load is None:
-                load = self._loads_by_replica[row.replica_id] = PeerLoad()
-            load.add(row, sign)
