Take up free places in the time that requests hold them

Cause: free places were taken up within a second, though requests of 22 ms hold one much shorter, so that reported waiting requests seemed to exceed what there was; and starts without contention left a debt that no rate had been set for. The time is now the mean that requests hold their place, a second at most, and what was begun while no rate was asked for is forgotten after 0.25 s.

--- a/sequoiamoor/core/rounds.py
+++ b/sequoiamoor/core/rounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from dataclasses import dataclass, field
 
 from ..types import ReplicaId
@@ -43,6 +44,9 @@
         most: Requests that they could take if they had none.
         placeable: Requests that they can take.
         excess: Requests that they have above their windows.
+        read_limit: Seconds that unread prompts may take; infinite without a limit.
+        mean_read_seconds: Seconds that reading a prompt takes in the mean.
+        seconds_per_token: Seconds that reading a token takes.
         has_rates: Whether the rates of organisations were computed in it.
         least_ahead: Lower bound of the prompt tokens that any of them has to read.
         gains: Replicas that got room, or less to read, in order.
@@ -57,12 +61,25 @@
     most: int = 0
     placeable: int = 0
     excess: int = 0
+    read_limit: float = math.inf
+    mean_read_seconds: float = 1.0
+    seconds_per_token: float = 0.0
     has_rates: bool = False
     least_ahead: float = math.inf
     gains: list[ReplicaId] = field(default_factory=list)
     tried: dict[str, int] = field(default_factory=dict)
     _rooms: dict[ReplicaId, Room] = field(default_factory=dict)
 
+    def count_readable(self, tokens_ahead: int) -> int:
+        """Returns how many prompts a replica can read in time after those ahead.
+
+        An engine with many slots takes only as many prompts as it can read in time.
+        """
+        if math.isinf(self.read_limit):
+            return sys.maxsize
+        left = self.read_limit - self.seconds_per_token * tokens_ahead
+        return max(math.ceil(left / self.mean_read_seconds), 0)
+
     def set_room(self, replica_id: ReplicaId, room: Room) -> None:
         """Sets what a replica can take."""
         previous = self._rooms.get(replica_id, Room())
--- a/sequoiamoor/core/start_limits.py
+++ b/sequoiamoor/core/start_limits.py
@@ -17,12 +17,19 @@
 WAITING_SECONDS = 0.3
 """Time in which the requests that wait should have started."""
 
-UPTAKE_SECONDS = 1.0
-"""Time in which the fleet takes up the places that are free; it is above the age of
-most reports, so that the places in use settle."""
+MAX_UPTAKE_SECONDS = 1.0
+"""Longest time in which the fleet should take up the places that are free. It is above
+the age of most reports, so that the places in use settle."""
+
+DURATION_SMOOTHING_WEIGHT = 0.05
+"""Weight of the newest request in the moving average of durations."""
+
+MIN_DURATION_SECONDS = 0.001
+"""Shorter durations are those of requests that were not run."""
 
 MAX_CREDIT_SECONDS = 0.25
-"""Time for which an organisation may save up a rate that it did not use."""
+"""Time for which an organisation may save up a rate that it did not use, and after
+which what it began without being asked for a rate is forgotten."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +83,10 @@
 
 
 def compute_rates(
-    loads: Mapping[OrganisationName, OrganisationLoad], places: float
+    loads: Mapping[OrganisationName, OrganisationLoad],
+    *,
+    places: float,
+    uptake_seconds: float,
 ) -> dict[OrganisationName, float]:
     """Returns the rates of the organisations that ask for more than their share.
 
@@ -84,6 +94,7 @@
         loads: Loads of all organisations.
         places: Requests that the replicas can take now; negative if they have more than
             they should.
+        uptake_seconds: Time in which the fleet takes up these places.
 
     Returns:
         Service units per second that this router may begin, by organisation.
@@ -92,7 +103,7 @@
     costs = sum(max(load.waiting, 1) * load.cost for load in loads.values())
     mean_cost = costs / max(requests, 1)
     capacity = sum(load.recent for load in loads.values())
-    capacity += places * mean_cost / UPTAKE_SECONDS
+    capacity += places * mean_cost / uptake_seconds
     level = find_level((load.demand for load in loads.values()), capacity)
     return {
         name: level * load.own_fraction
@@ -144,11 +155,26 @@
 
 @dataclass(slots=True)
 class StartLimits:
-    """What this router may start for each organisation of one service."""
+    """What this router may start for each organisation of one service.
+
+    Attributes:
+        mean_seconds: Moving average of the time that requests hold a place.
+    """
 
+    mean_seconds: float = MAX_UPTAKE_SECONDS
     _credits: dict[OrganisationName, _Credit] = field(default_factory=dict)
     _starts: dict[OrganisationName, _Starts] = field(default_factory=dict)
 
+    @property
+    def uptake_seconds(self) -> float:
+        """Time in which the fleet takes up free places, that of a request at most."""
+        return min(self.mean_seconds, MAX_UPTAKE_SECONDS)
+
+    def record_end(self, seconds: float) -> None:
+        """Records how long a request held its place."""
+        change = max(seconds, MIN_DURATION_SECONDS) - self.mean_seconds
+        self.mean_seconds += DURATION_SMOOTHING_WEIGHT * change
+
     def set_rates(
         self,
         rates: Mapping[OrganisationName, float],
@@ -167,6 +193,8 @@
             del self._credits[name]
         for name, rate in rates.items():
             credit = self._credits.setdefault(name, _Credit(rate, 0.0, now))
+            if now - credit.updated_at > MAX_CREDIT_SECONDS:
+                credit.units = max(credit.units, 0.0)
             credit.update(now)
             credit.rate = rate
         for name, starts in list(self._starts.items()):
@@ -215,4 +243,5 @@
         self._starts.setdefault(name, _Starts(0.0, now)).count += 1
         credit = self._credits.get(name)
         if credit is not None:
-            credit.units -= units
+            debt = max(units, credit.rate * MAX_CREDIT_SECONDS)
+            credit.units = max(credit.units - units, -debt)
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import sys
 from collections import OrderedDict
 from collections.abc import Collection, Iterable
 from random import Random
@@ -126,17 +125,12 @@
     # Slots.
 
     def _count_free_slots(self, board: Blackboard, replica: Replica, now: float) -> int:
-        own_window = self._compute_own_window(board, replica, now)
-        return self._count_free_in_window(replica, own_window, now)
-
-    def _count_free_in_window(
-        self, replica: Replica, own_window: int, now: float
-    ) -> int:
-        """Returns how many more requests may start; negative if too many run."""
         if not replica.is_available(now):
             return 0
         peer_load = self._peers.get(replica.replica_id)
-        window = _agree_on_window(own_window, peer_load)
+        window = _agree_on_window(
+            self._compute_own_window(board, replica, now), peer_load
+        )
         free = window - replica.in_use - peer_load.in_use
         return min(free, 1) if replica.stated.is_returning else free
 
@@ -285,8 +279,9 @@
             )
         reserve = RESERVED_FRACTION * current.most
         places = current.placeable - current.excess - reserve
-        self._limits[service].set_rates(
-            compute_rates(loads, places),
+        limits = self._limits[service]
+        limits.set_rates(
+            compute_rates(loads, places=places, uptake_seconds=limits.uptake_seconds),
             now,
             report_interval=find_report_interval(board.options, len(board.members)),
         )
@@ -360,36 +355,30 @@
         }
         view = self._build_view(board, service, now)
         current = Round(now + ROUND_SECONDS, view, windows, available)
+        shortest_target = board.configuration.find_shortest_stream_target(service)
+        mean_seconds = self._reads.find_mean_seconds(service)
+        if mean_seconds and not math.isinf(shortest_target):
+            current.mean_read_seconds = mean_seconds
+            current.read_limit = BACKLOG_TARGET_FRACTION * shortest_target
+            current.seconds_per_token = self._reads.model(service).seconds_per_token
         board.choices.counts.replicas += len(pool.replicas)
-        read_limit = self._count_readable(board, service, 0)
         for replica_id, replica in available.items():
-            self._look_at_room(board, current, replica, now)
-            current.most += min(windows[replica_id], read_limit)
+            self._look_at_room(current, replica)
+            current.most += min(windows[replica_id], current.count_readable(0))
         return current
 
-    def _count_readable(
-        self, board: Blackboard, service: ServiceName, tokens_ahead: int
-    ) -> int:
-        """Returns how many prompts a replica can read in time after those ahead.
-
-        An engine with many slots takes only as many prompts as it can read in time.
-        """
-        shortest_target = board.configuration.find_shortest_stream_target(service)
-        mean_seconds = self._reads.find_mean_seconds(service)
-        if math.isinf(shortest_target) or not mean_seconds:
-            return sys.maxsize
-        limit = BACKLOG_TARGET_FRACTION * shortest_target
-        limit -= self._reads.model(service).seconds_per_token * tokens_ahead
-        return max(math.ceil(limit / mean_seconds), 0)
-
-    def _look_at_room(
-        self, board: Blackboard, current: Round, replica: Replica, now: float
-    ) -> None:
+    def _look_at_room(self, current: Round, replica: Replica) -> None:
         replica_id = replica.replica_id
-        free = self._count_free_in_window(replica, current.windows[replica_id], now)
-        ahead = self._count_tokens_ahead(replica_id)
-        readable = self._count_readable(board, replica.service, ahead)
-        room = Room(min(max(free, 0), readable), max(-free, 0), ahead)
+        peer_load = self._peers.get(replica_id)
+        window = _agree_on_window(current.windows[replica_id], peer_load)
+        free = window - replica.in_use - peer_load.in_use
+        ahead = self._reads.count_unread_tokens(replica_id) + peer_load.prompt_tokens
+        most = 1 if replica.stated.is_returning else free
+        room = Room(
+            requests=max(min(free, most, current.count_readable(ahead)), 0),
+            excess=max(-free, 0),
+            tokens_ahead=ahead,
+        )
         current.set_room(replica_id, room)
 
     def _look_again(
@@ -400,7 +389,7 @@
         replica = None if current is None else current.available.get(replica_id)
         if current is not None and replica is not None:
             board.choices.counts.replicas += 1
-            self._look_at_room(board, current, replica, now)
+            self._look_at_room(current, replica)
             current.gains.append(replica_id)
 
     def _may_take_place(
@@ -624,6 +613,8 @@
         self._start_charges.finish(board, request)
         if isinstance(request, RoutedCall) and request.events:
             self._record_pace(board, request, replica_id, now)
+        if request.service in self._limits:
+            self._limits[request.service].record_end(now - request.started_at)
         actions = super().finish(board, request, replica_id, now)
         self._look_again(board, request, replica_id, now)
         return actions
--- a/tests/policies/flooded_fleet.py
+++ b/tests/policies/flooded_fleet.py
@@ -161,6 +161,7 @@
         while start := policy.choose_start(board, "talk", now):
             call = board.queues.remove(start.call_id)
             assert isinstance(call, RoutedCall)
+            call.started_at = now
             board.upstreams.replicas[start.replica_id].in_use += 1
             self.begun[call.organisation, int(now)] += call.prompt_tokens
             self._start(router, call, start.replica_id, now)
