--- a/sequoiamoor/core/start_limits.py
+++ b/sequoiamoor/core/start_limits.py
@@ -17,6 +17,10 @@
 WAITING_SECONDS = 0.3
 """Time in which the requests that wait should have started."""
 
+UPTAKE_FACTOR = 2.0
+"""Time in which the fleet takes up free places, as a multiple of that for which a
+request holds one."""
+
 MAX_UPTAKE_SECONDS = 1.0
 """Longest time in which the fleet should take up the places that are free. It is above
 the age of most reports, so that the places in use settle."""
@@ -167,8 +171,8 @@
 
     @property
     def uptake_seconds(self) -> float:
-        """Time in which the fleet takes up free places, that of a request at most."""
-        return min(self.mean_seconds, MAX_UPTAKE_SECONDS)
+        """Time in which the fleet takes up free places."""
+        return min(UPTAKE_FACTOR * self.mean_seconds, MAX_UPTAKE_SECONDS)
 
     def record_end(self, seconds: float) -> None:
         """Records how long a request held its place."""
