Keep what decides the replica of a waiting request for a round

These are kept for the round, and limits are worked out only for replicas near enough to the request.

--- a/sequoiamoor/core/rounds.py
+++ b/sequoiamoor/core/rounds.py
@@ -4,6 +4,7 @@
 
 import math
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ..types import ReplicaId
@@ -32,6 +33,27 @@
     tokens_ahead: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """What decides the replica for the prompt of a waiting request.
+
+    Attributes:
+        part: Shared part that decides it, or None if the prompt has none.
+        ranks: Positions of the available replicas in the order that the part prefers.
+        own_tokens: Tokens that no other request shares.
+        tokens: All tokens.
+        backlog_limit: Seconds that unread prompts may take at a replica.
+        spill_wait: Seconds to wait for each replica that is preferred to another one.
+    """
+
+    part: str | None
+    ranks: Mapping[ReplicaId, int]
+    own_tokens: int
+    tokens: int
+    backlog_limit: float
+    spill_wait: float
+
+
 @dataclass(slots=True)
 class Round:
     """What the choices of starts for one service share for ``ROUND_SECONDS``.
@@ -50,6 +72,7 @@
         has_rates: Whether the rates of organisations were computed in it.
         least_ahead: Lower bound of the prompt tokens that any of them has to read.
         gains: Replicas that got room, or less to read, in order.
+        prompts: Prompts of the waiting requests that were looked at.
         tried: Waiting requests that found no replica, each with the number of gains
             that it has seen.
     """
@@ -67,9 +90,18 @@
     has_rates: bool = False
     least_ahead: float = math.inf
     gains: list[ReplicaId] = field(default_factory=list)
+    prompts: dict[str, Prompt] = field(default_factory=dict)
     tried: dict[str, int] = field(default_factory=dict)
+    _available_ids: tuple[ReplicaId, ...] = ()
     _rooms: dict[ReplicaId, Room] = field(default_factory=dict)
 
+    @property
+    def available_ids(self) -> tuple[ReplicaId, ...]:
+        """Identifiers of the available replicas, the same object for a round."""
+        if not self._available_ids:
+            self._available_ids = tuple(self.available)
+        return self._available_ids
+
     def count_readable(self, tokens_ahead: int) -> int:
         """Returns how many prompts a replica can read in time after those ahead.
 
@@ -105,5 +137,6 @@
         self.tried[call_id] = len(self.gains)
         if seen is None:
             return self.available
-        gained = dict.fromkeys(self.gains[seen:])
-        return {replica_id: self.available[replica_id] for replica_id in gained}
+        return {
+            replica_id: self.available[replica_id] for replica_id in self.gains[seen:]
+        }
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -20,7 +20,7 @@
 from ..core.prefill import PromptReads
 from ..core.rendezvous import rank_positions
 from ..core.reports import find_report_interval
-from ..core.rounds import ROUND_SECONDS, Room, Round
+from ..core.rounds import ROUND_SECONDS, Prompt, Room, Round
 from ..core.routed_call import RoutedCall
 from ..core.start_limits import OrganisationLoad, StartLimits, compute_rates
 from ..core.stream_pace import StreamPace
@@ -450,42 +450,68 @@
                 and (count := self._count_free_slots(board, replica, now)) > 0
             ]
             return self._choose_replica(board, request, free) if free else None
+        prompt = current.prompts.get(request.call_id)
+        if prompt is None:
+            prompt = self._describe_prompt(board, current, request)
+            current.prompts[request.call_id] = prompt
+        if prompt.part is None:
+            return self._find_quickest(board, current, request, prompt, candidates, now)
+        return self._find_preferred(board, current, request, prompt, candidates, now)
+
+    def _describe_prompt(
+        self, board: Blackboard, current: Round, request: RoutedCall
+    ) -> Prompt:
         part = _find_shared_part(request)
-        if part is None:
-            return self._find_quickest(board, current, request, candidates, now)
-        backlog_limit = _find_backlog_limit(board, request)
-        cached_limit = self._find_token_limit(
-            request, request.own_tokens, now, backlog_limit=backlog_limit
-        )
-        if cached_limit < current.least_ahead:
-            return None
-        uncached_limit = self._find_token_limit(
-            request,
-            request.prompt_tokens,
-            now,
-            backlog_limit=backlog_limit * SPILL_BACKLOG_FRACTION,
-        )
         # Waiting for the cached part costs at most as much as reading it again.
         spill_wait = max(
             SPILL_WAIT_SECONDS,
             self._reads.model(request.service).seconds_per_token
             * request.shared_tokens,
         )
+        return Prompt(
+            part=part,
+            ranks={} if part is None else rank_positions(part, current.available_ids),
+            own_tokens=request.own_tokens,
+            tokens=request.prompt_tokens,
+            backlog_limit=_find_backlog_limit(board, request),
+            spill_wait=spill_wait,
+        )
+
+    def _find_preferred(
+        self,
+        board: Blackboard,
+        current: Round,
+        request: RoutedCall,
+        prompt: Prompt,
+        candidates: dict[ReplicaId, Replica],
+        now: float,
+    ) -> Replica | None:
+        """Returns the first replica in the order of the part that is in time."""
+        assert prompt.part is not None
         waited_seconds = now - request.arrival
-        ranks = rank_positions(part, tuple(current.available))
-        if len(candidates) == len(ranks):
-            ordered: Iterable[ReplicaId] = ranks
-        else:
-            ordered = sorted(candidates, key=ranks.__getitem__)
-        for replica_id in ordered:
-            index = ranks[replica_id]
-            is_assumed_cached = index == 0 or self._is_part_cached(
-                part, replica_id, now
-            )
-            if not is_assumed_cached and (
-                waited_seconds < spill_wait * min(index, MAX_PREFERRED_REPLICAS)
+        near = []
+        for replica_id in candidates:
+            index = prompt.ranks[replica_id]
+            is_cached = index == 0 or self._is_part_cached(prompt.part, replica_id, now)
+            if is_cached or waited_seconds >= prompt.spill_wait * min(
+                index, MAX_PREFERRED_REPLICAS
             ):
-                continue
+                near.append((index, replica_id, is_cached))
+        if not near:
+            return None
+        cached_limit = self._find_token_limit(
+            request, prompt.own_tokens, now, backlog_limit=prompt.backlog_limit
+        )
+        if cached_limit < current.least_ahead:
+            return None
+        uncached_limit = self._find_token_limit(
+            request,
+            prompt.tokens,
+            now,
+            backlog_limit=prompt.backlog_limit * SPILL_BACKLOG_FRACTION,
+        )
+        near.sort()
+        for index, replica_id, is_assumed_cached in near:
             board.choices.counts.replicas += 1
             limit = cached_limit if is_assumed_cached else uncached_limit
             if self._count_tokens_ahead(replica_id) > limit:
@@ -509,6 +535,7 @@
         board: Blackboard,
         current: Round,
         request: RoutedCall,
+        prompt: Prompt,
         candidates: dict[ReplicaId, Replica],
         now: float,
     ) -> Replica | None:
@@ -519,10 +546,7 @@
         fewest tokens left to read is chosen, then the one with the most free slots.
         """
         token_limit = self._find_token_limit(
-            request,
-            request.prompt_tokens,
-            now,
-            backlog_limit=_find_backlog_limit(board, request),
+            request, prompt.tokens, now, backlog_limit=prompt.backlog_limit
         )
         if token_limit < current.least_ahead:
             return None
