Take the part of the places by recent and waiting work

The part that falls to a router was the fraction of the waiting requests that wait there. When a flood begins, no report shows others waiting yet, so that each router took all places. The fraction of the organisation's demand, its recent work included, is used as for rates.

--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -260,23 +260,35 @@
         )
         self._own_recent.update({key: ledger.served(*key) for key in keys}, now)
 
+    def _describe_load(
+        self,
+        board: Blackboard,
+        service: ServiceName,
+        name: OrganisationName,
+        waiting: int,
+    ) -> OrganisationLoad:
+        ledger = board.ledger
+        own_served = ledger.served(service, name)
+        served = ledger.total(service, name) - ledger.lift(service, name)
+        own_recent = self._own_recent.units(service, name, own_served)
+        return OrganisationLoad(
+            recent=self._recent.units(service, name, served) / SHARE_DECAY_SECONDS,
+            own_recent=own_recent / SHARE_DECAY_SECONDS,
+            waiting=waiting,
+            own_waiting=board.queues.count(service, name),
+            cost=self._costs.expect(service, name),
+        )
+
     def _set_rates(
         self, board: Blackboard, service: ServiceName, current: Round, now: float
     ) -> None:
         """Sets the rates of organisations that ask for more than their share."""
         ledger = board.ledger
         loads = {}
-        for name, state in current.view.organisations.items():
-            own_served = ledger.served(service, name)
-            served = ledger.total(service, name) - ledger.lift(service, name)
-            own_recent = self._own_recent.units(service, name, own_served)
-            loads[name] = OrganisationLoad(
-                recent=self._recent.units(service, name, served) / SHARE_DECAY_SECONDS,
-                own_recent=own_recent / SHARE_DECAY_SECONDS,
-                waiting=state.waiting,
-                own_waiting=board.queues.count(service, name),
-                cost=self._costs.expect(service, name),
-            )
+        loads = {
+            name: self._describe_load(board, service, name, state.waiting)
+            for name, state in current.view.organisations.items()
+        }
         reserve = RESERVED_FRACTION * current.most
         places = current.placeable - current.excess - reserve
         limits = self._limits[service]
@@ -408,13 +420,13 @@
             for other in organisations.values()
             if other.waiting > 0 and other.key < state.key
         )
-        own_waiting = board.queues.count(service, name)
+        load = self._describe_load(board, service, name, state.waiting)
         limits = self._limits.setdefault(service, StartLimits())
         if limits.may_take_part(
             name,
             now,
             places=current.placeable - ahead,
-            fraction=own_waiting / max(state.waiting, own_waiting),
+            fraction=load.own_fraction,
             report_interval=find_report_interval(board.options, len(board.members)),
         ):
             return True
