Weigh waiting requests by the time for which they are reported

Cause: a request that waits 75 ms is reported as waiting for up to a second, so that the fleet seems to have three times the waiting requests that it has, and the parts that the routers take themselves to have add up to much less than one. The part of a router now weighs its waiting requests by that second.

--- a/sequoiamoor/core/start_limits.py
+++ b/sequoiamoor/core/start_limits.py
@@ -17,6 +17,10 @@
 WAITING_SECONDS = 0.3
 """Time in which the requests that wait should have started."""
 
+REPORTED_SECONDS = 1.0
+"""Time for which a request may be reported as waiting after it has stopped. With less,
+the fractions of all routers would add up to less than one."""
+
 UPTAKE_FACTOR = 2.0
 """Time in which the fleet takes up free places, as a multiple of that for which a
 request holds one."""
@@ -62,8 +66,9 @@
     @property
     def own_fraction(self) -> float:
         """Fraction of its demand that arrives at this router."""
-        own = self.own_recent + self.own_waiting * self.cost / WAITING_SECONDS
-        return min(own / self.demand, 1.0) if self.demand else 1.0
+        own = self.own_recent + self.own_waiting * self.cost / REPORTED_SECONDS
+        total = self.recent + self.waiting * self.cost / REPORTED_SECONDS
+        return min(own / total, 1.0) if total else 1.0
 
 
 def find_level(demands: Iterable[float], capacity: float) -> float:
