--- a/sequoiamoor/core/choices.py
+++ b/sequoiamoor/core/choices.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict, dataclass, field, replace
 
 from ..types import OrganisationName
+from .fairness import ServiceView
 
 
 @dataclass(slots=True)
@@ -73,3 +74,19 @@
     def copy_counts(self) -> ChoiceCounts:
         """Returns a copy of the counts."""
         return replace(self.counts)
+
+
+def describe_held_back(
+    name: OrganisationName, view: ServiceView, placeable: int
+) -> HeldBack:
+    """Returns the state in which an organisation with waiting work gives way."""
+    waiting = {n: state for n, state in view.organisations.items() if state.waiting}
+    lowest = min(waiting, key=lambda candidate: waiting[candidate].key)
+    return HeldBack(
+        organisation=name,
+        lead=waiting[name].key - waiting[lowest].key,
+        lowest=lowest,
+        lowest_waiting=waiting[lowest].waiting,
+        waiting=sum(state.waiting for state in waiting.values()),
+        placeable=placeable,
+    )
--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -11,7 +11,6 @@
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.charges import ElapsedCharges
-from ..core.choices import HeldBack
 from ..core.demand import Demand
 from ..core.fairness import (
     CostEstimates,
@@ -235,66 +234,24 @@
                 return None
             free = self._find_free_replicas(board, service, now)
         view = self._build_view(board, service, now)
-        placeable = self._count_placeable(board, service, free, now)
         while names and free:
             name = choose_organisation(names, view, now) or min(
                 names, key=lambda candidate: view.organisations[candidate].key
             )
             names.remove(name)
-            if not self._may_start(service, name, view, placeable):
-                counts.held_back += 1
-                board.choices.last_held_back = describe_held_back(name, view, placeable)
-                continue
             for request in self._list_candidates(board, service, name, free, now):
                 counts.requests += 1
                 counts.replicas += len(free)
                 usable = [
                     pair for pair in free if request.may_use(pair[0].replica_id, now)
                 ]
-                replica = self._find_replica(board, request, usable, now)
-                if replica is not None:
+                if usable:
                     counts.starts += 1
+                    replica = self._choose_replica(board, request, usable)
                     return self._start(board, request, replica, now)
                 counts.unplaced += 1
         return None
 
-    def _may_start(
-        self,
-        service: ServiceName,
-        name: OrganisationName,
-        view: ServiceView,
-        placeable: int,
-    ) -> bool:
-        """Returns whether work of the organisation may start on a free slot now.
-
-        Args:
-            service: Service of the work.
-            name: An organisation with waiting work at this router.
-            view: All organisations with waiting or running requests.
-            placeable: Requests that the replicas can take now.
-        """
-        return True
-
-    def _count_placeable(
-        self,
-        board: Blackboard,
-        service: ServiceName,
-        free: list[tuple[Replica, int]],
-        now: float,
-    ) -> int:
-        """Returns how many requests the replicas with free slots can take now."""
-        return sum(count for _, count in free)
-
-    def _find_replica(
-        self,
-        board: Blackboard,
-        request: CallRequest,
-        free: list[tuple[Replica, int]],
-        now: float,
-    ) -> Replica | None:
-        """Returns the replica to start at, or None if the request should wait."""
-        return self._choose_replica(board, request, free) if free else None
-
     def _list_candidates(
         self,
         board: Blackboard,
@@ -442,19 +399,3 @@
                 )
             )
         return figures
-
-
-def describe_held_back(
-    name: OrganisationName, view: ServiceView, placeable: int
-) -> HeldBack:
-    """Returns the state in which an organisation with waiting work gives way."""
-    waiting = {n: state for n, state in view.organisations.items() if state.waiting}
-    lowest = min(waiting, key=lambda candidate: waiting[candidate].key)
-    return HeldBack(
-        organisation=name,
-        lead=waiting[name].key - waiting[lowest].key,
-        lowest=lowest,
-        lowest_waiting=waiting[lowest].waiting,
-        waiting=sum(state.waiting for state in waiting.values()),
-        placeable=placeable,
-    )
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -10,6 +10,7 @@
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.charges import StartCharges, is_charged_at_start
+from ..core.choices import describe_held_back
 from ..core.fairness import (
     RecentWork,
     ServiceView,
@@ -34,7 +35,7 @@
     ServiceKind,
     ServiceName,
 )
-from .fair import Pool, describe_held_back
+from .fair import Pool
 from .reporting import ReportingPolicy
 
 MAX_TRIED_REQUESTS = 24
@@ -283,8 +284,6 @@
         self, board: Blackboard, service: ServiceName, current: Round, now: float
     ) -> None:
         """Sets the rates of organisations that ask for more than their share."""
-        ledger = board.ledger
-        loads = {}
         loads = {
             name: self._describe_load(board, service, name, state.waiting)
             for name, state in current.view.organisations.items()
