--- a/sequoiamoor/core/start_limits.py
+++ b/sequoiamoor/core/start_limits.py
@@ -167,22 +167,27 @@
     """What this router may start for each organisation of one service.
 
     Attributes:
-        mean_seconds: Moving average of the time that requests hold a place.
+        mean_seconds: Moving average of the time that requests hold a place; None before
+            the first has ended.
     """
 
-    mean_seconds: float = MAX_UPTAKE_SECONDS
+    mean_seconds: float | None = None
     _credits: dict[OrganisationName, _Credit] = field(default_factory=dict)
     _starts: dict[OrganisationName, _Starts] = field(default_factory=dict)
 
     @property
     def uptake_seconds(self) -> float:
         """Time in which the fleet takes up free places."""
+        if self.mean_seconds is None:
+            return MAX_UPTAKE_SECONDS
         return min(UPTAKE_FACTOR * self.mean_seconds, MAX_UPTAKE_SECONDS)
 
     def record_end(self, seconds: float) -> None:
         """Records how long a request held its place."""
-        change = max(seconds, MIN_DURATION_SECONDS) - self.mean_seconds
-        self.mean_seconds += DURATION_SMOOTHING_WEIGHT * change
+        seconds = max(seconds, MIN_DURATION_SECONDS)
+        if self.mean_seconds is None:
+            self.mean_seconds = seconds
+        self.mean_seconds += DURATION_SMOOTHING_WEIGHT * (seconds - self.mean_seconds)
 
     def set_rates(
         self,
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -648,8 +648,8 @@
         self._start_charges.finish(board, request)
         if isinstance(request, RoutedCall) and request.events:
             self._record_pace(board, request, replica_id, now)
-        if request.service in self._limits:
-            self._limits[request.service].record_end(now - request.started_at)
+        limits = self._limits.setdefault(request.service, StartLimits())
+        limits.record_end(now - request.started_at)
         actions = super().finish(board, request, replica_id, now)
         self._look_again(board, request, replica_id, now)
         return actions
--- a/tests/core/test_start_limits.py
+++ b/tests/core/test_start_limits.py
@@ -64,12 +64,14 @@
 
 
 def test_short_requests_take_up_places_sooner() -> None:
-    """Guards against limits on requests of milliseconds, as if they took a second."""
+    """Guards against limits on requests of milliseconds, as if they took a second.
+
+    A router that gets two of them a second must know it after the first.
+    """
     limits = StartLimits()
     assert limits.uptake_seconds == 1.0
-    for _ in range(200):
-        limits.record_end(0.02)
-    assert limits.uptake_seconds == pytest.approx(0.04, rel=0.01)
+    limits.record_end(0.02)
+    assert limits.uptake_seconds == pytest.approx(0.04)
     for _ in range(200):
         limits.record_end(9.0)
     assert limits.uptake_seconds == 1.0
