--- a/sequoiamoor/core/start_limits.py
+++ b/sequoiamoor/core/start_limits.py
@@ -99,6 +99,8 @@
 ) -> dict[OrganisationName, float]:
     """Returns the rates of the organisations that ask for more than their share.
 
+    One that is alone has none, since nobody would get what it leaves.
+
     Args:
         loads: Loads of all organisations.
         places: Requests that the replicas can take now; negative if they have more than
@@ -108,6 +110,8 @@
     Returns:
         Service units per second that this router may begin, by organisation.
     """
+    if sum(load.demand > 0 for load in loads.values()) < 2:
+        return {}
     requests = sum(max(load.waiting, 1) for load in loads.values())
     costs = sum(max(load.waiting, 1) * load.cost for load in loads.values())
     mean_cost = costs / max(requests, 1)
--- a/tests/core/test_start_limits.py
+++ b/tests/core/test_start_limits.py
@@ -57,10 +57,11 @@
     assert rates == pytest.approx(expected, rel=0.001)
 
 
-def test_organisation_without_other_demand_has_no_rate() -> None:
+@pytest.mark.parametrize("places", [30.0, 0.0, -30.0])
+def test_organisation_without_other_demand_has_no_rate(places: float) -> None:
     """Guards against a limit that leaves replicas idle for nobody."""
-    loads = {"a": make_load(100.0, 100.0, waiting=1)}
-    assert compute_rates(loads, places=30.0, uptake_seconds=1.0) == {}
+    loads = {"a": make_load(100.0, 100.0, waiting=50), "b": make_load(0.0, 0.0)}
+    assert compute_rates(loads, places=places, uptake_seconds=1.0) == {}
 
 
 def test_short_requests_take_up_places_sooner() -> None:
