Count the requests that arrived in a round as waiting

A view is kept for a round, so that its number of waiting requests of an organisation could fall below those that wait at this router, and the part of the places with it. Found in reading the change; no play showed it.

--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -272,11 +272,13 @@
         own_served = ledger.served(service, name)
         served = ledger.total(service, name) - ledger.lift(service, name)
         own_recent = self._own_recent.units(service, name, own_served)
+        own_waiting = board.queues.count(service, name)
         return OrganisationLoad(
             recent=self._recent.units(service, name, served) / SHARE_DECAY_SECONDS,
             own_recent=own_recent / SHARE_DECAY_SECONDS,
-            waiting=waiting,
-            own_waiting=board.queues.count(service, name),
+            # The view does not have the requests that arrived in this round.
+            waiting=max(waiting, own_waiting),
+            own_waiting=own_waiting,
             cost=self._costs.expect(service, name),
         )
 
