Let the test of the cost of a start use the router of the other flood tests

It had a second copy of the declaration, the route and the replicas. A hook of the busy fleet that nothing used is removed.

--- a/tests/policies/busy_fleet.py
+++ b/tests/policies/busy_fleet.py
@@ -120,15 +120,11 @@
             if at - call.arrival > TARGET_SECONDS:
                 self.late[call.organisation, int(at)] += 1
             begin(at)
-            self._state_load(router, index, at)
             end = at + self.loads[call.organisation].seconds
             self._at(end, lambda ended: self._free(index, ended))
 
         self._at(read_at, answer)
 
-    def _state_load(self, router: Router, index: int, now: float) -> None:
-        """Lets an answer state the load of its replica."""
-
     def _free(self, index: int, now: float) -> None:
         self._active[index] -= 1
         if self._queues[index]:
--- a/tests/policies/flooded_fleet.py
+++ b/tests/policies/flooded_fleet.py
@@ -84,7 +84,11 @@
 
     def __init__(self, number: int, size: Size) -> None:
         self.identity = RouterIdentity(f"router-{number}", 1, "zone")
-        options = Options(slot_cap_factor=1_000.0, slot_floor_factor=0.0)
+        options = Options(
+            slot_cap_factor=1_000.0,
+            slot_floor_factor=0.0,
+            queue_limit_per_organisation=1_000,
+        )
         self.board = create_blackboard(self.identity, options)
         self.board.configuration.declaration = parse_declaration(
             DECLARATION | {"limits": {"tokens_per_second": size.token_rate}}
--- a/tests/policies/test_cost_of_starts.py
+++ b/tests/policies/test_cost_of_starts.py
@@ -2,63 +2,33 @@
 
 from __future__ import annotations
 
-from random import Random
-
 import pytest
 
-from sequoiamoor.core.blackboard import create_blackboard
 from sequoiamoor.core.messages import Report, SlotRow
 from sequoiamoor.core.routed_call import PromptPart, RoutedCall
-from sequoiamoor.core.routes import Route
-from sequoiamoor.core.upstreams import LoadReport, Replica
-from sequoiamoor.declaration import parse_declaration
-from sequoiamoor.options import Options
-from sequoiamoor.policies.shared_load import SharedLoadPolicy
-from sequoiamoor.types import Address, RouteKind, RouterIdentity
-
-REPLICAS, SLOTS, ORGANISATIONS, WAITING = 45, 12, 3, 24
+from sequoiamoor.types import RouterIdentity
+
+from .busy_fleet import LARGE
+from .flooded_fleet import ROUTE, Router
+
+ORGANISATIONS, WAITING = 3, 24
+REPLICAS, SLOTS = LARGE.replicas, LARGE.slots
 EVENT_SECONDS = 0.001
-ROUTE = Route(
-    "r", "h", "/", RouteKind.STREAM, True, True, 9.0, 0.4, 0.25, 2, (("talk", 1.0),)
-)
-DECLARATION = {
-    "organisations": {},
-    "classes": {},
-    "services": {"talk": {"kind": "engine"}},
-    "routes": {
-        "r": {"host": "h", "prefix": "/", "kind": "stream", "timeout_ms": 9_000,
-              "target_ms": 400, "services": [("talk", 1.0)]},
-    },
-    "limits": {"tokens_per_second": 2_000_000},
-}  # fmt: skip
-PEER = RouterIdentity("router-1", 1, "zone")
-
-
-class Router:
+PEER = RouterIdentity("peer", 1, "zone")
+
+
+class BusyRouter(Router):
     """A router before replicas that still read prompts of a peer."""
 
     def __init__(self, *, shared: int) -> None:
+        super().__init__(0, LARGE)
         self.shared = shared
-        options = Options(
-            slot_cap_factor=1_000.0,
-            slot_floor_factor=0.0,
-            queue_limit_per_organisation=1_000,
-        )
-        identity = RouterIdentity("router-0", 1, "zone")
-        self.board = create_blackboard(identity, options)
-        self.board.configuration.declaration = parse_declaration(DECLARATION)
         self.board.members[PEER.router_id] = PEER
-        self.policy = SharedLoadPolicy(rng=Random(1))
-        for index in range(REPLICAS):
-            address = Address("10.0.0.1", 1 + index)
-            replica = Replica(f"i-{index}", "talk", "zone", address)
-            replica.load = LoadReport(1, SLOTS, 0, 0, 0.0, False)
-            self.board.upstreams.replicas[replica.replica_id] = replica
         self.policy.step(self.board, 0.0)
         self.arrivals = 0
 
     def report(self, *, unread: int) -> None:
-        rows = [SlotRow(f"i-{i}", 0, 0, 0, 1, unread, 0) for i in range(REPLICAS)]
+        rows = [SlotRow(str(i), 0, 0, 0, 1, unread, 0) for i in range(REPLICAS)]
         report = Report(1, 1, False, (), tuple(rows))
         self.policy.apply_report(self.board, PEER, report, 0.0)
 
@@ -89,7 +59,7 @@
 
     A router that does so under a flood has no time left to read, so that more waits.
     """
-    router = Router(shared=shared)
+    router = BusyRouter(shared=shared)
     router.report(unread=1_000_000)
     for _ in range(ORGANISATIONS * WAITING):
         router.add(0.0)
@@ -109,7 +79,7 @@
 @pytest.mark.parametrize("shared", [0, 4_000])
 def test_start_costs_the_same_however_many_requests_wait(shared: int) -> None:
     """Guards against a start that looks at each replica for each request that waits."""
-    router = Router(shared=shared)
+    router = BusyRouter(shared=shared)
     for _ in range(REPLICAS * SLOTS + ORGANISATIONS * WAITING):
         router.add(0.0)
     running = router.start_all(0.0)
