Let no failed decision or log line end a request

Cause: describe_held_back looked an organisation up in the view of a round that is older than its first request, and raised KeyError. The description is for a log line, but it was made inside of choose_start, which runs in the task of whatever request asks for a decision: when a request waits, gets its first event or ends. So the fault of one decision ended other requests. After an answer that had been sent whole the connection was closed as well, though the answer had not said so, and the caller's next request was read and dropped.

Change: a choice records facts only, and they are described when the line is written, in a way that holds for any view. Decisions, their bookkeeping and their log line are contained by the dispatcher: a failure is logged, the request that asked goes on, waiting ones are looked at again, and those that never start are refused as not run. A 500 for a fault says that the connection ends; after a whole answer it goes on.

--- a/sequoiamoor/core/choices.py
+++ b/sequoiamoor/core/choices.py
@@ -64,29 +64,56 @@
     placeable: int
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldBackState:
+    """What a description of an organisation that gave way is made from."""
+
+    organisation: OrganisationName
+    view: ServiceView
+    placeable: int
+
+
 @dataclass(slots=True)
 class Choices:
     """Counts of one router's choices, and the last one against an organisation."""
 
     counts: ChoiceCounts = field(default_factory=ChoiceCounts)
-    last_held_back: HeldBack | None = None
+    _last_held_back: _HeldBackState | None = None
 
     def copy_counts(self) -> ChoiceCounts:
         """Returns a copy of the counts."""
         return replace(self.counts)
 
-
-def describe_held_back(
-    name: OrganisationName, view: ServiceView, placeable: int
-) -> HeldBack:
-    """Returns the state in which an organisation with waiting work gives way."""
-    waiting = {n: state for n, state in view.organisations.items() if state.waiting}
-    lowest = min(waiting, key=lambda candidate: waiting[candidate].key)
-    return HeldBack(
-        organisation=name,
-        lead=waiting[name].key - waiting[lowest].key,
-        lowest=lowest,
-        lowest_waiting=waiting[lowest].waiting,
-        waiting=sum(state.waiting for state in waiting.values()),
-        placeable=placeable,
-    )
+    def record_held_back(
+        self, name: OrganisationName, view: ServiceView, placeable: int
+    ) -> None:
+        """Counts an organisation that gives way, without describing it yet."""
+        self.counts.held_back += 1
+        self._last_held_back = _HeldBackState(name, view, placeable)
+
+    def describe_held_back(self) -> HeldBack | None:
+        """Returns the state in which an organisation last gave way; None if none did.
+
+        Its view may be older than the requests that wait, so that the organisation
+        counts as waiting whatever the view says.
+        """
+        state = self._last_held_back
+        if state is None:
+            return None
+        name = state.organisation
+        waiting = {
+            other: load
+            for other, load in state.view.organisations.items()
+            if load.waiting or other == name
+        }
+        if name not in waiting:
+            return None
+        lowest = min(waiting, key=lambda candidate: waiting[candidate].key)
+        return HeldBack(
+            organisation=name,
+            lead=waiting[name].key - waiting[lowest].key,
+            lowest=lowest,
+            lowest_waiting=max(waiting[lowest].waiting, 0),
+            waiting=sum(max(load.waiting, 0) for load in waiting.values()),
+            placeable=state.placeable,
+        )
--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import curio
 
-from ..core.actions import Action
+from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.choices import ChoiceCounts
 from ..core.overload import Overload, bound_retry_after
 from ..core.upstreams import Replica
 from ..errors import QueueFullError, RefusalError, UpstreamsUnavailableError
+from ..logs import LineLimits
 from ..policies import Policy
 from ..timeouts import wait_for
 from ..types import CallRequest
@@ -25,6 +27,12 @@
 CHOICES_LOG_SECONDS = 1.0
 """Shortest time between two lines on calls that were left waiting."""
 
+FAILURE_LINES_PER_SECOND = 1.0
+"""Sustained rate of lines about failed decisions of the same kind."""
+
+FAILURE_BURST_LINES = 5.0
+"""Such lines that may be written at once."""
+
 
 @dataclass(slots=True)
 class _PendingStart:
@@ -44,6 +52,11 @@
 class Dispatcher:
     """Queues calls, starts them as the policy decides, and frees their slots.
 
+    A decision concerns all calls of a service, and the task of any one of them may ask
+    for it. So a failure of a decision is logged and not raised: the call that asked
+    goes on, and those that wait are looked at again later, at the latest by the
+    control's next step.
+
     Args:
         board: State of the router.
         policy: Chooses which waiting call starts next, and at which replica.
@@ -71,6 +84,26 @@
         self._refuses_unserved = refuses_unserved
         self._choices_logged_at = float("-inf")
         self._logged_counts = ChoiceCounts()
+        self._failure_lines = LineLimits(
+            rate=FAILURE_LINES_PER_SECOND, burst=FAILURE_BURST_LINES
+        )
+
+    @contextlib.contextmanager
+    def _contain_failure(self, decision: str) -> Iterator[None]:
+        """Logs an exception of a decision instead of raising it."""
+        try:
+            yield
+        except Exception as err:
+            left_out = self._failure_lines.take(decision, time.monotonic())
+            if left_out is not None:
+                _LOG.exception(
+                    "a decision failed",
+                    extra={
+                        "reason": decision,
+                        "error": repr(err),
+                        "left_out": left_out or None,
+                    },
+                )
 
     @property
     def in_service(self) -> int:
@@ -127,25 +160,33 @@
     async def dispatch(self, service: str) -> None:
         """Starts waiting calls of a service until the policy starts no more of them."""
         now = time.monotonic()
-        while (
-            start := self._policy.choose_start(self._board, service, now)
-        ) is not None:
-            call = self._board.queues.remove(start.call_id)
-            assert call is not None
-            self._overload.record_start(call, self._count_waiting(call), now)
-            call.attempts += 1
-            call.started_at = now
-            self._board.running[call.call_id] = call
-            replica = self._board.upstreams.replicas[start.replica_id]
-            self._board.upstreams.record_start(replica, now, call.call_id)
-            pending = self._pending_starts[start.call_id]
-            pending.replica = replica
-            await pending.event.set()
+        with self._contain_failure("start"):
+            while (
+                start := self._policy.choose_start(self._board, service, now)
+            ) is not None:
+                await self._start(start, now)
         if self._refuses_unserved:
-            await self._refuse_unserved(service, now)
-        self._log_choices(now)
+            with self._contain_failure("refuse unserved"):
+                await self._refuse_unserved(service, now)
+        with self._contain_failure("log"):
+            self._log_choices(now)
         # The policy may have marked a report as due because calls are still waiting.
-        self._perform(())
+        with self._contain_failure("report"):
+            self._perform(())
+
+    async def _start(self, start: Start, now: float) -> None:
+        """Gives a waiting call the slot that the policy chose."""
+        replica = self._board.upstreams.replicas[start.replica_id]
+        pending = self._pending_starts[start.call_id]
+        call = self._board.queues.remove(start.call_id)
+        assert call is not None
+        self._overload.record_start(call, self._count_waiting(call), now)
+        call.attempts += 1
+        call.started_at = now
+        self._board.running[call.call_id] = call
+        self._board.upstreams.record_start(replica, now, call.call_id)
+        pending.replica = replica
+        await pending.event.set()
 
     def _log_choices(self, now: float) -> None:
         """Logs why calls were left waiting, at most once per interval."""
@@ -156,7 +197,7 @@
         if not counts.left_waiting:
             return
         self._choices_logged_at, self._logged_counts = now, choices.copy_counts()
-        held_back = choices.last_held_back if counts.held_back else None
+        held_back = choices.describe_held_back() if counts.held_back else None
         extra = {
             "choices": asdict(counts),
             "queued": len(self._board.queues),
@@ -202,14 +243,17 @@
 
         None leaves the limit to the class or route of the call.
         """
-        return self._policy.find_wait_limit(call)
+        with self._contain_failure("wait limit"):
+            return self._policy.find_wait_limit(call)
+        return None
 
     async def record_first_event(self, call: CallRequest) -> None:
         """Tells the policy that the first event of a stream has arrived.
 
         The replica has read the prompt then, so waiting calls may start there.
         """
-        self._policy.record_first_event(self._board, call, time.monotonic())
+        with self._contain_failure("first event"):
+            self._policy.record_first_event(self._board, call, time.monotonic())
         if call.service in self._board.queues.services():
             await self.dispatch(call.service)
 
@@ -220,8 +264,12 @@
         assert replica is not None
         self._board.upstreams.record_end(replica, call.call_id)
         self._board.running.pop(call.call_id, None)
-        now = time.monotonic()
-        self._perform(self._policy.finish(self._board, call, replica.replica_id, now))
+        with self._contain_failure("finish"):
+            self._perform(
+                self._policy.finish(
+                    self._board, call, replica.replica_id, time.monotonic()
+                )
+            )
         await self.dispatch(call.service)
 
     async def forget(self, call: CallRequest) -> None:
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -338,17 +338,30 @@
             except (Exception, *STRAY_TIMEOUTS) as err:
                 if isinstance(err, OSError) and connection.has_send_failed:
                     raise
-                # Without an answer, the caller could not tell this from a lost request.
                 _LOG.exception("request ended by an unexpected exception")
-                await self._refuse(connection, _build_internal_error())
-                return ConnectionEnd.FAULT
+                if await self._end_after_fault(connection):
+                    return ConnectionEnd.FAULT
+                continue
             if _find_end(connection) is ConnectionEnd.FAULT:
                 _LOG.error("request ended without an answer")
-                await self._refuse(connection, _build_internal_error())
+                await self._end_after_fault(connection)
                 return ConnectionEnd.FAULT
             if not connection.start_next_cycle():
                 return _find_end(connection)
 
+    async def _end_after_fault(self, connection: ServerConnection) -> bool:
+        """Answers a request that a fault ended; returns whether the connection ends.
+
+        Without an answer, the caller could not tell this from a lost request. If its
+        answer was sent whole and did not say that the connection ends, the next request
+        may be on its way, so the connection goes on.
+        """
+        if not connection.can_refuse:
+            return not connection.start_next_cycle()
+        connection.closes_after_response = True
+        await self._refuse(connection, _build_internal_error())
+        return True
+
     def _find_limits(self) -> RequestLimits:
         """Returns the limits of a request that begins now."""
         limits = self._limits
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -10,7 +10,6 @@
 from ..core.actions import Action, Start
 from ..core.blackboard import Blackboard
 from ..core.charges import StartCharges, is_charged_at_start
-from ..core.choices import describe_held_back
 from ..core.fairness import (
     RecentWork,
     ServiceView,
@@ -321,10 +320,7 @@
             )
             names.remove(name)
             if not self._may_take_place(board, service, name, current, now):
-                board.choices.counts.held_back += 1
-                board.choices.last_held_back = describe_held_back(
-                    name, current.view, current.placeable
-                )
+                board.choices.record_held_back(name, current.view, current.placeable)
                 continue
             for request in board.queues.list_first(service, name, MAX_TRIED_REQUESTS):
                 if not current.may_try(request.call_id):
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -206,7 +206,8 @@
     """Guards against a connection that a fault of the router ends without an answer.
 
     An OSError counts as the caller's only if it is one of the caller's connection, and
-    a timeout that belongs to no context is no shutdown.
+    a timeout that belongs to no context is no shutdown. A connection ends only if its
+    caller was told so.
     """
 
     def fail(*arguments: object) -> None:
@@ -220,12 +221,24 @@
             else harness.forwarder._dispatcher
         )
         monkeypatch.setattr(target, method, fail)
+        await harness.add_upstream(lambda _: [answer()])
         caller = await harness.connect()
         await caller.send(route_request("/look/1"))
+        if method == "forget":
+            # The request was answered before it is forgotten, and the answer did not
+            # say that the connection ends.
+            await caller.receive_until(b"done")
+            assert parse(caller.received).status == 200
+            caller.received = b""
+            await caller.send(route_request("/look/1"))
+            await caller.receive_until(b"done")
+            assert parse(caller.received).status == 200
+            return
         response = parse(await caller.receive_all())
-        # The request was answered before it is forgotten.
-        assert response.status == (200 if method == "forget" else 500)
-        if method in ("accept", "forget"):
+        assert response.status == 500
+        if method != "wait_start":
+            assert response.headers["connection"] == "close"
+        if method == "accept":
             await harness.wait_for(
                 lambda: harness.counter("caller_connections_ended", reason="fault") == 1
             )
