Close the sockets of callers in the tests' harness as the acceptor does

The refusal was sent (shown by prints of its times), and the test waited for the close of the connection: the listener leaves that to the acceptor, which the harness replaces, so it came only with the garbage collector. The harness closes the socket now; the checks are the same.

--- a/tests/listener_harness.py
+++ b/tests/listener_harness.py
@@ -390,6 +390,8 @@
         except Exception as err:
             self.crashes.append(err)
             raise
+        finally:
+            await sock.close()
 
     async def ask(self, *parts: bytes) -> bytes:
         """Sends the parts and returns everything received until the router closes."""
