Let the test of any row not depend on the time of an example

The test is about what a row decodes to; no test of this project bounds the time of an example, and the other ones say so. What it checks is the same.

--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -139,7 +139,7 @@
 )
 
 
-@settings(max_examples=300, derandomize=True)
+@settings(max_examples=300, derandomize=True, deadline=None)
 @given(
     key=st.just("i-1") | st.text(max_size=5),
     value=st.binary()
