--- a/tests/policies/busy_fleet.py
+++ b/tests/policies/busy_fleet.py
@@ -76,6 +76,9 @@
             now + self._rng.expovariate(rate),
             lambda at: self._arrive(name, load, index + 1, at),
         )
+        self._receive(router, call, now)
+
+    def _receive(self, router: Router, call: RoutedCall, now: float) -> None:
         self._accept(router, call, now)
 
     def _accept(self, router: Router, call: RoutedCall, now: float) -> None:
@@ -85,24 +88,33 @@
         try:
             overload.check_arrival(call, waiting, now)
         except RefusalError:
-            self.refused[call.organisation, int(now)] += 1
+            self._refuse(router, call, now)
             return
         queues.add(call)
         overload.record_waiting(call, waiting + 1, now)
 
         def expire(at: float) -> None:
             if queues.remove(call.call_id) is not None:
-                self.refused[call.organisation, int(at)] += 1
+                self._refuse(router, call, at)
                 still_waiting = queues.count("talk", call.organisation)
                 overload.record_waiting(call, still_waiting, at)
 
         self._at(call.wait_limit_at, expire)
 
+    def _refuse(self, router: Router, call: RoutedCall, now: float) -> None:
+        self.refused[call.organisation, int(now)] += 1
+
     def _start(
         self, router: Router, call: RoutedCall, replica_id: str, now: float
     ) -> None:
         waiting = router.board.queues.count("talk", call.organisation)
         self._overloads[router.identity].record_start(call, waiting, now)
+        self._send(router, call, replica_id, now)
+
+    def _send(
+        self, router: Router, call: RoutedCall, replica_id: str, now: float
+    ) -> None:
+        self._count_begun(call, now)
         index = int(replica_id)
         if self._active[index] < self.size.slots:
             self._run(router, call, index, now)
--- a/tests/policies/flooded_fleet.py
+++ b/tests/policies/flooded_fleet.py
@@ -167,12 +167,15 @@
             assert isinstance(call, RoutedCall)
             call.started_at = now
             board.upstreams.replicas[start.replica_id].in_use += 1
-            self.begun[call.organisation, int(now)] += call.prompt_tokens
             self._start(router, call, start.replica_id, now)
 
+    def _count_begun(self, call: RoutedCall, now: float) -> None:
+        self.begun[call.organisation, int(now)] += call.prompt_tokens
+
     def _start(
         self, router: Router, call: RoutedCall, replica_id: str, now: float
     ) -> None:
+        self._count_begun(call, now)
         index = int(replica_id)
         read_at = max(self._read_until[index], now)
         read_at += call.prompt_tokens / self.size.read_rate
