Copy the counts of choices only for a line that is written

Each dispatch (arrival, first event, end of a request) copied all counts of choices twice to learn whether a line on waiting calls was due, also when none had been left waiting: 6,360 copies for 1,527 streams in a profile of a route listener.

The sums of what was left waiting are compared instead, which rise only. The line is the same.

--- a/sequoiamoor/daemon/dispatcher.py
+++ b/sequoiamoor/daemon/dispatcher.py
@@ -191,11 +191,12 @@
     def _log_choices(self, now: float) -> None:
         """Logs why calls were left waiting, at most once per interval."""
         choices = self._board.choices
-        if now - self._choices_logged_at < CHOICES_LOG_SECONDS:
+        if (
+            now - self._choices_logged_at < CHOICES_LOG_SECONDS
+            or choices.counts.left_waiting == self._logged_counts.left_waiting
+        ):
             return
         counts = choices.counts.subtract(self._logged_counts)
-        if not counts.left_waiting:
-            return
         self._choices_logged_at, self._logged_counts = now, choices.copy_counts()
         held_back = choices.describe_held_back() if counts.held_back else None
         extra = {
