Keep the windows of all replicas when a stream ends at one

Cause: a stream that ended dropped the windows of all replicas, since the pace of one had changed. New windows end a round, in which starts share one look at all replicas and organisations.

Now the end of a stream changes the window of its replica, at which the round looks again anyway. The longest interval that streams allow is still computed anew each second, and drops all windows.

--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -139,19 +139,35 @@
     ) -> dict[ReplicaId, int]:
         """Returns how many requests this router would let each replica run at once.
 
-        They are kept until the pool is refreshed or the pace of streams changes.
+        They are kept until the pool is refreshed or the longest interval of streams is
+        computed anew. A changed pace of one replica changes only its own window.
         """
         pool = self._get_pool(board, service, now)
         kept = self._own_windows.get(service)
         if kept is not None and kept[0] is pool:
             return kept[1]
         windows = {
-            replica_id: int(window * self._pace.find_slot_fraction(service, replica_id))
+            replica_id: self._limit_window(service, replica_id, window)
             for replica_id, window in pool.windows.items()
         }
         self._own_windows[service] = (pool, windows)
         return windows
 
+    def _limit_window(
+        self, service: ServiceName, replica_id: ReplicaId, window: int
+    ) -> int:
+        """Returns a window of the pool with the limit that the pace of streams sets."""
+        return int(window * self._pace.find_slot_fraction(service, replica_id))
+
+    def _update_own_window(self, service: ServiceName, replica_id: ReplicaId) -> None:
+        """Applies a changed pace of one replica to the windows that are kept."""
+        kept = self._own_windows.get(service)
+        if kept is None or replica_id not in kept[0].windows:
+            return
+        pool, windows = kept
+        window = pool.windows[replica_id]
+        windows[replica_id] = self._limit_window(service, replica_id, window)
+
     def _compute_own_window(
         self, board: Blackboard, replica: Replica, now: float
     ) -> int:
@@ -677,7 +693,7 @@
             length=max(events, self._count_events(board, request)),
             seconds=request.last_event_at - request.first_event_at,
         )
-        self._own_windows.pop(request.service, None)
+        self._update_own_window(request.service, replica_id)
 
     # Reports.
 
--- a/tests/policies/test_cost_of_starts.py
+++ b/tests/policies/test_cost_of_starts.py
@@ -94,3 +94,28 @@
     cost = router.board.choices.counts.subtract(before)
     assert started > 0
     assert cost.replicas <= 2 * REPLICAS * (started + 1)
+
+
+@pytest.mark.parametrize("shared", [0, 4_000])
+def test_end_of_a_stream_costs_a_look_at_its_replica(shared: int) -> None:
+    """Guards against a look at all replicas whenever a stream has ended.
+
+    A router that serves streams at a high rate does little else then.
+    """
+    router = BusyRouter(shared=shared)
+    for _ in range(REPLICAS * SLOTS + ORGANISATIONS * WAITING):
+        router.add(0.0)
+    running = router.start_all(0.0)
+    ends = running[:15]
+    before = router.board.choices.copy_counts()
+    started = 0
+    for number, (call, replica_id) in enumerate(ends):
+        now = (1 + number) * EVENT_SECONDS
+        call.events, call.first_event_at, call.last_event_at = 20, 0.0, now
+        router.board.upstreams.replicas[replica_id].in_use -= 1
+        router.policy.finish(router.board, call, replica_id, now)
+        started += len(router.start_all(now))
+    cost = router.board.choices.counts.subtract(before)
+    assert started > 0
+    # One look at all of them, one search for each start, one look for each end.
+    assert cost.replicas <= REPLICAS * (1 + started) + len(ends)
