Log whose streams were not served, and how much was asked for

Lines on refusals name no organisation, are limited to 30 a second of one code, and tell no work.

A line a second at most, and only if streams were not served, has the requests and prompt tokens asked for and begun by the four organisations that asked for most, with the lag of the event loop and the requests that wait. It is written by the task that measures the lag, not by a request.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -6,13 +6,14 @@
 import math
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from functools import partial
 from random import Random
 from typing import Any
 
 import curio
 
+from ..core.asked_work import AskedWork
 from ..core.blackboard import Blackboard
 from ..core.charges import UNITS_PER_GENERATED_TOKEN
 from ..core.directory import UpstreamDirectory
@@ -152,6 +153,7 @@
         self.guard.refuse_waiting = dispatcher.refuse_waiting
         self.drain = DrainTimes()
         self._serving: dict[str, tuple[RoutedCall, Any]] = {}
+        self._asked_work = AskedWork()
         self._refusal_lines = LineLimits(
             rate=REFUSAL_LINES_PER_SECOND, burst=REFUSAL_BURST_LINES
         )
@@ -187,6 +189,7 @@
         self._apply_received()
         now = time.monotonic()
         request_id = None
+        call: RoutedCall | None = None
         try:
             request_id = self._caller_format.read_request_id(request)
             # Asked here, since a late event loop may read requests before it runs a
@@ -197,6 +200,8 @@
             call = self._calls.parse(
                 request, request_id, now, received_at=connection.active_at
             )
+            if call.parts:
+                self._asked_work.note_asked(call.organisation, call.prompt_tokens)
             self.guard.admit(call)
             wait_seconds = self._dispatcher.find_wait_limit(call)
             if wait_seconds is not None:
@@ -209,6 +214,8 @@
                 raise
             call.fields = self._caller_format.select_fields(request.fields)
         except RefusalError as error:
+            if call is not None:
+                self._note_unserved(call)
             await self.refuse(connection, error, request_id)
             return
         self._repeat_budget.record_request(call.service, now)
@@ -231,6 +238,29 @@
             self._metrics.refusals.labels(refusal.code).inc()
             await self._send_refusal(connection, refusal, request_id)
 
+    def _note_unserved(self, call: RoutedCall) -> None:
+        if call.parts and not call.events:
+            self._asked_work.note_unserved(call.organisation)
+
+    def log_asked_work(self, now: float, *, lag: float) -> None:
+        """Logs what was asked for and begun in a period with unserved streams.
+
+        Args:
+            now: Monotonic time in seconds.
+            lag: Seconds by which the event loop is late.
+        """
+        taken = self._asked_work.take_period(now)
+        if taken is None:
+            return
+        seconds, counts = taken
+        extra = {
+            "elapsed_ms": round(seconds * 1000),
+            "lag_ms": round(lag * 1000),
+            "queued": len(self._board.queues),
+            "organisations": {name: asdict(work) for name, work in counts.items()},
+        }
+        _LOG.info("streams were not served", extra=extra)
+
     def _note_serving(self, call: RoutedCall, task: Any) -> None:
         self._serving[call.call_id] = (call, task)
 
@@ -327,6 +357,7 @@
         self, connection: ServerConnection, call: RoutedCall, detail: str
     ) -> None:
         self._metrics.callers_gone.inc()
+        self._note_unserved(call)
         extra = _build_log_fields(call) | build_disconnect_fields(connection, detail)
         _LOG.info("caller disconnected", extra=extra)
 
@@ -406,6 +437,7 @@
             self._set_retry_after(call, error)
         extra = _build_log_fields(call, reason=str(error))
         extra["waited_ms"] = round((time.monotonic() - call.arrival) * 1000)
+        self._note_unserved(call)
         _LOG.info("request not served", extra=extra)
         await self.refuse(connection, error, call.request_id)
 
@@ -597,6 +629,8 @@
                 "the request was not sent, since the list of upstreams has not been "
                 f"confirmed for over {self._directory.max_age} s; try again"
             )
+        if call.parts and not call.sent_attempts:
+            self._asked_work.note_begun(call.organisation, call.prompt_tokens)
         call.replica_id = replica.replica_id
         call.sent_after = time.monotonic() - call.started_at
         call.view_age = self._directory.feed.find_age(self._freshness.read_time())
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -277,6 +277,7 @@
             lag = max(now - due_at, self._listener.turns.find_wait(now))
             is_changed = self._lag.note(lag, now)
             self.metrics.loop_lag.set(self._lag.seconds)
+            self._forwarder.log_asked_work(now, lag=lag)
             if is_changed and self._lag.is_overloaded:
                 lag_ms = round(self._lag.seconds * 1000)
                 _LOG.warning(
--- a/sequoiamoor/logs.py
+++ b/sequoiamoor/logs.py
@@ -35,6 +35,7 @@
     "to_send_ms",
     "view_age_ms",
     "elapsed_ms",
+    "lag_ms",
     "idle_ms",
     "unread_bytes",
     "unacknowledged_bytes",
@@ -48,6 +49,7 @@
     "choices",
     "queued",
     "held_back",
+    "organisations",
 )
 
 MAX_LINES_PER_SECOND = 200.0
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -847,3 +847,46 @@
         assert upstream.requests == []
 
     run(session)
+
+
+@pytest.mark.parametrize(
+    ("scripts", "counts"),
+    [
+        ([[STREAM_HEAD, chunk(event(1)), b"0\r\n\r\n"]], None),
+        ([[NOT_RUN], [NOT_RUN]], {"begun": 1, "unserved": 1}),
+        ([], {"begun": 0, "unserved": 1}),
+    ],
+)
+def test_log_tells_whose_streams_were_not_served(
+    scripts: list[list[Step]],
+    counts: dict[str, int] | None,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against refusals of which no line tells the organisation and the work."""
+    caplog.set_level("INFO")
+
+    async def session(harness: RouteListenerHarness) -> None:
+        await harness.add_replicas(len(scripts), *scripts)
+        harness.forwarder.log_asked_work(0.0, lag=0.0)
+        extra = b"X-Prompt-Prefix: 5c1e:800,91bd:410\r\n"
+        await ask(harness, route_request("/chat/1", extra=extra))
+        harness.forwarder.log_asked_work(1e9, lag=0.25)
+
+    run(session)
+    lines = [
+        record.__dict__
+        for record in caplog.records
+        if record.message == "streams were not served"
+    ]
+    if counts is None:
+        assert lines == []
+        return
+    (line,) = lines
+    assert line["lag_ms"] == 250
+    (work,) = line["organisations"].values()
+    assert work == {
+        "asked": 1,
+        "asked_tokens": 1_210,
+        "begun_tokens": 1_210 * counts["begun"],
+        **counts,
+    }
