--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -339,6 +339,7 @@
             is_changed = self._lag.note(lag, now)
             self.metrics.loop_lag.set(self._lag.seconds)
             self.metrics.loop_use.set(self._handoffs.use.fraction)
+            self._forwarder.log_asked_work(now, lag=lag)
             if is_changed and self._lag.is_overloaded:
                 lag_ms = round(self._lag.seconds * 1000)
                 _LOG.warning(
