Tell by an open connection which process said that it leaves

The router had started after the former process ended: it knew that one's row, met no refused connection, and took what was said for the former process's. The row of the new one took over only what was said 0.5 s or more after its start, the difference of two clocks. It began clean, and the other routers, told of the former process, went on too.

Answers do not name the process (born), so they cannot be ordered by it. Their connections can: a connection that is still open when the row is read leads to the process of that row, which therefore has lived since the connection was opened. All that was said to requests sent since then is its own. Both times are of the router's own clock. Clocks of two VMs are asked only whether the connection dates from over 0.5 s before that start: then it leads to a process whose end has not become known. Whether a connection is open is read from the kernel when a row, a load report or a peer names the new process; the end of a process closes its connections. It holds for refusals with a time too. Without such a connection all is as before.

Evidence: with the open connections left unread, the table in tests/core fails in the 16 leaving cases (185 and 499 ms after the start, on a reused connection, with clocks that differ by 0.1 s; from a row, a row that was removed before, a load report and a peer) and in the four of a hold with such clocks; the 44 others pass, closed connections and older processes among them. The test at the sockets fails 1, 185 and 499 ms after the start.

Open: a statement whose connection is closed by the time of the row (an answer with Connection: close) is still hidden within 0.5 s of the start, unless a connection was refused. So is one that is read after the row, in answer to a request sent before it: the end of that connection may arrive right behind it.

--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from ..types import Address, ReplicaId
@@ -27,8 +28,9 @@
 
 CLOCK_MARGIN_MS = 500
 """Largest difference between the clocks of two VMs. Leaving holds for the rest of a
-process's life, so it counts for a new process only from this time after its start. Once
-a connection was refused, what is said on later ones counts from this time before it."""
+process's life, so it counts for a new process only from this time after its start. What
+is said on a connection counts from this time before it, once an earlier connection was
+refused, or while this one is still open."""
 
 MAX_REMEMBERED_PROCESSES = 4_096
 """Processes whose statements are remembered, also while they are not listed."""
@@ -132,6 +134,8 @@
         left_ms: Unix time in milliseconds at which the last request was sent that was
             answered with the statement that the process leaves.
         held_ms: The same of the last hold.
+        left_at: Monotonic time in seconds of the request of ``left_ms``.
+        held_at: The same of ``held_ms``.
         probe_id: Request that tries it after the hold, if one is in progress.
         probe_until: Monotonic time in seconds until which only that one may try it.
         address: Address at which it was heard from or refused a connection; None if
@@ -146,6 +150,8 @@
     is_returning: bool = False
     left_ms: float = -math.inf
     held_ms: float = -math.inf
+    left_at: float = -math.inf
+    held_at: float = -math.inf
     probe_id: str | None = None
     probe_until: float = -math.inf
     address: Address | None = None
@@ -173,6 +179,7 @@
         now: float,
         spread: float,
         *,
+        sent_at: float = -math.inf,
         sent_ms: float = -math.inf,
         address: Address | None = None,
         opened_at: float = -math.inf,
@@ -183,7 +190,8 @@
             statement: What the answer says.
             now: Monotonic time in seconds at which its head was read.
             spread: Random number from 0 to 1 that delays the return of this router.
-            sent_ms: Unix time in milliseconds at which the request was sent.
+            sent_at: Monotonic time in seconds at which the request was sent.
+            sent_ms: The same as Unix time in milliseconds.
             address: Address that answered it, if known.
             opened_at: Monotonic time in seconds from which its connection was opened.
         """
@@ -191,11 +199,15 @@
             self.address, self.refused_at, self.successor = address, -math.inf, None
         if -math.inf < self.refused_at < opened_at:
             self.successor = self.successor or ProcessState()
-            self.successor.note(statement, now, spread, sent_ms=sent_ms)
+            self.successor.note(
+                statement, now, spread, sent_at=sent_at, sent_ms=sent_ms
+            )
         if statement.is_leaving:
             self.left_ms = max(self.left_ms, sent_ms)
+            self.left_at = max(self.left_at, sent_at)
         if statement.hold:
             self.held_ms = max(self.held_ms, sent_ms)
+            self.held_at = max(self.held_at, sent_at)
         is_newly_leaving = statement.is_leaving and not self.is_leaving
         self.is_leaving = self.is_leaving or statement.is_leaving
         if not statement.hold:
@@ -242,25 +254,49 @@
         self.is_returning = self.is_returning or other.is_returning
         self.left_ms = max(self.left_ms, other.left_ms)
         self.held_ms = max(self.held_ms, other.held_ms)
+        self.left_at = max(self.left_at, other.left_at)
+        self.held_at = max(self.held_at, other.held_at)
 
-    def select_since(self, born_ms: float, address: Address) -> ProcessState:
+    def select_since(
+        self, born_ms: float, address: Address, open_since: Collection[float] = ()
+    ) -> ProcessState:
         """Returns what a process has stated that started later than was known.
 
         A request that was sent after that start was answered by that process. So was
-        one on a connection that was opened after the address had refused another one,
-        unless the process that answered it has ended unnoticed before that start.
+        one that was sent after the opening of a connection that is still open: the
+        process at its other end has not ended since. So was one on a connection that
+        was opened after the address had refused another one, unless the process that
+        answered it has ended unnoticed before that start.
 
         Args:
             born_ms: Unix time of the start in milliseconds.
             address: Address of the process that started.
+            open_since: Monotonic times in seconds from which the connections to the
+                address were opened that are still open.
         """
         if self.address not in (None, address):
             return ProcessState()
+        since = born_ms - CLOCK_MARGIN_MS
+
+        def is_by_open_peer(sent_at: float, sent_ms: float) -> bool:
+            # A connection of the time before the start leads to another process, whose
+            # end has not become known here.
+            return any(
+                opened_at <= sent_at and sent_ms - (sent_at - opened_at) * 1000 >= since
+                for opened_at in open_since
+            )
+
         selected = self._select(
-            left_since=born_ms + CLOCK_MARGIN_MS, held_since=born_ms
+            left_since=(
+                since
+                if is_by_open_peer(self.left_at, self.left_ms)
+                else born_ms + CLOCK_MARGIN_MS
+            ),
+            held_since=(
+                since if is_by_open_peer(self.held_at, self.held_ms) else born_ms
+            ),
         )
         if self.successor is not None:
-            since = born_ms - CLOCK_MARGIN_MS
             selected.merge(self.successor._select(left_since=since, held_since=since))
         return selected
 
@@ -268,10 +304,11 @@
         """Returns what was stated in answer to requests sent since two Unix times."""
         selected = ProcessState()
         if self.left_ms >= left_since:
-            selected.is_leaving, selected.left_ms = True, self.left_ms
+            selected.is_leaving = True
+            selected.left_ms, selected.left_at = self.left_ms, self.left_at
         if self.held_ms >= held_since:
             selected.held_until, selected.held_ms = self.held_until, self.held_ms
-            selected.is_returning = self.is_returning
+            selected.held_at, selected.is_returning = self.held_at, self.is_returning
         return selected
 
     @property
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from ..errors import UpstreamLeavingError, UpstreamTurnedAwayError
@@ -152,6 +152,8 @@
             not known at present.
         availability_version: Increases when a replica leaves, wants no requests for a
             time, or takes them again after that.
+        find_open_since: Returns the monotonic times in seconds from which the
+            connections to an address were opened that are still open.
     """
 
     options: Options
@@ -160,6 +162,7 @@
     list_made_at_ms: int = -1
     statements: ReplicaStatements = field(default_factory=ReplicaStatements)
     availability_version: int = 0
+    find_open_since: Callable[[Address], Collection[float]] = lambda address: ()
 
     def services(self) -> set[ServiceName]:
         """Returns the services that have replicas."""
@@ -216,6 +219,7 @@
         *,
         now: float,
         spread: float,
+        sent_at: float = -math.inf,
         sent_ms: float = -math.inf,
         address: Address | None = None,
         opened_at: float = -math.inf,
@@ -228,8 +232,9 @@
             statement: What it said.
             now: Monotonic time in seconds.
             spread: Random number from 0 to 1 that delays the return of this router.
-            sent_ms: Unix time in milliseconds at which the request was sent. One sent
-                after the start of a later process was answered by that one.
+            sent_at: Monotonic time in seconds at which the request was sent.
+            sent_ms: The same as Unix time in milliseconds. A request sent after the
+                start of a later process was answered by that one.
             address: Address that answered, if known.
             opened_at: Monotonic time in seconds from which its connection was opened.
 
@@ -244,6 +249,7 @@
                 statement,
                 now,
                 spread,
+                sent_at=sent_at,
                 sent_ms=sent_ms,
                 address=address,
                 opened_at=opened_at,
@@ -251,11 +257,13 @@
             self.statements.keep(process, state)
             if replica is None or replica.incarnation <= process.incarnation:
                 return StatementChange()
-            return self._restore_later_statements(replica, state, now)
+            # An end of the connection may arrive right behind a late answer.
+            return self._restore_later_statements(replica, state, now, open_since=())
         change = replica.stated.note(
             statement,
             now,
             spread,
+            sent_at=sent_at,
             sent_ms=sent_ms,
             address=address,
             opened_at=opened_at,
@@ -298,7 +306,12 @@
         replica.is_leaving = replica.is_leaving or stated.is_leaving
 
     def _restore_later_statements(
-        self, replica: Replica, earlier: ProcessState, now: float
+        self,
+        replica: Replica,
+        earlier: ProcessState,
+        now: float,
+        *,
+        open_since: Collection[float],
     ) -> StatementChange:
         """Applies statements that were taken for those of an earlier process.
 
@@ -306,20 +319,30 @@
             What changed for the replica.
         """
         was_leaving, was_held = replica.is_leaving, now < replica.stated.held_until
-        self._take_over(replica, earlier)
+        self._take_over(replica, earlier, open_since)
         is_held = now < replica.stated.held_until and not was_held
         is_leaving = replica.is_leaving and not was_leaving
         self.availability_version += is_leaving or is_held
         return StatementChange(is_leaving=is_leaving, is_held=is_held)
 
-    def _take_over(self, replica: Replica, earlier: ProcessState) -> None:
+    def _take_over(
+        self, replica: Replica, earlier: ProcessState, open_since: Collection[float]
+    ) -> None:
         """Adds what was taken for statements of an earlier process of a replica."""
-        selected = earlier.select_since(replica.incarnation, replica.address)
+        selected = earlier.select_since(
+            replica.incarnation, replica.address, open_since
+        )
         if not selected.is_blank:
             replica.stated.merge(selected)
             self.statements.keep(replica.process, replica.stated)
             replica.is_leaving = replica.is_leaving or replica.stated.is_leaving
 
+    def _find_open_since(
+        self, address: Address, earlier: ProcessState
+    ) -> Collection[float]:
+        """Returns from when open connections to an address date, if any statement."""
+        return () if earlier.is_blank else self.find_open_since(address)
+
     def _remember(self, replica: Replica) -> None:
         """Keeps what is known of a process before another one takes its place."""
         if not replica.stated.is_blank:
@@ -479,7 +502,8 @@
             self._restore_statements(replica, is_same=is_same)
             was_leaving = replica.is_leaving
             if not is_same:
-                self._take_over(replica, earlier)
+                open_since = self._find_open_since(replica.address, earlier)
+                self._take_over(replica, earlier, open_since)
         return was_leaving
 
     def record_start(self, replica: Replica, now: float, request_id: str = "") -> None:
@@ -578,7 +602,8 @@
             self._restore_statements(replica)
         was_leaving = was_leaving or replica.is_leaving
         if is_later:
-            self._restore_later_statements(replica, earlier, now)
+            open_since = self._find_open_since(replica.address, earlier)
+            self._restore_later_statements(replica, earlier, now, open_since=open_since)
         replica.is_listed_leaving = load.is_leaving
         if load.is_leaving:
             self._mark_leaving(replica)
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -139,6 +139,7 @@
             detects_dead_peers=True,
             held_bytes=board.held_bytes,
         )
+        board.upstreams.find_open_since = self._pool.find_open_since
         self._statements = StatementReader(
             board,
             metrics,
--- a/sequoiamoor/daemon/statements.py
+++ b/sequoiamoor/daemon/statements.py
@@ -57,6 +57,7 @@
             statement,
             now=now,
             spread=self._rng.random(),
+            sent_at=head.sent_at,
             sent_ms=self._clock.read_ms() - (now - head.sent_at) * 1000,
             address=head.address,
             opened_at=head.opened_at,
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -211,6 +211,18 @@
             if (response := connection.peek_response()) is not None:
                 await note(response)
 
+    def find_open_since(self, address: Address) -> list[float]:
+        """Returns the times from which the open connections to an address were opened.
+
+        One that the peer has closed, as the end of its process does, is not open.
+
+        Returns:
+            Monotonic times in seconds.
+        """
+        idle = [connection for _, connection in self._idle.get(address, ())]
+        used = [one for one in self._in_use if one.address == address]
+        return [one.opened_at for one in idle + used if one.is_established]
+
     async def release(self, connection: ClientConnection) -> None:
         """Returns a connection to the pool, or closes it if it cannot be used again.
 
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -32,7 +32,7 @@
     to_header_dict,
 )
 from .reachability import REACHABILITY
-from .tcp_state import count_unacknowledged, has_ended
+from .tcp_state import count_unacknowledged, has_ended, is_established
 
 RESPONSE_HEAD_LIMIT_BYTES = 65_536
 INFORMATIONAL_RESPONSES_LIMIT = 8
@@ -390,6 +390,11 @@
         """Whether the peer neither closed the idle connection nor sent data on it."""
         return peek(self._raw_sock) is None
 
+    @property
+    def is_established(self) -> bool:
+        """Whether neither side has closed the connection, whatever is unread."""
+        return not self.is_aborted and is_established(self._raw_sock)
+
     async def skip_response(self) -> None:
         """Discards a response to another request and expects the next response.
 
--- a/sequoiamoor/net/tcp_state.py
+++ b/sequoiamoor/net/tcp_state.py
@@ -8,6 +8,7 @@
 import termios
 from typing import Any
 
+_TCP_ESTABLISHED = 1
 _TCP_CLOSE = 7
 _STATE_BYTES = 1
 
@@ -33,8 +34,17 @@
     Closing its socket sends nothing then, no reset either. A connection that the peer
     alone has closed has not ended.
     """
+    return _read_state(sock) == _TCP_CLOSE
+
+
+def is_established(sock: Any) -> bool:
+    """Returns whether no side has closed the connection, as far as the kernel knows."""
+    return _read_state(sock) == _TCP_ESTABLISHED
+
+
+def _read_state(sock: Any) -> int | None:
     try:
         state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _STATE_BYTES)
     except OSError:
-        return False
-    return bool(state[0] == _TCP_CLOSE)
+        return None
+    return int(state[0])
--- a/tests/core/test_upstreams.py
+++ b/tests/core/test_upstreams.py
@@ -317,3 +317,77 @@
     assert replica.may_receive(2.0) is not is_leaving
     # Other routers are told, here or by the caller of note_answer.
     assert news is is_leaving or events[-1][0] == "say" or len(events) > 4
+
+
+@pytest.mark.parametrize(
+    ("opened", "sent", "born", "open_since", "is_by_successor"),
+    [
+        (1.185, 1.185, 1.0, [1.185], True),
+        (1.499, 1.499, 1.0, [1.499], True),
+        (1.1, 1.185, 1.0, [0.2, 1.1], True),
+        (1.185, 1.185, 1.3, [1.185], True),
+        (1.185, 1.185, 1.0, [], False),
+        (1.185, 1.185, 1.0, [1.3], False),
+        (1.185, 1.185, 1.7, [1.185], False),
+        (0.2, 1.185, 1.0, [0.2], False),
+    ],
+    ids=[
+        "said-at-once", "said-within-margin", "reused", "clocks-differ",
+        "closed", "opened-later", "ended-unnoticed", "older-than-process",
+    ],
+)  # fmt: skip
+@pytest.mark.parametrize("source", ["row", "report", "peer", "row-again"])
+@pytest.mark.parametrize("statement", [LEAVING, Statement(hold=60.0)])
+def test_open_connection_tells_which_process_made_a_statement(
+    statement: Statement,
+    source: str,
+    opened: float,
+    sent: float,
+    born: float,
+    open_since: list[float],
+    is_by_successor: bool,
+) -> None:
+    """Guards against requests to a process that had said before its row that it leaves.
+
+    The router has seen no refused connection, and the row comes after the answer. Times
+    are in seconds. What a process that ended had said does not count for the next one.
+    """
+    upstreams = Upstreams(OPTIONS)
+    entry = build_entry(0)
+    upstreams.find_open_since = lambda address: (
+        open_since if address == entry.address else ()
+    )
+    upstreams.put(entry, build_load(1), 0.0)
+    upstreams.note_answer(
+        upstreams.replicas["talk-0"].process,
+        statement,
+        now=sent,
+        spread=0.0,
+        sent_at=sent,
+        sent_ms=sent * 1_000,
+        address=entry.address,
+        opened_at=opened,
+    )
+    load = build_load(round(born * 1_000))
+    match source:
+        case "row":
+            news = upstreams.put(entry, load, 2.0)
+        case "row-again":
+            upstreams.remove("talk-0")
+            news = upstreams.put(entry, load, 2.0)
+        case "report":
+            news = upstreams.record_load("talk-0", load, 2.0)
+        case "peer":
+            news = upstreams.apply_peer_state(
+                "talk-0", load.incarnation, is_leaving=False
+            )
+    replica = upstreams.replicas["talk-0"]
+    is_sent_after_start = statement.hold is not None and sent >= born
+    is_out = is_by_successor or is_sent_after_start
+    assert replica.may_receive(2.0) is not is_out
+    assert replica.is_leaving is (is_by_successor and statement.is_leaving)
+    # Other routers are told.
+    assert news is replica.is_leaving
+    # A later process starts clean.
+    upstreams.put(entry, build_load(9_000), 2.0)
+    assert list_available(upstreams, 2.1) == ["talk-0"]
--- a/tests/daemon/test_replica_statements.py
+++ b/tests/daemon/test_replica_statements.py
@@ -180,6 +180,44 @@
     run(session)
 
 
+@pytest.mark.parametrize("age_ms", [1, 185, 499])
+@pytest.mark.parametrize("is_ended", [False, True])
+def test_process_that_says_it_leaves_before_its_row_is_told_by_its_connection(
+    age_ms: int, is_ended: bool
+) -> None:
+    """Guards against requests to a leaving replica whose row another process wrote.
+
+    This router has met no refused connection, and the difference of two clocks may
+    hide that a new process said so. The connections of one that has ended are closed.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        ended: list[Step] = [Close()] if is_ended else []
+        (upstream,) = await harness.add_replicas(
+            1, [answer(extra=SIGNED + LEAVING), *ended]
+        )
+        upstreams = harness.board.upstreams
+        (replica,) = upstreams.replicas.values()
+        assert upstream.address is not None
+        listed = ListedUpstream(
+            replica.replica_id, "talk", "zone-a", upstream.address, False
+        )
+        upstreams.put(listed, LoadReport(1, 4, 0, 0, 0.0, False), time.monotonic())
+        assert (await ask(harness, route_request("/look/1"))).status == 200
+        assert replica.is_leaving
+        born_ms = int(replica.stated.left_ms) - age_ms
+        pool = harness.forwarder._pool
+        await harness.wait_for(
+            lambda: len(pool.find_open_since(upstream.address)) == (not is_ended)
+        )
+        load = LoadReport(born_ms, 4, 0, 0, 0.0, False)
+        assert upstreams.put(listed, load, time.monotonic()) is not is_ended
+        assert replica.incarnation == born_ms
+        assert replica.may_receive(time.monotonic()) is is_ended
+
+    run(session)
+
+
 @pytest.mark.parametrize(
     ("path", "extra", "status", "requests"),
     [
