Tell the other routers of a replica that says it leaves while unlisted

A replica says in an answer that it leaves, while its entry is missing at the router that reads the answer, around an outage of the store for example. The router kept that for itself: nobody was told when the head was read, since no replica was listed, nor when the entry came back, since the router then knew it. Callers saw whole answers, of a replica that may end at any moment.

The process is now announced when the head is read, by its number; without one other routers would not know which process is meant. Routers that connect meanwhile hear of it when the entry is back: an entry that was missing counts as news if its process has said to this router that it leaves. What came from another router is not told again.

On the code before, three rows of the table in tests/core fail (news is False); with the announcement left out, the test at the sockets fails (nothing announced).

--- a/sequoiamoor/core/statements.py
+++ b/sequoiamoor/core/statements.py
@@ -117,10 +117,13 @@
     Attributes:
         is_leaving: Whether the process was not known to be leaving before.
         is_held: Whether a hold began; False if one was only extended.
+        is_unlisted_leaving: Whether a process that is not listed now was not known to
+            be leaving before.
     """
 
     is_leaving: bool = False
     is_held: bool = False
+    is_unlisted_leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/sequoiamoor/core/upstreams.py
+++ b/sequoiamoor/core/upstreams.py
@@ -239,13 +239,13 @@
             opened_at: Monotonic time in seconds from which its connection was opened.
 
         Returns:
-            What changed for the replica that the process is now; nothing if another
-            process has taken its place.
+            What changed for the replica that the process is now, or for a process that
+            is not listed; nothing if another process has taken its place.
         """
         replica = self.replicas.get(process.replica_id)
         if replica is None or replica.process != process:
             state = self.statements.find(process)
-            state.note(
+            change = state.note(
                 statement,
                 now,
                 spread,
@@ -255,7 +255,9 @@
                 opened_at=opened_at,
             )
             self.statements.keep(process, state)
-            if replica is None or replica.incarnation <= process.incarnation:
+            if replica is None:
+                return StatementChange(is_unlisted_leaving=change.is_leaving)
+            if replica.incarnation <= process.incarnation:
                 return StatementChange()
             # An end of the connection may arrive right behind a late answer.
             return self._restore_later_statements(replica, state, now, open_since=())
@@ -577,9 +579,11 @@
         """Applies the entry that a replica wrote about itself in the platform's store.
 
         Returns:
-            Whether the replica is leaving and was not known to be leaving.
+            Whether the replica is leaving and the other routers are to be told: it was
+            not known, or it said so before and was not listed.
         """
         replica = self.replicas.get(listed.replica_id)
+        was_known = replica is not None
         was_leaving = replica is not None and replica.is_leaving
         incarnation = load.incarnation
         if replica is None:
@@ -600,7 +604,9 @@
         if incarnation != replica.incarnation:
             replica.incarnation = incarnation
             self._restore_statements(replica)
-        was_leaving = was_leaving or replica.is_leaving
+        # Routers that connected while it was not listed were not told what it said.
+        is_untold = not was_known and replica.stated.left_ms > -math.inf
+        was_leaving = was_leaving or (replica.is_leaving and not is_untold)
         if is_later:
             open_since = self._find_open_since(replica.address, earlier)
             self._restore_later_statements(replica, earlier, now, open_since=open_since)
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -40,6 +40,7 @@
 from ..core.part_cases import PartCase
 from ..core.placement import find_tree_position
 from ..core.reports import ByteBudget, find_report_interval
+from ..core.statements import ReplicaProcess
 from ..core.sums import ReportSums
 from ..core.upstreams import ListedUpstream, LoadReport, Replica
 from ..metrics import Metrics
@@ -227,7 +228,7 @@
 
     def announce_leaving(
         self,
-        replicas: Iterable[Replica],
+        replicas: Iterable[Replica | ReplicaProcess],
         *,
         source: str = "store",
         view_age_ms: int | None = None,
@@ -235,7 +236,8 @@
         """Logs that these replicas are leaving and tells all peers without delay.
 
         Args:
-            replicas: Replicas that were not known to be leaving.
+            replicas: Replicas that were not known to be leaving, or processes that are
+                not listed.
             source: Where this was learned, for the log.
             view_age_ms: For how many milliseconds this router may not have known it.
         """
--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -19,7 +19,7 @@
 from ..core.freshness import KeyFreshness
 from ..core.repeats import RepeatBudget, decide_repeat, find_retry_limit
 from ..core.routed_call import RoutedCall
-from ..core.statements import draw_retry_after
+from ..core.statements import ReplicaProcess, draw_retry_after
 from ..core.upstreams import Replica
 from ..errors import (
     AnswerIncompleteError,
@@ -101,7 +101,7 @@
     Args:
         apply_received: Applies what has arrived from the platform's store; called
             before decisions that must not rely on older knowledge.
-        announce_leaving: Tells the other routers that replicas are leaving.
+        announce_leaving: Tells the other routers that processes are leaving.
 
     Attributes:
         drain: When a router that is shutting down stops to take and to send requests.
@@ -119,7 +119,9 @@
         freshness: KeyFreshness,
         directory: UpstreamDirectory,
         apply_received: Callable[[], None] = lambda: None,
-        announce_leaving: Callable[[Iterable[Replica]], None] = lambda replicas: None,
+        announce_leaving: Callable[
+            [Iterable[Replica | ReplicaProcess]], None
+        ] = lambda replicas: None,
         rng: Random,
     ) -> None:
         self._apply_received = apply_received
--- a/sequoiamoor/daemon/statements.py
+++ b/sequoiamoor/daemon/statements.py
@@ -9,7 +9,7 @@
 
 from ..core.blackboard import Blackboard
 from ..core.freshness import UnixClock
-from ..core.statements import Statement, StatementChange
+from ..core.statements import ReplicaProcess, Statement, StatementChange
 from ..core.upstreams import Replica
 from ..metrics import Metrics
 from ..net.formats import UpstreamFormat
@@ -22,7 +22,7 @@
     """Reads the heads of answers, and logs, counts and announces what they change.
 
     Args:
-        announce_leaving: Tells the other routers that replicas are leaving.
+        announce_leaving: Tells the other routers that processes are leaving.
     """
 
     def __init__(
@@ -31,7 +31,7 @@
         metrics: Metrics,
         *,
         upstream_format: UpstreamFormat,
-        announce_leaving: Callable[[Iterable[Replica]], None],
+        announce_leaving: Callable[[Iterable[Replica | ReplicaProcess]], None],
         rng: Random,
     ) -> None:
         self._board = board
@@ -62,6 +62,11 @@
             address=head.address,
             opened_at=head.opened_at,
         )
+        if change.is_unlisted_leaving and head.process.incarnation:
+            # Other routers may list it, and without its number they would not know
+            # which process is meant.
+            self._metrics.upstream_statements.labels("leaving").inc()
+            self._announce_leaving([head.process])
         self._report(statement, change, replica)
         return change.is_leaving or change.is_held
 
--- a/tests/core/test_upstreams.py
+++ b/tests/core/test_upstreams.py
@@ -391,3 +391,44 @@
     # A later process starts clean.
     upstreams.put(entry, build_load(9_000), 2.0)
     assert list_available(upstreams, 2.1) == ["talk-0"]
+
+
+@pytest.mark.parametrize(
+    ("events", "is_news"),
+    [
+        (["remove", "say", "row"], True),
+        (["remove", "hear", "say", "row"], True),
+        (["say", "remove", "row"], True),
+        (["remove", "hear", "row"], False),
+        (["say", "row"], False),
+        (["hear", "row"], False),
+        (["remove", "row"], False),
+    ],
+)
+def test_other_routers_are_told_of_a_replica_that_left_while_it_was_not_listed(
+    events: list[str], is_news: bool
+) -> None:
+    """Guards against requests from routers that were not told what one of them read.
+
+    An answer may be read while the entry is missing, around an outage of the store.
+    What another router has told was told to all.
+    """
+    upstreams = Upstreams(OPTIONS)
+    upstreams.put(build_entry(0), build_load(1_000), 0.0)
+    process = upstreams.replicas["talk-0"].process
+    news = False
+    for event in events:
+        match event:
+            case "remove":
+                upstreams.remove("talk-0")
+            case "say":
+                upstreams.note_answer(
+                    process, LEAVING, now=0.1, spread=0.0, sent_ms=1_100.0
+                )
+            case "hear":
+                upstreams.apply_peer_state("talk-0", 1_000, is_leaving=True)
+            case "row":
+                news = upstreams.put(build_entry(0), build_load(1_000), 0.2)
+    assert upstreams.replicas["talk-0"].is_leaving is (events != ["remove", "row"])
+    assert news is is_news
+    assert not upstreams.put(build_entry(0), build_load(1_000), 0.3), "told once"
--- a/tests/daemon/test_replica_statements.py
+++ b/tests/daemon/test_replica_statements.py
@@ -218,6 +218,39 @@
     run(session)
 
 
+@pytest.mark.parametrize("incarnation", [0, 1_000])
+def test_other_routers_are_told_at_once_of_a_process_that_is_not_listed(
+    incarnation: int,
+) -> None:
+    """Guards against requests from routers that list a replica which this one does not.
+
+    Without its number they would not know which process is meant.
+    """
+
+    async def session(harness: RouteListenerHarness) -> None:
+        late: list[Step] = [Until(b"second"), answer(extra=SIGNED + LEAVING)]
+        replicas = await harness.add_replicas(2, late, [answer(b"second")])
+        upstreams = harness.board.upstreams
+        for known in upstreams.replicas.values():
+            known.incarnation = incarnation
+        first = await harness.connect()
+        await first.send(route_request("/look/1"))
+        await harness.wait_for(lambda: any(one.requests for one in replicas))
+        _, replica = find_used(harness, replicas)
+        process = replica.process
+        assert upstreams.remove(replica.replica_id)
+        second = await harness.connect()
+        await second.send(route_request("/look/1"))
+        await second.receive_until(b"second")
+        await first.receive_until(b"done")
+        assert harness.announced == ([process] if incarnation else [])
+        assert harness.counter("upstream_statements", statement="leaving") == bool(
+            incarnation
+        )
+
+    run(session)
+
+
 @pytest.mark.parametrize(
     ("path", "extra", "status", "requests"),
     [
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -11,6 +11,7 @@
 from sequoiamoor.core.directory import UpstreamDirectory
 from sequoiamoor.core.freshness import KeyFreshness
 from sequoiamoor.core.repeats import RepeatBudget, RepeatLimits
+from sequoiamoor.core.statements import ReplicaProcess
 from sequoiamoor.core.upstreams import Replica
 from sequoiamoor.daemon.dispatcher import Dispatcher
 from sequoiamoor.daemon.forwarder import Forwarder
@@ -138,7 +139,7 @@
         self.board.configuration.declaration = parse_declaration(DECLARATION)
         self.freshness = KeyFreshness(limit)
         self.apply_received: Callable[[], None] = lambda: None
-        self.announced: list[Replica] = []
+        self.announced: list[Replica | ReplicaProcess] = []
         self.directory = UpstreamDirectory(self.board.upstreams)
         policy = RoundRobinPolicy(rng=Random(1))
         self.forwarder = Forwarder(
