End no attempt on a route for the silence of its replica

Cause: three timers took silence for a failure. A resumable stream was reset after four pauses (1 s at least), whether or not an attempt was left to go on with; a request that may be repeated after four target latencies; and every attempt after options.upstream_idle_timeout. The check for replicas that send bytes and no events counted their silences too, so the first line of the next event after a pause ended the stream.

Change: on routes none of them ends an attempt. What does is the request's time limit, an error or end of the connection, and a peer that acknowledges nothing (reset after 1 s by the pool, or by the kernel's probes once all is acknowledged), which is how a channel that went silent for good shows. The silence limits now only count a failed attempt for the choice of a replica, once in a receive, so new requests still avoid a silent one; this keeps what the aborts did for others. Replicas that send bytes and no events are still left, counting the time in which they send. options.upstream_idle_timeout holds for the interface of our own as before.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -137,6 +137,7 @@
             options=board.options,
             metrics=metrics,
             detects_dead_peers=True,
+            ends_silent=False,
             held_bytes=board.held_bytes,
         )
         self._statements = StatementReader(
@@ -554,6 +555,7 @@
             check_before_send=partial(self._check_before_send, call, replica, sink),
             note_head=self._note_head,
             note_given_up=partial(self._note_given_up, call, replica),
+            note_silence=partial(self._note_silence, replica),
         )
         try:
             # Saves the connection to the upstream.
@@ -619,6 +621,12 @@
             extra["elapsed_ms"] = round((time.monotonic() - sent_at) * 1000)
         _LOG.info("exchange given up", extra=extra)
 
+    def _note_silence(self, replica: Replica) -> None:
+        """Lets new requests go to other replicas while one is silent."""
+        now = time.monotonic()
+        if self._board.upstreams.record_outcome(replica, now, is_failure=True):
+            _LOG.warning("upstream ejected", extra={"upstream": replica.replica_id})
+
     async def _note_head(self, head: ReceivedHead) -> None:
         """Applies a head, and refuses the requests that no replica can serve then."""
         replica = self._board.upstreams.replicas.get(head.process.replica_id)
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -93,9 +93,22 @@
         options: Options,
         metrics: Metrics,
         detects_dead_peers: bool = False,
+        ends_silent: bool = True,
         held_bytes: HeldBytes | None = None,
     ) -> None:
+        """Initialises the pool.
+
+        Args:
+            options: Limits on connections, and times.
+            metrics: Metrics to update.
+            detects_dead_peers: Whether an exchange ends whose peer acknowledges
+                nothing.
+            ends_silent: Whether an exchange also ends whose peer is there and sends
+                nothing for ``upstream_idle_timeout``.
+            held_bytes: Account of the answers that are collected.
+        """
         self._options = options
+        self._ends_silent = ends_silent
         self.held_bytes = held_bytes or HeldBytes()
         self._detects_dead_peers = detects_dead_peers
         self._metrics = metrics
@@ -229,7 +242,7 @@
         self._in_use.discard(connection)
         connection.start_next_cycle()
         connection.set_probed(False)
-        connection.silence_limit = None
+        connection.silence_limit = connection.note_silence = None
         entry = (time.monotonic(), connection)
         self._idle.setdefault(connection.address, deque()).append(entry)
         self._idle_count += 1
@@ -239,15 +252,18 @@
         self._in_use.discard(connection)
         await connection.close()
 
-    def _is_silent(self, connection: ClientConnection, now: float) -> bool:
-        """Returns whether a connection in use has been silent for too long."""
+    def _is_lost(self, connection: ClientConnection, now: float) -> bool:
+        """Returns whether nothing more is expected on a connection in use."""
         is_unacknowledged = (
             self._detects_dead_peers
             and connection.find_unacknowledged_time(now) >= UNACKNOWLEDGED_LIMIT_SECONDS
         )
-        limit = connection.silence_limit or self._options.upstream_idle_timeout
         since = connection.waiting_since
-        is_late = since is not None and now - since >= limit
+        is_late = (
+            self._ends_silent
+            and since is not None
+            and now - since >= self._options.upstream_idle_timeout
+        )
         # A late event loop may not have read what has arrived.
         return (is_unacknowledged or is_late) and connection.is_quiet
 
@@ -269,7 +285,10 @@
         """
         for connection in list(self._in_use):
             # It may have been closed while idle ones were.
-            if connection not in self._in_use or not self._is_silent(connection, now):
+            if connection not in self._in_use:
+                continue
+            connection.check_silence(now)
+            if not self._is_lost(connection, now):
                 continue
             connection.abort()
             if self._detects_dead_peers and connection.find_unacknowledged_time(now):
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -39,15 +39,18 @@
 
 # Answers to other requests that are skipped while waiting for the answer to this one.
 MISMATCHED_RESPONSES_LIMIT = 2
-# Silence after which a resumable stream is continued at another replica, in multiples
-# of the route's pause, the longest between events of a stream that is on time. A
-# stream is late after one pause, and callers give up after eight pauses or two seconds.
+# Silence of a stream, in multiples of the route's pause, and of a replica that has not
+# answered, in multiples of the route's target latency, after which the choice of a
+# replica counts it as a failed attempt. The attempt goes on: a sound replica may be
+# silent for a second or two, and only the time limit of a request, or the end of its
+# connection, ends it.
 STREAM_SILENCE_LIMIT_PAUSES = 4.0
-# Silence after which an attempt of a repeatable request is aborted, in multiples of
-# the route's target latency. Another replica may still answer in time.
 ANSWER_SILENCE_LIMIT_TARGETS = 4.0
 # Lower bound of both silence limits.
 MIN_SILENCE_LIMIT_SECONDS = 1.0
+# Longest time between two receives that counts as sending. After a longer one the
+# replica was silent meanwhile.
+MAX_SENDING_GAP_SECONDS = 0.25
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9] ")
 
@@ -131,6 +134,7 @@
         check_before_send: Callable[[Address], None] = lambda address: None,
         note_head: NoteHead = _ignore_head,
         note_given_up: NoteGivenUp = lambda exchange: None,
+        note_silence: Callable[[], None] = lambda: None,
     ) -> None:
         """Initialises the attempt.
 
@@ -146,7 +150,10 @@
                 read and before it is checked.
             note_given_up: Called if the attempt ends after it was sent and before its
                 answer is complete, right before the connection is closed.
+            note_silence: Called if the replica of a request that may be repeated has
+                sent nothing for long; the attempt goes on.
         """
+        self._note_silence = note_silence
         self._check_before_send = check_before_send
         self._note_head = note_head
         self._note_given_up = note_given_up
@@ -234,6 +241,7 @@
         )
         route = self._call.route
         if route.is_repeatable:
+            connection.note_silence = self._note_silence
             connection.silence_limit = max(
                 ANSWER_SILENCE_LIMIT_TARGETS * route.target, MIN_SILENCE_LIMIT_SECONDS
             )
@@ -425,15 +433,18 @@
         event_order.start_attempt()
         holding = self._open_holding()
         try:
-            last_event_at = time.monotonic()
+            received_at = time.monotonic()
+            seconds_without_event = 0.0
             while (data := await connection.receive_data()) is not None:
                 events = event_order.feed(data)
                 self._hold(holding, event_order.pending_bytes)
-                now = time.monotonic()
+                gap, received_at = time.monotonic() - received_at, time.monotonic()
                 if events.count:
-                    last_event_at = now
-                elif route.is_resumable:
-                    self._check_progress(connection, now - last_event_at)
+                    seconds_without_event = 0.0
+                elif gap <= MAX_SENDING_GAP_SECONDS:
+                    seconds_without_event += gap
+                if route.is_resumable:
+                    self._check_progress(connection, seconds_without_event)
                 if events.data:
                     await send_events(head, events)
         finally:
@@ -464,7 +475,12 @@
     def _check_progress(
         self, connection: ClientConnection, seconds_without_event: float
     ) -> None:
-        """Ends a stream whose replica sends bytes but no events for too long."""
+        """Ends a stream whose replica sends bytes but no events for too long.
+
+        Args:
+            connection: Connection of the stream.
+            seconds_without_event: Time for which it did so, without its silences.
+        """
         limit = connection.silence_limit
         if limit is not None and seconds_without_event > limit:
             raise AnswerIncompleteError(
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -74,8 +74,9 @@
             None.
         is_aborted: Whether this side ended the connection during an exchange.
         idle_limit: Seconds after which the peer may close the idle connection.
-        silence_limit: Seconds without received data after which the exchange is
-            aborted, or None for the limit of the pool.
+        silence_limit: Seconds without received data after which ``note_silence`` is
+            called, once in a receive; None for never.
+        note_silence: Called then. The exchange goes on.
         refused_ids: Identifiers of the requests that the peer refused here. A faulty
             peer may write such a refusal once more, so none of them is sent here again.
     """
@@ -95,6 +96,8 @@
         self._is_head_request = False
         self.idle_limit = float("inf")
         self.silence_limit: float | None = None
+        self.note_silence: Callable[[], None] | None = None
+        self._noted_wait: float | None = None
         self.refused_ids: set[str] = set()
         self.address = address
         self.opened_at = float("-inf")
@@ -459,6 +462,24 @@
             self._acknowledged_bytes, self._acknowledged_at = acknowledged, now
         return now - max(self._sent_at, self._acknowledged_at)
 
+    def check_silence(self, now: float) -> None:
+        """Calls ``note_silence`` if the pending receive takes longer than the limit.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        since = self.waiting_since
+        if (
+            self.note_silence is not None
+            and self.silence_limit is not None
+            and since is not None
+            and since != self._noted_wait
+            and now - since >= self.silence_limit
+            and self.is_quiet
+        ):
+            self._noted_wait = since
+            self.note_silence()
+
     def describe_given_up(self) -> GivenUpExchange | None:
         """Returns how the connection stands; None if no exchange is incomplete."""
         if not self._is_exchange_incomplete:
--- a/tests/route_listener_harness.py
+++ b/tests/route_listener_harness.py
@@ -55,6 +55,10 @@
         "chat": build_route("/chat/", "stream"),
         "summary": build_route("/summary/", "stream", is_resumable=True),
         "brief": build_route("/brief/", "stream", is_resumable=True, pause_ms=100),
+        "swift": build_route("/swift/", "repeatable", target_ms=100),
+        "story": build_route(
+            "/story/", "stream", is_resumable=True, target_ms=100, pause_ms=100
+        ),
         "keyed": build_route("/keyed/", "repeatable", is_public=False),
         "quick": build_route("/quick/", "once", timeout_ms=150),
     },
