Bear an upstream that acknowledges a body and has no room for it

Callers saw: a request with a long body failed, or was run elsewhere, if its sound replica read nothing for a second.

Cause: two limits took a closed window for a peer that is gone. The pool counted bytes that wait in this kernel as not acknowledged, and reset the exchange after 1 s. The kernel's TCP_USER_TIMEOUT of 1.9 s counts the time with a closed window too, though its probes are answered; it also ended exchanges whose answer had begun.

Change: the pool asks the kernel whether all that was sent is acknowledged and at most one probe is open. If so, the peer is there: no time counts, and the kernel's limit is lifted until the window opens again. A peer that vanishes meanwhile is found by two unanswered probes or by the time limit of the request.

The tests of exchanges that are not acknowledged had used such an upstream as a stand-in for a partition. They now hide its closed window, the one difference that the program sees, and check the same.

--- a/sequoiamoor/net/http.py
+++ b/sequoiamoor/net/http.py
@@ -155,8 +155,8 @@
     """
     if sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
+    limit_unacknowledged_time(sock, limit.unacknowledged_ms)
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, limit.unacknowledged_ms),
         (socket.TCP_KEEPIDLE, limit.idle_seconds),
         (socket.TCP_KEEPINTVL, limit.interval_seconds),
         (socket.TCP_KEEPCNT, limit.probes),
@@ -165,6 +165,19 @@
     set_keepalive(sock, is_probed)
 
 
+def limit_unacknowledged_time(sock: Any, milliseconds: int) -> None:
+    """Lets the kernel end a TCP connection whose peer takes nothing for a time.
+
+    The kernel counts the time for which the peer has no room as well, though the peer
+    acknowledges its probes.
+
+    Args:
+        sock: Socket of the connection.
+        milliseconds: The time; 0 for no limit.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 def set_keepalive(sock: Any, is_on: bool) -> None:
     """Lets the kernel probe a connection on which nothing is sent, or not."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(is_on))
--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -26,13 +26,14 @@
     Response,
     disable_send_delay,
     limit_silence,
+    limit_unacknowledged_time,
     peek,
     set_keepalive,
     to_h11_headers,
     to_header_dict,
 )
 from .reachability import REACHABILITY
-from .tcp_state import count_unacknowledged, has_ended
+from .tcp_state import count_unacknowledged, has_ended, is_window_closed
 
 RESPONSE_HEAD_LIMIT_BYTES = 65_536
 INFORMATIONAL_RESPONSES_LIMIT = 8
@@ -109,6 +110,7 @@
         disable_send_delay(self._raw_sock)
         self._detects_dead_peer = detects_dead_peer
         self._is_probed = False
+        self._is_held_up = False
         self._sent_at = self._acknowledged_at = float("-inf")
         self._acknowledged_bytes = self._received_before = 0
         if detects_dead_peer:
@@ -442,6 +444,14 @@
             self._is_probed = is_probed
             set_keepalive(self._raw_sock, is_probed)
 
+    def _set_held_up(self, is_held_up: bool) -> None:
+        """Lets the kernel bear a peer that is there and reads nothing, or not."""
+        if self._detects_dead_peer and is_held_up != self._is_held_up:
+            limit_ms = 0 if is_held_up else UPSTREAM_SILENCE.unacknowledged_ms
+            with contextlib.suppress(OSError):
+                limit_unacknowledged_time(self._raw_sock, limit_ms)
+        self._is_held_up = is_held_up
+
     def find_unacknowledged_time(self, now: float) -> float:
         """Returns for how many seconds the peer has acknowledged nothing more.
 
@@ -449,12 +459,15 @@
             now: Monotonic time in seconds.
 
         Returns:
-            0 if all that was sent is acknowledged, or if an answer has begun to arrive.
+            0 if all that was sent is acknowledged, if an answer has begun to arrive, or
+            if the peer acknowledges that it has no room for more.
         """
-        unacknowledged = 0
-        if self.bytes_received == self._received_before:
-            unacknowledged = count_unacknowledged(self._raw_sock) or 0
-        if not unacknowledged:
+        unacknowledged = count_unacknowledged(self._raw_sock) or 0
+        self._set_held_up(bool(unacknowledged) and is_window_closed(self._raw_sock))
+        if self._is_held_up:
+            self._acknowledged_at = now
+            return 0.0
+        if not unacknowledged or self.bytes_received != self._received_before:
             self.set_probed(True)
             return 0.0
         acknowledged = self.bytes_sent - unacknowledged
--- a/tests/net/test_given_up_exchanges.py
+++ b/tests/net/test_given_up_exchanges.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sequoiamoor.metrics import Metrics
+from sequoiamoor.net import http_client
 from sequoiamoor.net.exchange import UNACKNOWLEDGED_LIMIT_SECONDS, ConnectionPool
 from sequoiamoor.net.http_client import ClientConnection, GivenUpExchange
 from sequoiamoor.net.tcp_state import count_unacknowledged
@@ -115,6 +116,52 @@
         )
 
 
+@pytest.fixture
+def unacknowledged(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets a peer that reads nothing stand in for one that acknowledges nothing.
+
+    They differ in what the kernel tells of the peer's window, and in nothing else that
+    this program asks it.
+    """
+    monkeypatch.setattr(http_client, "is_window_closed", lambda sock: False)
+
+
+@pytest.mark.parametrize("is_answered_early", [False, True])
+@pytest.mark.parametrize("seconds", [1.5, 3.0])
+def test_upstream_that_reads_nothing_for_a_while_is_given_its_request(
+    is_answered_early: bool, seconds: float
+) -> None:
+    """Guards against exchanges that end since a sound upstream pauses.
+
+    Its kernel acknowledges what it takes, and says that it has no room for the rest.
+    """
+
+    def read_and_answer(peer: socket.socket) -> int:
+        if is_answered_early:
+            peer.sendall(EMPTY_ANSWER[:9])
+        time.sleep(seconds)
+        size = 0
+        while size < len(LARGE_BODY):
+            size += len(peer.recv(65_536))
+        peer.sendall(EMPTY_ANSWER[9:] if is_answered_early else EMPTY_ANSWER)
+        return size
+
+    async def send() -> int:
+        with open_pool() as (pool, listener):
+            connection, _ = await pool.acquire(get_address(listener), force_new=True)
+            watch = await curio.spawn(pool.close_expired_periodically)
+            with listener.accept()[0] as peer:
+                task = await curio.spawn(curio.run_in_thread, read_and_answer, peer)
+                await connection.send_request("POST", "/", {}, LARGE_BODY)
+                response = await connection.receive_response()
+                assert await task.join() >= len(LARGE_BODY)
+            await watch.cancel()
+            await pool.discard(connection)
+        return response.status
+
+    assert run(send) == 200
+
+
 async def _send_unread(
     pool: ConnectionPool, connection: ClientConnection
 ) -> GivenUpExchange | None:
@@ -129,6 +176,7 @@
     return given_up
 
 
+@pytest.mark.usefixtures("unacknowledged")
 def test_exchange_that_is_not_acknowledged_is_reset_before_the_kernel_ends_it() -> None:
     """Guards against requests that arrive after a partition though given up in it.
 
@@ -146,6 +194,7 @@
     assert (given_up.is_reset, given_up.error) == (True, None)
 
 
+@pytest.mark.usefixtures("unacknowledged")
 def test_idle_connections_to_a_silent_upstream_are_not_used() -> None:
     """Guards against requests sent on kept connections into a partition."""
 
@@ -216,6 +265,7 @@
     assert run(send) == [False, False, True, False]
 
 
+@pytest.mark.usefixtures("unacknowledged")
 def test_connection_that_closes_during_the_check_is_passed_over(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
