End the receipt of a request whose bytes come long after its time

Callers saw: nothing was answered while one caller sent bytes faster than they were read after the time limit of its request was over.

Cause: once the time is over, what has arrived is still received, as a late event loop may come to it only then. That had no end but the largest body, which long heads of chunks don't count for, and it never gave way to other tasks: receiving data that is there does not wait.

Change: these receives count for RECEIVES_PER_PASS like the others, and 2 s after its limit a request is refused with 408, which is true, also if more has arrived.

Evidence: tests/net/test_parsing_turns.py; a body of 350,000 bytes that arrived, with a length and in chunks, got no pass for other tasks before (2 cases), and a request 3 s past its time was received (2 cases; on the code before they fail at the name of the new bound).

--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -60,6 +60,10 @@
 RECEIVES_PER_PASS = 4
 """Receives of one request after which other tasks run, also if more has arrived."""
 
+RECEIVE_GRACE_SECONDS = 2.0
+"""Time after the limit of a request for which what has arrived of it is received. A
+late event loop may come to it only then."""
+
 UNKNOWN_LIMITS_RETRY_AFTER_SECONDS = 0.2
 """Retry-After of a request that may be within the limits, once they are known."""
 
@@ -379,9 +383,7 @@
         """
         # An end that may be hidden is left to the wait below.
         if seconds > 0 and not self._is_idle_ended and self._receive_arrived():
-            self._receives += 1
-            if self._receives % RECEIVES_PER_PASS == 0:
-                await curio.sleep(0)
+            await self._give_way()
             return True
         if seconds > 0:
             async with ignore_after(seconds) as timer:
@@ -393,8 +395,15 @@
         if arrived is None or is_hidden_end:
             return False
         await self._receive()
+        await self._give_way()
         return True
 
+    async def _give_way(self) -> None:
+        """Lets other tasks run after some receives that did not wait."""
+        self._receives += 1
+        if self._receives % RECEIVES_PER_PASS == 0:
+            await curio.sleep(0)
+
     @property
     def _is_in_request(self) -> bool:
         """Whether a part of the next request was received."""
@@ -441,12 +450,14 @@
         """Receives more of the request.
 
         Raises:
-            RequestTimeoutError: If nothing arrives in time.
+            RequestTimeoutError: If nothing arrives in time, or if bytes still come
+                ``RECEIVE_GRACE_SECONDS`` later.
         """
         if self._h11.they_are_waiting_for_100_continue and not self._has_body_begun:
             await self._send(h11.InformationalResponse(status_code=100, headers=[]))
         seconds_left = self._receive_ends_at - time.monotonic()
-        if not await self._receive_within(seconds_left):
+        is_over = seconds_left < -RECEIVE_GRACE_SECONDS
+        if is_over or not await self._receive_within(seconds_left):
             raise RequestTimeoutError(
                 f"the request was not complete after {self._receive_timeout} s; "
                 "send it faster"
--- a/tests/net/test_parsing_turns.py
+++ b/tests/net/test_parsing_turns.py
@@ -10,7 +10,7 @@
 import curio.io
 import pytest
 
-from sequoiamoor.errors import RefusalError
+from sequoiamoor.errors import RefusalError, RequestTimeoutError
 from sequoiamoor.net import http_server
 from sequoiamoor.net.chunks import ChunkDecoder
 from sequoiamoor.net.http import Request
@@ -56,14 +56,16 @@
     return request
 
 
-async def receive_sent_request(data: bytes) -> bytes:
+async def receive_sent_request(data: bytes, receive_timeout: float = 30.0) -> bytes:
     """Returns the body of a request that has arrived whole."""
     peer, sock = connect_pair()
     with peer:
         assert peer.send(data) == len(data)
         connection = build_server_connection(sock)
-        request = await receive_request(connection)
-        await connection.close()
+        try:
+            request = await receive_request(connection, receive_timeout)
+        finally:
+            await connection.close()
     return request.body
 
 
@@ -130,15 +132,36 @@
     assert passes >= connections * 8_000 / CHUNKS_PER_PASS
 
 
-def test_other_tasks_run_while_a_body_with_a_length_arrives() -> None:
-    """Guards against a caller that sends as fast as the router reads."""
-    body = b"b" * 350_000
-    data = HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+LARGE_BODY = b"b" * 350_000
+WITH_LENGTH = HEAD + b"Content-Length: %d\r\n\r\n%b" % (len(LARGE_BODY), LARGE_BODY)
+IN_LONG_CHUNKS = (
+    HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + build_chunks(LARGE_BODY, 4_000).replace(b"fa0\r\n", b"fa0;" + b"e" * 99 + b"\r\n")
+)
+
+
+@pytest.mark.parametrize("receive_timeout", [30.0, 0.0])
+@pytest.mark.parametrize("data", [WITH_LENGTH, IN_LONG_CHUNKS])
+def test_other_tasks_run_while_a_large_body_arrives(
+    data: bytes, receive_timeout: float
+) -> None:
+    """Guards against a caller that sends as fast as the router reads.
+
+    What has arrived is received, also if the time for the request is over.
+    """
 
     async def work() -> None:
-        assert await receive_sent_request(data) == body
+        assert await receive_sent_request(data, receive_timeout) == LARGE_BODY
+
+    assert curio.run(count_passes, work) >= len(LARGE_BODY) // BYTES_PER_PASS
+
 
-    assert curio.run(count_passes, work) >= len(body) // BYTES_PER_PASS
+@pytest.mark.parametrize("data", [WITH_LENGTH, IN_LONG_CHUNKS])
+def test_request_ends_long_after_its_time_though_more_has_arrived(data: bytes) -> None:
+    """Guards against a caller that keeps sending and is received without end."""
+    with pytest.raises(RequestTimeoutError):
+        curio.run(receive_sent_request, data, -http_server.RECEIVE_GRACE_SECONDS - 1)
 
 
 @pytest.mark.parametrize("connection_count", [3])
