Check the events of a stream in bounded turns

Callers saw: a replica that sends tiny events or comments as fast as it can held up all others: 63 ms for each 64 KiB of comments, 48 ms of a resumed stream (measured beside load), again with each receive.

Cause: all events of a receive were checked in one pass of the event loop, which was bounded in bytes, not in events.

Events are forwarded after each turn.

--- a/sequoiamoor/net/chunks.py
+++ b/sequoiamoor/net/chunks.py
@@ -5,9 +5,10 @@
 import re
 from functools import lru_cache
 
-import curio
 import h11
 
+from .parsing_turns import wait_turn
+
 CHUNK_LINE_LIMIT_BYTES = 256
 
 FREE_CHUNKS = 32
@@ -143,16 +144,9 @@
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
-_turn = curio.Lock()
-
-
 async def decode_in_turns(decoder: ChunkDecoder, data: bytes) -> bytes:
     """Adds received bytes to a decoder and returns the body bytes among them.
 
-    A peer chooses the size of its chunks, so a few bytes may take long to decode. All
-    connections of the process together take at most one turn in each pass of the event
-    loop, in the order in which they came; other tasks run between two turns.
-
     Raises:
         h11.RemoteProtocolError: If the framing is wrong.
     """
@@ -161,7 +155,6 @@
         return body
     parts = [body]
     while decoder.is_paused:
-        async with _turn:
-            parts.append(decoder.feed(b"", max_chunks=CHUNKS_PER_TURN))
-            await curio.sleep(0)
+        await wait_turn()
+        parts.append(decoder.feed(b"", max_chunks=CHUNKS_PER_TURN))
     return b"".join(parts)
--- a/sequoiamoor/net/forward.py
+++ b/sequoiamoor/net/forward.py
@@ -36,6 +36,7 @@
 from .formats import UpstreamFormat
 from .http import Response
 from .http_client import ClientConnection, GivenUpExchange
+from .parsing_turns import split_lines, wait_turn
 
 # Answers to other requests that are skipped while waiting for the answer to this one.
 MISMATCHED_RESPONSES_LIMIT = 2
@@ -435,18 +436,21 @@
         try:
             received_at = time.monotonic()
             seconds_without_event = 0.0
-            while (data := await connection.receive_data()) is not None:
-                events = event_order.feed(data)
-                self._hold(holding, event_order.pending_bytes)
+            while (received := await connection.receive_data()) is not None:
                 gap, received_at = time.monotonic() - received_at, time.monotonic()
-                if events.count:
-                    seconds_without_event = 0.0
-                elif gap <= MAX_SENDING_GAP_SECONDS:
+                if gap <= MAX_SENDING_GAP_SECONDS:
                     seconds_without_event += gap
+                for index, data in enumerate(split_lines(received)):
+                    if index:
+                        await wait_turn()
+                    events = event_order.feed(data)
+                    self._hold(holding, event_order.pending_bytes)
+                    if events.count:
+                        seconds_without_event = 0.0
+                    if events.data:
+                        await send_events(head, events)
                 if route.is_resumable:
                     self._check_progress(connection, seconds_without_event)
-                if events.data:
-                    await send_events(head, events)
         finally:
             holding.release()
         if not event_order.is_between_events:
--- a/tests/daemon/test_forwarder.py
+++ b/tests/daemon/test_forwarder.py
@@ -14,6 +14,7 @@
 from sequoiamoor.daemon import route_calls
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.net import http_server
+from sequoiamoor.net.events import Events, EventSequence
 from sequoiamoor.net.http import Request
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.net.http_server import ServerConnection
@@ -522,6 +523,42 @@
     run(session)
 
 
+@pytest.mark.parametrize("path", ["/chat/1", "/story/1"])
+@pytest.mark.parametrize("noise", [b":\n\n" * 20_000, b""], ids=["comments", "events"])
+def test_other_tasks_run_while_a_stream_of_small_parts_is_checked(
+    path: str, noise: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against replicas that stop the process with tiny events or comments."""
+    passes = 0
+    lines_by_pass: dict[int, int] = {}
+    feed = EventSequence.feed
+
+    def count_lines(sequence: EventSequence, data: bytes) -> Events:
+        lines = lines_by_pass.get(passes, 0) + data.count(b"\n")
+        lines_by_pass[passes] = lines
+        return feed(sequence, data)
+
+    monkeypatch.setattr(EventSequence, "feed", count_lines)
+
+    async def tick() -> None:
+        nonlocal passes
+        while True:
+            passes += 1
+            await curio.sleep(0)
+
+    async def session(harness: RouteListenerHarness) -> None:
+        ticker = await curio.spawn(tick)
+        body = noise + b"".join(b"id: %d\n\n" % number for number in range(1, 5_000))
+        await harness.add_replicas(1, [STREAM_HEAD, chunk(body), b"0\r\n\r\n"])
+        response = await ask(harness, route_request(path))
+        assert response.is_whole
+        assert response.body == body
+        await ticker.cancel()
+        assert max(lines_by_pass.values()) <= 1_024
+
+    run(session)
+
+
 SILENCE = Silence(1.4)
 """A sound replica may be silent for a second or so and go on."""
 
--- a/tests/net/test_parsing_turns.py
+++ b/tests/net/test_parsing_turns.py
@@ -16,6 +16,7 @@
 from sequoiamoor.net.http import Request
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.net.http_server import ServerConnection
+from sequoiamoor.net.parsing_turns import MAX_LINES_PER_TURN, split_lines
 from sequoiamoor.types import Address
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
@@ -184,6 +185,25 @@
     assert ended[-1] == 0
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"data",
+        b"\n" * MAX_LINES_PER_TURN,
+        b"\n" * 65_536,
+        b"x" * 60_000 + b"\n" * 5_000,
+        b"id: 1\n\n" * 3_000,
+    ],
+)
+def test_parts_have_a_bounded_number_of_lines(data: bytes) -> None:
+    """Guards against a part of a stream that takes as long as all of it."""
+    parts = split_lines(data)
+    assert b"".join(parts) == data
+    assert max(part.count(b"\n") for part in parts) <= MAX_LINES_PER_TURN
+    assert len(parts) == 1 or data.count(b"\n") > MAX_LINES_PER_TURN
+
+
 @pytest.mark.parametrize(
     ("body", "trailer", "extension"),
     [
