--- a/sequoiamoor/net/http_client.py
+++ b/sequoiamoor/net/http_client.py
@@ -17,7 +17,7 @@
 
 from ..timeouts import timeout_after
 from ..types import Address
-from .chunks import ChunkDecoder
+from .chunks import ChunkDecoder, decode_in_turns
 from .http import (
     HEAD_END_PATTERN,
     RECEIVE_BYTES,
@@ -26,13 +26,19 @@
     Response,
     disable_send_delay,
     limit_silence,
+    limit_unacknowledged_time,
     peek,
     set_keepalive,
     to_h11_headers,
     to_header_dict,
 )
 from .reachability import REACHABILITY
-from .tcp_state import count_unacknowledged, has_ended, is_established
+from .tcp_state import (
+    count_unacknowledged,
+    has_ended,
+    is_established,
+    is_window_closed,
+)
 
 RESPONSE_HEAD_LIMIT_BYTES = 65_536
 INFORMATIONAL_RESPONSES_LIMIT = 8
@@ -74,8 +80,9 @@
             None.
         is_aborted: Whether this side ended the connection during an exchange.
         idle_limit: Seconds after which the peer may close the idle connection.
-        silence_limit: Seconds without received data after which the exchange is
-            aborted, or None for the limit of the pool.
+        silence_limit: Seconds without received data after which ``note_silence`` is
+            called, once in a receive; None for never.
+        note_silence: Called then. The exchange goes on.
         refused_ids: Identifiers of the requests that the peer refused here. A faulty
             peer may write such a refusal once more, so none of them is sent here again.
     """
@@ -95,6 +102,8 @@
         self._is_head_request = False
         self.idle_limit = float("inf")
         self.silence_limit: float | None = None
+        self.note_silence: Callable[[], None] | None = None
+        self._noted_wait: float | None = None
         self.refused_ids: set[str] = set()
         self.address = address
         self.opened_at = float("-inf")
@@ -106,6 +115,7 @@
         disable_send_delay(self._raw_sock)
         self._detects_dead_peer = detects_dead_peer
         self._is_probed = False
+        self._is_held_up = False
         self._sent_at = self._acknowledged_at = float("-inf")
         self._acknowledged_bytes = self._received_before = 0
         if detects_dead_peer:
@@ -328,7 +338,7 @@
                 received, self._unparsed = self._unparsed, b""
             else:
                 received = await self._receive()
-            data = decoder.feed(received)
+            data = await decode_in_turns(decoder, received)
             if decoder.rest is not None or not received:
                 self._h11.receive_data(decoder.rest or b"")
                 decoder = self._chunk_decoder = None
@@ -444,6 +454,14 @@
             self._is_probed = is_probed
             set_keepalive(self._raw_sock, is_probed)
 
+    def _set_held_up(self, is_held_up: bool) -> None:
+        """Lets the kernel bear a peer that is there and reads nothing, or not."""
+        if self._detects_dead_peer and is_held_up != self._is_held_up:
+            limit_ms = 0 if is_held_up else UPSTREAM_SILENCE.unacknowledged_ms
+            with contextlib.suppress(OSError):
+                limit_unacknowledged_time(self._raw_sock, limit_ms)
+        self._is_held_up = is_held_up
+
     def find_unacknowledged_time(self, now: float) -> float:
         """Returns for how many seconds the peer has acknowledged nothing more.
 
@@ -451,12 +469,15 @@
             now: Monotonic time in seconds.
 
         Returns:
-            0 if all that was sent is acknowledged, or if an answer has begun to arrive.
+            0 if all that was sent is acknowledged, if an answer has begun to arrive, or
+            if the peer acknowledges that it has no room for more.
         """
-        unacknowledged = 0
-        if self.bytes_received == self._received_before:
-            unacknowledged = count_unacknowledged(self._raw_sock) or 0
-        if not unacknowledged:
+        unacknowledged = count_unacknowledged(self._raw_sock) or 0
+        self._set_held_up(bool(unacknowledged) and is_window_closed(self._raw_sock))
+        if self._is_held_up:
+            self._acknowledged_at = now
+            return 0.0
+        if not unacknowledged or self.bytes_received != self._received_before:
             self.set_probed(True)
             return 0.0
         acknowledged = self.bytes_sent - unacknowledged
@@ -464,6 +485,24 @@
             self._acknowledged_bytes, self._acknowledged_at = acknowledged, now
         return now - max(self._sent_at, self._acknowledged_at)
 
+    def check_silence(self, now: float) -> None:
+        """Calls ``note_silence`` if the pending receive takes longer than the limit.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        since = self.waiting_since
+        if (
+            self.note_silence is not None
+            and self.silence_limit is not None
+            and since is not None
+            and since != self._noted_wait
+            and now - since >= self.silence_limit
+            and self.is_quiet
+        ):
+            self._noted_wait = since
+            self.note_silence()
+
     def describe_given_up(self) -> GivenUpExchange | None:
         """Returns how the connection stands; None if no exchange is incomplete."""
         if not self._is_exchange_incomplete:
