Answer a request whatever fails while it is received, or after its answer

What callers saw: a whole request, sent on a kept connection, whose connection was closed without a byte. Nothing had told them that it would be. Seen in tests only.

Cause: the listener answered what fails while a request is served. What fails while one is received was outside: the look at the limits in force and the room for a body, for which the organisation is looked up in the configuration. An exception or a stray timeout there ended the task of the connection with the request read. So did one of the bookkeeping after an answer that had not announced the end, and one between the composition of a response and its first byte: h11 took the response for sent, so no refusal was sent.

Change: one step of the loop covers a request from its first byte to the next one. A request of which nothing was answered is refused, as not run if it was not whole, and the end is announced; a response counts as begun once its bytes were handed to the kernel, and one that was not is discarded. A connection without a request goes on; it ends if it fails twice in a row.

--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -315,52 +315,69 @@
         )
 
     async def _serve_connection(self, connection: ServerConnection) -> ConnectionEnd:
+        has_failed_idle = False
         while True:
+            end: ConnectionEnd | None
             try:
-                request = await connection.receive_request(
-                    idle_timeout=self._limits.idle_timeout,
-                    receive_timeout=self._limits.receive_timeout,
-                )
-            except RefusalError as err:
-                # A displaced connection is not read for long.
-                is_displaced = self._is_displaced(connection)
-                error = self._build_refusal() if is_displaced else err
-                await self._refuse(connection, error)
-                return ConnectionEnd.REFUSED
-            if request is None:
-                if self._is_displaced(connection):
-                    return ConnectionEnd.DISPLACED
-                if connection.is_peer_closed:
-                    return ConnectionEnd.PEER_CLOSED
-                return ConnectionEnd.IDLE
-            try:
-                await self._serve_request(connection, request)
+                end = await self._serve_next(connection)
+                has_failed_idle = False
             except (Exception, *STRAY_TIMEOUTS) as err:
-                if isinstance(err, OSError) and connection.has_send_failed:
+                if isinstance(err, OSError) and connection.failure is not None:
                     raise
                 _LOG.exception("request ended by an unexpected exception")
-                if await self._end_after_fault(connection):
-                    return ConnectionEnd.FAULT
-                continue
-            if _find_end(connection) is ConnectionEnd.FAULT:
-                _LOG.error("request ended without an answer")
-                await self._end_after_fault(connection)
-                return ConnectionEnd.FAULT
-            if not connection.start_next_cycle():
-                return _find_end(connection)
-
-    async def _end_after_fault(self, connection: ServerConnection) -> bool:
-        """Answers a request that a fault ended; returns whether the connection ends.
+                if connection.is_idle and not has_failed_idle:
+                    has_failed_idle = True
+                    continue
+                end = await self._end_after_fault(connection)
+            if end is not None:
+                return end
+
+    async def _serve_next(self, connection: ServerConnection) -> ConnectionEnd | None:
+        """Serves the next request; returns why the connection ends if it does."""
+        try:
+            request = await connection.receive_request(
+                idle_timeout=self._limits.idle_timeout,
+                receive_timeout=self._limits.receive_timeout,
+            )
+        except RefusalError as err:
+            # A displaced connection is not read for long.
+            is_displaced = self._is_displaced(connection)
+            error = self._build_refusal() if is_displaced else err
+            await self._refuse(connection, error)
+            return ConnectionEnd.REFUSED
+        if request is None:
+            if self._is_displaced(connection):
+                return ConnectionEnd.DISPLACED
+            if connection.is_peer_closed:
+                return ConnectionEnd.PEER_CLOSED
+            return ConnectionEnd.IDLE
+        await self._serve_request(connection, request)
+        if _find_end(connection) is ConnectionEnd.FAULT:
+            _LOG.error("request ended without an answer")
+            return await self._end_after_fault(connection)
+        return None if connection.start_next_cycle() else _find_end(connection)
+
+    async def _end_after_fault(
+        self, connection: ServerConnection
+    ) -> ConnectionEnd | None:
+        """Answers a request that a fault ended.
 
         Without an answer, the caller could not tell this from a lost request. If its
         answer was sent whole and did not say that the connection ends, the next request
         may be on its way, so the connection goes on.
+
+        Returns:
+            Why the connection ends; None if it goes on.
         """
-        if not connection.can_refuse:
-            return not connection.start_next_cycle()
-        connection.closes_after_response = True
-        await self._refuse(connection, _build_internal_error())
-        return True
+        if connection.is_response_begun:
+            return None if connection.start_next_cycle() else ConnectionEnd.FAULT
+        if not connection.is_idle:
+            connection.discard_response()
+            connection.closes_after_response = True
+            may_have_run = connection.has_unanswered_request
+            error = _build_internal_error(may_have_run=may_have_run)
+            await self._refuse(connection, error)
+        return ConnectionEnd.FAULT
 
     def _find_limits(self) -> RequestLimits:
         """Returns the limits of a request that begins now."""
@@ -519,8 +536,8 @@
     )
 
 
-def _build_internal_error() -> InternalError:
+def _build_internal_error(*, may_have_run: bool) -> InternalError:
     return InternalError(
         "an internal error of the router ended the request; see its log",
-        execution=Execution.MAY_HAVE_RUN,
+        execution=Execution.MAY_HAVE_RUN if may_have_run else None,
     )
--- a/sequoiamoor/net/http_server.py
+++ b/sequoiamoor/net/http_server.py
@@ -138,6 +138,8 @@
         self._parser: h11.Connection | None = None
         # Received bytes of the next request that h11 was not given yet.
         self._held = b""
+        # Whether all received bytes are held or were given to h11.
+        self._is_taken = True
         # Request that was returned and is held.
         self._unparsed: Request | None = None
         self._is_refused_unparsed = self._ends_after_refusal = False
@@ -203,7 +205,9 @@
         except OSError as err:
             self._note_failure(err)
             raise
+        self._is_taken = False
         self._take(data)
+        self._is_taken = True
 
     def _receive_arrived(self) -> bool:
         """Receives what has arrived, without a timer; returns whether anything has."""
@@ -214,7 +218,9 @@
             raise
         if data is None:
             return False
+        self._is_taken = False
         self._take(data)
+        self._is_taken = True
         return True
 
     def _take(self, data: bytes) -> None:
@@ -490,13 +496,14 @@
             retry_after=UNKNOWN_LIMITS_RETRY_AFTER_SECONDS,
         )
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, *, begins_response: bool = False) -> None:
         self._is_write_whole = False
         try:
             try:
                 sent = self._raw_sock.send(data)
             except BlockingIOError:
                 sent = 0
+            self._is_response_begun |= begins_response
             self.bytes_sent += len(data)
             self.active_at = time.monotonic()
             if sent < len(data):
@@ -572,8 +579,7 @@
         if body and not self._is_head_request:
             events.append(h11.Data(data=body))
         data = self._compose(*events, h11.EndOfMessage())
-        self._is_response_begun = True
-        await self._write(data)
+        await self._write(data, begins_response=True)
 
     async def _refuse_unparsed(self, status: int, fields: Headers, body: bytes) -> None:
         """Sends the bytes that h11 would send, and drops the request."""
@@ -584,8 +590,8 @@
         self._unparsed, self._held = None, b""
         self._is_refused_unparsed = True
         self._ends_after_refusal = (b"connection", b"close") in fields
-        self._is_response_begun = True
-        await self._write(b"HTTP/1.1 %d \r\n%b\r\n%b" % (status, head, body))
+        data = b"HTTP/1.1 %d \r\n%b\r\n%b" % (status, head, body)
+        await self._write(data, begins_response=True)
 
     async def start_stream(
         self, status: int, headers: dict[str, str] | Headers
@@ -602,8 +608,7 @@
         if self.closes_after_response:
             _append_close(fields)
         data = self._compose(h11.Response(status_code=status, headers=fields))
-        self._is_response_begun = True
-        await self._write(data)
+        await self._write(data, begins_response=True)
         self._is_streaming = True
 
     async def send_data(self, data: bytes) -> None:
@@ -638,7 +643,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing of a further request has arrived, nor a close."""
-        return self._is_between_requests and self._peek() is None
+        return self._is_taken and self._is_between_requests and self._peek() is None
 
     def end_idle(self) -> None:
         """Makes the task that waits for the next request see a close.
@@ -672,6 +677,17 @@
         # wait.
         await curio.Event().wait()
 
+    @property
+    def is_response_begun(self) -> bool:
+        """Whether a part of the response to the current request may have been sent."""
+        return self._is_response_begun
+
+    def discard_response(self) -> None:
+        """Lets a refusal be sent in place of a response of which nothing was sent."""
+        if not (self._is_response_begun or self.can_refuse):
+            self._is_refused_unparsed = False
+            self._reset_parser()
+
     @property
     def has_unanswered_request(self) -> bool:
         """Whether a request was received whole and no response has begun."""
