Hand connections only to routers with the same configuration in force

Cause: a router that takes a connection over serves it under its own configuration. Routers learn of a version up to seconds apart: poll_intervals stretches the waits of a large fleet towards the bound of the configuration.

Change: the greeting with which a connection is taken over tells the version in force there. Unless it is the one in force here, the connection is served here, of which nothing was read. A greeting that arrives in two parts is put together.

Evidence: the new test failed in both rows before: the other router served the request. What remains: a caller that connects and sends its request only after the configuration of one of the two has changed; callers send within a round trip.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -272,6 +272,7 @@
         handoffs.limit = HandoffLimit(self._gateway.busy_fraction)
         handoffs.list_targets = self._list_handoff_targets
         handoffs.has_room = self._has_handoff_room
+        handoffs.find_version = lambda: self.board.configuration.version
         handoffs.is_serving = lambda: (
             not self.board.is_leaving
             and self.board.configuration.declaration is not None
--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -28,6 +28,8 @@
         limit: Use from which connections are handed off.
         list_targets: Returns the addresses of the routers that may be asked.
         has_room: Whether one more connection may be handed off.
+        find_version: Returns the version of the configuration in force here. Both
+            routers need the same.
         is_serving: Whether this router serves requests, and not only refuses them.
     """
 
@@ -36,6 +38,7 @@
         self.limit = HandoffLimit()
         self.list_targets: Callable[[], Iterable[tuple[RouterId, Address]]] = tuple
         self.has_room: Callable[[], bool] = lambda: True
+        self.find_version: Callable[[], int] = lambda: 0
         self.is_serving: Callable[[], bool] = lambda: True
         self._metrics = metrics
         self._rng = rng
@@ -97,7 +100,9 @@
         addresses = dict(self.list_targets())
         for router_id in self._targets.choose(addresses, time.monotonic()):
             router = await open_tunnel(
-                addresses[router_id], timeout=OPEN_TIMEOUT_SECONDS
+                addresses[router_id],
+                version=self.find_version(),
+                timeout=OPEN_TIMEOUT_SECONDS,
             )
             if router is not None:
                 return router
@@ -113,7 +118,7 @@
         """
         if not (self.is_serving() and self.limit.may_take_over(self.use.fraction)):
             return False
-        if not greet(sock):
+        if not greet(sock, self.find_version()):
             return False
         self._metrics.handoffs_taken_over.inc()
         return True
--- a/sequoiamoor/net/tunnel.py
+++ b/sequoiamoor/net/tunnel.py
@@ -1,8 +1,8 @@
 """Bytes of a caller's connection on their way to another router and back.
 
-A router that hands a connection off connects to the other one, waits for
-``GREETING``, and then passes the bytes of both sides on without reading them. Until the
-greeting is there nothing of the caller was read, so it can still be served elsewhere.
+A router that hands a connection off connects to the other one, waits for its greeting,
+and then passes the bytes of both sides on without reading them. Until the greeting is
+there nothing of the caller was read, so it can still be served elsewhere.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import contextlib
 import enum
 import socket
+import struct
 from typing import Any
 
 import curio
@@ -27,8 +28,11 @@
 )
 from .http_client import RESET_ON_CLOSE
 
-GREETING = b"\x01"
-"""Sent by a router that takes a connection over, before anything else."""
+_GREETING = struct.Struct("!BQ")
+"""Sent by a router that takes a connection over, before anything else: the kind of the
+message and the version of the configuration in force there."""
+
+_TAKEN_OVER = 1
 
 SEND_TIMEOUT_SECONDS = 30.0
 """Time without progress after which a send fails."""
@@ -50,11 +54,22 @@
     """The connection to the other router failed within an answer."""
 
 
-async def open_tunnel(address: Address, *, timeout: float) -> Any:
+def build_greeting(version: int) -> bytes:
+    """Returns the greeting of a router that takes a connection over.
+
+    Args:
+        version: Version of the configuration in force there.
+    """
+    return _GREETING.pack(_TAKEN_OVER, version)
+
+
+async def open_tunnel(address: Address, *, version: int, timeout: float) -> Any:
     """Connects to a router that takes a connection over.
 
     Args:
         address: Address at which it takes connections over.
+        version: Version of the configuration that must be in force there. Otherwise
+            callers of one router could meet a newer one and then an older one again.
         timeout: Seconds until its greeting must be there.
 
     Returns:
@@ -63,12 +78,13 @@
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = curio.socket.socket(family, socket.SOCK_STREAM)
     is_taken = False
+    received = bytearray()
     try:
-        greeting = await wait_for(timeout, _receive_greeting, sock, address)
-        if greeting is None:
+        await wait_for(timeout, _receive_greeting, sock, address, received)
+        if len(received) < _GREETING.size:
             # A late event loop may notice the timer before the greeting.
-            greeting = receive_arrived(sock._socket)
-        is_taken = greeting == GREETING
+            received += receive_arrived(sock._socket) or b""
+        is_taken = received == build_greeting(version)
     except OSError:
         return None
     finally:
@@ -81,16 +97,27 @@
     return sock
 
 
-async def _receive_greeting(sock: Any, address: Address) -> bytes:
+async def _receive_greeting(sock: Any, address: Address, received: bytearray) -> None:
     await sock.connect((address.host, address.port))
-    greeting: bytes = await sock.recv(len(GREETING))
-    return greeting
+    while len(received) < _GREETING.size:
+        data = await sock.recv(_GREETING.size - len(received))
+        if not data:
+            return
+        received += data
 
 
-def greet(sock: Any) -> bool:
-    """Tells the router at the other end of a new connection that it is taken over."""
+def greet(sock: Any, version: int) -> bool:
+    """Tells the router at the other end of a new connection that it is taken over.
+
+    Args:
+        sock: Curio socket of the connection.
+        version: Version of the configuration in force here.
+
+    Returns:
+        Whether the connection still works.
+    """
     try:
-        sock._socket.send(GREETING)
+        sock._socket.send(build_greeting(version))
     except OSError:
         return False
     return True
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -11,7 +11,7 @@
 
 from sequoiamoor.daemon import handoffs as handoffs_module
 from sequoiamoor.daemon.handoffs import Handoffs
-from sequoiamoor.net.tunnel import GREETING
+from sequoiamoor.net.tunnel import build_greeting
 from sequoiamoor.types import Address
 
 from ..listener_harness import Caller, Hang, chunk, parse
@@ -148,7 +148,14 @@
     await sock.recv(1)
 
 
-@pytest.mark.parametrize("serve", [close_at_once, stay_silent, send_something_else])
+async def send_half_a_greeting(sock: Any) -> None:
+    await sock.sendall(build_greeting(0)[:-1])
+    await sock.recv(1)
+
+
+@pytest.mark.parametrize(
+    "serve", [close_at_once, stay_silent, send_something_else, send_half_a_greeting]
+)
 def test_connection_that_is_not_taken_over_is_served_here(
     serve: Serve, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -191,6 +198,30 @@
     run_busy(session)
 
 
+@pytest.mark.parametrize(("version", "other_version"), [(4, 3), (3, 4)])
+def test_router_with_another_configuration_takes_no_connection_over(
+    version: int, other_version: int
+) -> None:
+    """Guards against callers of one router who meet the older configuration again.
+
+    A router learns of a new configuration up to seconds before or after another one.
+    """
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        (own,) = await router.own.add_replicas(1, [answer()])
+        (upstream,) = await harness.add_replicas(1, [answer()])
+        router.handoffs.find_version = lambda: version
+        router.other.find_version = lambda: other_version
+        await router.listen()
+        caller = await router.connect()
+        await caller.send(route_request("/hold/1"))
+        assert parse(await caller.receive_all()).status == 200
+        assert (len(own.requests), len(upstream.requests)) == (1, 0)
+        assert router.count_ends("refused") == 1
+
+    run_busy(session)
+
+
 @pytest.mark.parametrize(
     ("data", "end"),
     [
@@ -203,7 +234,7 @@
     """Guards against a lost request, and against a cut answer that looks whole."""
 
     async def serve(sock: Any) -> None:
-        await sock.sendall(GREETING)
+        await sock.sendall(build_greeting(0))
         await sock.recv(65_536)
         await sock.sendall(data)
 
