Let a router take over only what it can serve

What callers saw: a request was refused with 503 though the router that they reached could have served it, when the router of the zone that took their connection over had just started or could not reach the platform's store.

Cause: a router took connections over as soon as it had a configuration. Readiness also asks for the list of replicas and the table of parts; and keys that the store has not confirmed for a while are refused. The load balancer sends a starting router nothing.

Change: all three are asked before a connection is taken over.

Evidence: three rows of the new table failed before (list of replicas, table of parts, unconfirmed keys).

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -277,6 +277,11 @@
             not self.board.is_leaving
             and self.board.configuration.declaration is not None
         )
+        handoffs.knows_all = lambda: (
+            self._directory.is_known
+            and self._part_store.is_known
+            and self._freshness.is_fresh()
+        )
         self._listener.count_handed_off = handoffs.__len__
         self._listener.ends_after_response = lambda: (
             self._gateway.handoff is not None and handoffs.is_due()
--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -31,6 +31,8 @@
         find_version: Returns the version of the configuration in force here. Both
             routers need the same.
         is_serving: Whether this router serves requests, and not only refuses them.
+        knows_all: Whether this router knows all that it needs to serve any request. One
+            that does not takes no connection over.
     """
 
     def __init__(self, metrics: Metrics, *, rng: Random) -> None:
@@ -40,6 +42,7 @@
         self.has_room: Callable[[], bool] = lambda: True
         self.find_version: Callable[[], int] = lambda: 0
         self.is_serving: Callable[[], bool] = lambda: True
+        self.knows_all: Callable[[], bool] = lambda: True
         self._metrics = metrics
         self._rng = rng
         self._targets = HandoffTargets(rng)
@@ -116,7 +119,9 @@
         Args:
             sock: Curio socket of the other router, which is told so.
         """
-        if not (self.is_serving() and self.limit.may_take_over(self.use.fraction)):
+        if not (self.is_serving() and self.knows_all()):
+            return False
+        if not self.limit.may_take_over(self.use.fraction):
             return False
         if not greet(sock, self.find_version()):
             return False
--- /dev/null
+++ b/tests/daemon/test_handoffs_of_gateways.py
@@ -0,0 +1,106 @@
+"""Tests of what a router process hands to others of its zone and takes over."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import curio
+import curio.io
+import pytest
+
+from sequoiamoor.daemon.gateway import Gateway
+from sequoiamoor.declaration import parse_declaration
+from sequoiamoor.net.tunnel import build_greeting
+from sequoiamoor.settings import read_settings
+
+from ..route_listener_harness import DECLARATION
+
+SETTINGS: dict[str, Any] = {
+    "router_id": "router-0",
+    "zone": "zone-a",
+    "policy": "shared-load",
+    "http": "127.0.0.1:0",
+    "control": "127.0.0.1:0",
+    "platform": "127.0.0.1:1",
+    "gateway": {
+        "ready": "127.0.0.1:0",
+        "metrics": "127.0.0.1:0",
+        "handoff": "127.0.0.1:0",
+        "repeats": {"ratio": 0.2, "window": 10, "extra": 56},
+        "revocation_limit": 5.0,
+        "grace": 8,
+    },
+}
+
+
+@pytest.fixture
+def gateway(tmp_path: Path) -> Iterator[Gateway]:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS), encoding="utf-8")
+    settings = read_settings(path)
+    assert settings.gateway is not None
+    gateway = Gateway(settings, settings.gateway)
+    gateway.board.configuration.declaration = parse_declaration(DECLARATION)
+    gateway.board.configuration.version = 1
+    gateway._directory.is_known = gateway._part_store.is_known = True
+    gateway._freshness.confirm(gateway._freshness.read_time())
+    yield gateway
+
+
+def ask_to_take_over(gateway: Gateway) -> bytes:
+    """Returns what a router that takes a connection over, or not, sends."""
+
+    async def main() -> bytes:
+        own_sock, other_sock = socket.socketpair()
+        with other_sock:
+            async with curio.io.Socket(own_sock) as sock:
+                task = await curio.spawn(gateway._accept_handoff, sock, None)
+                await curio.sleep(0)
+                await task.cancel()
+            other_sock.settimeout(1.0)
+            return other_sock.recv(100)
+
+    answer: bytes = curio.run(main)
+    return answer
+
+
+def forget_directory(gateway: Gateway) -> None:
+    gateway._directory.is_known = False
+
+
+def forget_parts(gateway: Gateway) -> None:
+    gateway._part_store.is_known = False
+
+
+def lose_store(gateway: Gateway) -> None:
+    gateway._freshness._confirmed_at -= 10.0
+
+
+def leave(gateway: Gateway) -> None:
+    gateway.board.is_leaving = True
+
+
+@pytest.mark.parametrize(
+    ("change", "takes_over"),
+    [
+        (lambda gateway: None, True),
+        (forget_directory, False),
+        (forget_parts, False),
+        (lose_store, False),
+        (leave, False),
+    ],
+)
+def test_router_takes_over_only_what_it_can_serve(
+    gateway: Gateway, change: Callable[[Gateway], None], takes_over: bool
+) -> None:
+    """Guards against refusals by a router that starts, or is cut off from the store.
+
+    The router that the caller reached would have served the request.
+    """
+    change(gateway)
+    expected = build_greeting(1) if takes_over else b""
+    assert ask_to_take_over(gateway) == expected
