Reload the use of the loop above which connections are handed off

What operators saw: a changed gateway.busy_fraction was read, and the log said that a restart is needed, though the router sets its limit on each reload.

Cause: the field was missing in the list of those that a reload applies.

Evidence: the extended test of changed settings failed before (0.5 in place of 0.25).

--- a/sequoiamoor/daemon/reloading.py
+++ b/sequoiamoor/daemon/reloading.py
@@ -18,7 +18,14 @@
 """Settings that take effect on reload; a change of any other one needs a restart."""
 
 RELOADED_GATEWAY_FIELDS = frozenset(
-    {"repeats", "revocation_limit", "leaving_bound", "configuration_bound", "grace"}
+    {
+        "repeats",
+        "revocation_limit",
+        "leaving_bound",
+        "configuration_bound",
+        "grace",
+        "busy_fraction",
+    }
 )
 """Gateway settings that take effect on reload."""
 
--- a/tests/daemon/test_reloading.py
+++ b/tests/daemon/test_reloading.py
@@ -64,10 +64,12 @@
             "repeats": {"ratio": 0.1, "window": 5, "extra": 8},
             "revocation_limit": 2.0,
             "grace": 4,
+            "busy_fraction": 0.25,
         },
         limits={"header_bytes": 2_048},
     )
     gateway._reload_settings("test")
+    assert gateway._handoffs.limit.busy_fraction == 0.25
     assert gateway._repeat_budget.limits.extra == 8
     assert gateway._freshness.limit == pytest.approx(2.0 * KEY_AGE_LIMIT_FRACTION)
     assert gateway._options.drain_limit < 4.0
