Let both listeners of a router share the descriptors of callers

What callers saw: nothing yet; a router that serves callers of other routers and meets a flood of its own could run out of descriptors (EMFILE), and then take nobody's connection, nor the store's.

Cause: the listeners of callers and of handoffs each had the limit of all callers and refusals. The budget has these descriptors once.

Change: a ConnectionRoom counts the connections of one or several acceptors.

What remains: a listener that waits for its next connection while the other one fills the room takes one more, which the reserve covers.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -19,7 +19,7 @@
 from ..core.loop_lag import LoopLag
 from ..core.poll_intervals import PollIntervals
 from ..core.repeats import RepeatBudget, RepeatLimits
-from ..net.acceptor import Acceptor, Serve
+from ..net.acceptor import Acceptor, ConnectionRoom, Serve
 from ..net.http_server import ServerConnection
 from ..net.signals import SignalWatch
 from ..net.timed_selector import TimedSelector
@@ -191,26 +191,28 @@
     async def serve(self) -> DrainEndReason:
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        # Callers of other routers take the places of callers.
+        room = ConnectionRoom(self._listener.connection_limit)
         # Listening first lets callers queue in the kernel until the tasks run.
         self._acceptors = [
             self._listen(
                 "callers",
                 self._settings.http,
                 self._accept_caller,
-                limit=self._listener.connection_limit,
+                room=room,
                 end_at_once=self._listener.refuse_at_once,
             ),
             self._listen(
                 "readiness",
                 self._gateway.ready,
                 self._answer_readiness,
-                limit=PAGES_PER_PORT,
+                room=ConnectionRoom(PAGES_PER_PORT),
             ),
             self._listen(
                 "metrics",
                 self._gateway.metrics,
                 self._serve_pages,
-                limit=PAGES_PER_PORT,
+                room=ConnectionRoom(PAGES_PER_PORT),
             ),
         ]
         if self._gateway.handoff is not None:
@@ -219,7 +221,7 @@
                     "handoffs",
                     self._gateway.handoff,
                     self._accept_handoff,
-                    limit=self._listener.connection_limit,
+                    room=room,
                 )
             )
         self._control.bind()
@@ -252,7 +254,7 @@
         address: AddressSettings,
         serve: Serve,
         *,
-        limit: int,
+        room: ConnectionRoom,
         end_at_once: Callable[[Any], bool] = lambda sock: False,
     ) -> Acceptor:
         sock = curio.network.tcp_server_socket(
@@ -262,7 +264,7 @@
             sock,
             serve,
             name=name,
-            limit=limit,
+            room=room,
             observer=self.metrics,
             end_at_once=end_at_once,
         )
--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -89,6 +89,41 @@
         return bool(peer == self._address)
 
 
+class ConnectionRoom:
+    """Connections that one acceptor, or several together, may have open.
+
+    Args:
+        limit: Connections that may be open at the same time; None for any number.
+    """
+
+    def __init__(self, limit: int | None) -> None:
+        self._limit = limit
+        self._taken = 0
+        self._has_ended = curio.Event()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further connection may be accepted."""
+        return self._limit is not None and self._taken >= self._limit
+
+    def take(self) -> None:
+        """Takes the place of an accepted connection."""
+        self._taken += 1
+
+    async def give_back(self) -> None:
+        """Gives back the place of a connection that has ended."""
+        was_full = self.is_full
+        self._taken -= 1
+        if was_full:
+            await self._has_ended.set()
+
+    async def wait(self) -> None:
+        """Waits until a further connection may be accepted."""
+        while self.is_full:
+            self._has_ended.clear()
+            await self._has_ended.wait()
+
+
 class Acceptor:
     """Accepts connections on one socket and runs a task for each.
 
@@ -97,7 +132,7 @@
 
     Attributes:
         name: Name of the listener in the log and the metrics.
-        limit: Connections that may be open at the same time. At the limit nothing is
+        room: Connections that may be open at the same time. At the limit nothing is
             accepted until one ends, and the kernel's queue holds the others.
     """
 
@@ -108,6 +143,7 @@
         *,
         name: str,
         limit: int | None = None,
+        room: ConnectionRoom | None = None,
         observer: AcceptObserver | None = None,
         end_at_once: Callable[[Any], bool] = lambda sock: False,
         read_time: Callable[[], float] = time.monotonic,
@@ -119,6 +155,8 @@
             serve: Serves one connection until it ends; the socket is closed after it.
             name: Name of the listener in the log and the metrics.
             limit: Connections that may be open at the same time; None for any number.
+            room: Places of the connections, if other acceptors share them. The limit
+                does not count then.
             observer: Counts errors and pauses.
             end_at_once: Called with each accepted socket; returns whether the
                 connection is dealt with, so that it needs no task.
@@ -131,11 +169,10 @@
         self._observer = observer or _NoObserver()
         self._end_at_once = end_at_once
         self._tasks: set[Any] = set()
-        self._has_ended = curio.Event()
         self._probe: Probe | None = None
         self._logged_at = float("-inf")
         self._unlogged_errors = 0
-        self.limit = limit
+        self.room = room or ConnectionRoom(limit)
 
     def __len__(self) -> int:
         """Returns the number of open connections."""
@@ -168,24 +205,17 @@
                 turn_ends_at = self._read_time() + MAX_TURN_SECONDS
                 for _ in range(MAX_ACCEPTS_PER_TURN):
                     await self._accept_next()
-                    if self._is_full or self._read_time() >= turn_ends_at:
+                    if self.room.is_full or self._read_time() >= turn_ends_at:
                         break
                 await curio.sleep(0)
         except curio.CancelledError:
             await self._end_all()
             raise
 
-    @property
-    def _is_full(self) -> bool:
-        return self.limit is not None and len(self._tasks) >= self.limit
-
     async def _wait_for_room(self) -> None:
-        if not self._is_full:
-            return
-        self._observer.count_accept_pause(self.name)
-        while self._is_full:
-            self._has_ended.clear()
-            await self._has_ended.wait()
+        if self.room.is_full:
+            self._observer.count_accept_pause(self.name)
+            await self.room.wait()
 
     async def _accept_next(self) -> None:
         try:
@@ -198,6 +228,7 @@
         if self._end_at_once(sock._socket):
             await sock.close()
             return
+        self.room.take()
         # The new task runs only after this one waits.
         self._tasks.add(
             await curio.spawn(self._serve_connection, sock, peer, daemon=True)
@@ -239,10 +270,8 @@
                 extra={"reason": self.name},
             )
         finally:
-            was_full = self._is_full
             self._tasks.discard(await curio.current_task())
-            if was_full:
-                await self._has_ended.set()
+            await self.room.give_back()
 
     async def _end_all(self) -> None:
         """Closes the socket, cancels the open connections and waits for their end."""
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -53,7 +53,7 @@
         # Without a reservation, an outgoing connection of any process may take a port
         # while the router is down, which then cannot start again.
         host = find_router_host(int(name.rpartition("-")[2]))
-        self._handoff = Address(host, HANDOFF_PORT)
+        self.handoff = Address(host, HANDOFF_PORT)
         self.busy_fraction = DEFAULT_BUSY_FRACTION
         hosts = [find_own_host(), find_own_host(), host, find_own_host()]
         self._reservations = [reserve_port(one) for one in hosts]
@@ -82,7 +82,7 @@
             "gateway": {
                 "ready": str(self.ready),
                 "metrics": str(self.metrics),
-                "handoff": str(self._handoff),
+                "handoff": str(self.handoff),
                 "busy_fraction": self.busy_fraction,
                 "repeats": {"ratio": 0.2, "window": 10, "extra": extra_repeats},
                 "revocation_limit": REVOCATION_LIMIT_SECONDS,
