--- a/tests/net/test_parsing_turns.py
+++ b/tests/net/test_parsing_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -16,7 +17,7 @@
 from sequoiamoor.net.http import Request
 from sequoiamoor.net.http_client import ClientConnection
 from sequoiamoor.net.http_server import ServerConnection
-from sequoiamoor.net.parsing_turns import MAX_LINES_PER_TURN, split_lines
+from sequoiamoor.net.parsing_turns import MAX_LINES_PER_TURN, split_lines, wait_turn
 from sequoiamoor.types import Address
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
@@ -185,6 +186,38 @@
     assert ended[-1] == 0
 
 
+def test_event_loops_of_other_threads_have_turns_of_their_own() -> None:
+    """Guards against a feed of the store that waits for a turn of the callers' loop.
+
+    A turn that one loop passes on to a task of another would wake it on a wrong thread.
+    """
+    has_begun = threading.Event()
+    may_end = threading.Event()
+
+    async def hold_turn() -> None:
+        await wait_turn()
+        task = await curio.spawn(wait_turn)
+        # The other task holds the turn until this thread goes on.
+        await curio.sleep(0)
+        has_begun.set()
+        may_end.wait(30.0)
+        await task.join()
+
+    thread = threading.Thread(target=curio.run, args=(hold_turn,))
+    thread.start()
+    assert has_begun.wait(30.0)
+    try:
+
+        async def session() -> None:
+            async with curio.timeout_after(10.0):
+                await wait_turn()
+
+        curio.run(session)
+    finally:
+        may_end.set()
+        thread.join(30.0)
+
+
 @pytest.mark.parametrize(
     "data",
     [
