Free what a request holds whatever fails as it is queued, started or ended

What callers saw: requests of a service that waited until they were refused, since another request had failed. Seen in tests only.

Cause: a request was queued before the block that forgets it at its end began. One that failed in between stayed in the queue, where each choice took it first and failed at it, so that nothing behind it started; or it got a slot later and never freed it. A failure in the accounts of a start or an end lost the slot as well. The exception of one request reached the others through the queue and the slots that they share.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -198,21 +198,16 @@
                 request, request_id, now, received_at=connection.active_at
             )
             self.guard.admit(call)
-            wait_seconds = self._dispatcher.find_wait_limit(call)
-            if wait_seconds is not None:
-                call.wait_limit_at = min(now + wait_seconds, call.ends_at)
-            try:
-                self._dispatcher.accept(call)
-            except RefusalError as error:
-                self.guard.forget(call)
-                self._set_retry_after(call, error)
-                raise
-            call.fields = self._caller_format.select_fields(request.fields)
         except RefusalError as error:
             await self.refuse(connection, error, request_id)
             return
-        self._repeat_budget.record_request(call.service, now)
         try:
+            try:
+                self._queue(call, request, now)
+            except RefusalError as error:
+                self._set_retry_after(call, error)
+                await self.refuse(connection, error, request_id)
+                return
             await serve_until_closed(
                 connection,
                 self._serve,
@@ -221,16 +216,35 @@
                 on_start=partial(self._note_serving, call),
             )
         finally:
-            self._serving.pop(call.call_id, None)
-            for holding in call.holdings:
-                holding.release()
-            self.guard.forget(call)
-            await self._dispatcher.forget(call)
+            await self._forget(call)
         if connection.is_left_unanswered:
             refusal = build_closed_error(may_have_run=call.may_have_run)
             self._metrics.refusals.labels(refusal.code).inc()
             await self._send_refusal(connection, refusal, request_id)
 
+    def _queue(self, call: RoutedCall, request: Request, now: float) -> None:
+        """Queues a request.
+
+        Raises:
+            RefusalError: If the queue is full or the request would wait too long.
+        """
+        wait_seconds = self._dispatcher.find_wait_limit(call)
+        if wait_seconds is not None:
+            call.wait_limit_at = min(now + wait_seconds, call.ends_at)
+        self._dispatcher.accept(call)
+        call.fields = self._caller_format.select_fields(request.fields)
+        self._repeat_budget.record_request(call.service, now)
+
+    async def _forget(self, call: RoutedCall) -> None:
+        """Frees what a request holds, whatever of it fails."""
+        self._serving.pop(call.call_id, None)
+        try:
+            for holding in call.holdings:
+                holding.release()
+            self.guard.forget(call)
+        finally:
+            await self._dispatcher.forget(call)
+
     def _note_serving(self, call: RoutedCall, task: Any) -> None:
         self._serving[call.call_id] = (call, task)
 
