Send a refusal whatever fails in its report

What callers saw: a refused request whose connection was closed without an answer. Seen in tests only.

Cause: a refusal was counted and logged before it was sent, and the answer to a fault goes the same way. A short refusal that failed before its first byte was taken for an idle connection.

Change: a refusal is sent whatever its report does; if the platform's form of it fails, a plain one is sent. A connection counts as idle only if no request of it is open.

Evidence: before, with a lasting LookupError, Forwarder.refuse and _send_refusal, LineLimits.take, KeyFreshness.age and age_ms and callers.build_refusal closed the connection without a byte, and so did a single one in ServerConnection._write on /nowhere/1.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -291,22 +291,28 @@
         self, connection: ServerConnection, error: RefusalError, request_id: str | None
     ) -> None:
         """Logs and counts a refusal, and sends it if no response has begun."""
+        try:
+            self._report_refusal(error, request_id)
+        finally:
+            await self._send_refusal(connection, error, request_id)
+
+    def _report_refusal(self, error: RefusalError, request_id: str | None) -> None:
         self._metrics.refusals.labels(error.code).inc()
         left_out = self._refusal_lines.take(error.code, time.monotonic())
-        if left_out is not None:
-            _LOG.info(
-                "refused",
-                extra={
-                    "request_id": request_id,
-                    "reason": error.code,
-                    "detail": str(error),
-                    "status": error.status,
-                    "version": self._board.configuration.version,
-                    "key_age_ms": self._freshness.age_ms,
-                    "left_out": left_out or None,
-                },
-            )
-        await self._send_refusal(connection, error, request_id)
+        if left_out is None:
+            return
+        _LOG.info(
+            "refused",
+            extra={
+                "request_id": request_id,
+                "reason": error.code,
+                "detail": str(error),
+                "status": error.status,
+                "version": self._board.configuration.version,
+                "key_age_ms": self._freshness.age_ms,
+                "left_out": left_out or None,
+            },
+        )
 
     async def _send_refusal(
         self, connection: ServerConnection, error: RefusalError, request_id: str | None
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -325,7 +325,7 @@
                 if isinstance(err, OSError) and connection.failure is not None:
                     raise
                 _LOG.exception("request ended by an unexpected exception")
-                if connection.is_idle and not has_failed_idle:
+                if _is_without_request(connection) and not has_failed_idle:
                     has_failed_idle = True
                     continue
                 end = await self._end_after_fault(connection)
@@ -371,12 +371,20 @@
         """
         if connection.is_response_begun:
             return None if connection.start_next_cycle() else ConnectionEnd.FAULT
-        if not connection.is_idle:
-            connection.discard_response()
-            connection.closes_after_response = True
-            may_have_run = connection.has_unanswered_request
-            error = _build_internal_error(may_have_run=may_have_run)
+        if _is_without_request(connection):
+            return ConnectionEnd.FAULT
+        may_have_run = connection.has_unanswered_request
+        error = _build_internal_error(may_have_run=may_have_run)
+        connection.discard_response()
+        connection.closes_after_response = True
+        try:
             await self._refuse(connection, error)
+        except (Exception, *STRAY_TIMEOUTS):
+            if connection.is_response_begun or connection.failure is not None:
+                raise
+            _LOG.exception("refusal failed; sending a plain one")
+            connection.discard_response()
+            await send_refusal(connection, error, None)
         return ConnectionEnd.FAULT
 
     def _find_limits(self) -> RequestLimits:
@@ -511,6 +519,13 @@
         await self._calls.serve(connection, call)
 
 
+def _is_without_request(connection: ServerConnection) -> bool:
+    """Returns whether no request is being received, served or answered."""
+    return connection.is_idle and not (
+        connection.has_unanswered_request or connection.is_response_begun
+    )
+
+
 def _find_end(connection: ServerConnection) -> ConnectionEnd:
     """Returns why a connection ends after a request of it was served."""
     has_left = connection.is_peer_closed or connection.is_left_unanswered
--- a/tests/request_faults.py
+++ b/tests/request_faults.py
@@ -148,7 +148,12 @@
 
 
 class Fault:
-    """Raises an error at the first call of a function for one connection.
+    """Raises an error at a call of a function for one connection.
+
+    Args:
+        error: The error; None for none.
+        is_late: Whether it is raised after the call and not in its place.
+        is_lasting: Whether it is raised at each call and not at the first only.
 
     Attributes:
         connection: Connection whose request meets the fault; None for no request.
@@ -156,9 +161,16 @@
         called: Names of the functions that were called for the connection.
     """
 
-    def __init__(self, error: BaseException | None, *, is_late: bool) -> None:
+    def __init__(
+        self,
+        error: BaseException | None,
+        *,
+        is_late: bool = False,
+        is_lasting: bool = False,
+    ) -> None:
         self.error = error
         self.is_late = is_late
+        self.is_lasting = is_lasting
         self.connection: Any = None
         self.has_struck = False
         self.called: set[str] = set()
@@ -178,7 +190,7 @@
             return
         self.called.add(name)
         if self.error is not None:
-            self.has_struck = True
+            self.has_struck = not self.is_lasting
             raise self.error
 
     def wrap(self, target: Target) -> Any:
@@ -378,28 +390,21 @@
     return describe_response(caller)
 
 
-def run_with_fault(
-    path: str, target: Target, error: BaseException | None, *, is_late: bool
-) -> tuple[list[str], Fault]:
-    """Runs the requests with a fault at one function.
-
-    Returns:
-        What callers must not see, and the fault.
-    """
-    fault = Fault(error, is_late=is_late)
+def run_with_fault(path: str, target: Target, fault: Fault) -> list[str]:
+    """Returns what callers must not see when a function has a fault."""
 
     async def session(harness: RouteListenerHarness) -> list[str]:
         return await ask_beside_others(harness, path, fault)
 
     with fault.installed(target):
         found: list[str] = run(session)
-    return found, fault
+    return found
 
 
 @functools.cache
 def find_called(path: str) -> frozenset[str]:
     """Returns the names of the functions that a request on a path calls."""
-    fault = Fault(None, is_late=False)
+    fault = Fault(None)
 
     async def session(harness: RouteListenerHarness) -> list[str]:
         return await ask_beside_others(harness, path, fault)
@@ -418,6 +423,12 @@
 }
 
 
+def list_called(path: str, owner: Any) -> list[Target]:
+    """Returns the functions of an owner that a request on a path calls."""
+    called = find_called(path)
+    return [target for target in list_targets([owner]) if str(target) in called]
+
+
 def find_faults_that_show(path: str, owner: Any, errors: Iterable[str]) -> list[str]:
     """Returns the faults of an owner's functions that callers notice, and how.
 
@@ -427,10 +438,20 @@
         errors: Names of the errors to raise, each before and after each function.
     """
     shown = []
-    called = find_called(path)
-    targets = [target for target in list_targets([owner]) if str(target) in called]
-    for target, name, is_late in product(targets, errors, (False, True)):
-        found, _ = run_with_fault(path, target, ERRORS[name](), is_late=is_late)
+    for target, name, is_late in product(
+        list_called(path, owner), errors, (False, True)
+    ):
+        found = run_with_fault(path, target, Fault(ERRORS[name](), is_late=is_late))
         when = "after" if is_late else "before"
         shown += [f"{name} {when} {target}: {detail}" for detail in found]
     return shown
+
+
+def find_lasting_faults_that_show(path: str, owner: Any) -> list[str]:
+    """Returns the functions whose fault at each call callers notice, and how."""
+    shown = []
+    for target in list_called(path, owner):
+        fault = Fault(ERRORS["LookupError"](), is_lasting=True)
+        found = run_with_fault(path, target, fault)
+        shown += [f"{target}: {detail}" for detail in found]
+    return shown
