--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -207,23 +207,19 @@
             if call.parts:
                 self._asked_work.note_asked(call.organisation, call.prompt_tokens)
             self.guard.admit(call)
-            wait_seconds = self._dispatcher.find_wait_limit(call)
-            if wait_seconds is not None:
-                call.wait_limit_at = min(now + wait_seconds, call.ends_at)
-            try:
-                self._dispatcher.accept(call)
-            except RefusalError as error:
-                self.guard.forget(call)
-                self._set_retry_after(call, error)
-                raise
-            call.fields = self._caller_format.select_fields(request.fields)
         except RefusalError as error:
             if call is not None:
                 self._note_unserved(call)
             await self.refuse(connection, error, request_id)
             return
-        self._repeat_budget.record_request(call.service, now)
         try:
+            try:
+                self._queue(call, request, now)
+            except RefusalError as error:
+                self._set_retry_after(call, error)
+                self._note_unserved(call)
+                await self.refuse(connection, error, request_id)
+                return
             await serve_until_closed(
                 connection,
                 self._serve,
@@ -232,11 +228,7 @@
                 on_start=partial(self._note_serving, call),
             )
         finally:
-            self._serving.pop(call.call_id, None)
-            for holding in call.holdings:
-                holding.release()
-            self.guard.forget(call)
-            await self._dispatcher.forget(call)
+            await self._forget(call)
         if connection.is_left_unanswered:
             refusal = build_closed_error(may_have_run=call.may_have_run)
             self._metrics.refusals.labels(refusal.code).inc()
@@ -265,6 +257,29 @@
         }
         _LOG.info("streams were not served", extra=extra)
 
+    def _queue(self, call: RoutedCall, request: Request, now: float) -> None:
+        """Queues a request.
+
+        Raises:
+            RefusalError: If the queue is full or the request would wait too long.
+        """
+        wait_seconds = self._dispatcher.find_wait_limit(call)
+        if wait_seconds is not None:
+            call.wait_limit_at = min(now + wait_seconds, call.ends_at)
+        self._dispatcher.accept(call)
+        call.fields = self._caller_format.select_fields(request.fields)
+        self._repeat_budget.record_request(call.service, now)
+
+    async def _forget(self, call: RoutedCall) -> None:
+        """Frees what a request holds, whatever of it fails."""
+        self._serving.pop(call.call_id, None)
+        try:
+            for holding in call.holdings:
+                holding.release()
+            self.guard.forget(call)
+        finally:
+            await self._dispatcher.forget(call)
+
     def _note_serving(self, call: RoutedCall, task: Any) -> None:
         self._serving[call.call_id] = (call, task)
 
@@ -311,22 +326,28 @@
         self, connection: ServerConnection, error: RefusalError, request_id: str | None
     ) -> None:
         """Logs and counts a refusal, and sends it if no response has begun."""
+        try:
+            self._report_refusal(error, request_id)
+        finally:
+            await self._send_refusal(connection, error, request_id)
+
+    def _report_refusal(self, error: RefusalError, request_id: str | None) -> None:
         self._metrics.refusals.labels(error.code).inc()
         left_out = self._refusal_lines.take(error.code, time.monotonic())
-        if left_out is not None:
-            _LOG.info(
-                "refused",
-                extra={
-                    "request_id": request_id,
-                    "reason": error.code,
-                    "detail": str(error),
-                    "status": error.status,
-                    "version": self._board.configuration.version,
-                    "key_age_ms": self._freshness.age_ms,
-                    "left_out": left_out or None,
-                },
-            )
-        await self._send_refusal(connection, error, request_id)
+        if left_out is None:
+            return
+        _LOG.info(
+            "refused",
+            extra={
+                "request_id": request_id,
+                "reason": error.code,
+                "detail": str(error),
+                "status": error.status,
+                "version": self._board.configuration.version,
+                "key_age_ms": self._freshness.age_ms,
+                "left_out": left_out or None,
+            },
+        )
 
     async def _send_refusal(
         self, connection: ServerConnection, error: RefusalError, request_id: str | None
