--- a/tests/policies/test_shares_at_small_routers.py
+++ b/tests/policies/test_shares_at_small_routers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass, replace
 
 import pytest
 
@@ -29,21 +30,44 @@
     return min(others, key=lambda number: loads[number].use, default=None)
 
 
+@dataclass(frozen=True)
+class Flood:
+    """Requests per second at one small router and at all routers, and replicas."""
+
+    at_one: float
+    at_all: float = 500.0
+    replicas: int = TWO_ZONES.replicas
+    seed: int = 1
+
+    def __str__(self) -> str:
+        return f"{self.at_one:.0f}-{self.at_all:.0f}-{self.replicas}"
+
+
+LITTLE = Flood(100.0)
+FLOODS = [
+    Flood(300.0),
+    Flood(400.0, seed=2),
+    Flood(600.0, seed=3),
+    Flood(400.0, at_all=800.0, replicas=24, seed=4),
+]
+
+
 def play(
-    rate: float,
-    seed: int,
+    flood: Flood,
     *,
     choose_router: ChooseRouter | None = None,
     cores: float | None = None,
 ) -> LimitedFleet:
-    size = {"prompt": 2_500, "output": 200, "seconds": 0.3}
+    request = Load(4.0, 4.0, prompt=2_500, output=200, seconds=0.3)
+    at_one = replace(request, early_rate=30.0, rate=flood.at_one)
     loads = {
-        "all": Load(60.0, 500.0, **size),
-        "one": Load(30.0, rate, routers=(SMALL_ROUTER,), **size),
-        **make_loads(8, Load(4.0, 4.0, **size)),
+        "all": replace(request, early_rate=60.0, rate=flood.at_all),
+        "one": replace(at_one, routers=(SMALL_ROUTER,)),
+        **make_loads(8, request),
     }
+    size = replace(TWO_ZONES, replicas=flood.replicas)
     fleet = LimitedFleet(
-        loads, TWO_ZONES, seed=seed, choose_router=choose_router, cores=cores
+        loads, size, seed=flood.seed, choose_router=choose_router, cores=cores
     )
     fleet.play()
     return fleet
@@ -61,33 +85,31 @@
     return sum(fleet.compute_use(number, seconds) for number in others) / len(others)
 
 
-@pytest.mark.parametrize(("rate", "seed"), [(300.0, 1), (400.0, 2), (600.0, 3)])
+@pytest.mark.parametrize("flood", FLOODS, ids=str)
 def test_organisation_at_one_small_router_gets_half_of_the_one_at_all(
-    rate: float, seed: int
+    flood: Flood,
 ) -> None:
     """Guards against an overloaded router that keeps its callers beside idle ones.
 
     It cannot read, start and relay as much as its organisation is due, however right
     the order of starts is, while the other routers of its zone have time left.
     """
-    fleet = play(rate, seed, choose_router=CHOOSE_ROUTER)
+    fleet = play(flood, choose_router=CHOOSE_ROUTER)
     assert compute_zone_use(fleet) < MAX_ZONE_USE
     assert fleet.compute_distance("one") >= 1.0
 
 
 @pytest.mark.parametrize(
-    ("rate", "seed", "choose_router", "cores"),
+    ("flood", "choose_router", "cores"),
     [
-        pytest.param(100.0, 1, None, None, id="little load"),
-        pytest.param(600.0, 3, None, 100.0, id="unlimited processor"),
-        pytest.param(300.0, 1, choose_least_used, None, id="handed over, 300"),
-        pytest.param(400.0, 2, choose_least_used, None, id="handed over, 400"),
-        pytest.param(600.0, 3, choose_least_used, None, id="handed over, 600"),
+        pytest.param(LITTLE, None, None, id="little load"),
+        *(pytest.param(f, None, 100.0, id=f"{f}-unlimited") for f in FLOODS),
+        *(pytest.param(f, choose_least_used, None, id=f"{f}-shared") for f in FLOODS),
     ],
 )
 def test_fleet_serves_the_organisation_where_processors_suffice(
-    rate: float, seed: int, choose_router: ChooseRouter | None, cores: float | None
+    flood: Flood, choose_router: ChooseRouter | None, cores: float | None
 ) -> None:
     """Guards against a model in which something else than the processor is short."""
-    fleet = play(rate, seed, choose_router=choose_router, cores=cores)
+    fleet = play(flood, choose_router=choose_router, cores=cores)
     assert fleet.compute_distance("one") >= 1.0
