Test that reports carry the work that grew most, failing

Callers of an organisation that floods one router after the other were refused for seconds while places were free and their router had time. The other routers had learned of millions of units of its work at once, up to 7 s late, and held it back for them: a report carries two rows under load, and rows that were held back for over a second take turns whatever they grew by.

--- a/tests/core/test_reports.py
+++ b/tests/core/test_reports.py
@@ -83,6 +83,34 @@
     assert min(sent_at.values()) >= 0.2 * 99 - 2 * HELD_BACK_PRIORITY_SECONDS
 
 
+@pytest.mark.parametrize(
+    ("interval", "others", "is_urgent"),
+    [(0.2, 6, True), (0.9, 2, True), (0.9, 6, False), (0.9, 13, False)],
+)
+def test_largest_change_is_not_held_back_for_long(
+    interval: float, others: int, is_urgent: bool
+) -> None:
+    """Guards against the work of a flooding organisation that no router learns of.
+
+    Its row is one of many at a router that may send the least number of rows. Rows of
+    small organisations that waited longer, or start and stop waiting, go first. The
+    others learn of seconds of work at once, and hold the organisation back for it.
+    """
+    report_filter = ReportFilter()
+    sent_at, longest = 0.0, 0.0
+    for tick in range(1, 51):
+        now = interval * tick
+        rows = [build_row("flood", 100_000 * tick, waiting=5)]
+        for number in range(others):
+            waiting = (tick + number) % 2 if is_urgent else 0
+            rows.append(build_row(f"o{number}", 100 * tick, waiting=waiting))
+        for row in report_filter.select(tuple(rows), now, limit=MIN_ROWS):
+            if row.organisation == "flood":
+                sent_at = now
+        longest = max(longest, now - sent_at)
+    assert longest <= 2 * HELD_BACK_PRIORITY_SECONDS
+
+
 @pytest.mark.parametrize(("peers", "others"), [(7, 0), (7, 600), (2, 100)])
 def test_counters_keep_the_byte_budget(peers: int, others: int) -> None:
     """Guards against control traffic that grows with the number of organisations.
