--- a/tests/policies/test_shares_at_small_routers.py
+++ b/tests/policies/test_shares_at_small_routers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, replace
+
 import pytest
 
 from sequoiamoor.core.handoffs import HandoffLimit
@@ -13,20 +15,43 @@
 MAX_ZONE_USE = 0.25
 
 
+@dataclass(frozen=True)
+class Flood:
+    """Requests per second at one small router and at all routers, and replicas."""
+
+    at_one: float
+    at_all: float = 500.0
+    replicas: int = TWO_ZONES.replicas
+    seed: int = 1
+
+    def __str__(self) -> str:
+        return f"{self.at_one:.0f}-{self.at_all:.0f}-{self.replicas}"
+
+
+LITTLE = Flood(100.0)
+FLOODS = [
+    Flood(300.0),
+    Flood(400.0, seed=2),
+    Flood(600.0, seed=3),
+    Flood(400.0, at_all=800.0, replicas=24, seed=4),
+]
+
+
 def play(
-    rate: float,
-    seed: int,
+    flood: Flood,
     *,
     limit: HandoffLimit | None = None,
     cores: float | None = None,
 ) -> LimitedFleet:
-    size = {"prompt": 2_500, "output": 200, "seconds": 0.3}
+    request = Load(4.0, 4.0, prompt=2_500, output=200, seconds=0.3)
+    at_one = replace(request, early_rate=30.0, rate=flood.at_one)
     loads = {
-        "all": Load(60.0, 500.0, **size),
-        "one": Load(30.0, rate, routers=(SMALL_ROUTER,), **size),
-        **make_loads(8, Load(4.0, 4.0, **size)),
+        "all": replace(request, early_rate=60.0, rate=flood.at_all),
+        "one": replace(at_one, routers=(SMALL_ROUTER,)),
+        **make_loads(8, request),
     }
-    fleet = LimitedFleet(loads, TWO_ZONES, seed=seed, limit=limit, cores=cores)
+    size = replace(TWO_ZONES, replicas=flood.replicas)
+    fleet = LimitedFleet(loads, size, seed=flood.seed, limit=limit, cores=cores)
     fleet.play()
     return fleet
 
@@ -43,38 +68,38 @@
     return sum(fleet.compute_use(number, seconds) for number in others) / len(others)
 
 
-@pytest.mark.parametrize(("rate", "seed"), [(300.0, 1), (400.0, 2), (600.0, 3)])
+@pytest.mark.parametrize("flood", FLOODS, ids=str)
 def test_organisation_at_one_small_router_gets_half_of_the_one_at_all(
-    rate: float, seed: int
+    flood: Flood,
 ) -> None:
     """Guards against an overloaded router that keeps its callers beside idle ones.
 
     It cannot read, start and relay as much as its organisation is due, however right
     the order of starts is, while the other routers of its zone have time left.
     """
-    fleet = play(rate, seed, limit=HandoffLimit())
+    fleet = play(flood, limit=HandoffLimit())
     assert fleet.compute_distance("one") >= 1.0
     # The others were idle before they took its connections over.
-    assert compute_zone_use(play(rate, seed)) < MAX_ZONE_USE
+    assert compute_zone_use(play(flood)) < MAX_ZONE_USE
 
 
 @pytest.mark.parametrize(
-    ("rate", "seed", "cores"),
+    ("flood", "cores"),
     [
-        pytest.param(100.0, 1, None, id="little load"),
-        pytest.param(600.0, 3, 100.0, id="unlimited processor"),
+        pytest.param(LITTLE, None, id="little load"),
+        *(pytest.param(flood, 100.0, id=f"{flood}-unlimited") for flood in FLOODS),
     ],
 )
 def test_fleet_serves_the_organisation_where_processors_suffice(
-    rate: float, seed: int, cores: float | None
+    flood: Flood, cores: float | None
 ) -> None:
     """Guards against a model in which something else than the processor is short."""
-    fleet = play(rate, seed, cores=cores)
+    fleet = play(flood, cores=cores)
     assert fleet.compute_distance("one") >= 1.0
 
 
-@pytest.mark.parametrize(("rate", "seed"), [(30.0, 1), (30.0, 2)])
-def test_routers_with_time_left_hand_nothing_off(rate: float, seed: int) -> None:
+@pytest.mark.parametrize("seed", [1, 2])
+def test_routers_with_time_left_hand_nothing_off(seed: int) -> None:
     """Guards against connections that cross two routers without need."""
-    fleet = play(rate, seed, limit=HandoffLimit())
+    fleet = play(Flood(30.0, seed=seed), limit=HandoffLimit())
     assert not fleet.handed_off
