Report the largest changes of work without delay

What callers saw: callers of an organisation that floods one router after the other were refused for seconds while places were free and their router had time.

Cause: a report of a large fleet carries two rows under load. Rows whose work starts or stops waiting came first, then those held back for over a second, in turns, whatever they had grown by.

Change: half of the places of a report are for the largest changes, the others go by the order as before.

--- a/sequoiamoor/core/reports.py
+++ b/sequoiamoor/core/reports.py
@@ -56,6 +56,10 @@
     sent_at: float
 
 
+_Change = tuple[CounterRow, int | None, _SentRow]
+"""Changed row, its deadline on the clock of ``now`` in milliseconds, and the row sent
+before."""
+
 _NEVER_SENT = _SentRow(CounterRow("", "", 0, 0, 0, 0, None), None, float("-inf"))
 
 
@@ -110,9 +114,10 @@
     ) -> tuple[CounterRow, ...]:
         """Returns the rows to send, at most ``limit``, and records them as sent.
 
-        Rows whose work starts or stops waiting go first, then rows held back for
-        long, then rows with the largest change of served work. A row that is left out
-        is compared again for the next report, with its whole change.
+        Half of the places are for the largest changes of served work. In the others,
+        rows whose work starts or stops waiting go first, then rows held back for long,
+        then those with the largest change. A row that is left out is compared again
+        for the next report, with its whole change.
 
         Args:
             counters: All counters of this router.
@@ -136,9 +141,7 @@
             if last is _NEVER_SENT or not _is_same(last, row, deadline_at_ms):
                 changed.append((row, deadline_at_ms, last))
         if len(changed) > limit:
-            changed = heapq.nlargest(
-                limit, changed, key=lambda change: _rank(change[0], change[2], now)
-            )
+            changed = _choose_rows(changed, limit, now)
         for row, deadline_at_ms, _ in changed:
             self._sent[row.service, row.organisation] = _SentRow(
                 row, deadline_at_ms, now
@@ -192,17 +195,31 @@
         return replace(message, is_whole=False, rows=tuple(rows))
 
 
-def _rank(row: CounterRow, last: _SentRow, now: float) -> tuple[bool, float, int]:
-    is_urgent = _starts_or_stops_waiting(row, last.row)
+def _choose_rows(changed: list[_Change], limit: int, now: float) -> list[_Change]:
+    """Returns the changed rows that a report has places for."""
+    ordered = sorted(changed, key=_compute_growth, reverse=True)
+    largest, others = ordered[: limit // 2], ordered[limit // 2 :]
+    return largest + heapq.nlargest(
+        limit - len(largest), others, key=lambda change: _rank(change, now)
+    )
+
+
+def _rank(change: _Change, now: float) -> tuple[bool, float, int]:
+    row, _, last = change
     held_back = now - last.sent_at
-    growth = row.served - last.row.served + row.lift - last.row.lift
     return (
-        is_urgent,
+        _starts_or_stops_waiting(row, last.row),
         held_back if held_back > HELD_BACK_PRIORITY_SECONDS else 0.0,
-        growth,
+        _compute_growth(change),
     )
 
 
+def _compute_growth(change: _Change) -> int:
+    """Returns the service units that the other routers do not know of."""
+    row, _, last = change
+    return row.served - last.row.served + row.lift - last.row.lift
+
+
 def _starts_or_stops_waiting(row: CounterRow, last: CounterRow) -> bool:
     return (row.waiting > 0) != (last.waiting > 0)
 
