--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -85,7 +85,7 @@
     }
     callers = Callers(seed, proxy_addresses, fleet.keys, fleet.log.traffic)
     tasks = [await curio.spawn(callers.run, number) for number in range(count)]
-    watch_task = await curio.spawn(_watch_processes, fleet)
+    watch_task = await curio.spawn(watch_processes, fleet)
     async with curio.TaskGroup() as fault_tasks:
         await fault_tasks.spawn(_send_bad_parts, callers, seed, seconds)
         result.faults = await inject_faults(fleet, seed, seconds)
@@ -116,7 +116,8 @@
     callers.bad_part_organisation = None
 
 
-async def _watch_processes(fleet: SoakFleet) -> None:
+async def watch_processes(fleet: SoakFleet) -> None:
+    """Restarts routers that end, and records a late event loop, until cancelled."""
     while True:
         fleet.check_processes()
         due_at = time.monotonic() + WATCH_INTERVAL_SECONDS
