Count handed-off connections where connections to replicas are opened

What callers saw: nothing yet; the sum of both kinds could be twice the budget, up to EMFILE, and handed-off connections could take all places, so that a request that is served here waits half a second for a connection and fails.

Cause: the number of handed-off connections was looked at only when one more was handed off. The pool of connections to replicas knew nothing of them.

Change: the pool counts them, and closes idle connections or waits as at its own limit. Handed-off connections take three quarters of the places at most.

Evidence: one row of each new table failed before.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -105,6 +105,8 @@
 
     Attributes:
         drain: When a router that is shutting down stops to take and to send requests.
+        count_handed_off: Returns the number of connections that other routers serve for
+            this one. They take places of connections to replicas.
     """
 
     def __init__(
@@ -139,6 +141,8 @@
             detects_dead_peers=True,
             held_bytes=board.held_bytes,
         )
+        self.count_handed_off: Callable[[], int] = lambda: 0
+        self._pool.count_others = lambda: self.count_handed_off()
         self._statements = StatementReader(
             board,
             metrics,
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -76,6 +76,10 @@
 """Fraction of that time after which nothing is sent to replicas any more. A request
 that waits until then is refused as not run; sent later, it could be cut as it runs."""
 
+HANDOFF_PLACES_FRACTION = 0.75
+"""Largest part of the connections to replicas whose places handed-off connections may
+take. The rest is for the callers that are served here."""
+
 UNLIMITED_SLOT_CAP_FACTOR = 1_000.0
 """Disables the cap on slots. Shares on the platform are measured in tokens; a floor or
 a cap in slots would favour an organisation with many short requests over one with few
@@ -285,6 +289,7 @@
             and self._freshness.is_fresh()
         )
         self._listener.count_handed_off = handoffs.__len__
+        self._forwarder.count_handed_off = handoffs.__len__
         self._listener.ends_after_response = lambda: (
             self._gateway.handoff is not None and handoffs.is_due()
         )
@@ -310,8 +315,10 @@
         It takes that of a caller and that of a connection to a replica, as it would if
         it was served here.
         """
-        open_count = len(self._handoffs) + self._forwarder.upstream_connections
-        return open_count < self.budget.upstreams and not self._listener.is_full
+        handed_off, places = len(self._handoffs), self.budget.upstreams
+        if handed_off >= HANDOFF_PLACES_FRACTION * places or self._listener.is_full:
+            return False
+        return handed_off + self._forwarder.upstream_connections < places
 
     async def _accept_caller(self, sock: Any, peer: Any) -> None:
         if not await self._handoffs.hand_off(sock):
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -85,6 +85,8 @@
 
     Attributes:
         held_bytes: Account of the answers that are collected.
+        count_others: Returns the number of other connections that take places of those
+            to upstreams.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
             Address, dict[ClientConnection, Callable[[Response], Awaitable[None]]]
         ] = {}
         self._idle_count = self._opening_count = 0
+        self.count_others: Callable[[], int] = lambda: 0
 
     def __len__(self) -> int:
         """Returns the number of idle connections."""
@@ -170,7 +173,8 @@
             TimeoutError: If all connections stay in use for ``connect_timeout``.
         """
         ends_at = time.monotonic() + self._options.connect_timeout
-        while self.open_count >= self._options.upstream_connections:
+        limit = self._options.upstream_connections
+        while self.open_count + self.count_others() >= limit:
             if self._idle_count:
                 oldest = min(
                     filter(None, self._idle.values()), key=lambda idle: idle[0][0]
@@ -179,8 +183,8 @@
                 await oldest.popleft()[1].close()
             elif time.monotonic() >= ends_at:
                 raise TimeoutError(
-                    f"all {self._options.upstream_connections} connections to "
-                    f"upstreams are in use; none became free for {address}"
+                    f"all {limit} connections to upstreams are in use; none became "
+                    f"free for {address}"
                 )
             else:
                 await curio.sleep(ROOM_CHECK_INTERVAL_SECONDS)
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -19,6 +19,7 @@
     STREAM_HEAD,
     RouteListenerHarness,
     answer,
+    ask,
     event,
     route_request,
     run,
@@ -320,3 +321,20 @@
         await harness.wait_for(lambda: len(router.handoffs) == 0)
 
     run_busy(session)
+
+
+@pytest.mark.parametrize(("count", "is_served"), [(1, True), (2, False)])
+def test_handed_off_connections_take_places_of_those_to_replicas(
+    count: int, is_served: bool
+) -> None:
+    """Guards against more descriptors than there are, when both kinds grow."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        harness.forwarder.count_handed_off = lambda: count
+        (upstream,) = await harness.add_replicas(1, [answer()])
+        response = await ask(harness, route_request("/hold/1"))
+        assert (response.status == 200) == is_served
+        assert upstream.connections == int(is_served)
+
+    options = {"upstream_connections": 2, "connect_timeout": 0.05}
+    run(session, options=options)
--- a/tests/daemon/test_handoffs_of_gateways.py
+++ b/tests/daemon/test_handoffs_of_gateways.py
@@ -104,3 +104,21 @@
     change(gateway)
     expected = build_greeting(1) if takes_over else b""
     assert ask_to_take_over(gateway) == expected
+
+
+@pytest.mark.parametrize(
+    ("handed_off", "upstreams", "has_room"),
+    [(0, 0, True), (599, 0, True), (600, 0, False), (500, 300, False)],
+)
+def test_handoffs_leave_descriptors_for_own_callers(
+    gateway: Gateway,
+    monkeypatch: pytest.MonkeyPatch,
+    handed_off: int,
+    upstreams: int,
+    has_room: bool,
+) -> None:
+    """Guards against a router that can reach no replica for those whom it serves."""
+    assert gateway.budget.upstreams == 800
+    gateway._handoffs._open = handed_off
+    gateway._forwarder._pool._idle_count = upstreams
+    assert gateway._has_handoff_room() == has_room
