Let a handed-off caller that still sends read its answer

What callers saw: a reset in place of a refusal, when another router answered a long request early (too large, no room) while its body was on the way. Served here, such a caller gets the answer.

Cause: the connection was closed as soon as the other router had closed its own, unless bytes lay unread at that moment. What arrives later is answered with a reset, which discards the answer.

Change: this side ends its direction and drops what comes until the caller closes, for a second at most, as for callers that are served here. The connection counts neither as handed off nor as in service meanwhile.

Evidence: the test of an early answer failed before (EPIPE at the caller).

--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -12,7 +12,7 @@
 from ..errors import HandoffLostError
 from ..metrics import Metrics
 from ..net.refusal_lane import build_response
-from ..net.tunnel import Tunnel, greet, open_tunnel
+from ..net.tunnel import Tunnel, TunnelEnd, greet, open_tunnel
 from ..types import Address, RouterId
 
 OPEN_TIMEOUT_SECONDS = 0.15
@@ -79,24 +79,25 @@
             router = await self._open_tunnel()
             if router is None:
                 return False
-            refusal = build_response(
-                HandoffLostError(
-                    "the router that served this request ended its connection before "
-                    "it answered; if the request may be repeated, send it again"
-                )
-            )
-            await self._pass_on(Tunnel(sock, router, refusal))
-            return True
+            tunnel = Tunnel(sock, router, _build_lost_refusal())
+            end = await self._pass_on(tunnel)
         finally:
             self._open -= 1
+        # While its caller reads the rest, the connection takes no one's room.
+        if end is TunnelEnd.UNANSWERED or (
+            end is TunnelEnd.CLOSED and tunnel.has_answer
+        ):
+            await tunnel.let_read()
+        return True
 
-    async def _pass_on(self, tunnel: Tunnel) -> None:
+    async def _pass_on(self, tunnel: Tunnel) -> TunnelEnd:
         self._tunnels.add(tunnel)
         try:
             end = await tunnel.run()
         finally:
             self._tunnels.discard(tunnel)
         self._metrics.handoffs.labels(end).inc()
+        return end
 
     async def _open_tunnel(self) -> Any:
         """Returns a connection to a router that takes over; None if there is none."""
@@ -127,3 +128,12 @@
             return False
         self._metrics.handoffs_taken_over.inc()
         return True
+
+
+def _build_lost_refusal() -> bytes:
+    return build_response(
+        HandoffLostError(
+            "the router that served this request ended its connection before it "
+            "answered; if the request may be repeated, send it again"
+        )
+    )
--- a/sequoiamoor/net/tunnel.py
+++ b/sequoiamoor/net/tunnel.py
@@ -23,7 +23,6 @@
     UPSTREAM_SILENCE,
     disable_send_delay,
     limit_silence,
-    peek_unread,
     receive_arrived,
 )
 from .http_client import RESET_ON_CLOSE
@@ -38,8 +37,8 @@
 """Time without progress after which a send fails."""
 
 LINGER_SECONDS = 1.0
-"""Time for a caller whose bytes are unread to read its answer and close. The kernel
-resets a connection that is closed with unread data."""
+"""Time for a caller to read its answer and close. The kernel resets a connection that
+was closed with unread data or gets more, and a reset discards the answer."""
 
 
 class TunnelEnd(enum.StrEnum):
@@ -134,13 +133,14 @@
 
     Attributes:
         has_request: Whether bytes of the caller were passed on.
+        has_answer: Whether bytes of an answer were passed on.
     """
 
     def __init__(self, caller: Any, router: Any, refusal: bytes) -> None:
         self._caller = caller
         self._router = router
         self._refusal = refusal
-        self.has_request = self._has_answer = False
+        self.has_request = self.has_answer = False
         self._has_caller_left = False
 
     async def run(self) -> TunnelEnd:
@@ -164,14 +164,12 @@
             elif end is TunnelEnd.BROKEN:
                 # An answer without a length must not end as a whole one.
                 self._reset_on_close()
-        if end is not TunnelEnd.BROKEN:
-            await self._let_read()
         return end
 
     def _find_end(self, is_broken: bool) -> TunnelEnd:
         if self._has_caller_left:
             return TunnelEnd.CALLER_LEFT
-        if self._has_answer:
+        if self.has_answer:
             return TunnelEnd.BROKEN if is_broken else TunnelEnd.CLOSED
         return TunnelEnd.UNANSWERED if self.has_request else TunnelEnd.CLOSED
 
@@ -207,19 +205,18 @@
                 return False
             if not data:
                 return True
-            self._has_answer = True
+            self.has_answer = True
             try:
                 await _send(self._caller, data)
             except OSError:
                 self._has_caller_left = True
                 return True
 
-    async def _let_read(self) -> None:
-        """Lets the caller read its answer although it has sent more."""
-        if peek_unread(self._caller._socket):
-            with contextlib.suppress(OSError):
-                self._caller._socket.shutdown(socket.SHUT_WR)
-                await wait_for(LINGER_SECONDS, self._discard_received)
+    async def let_read(self) -> None:
+        """Lets the caller read what was sent last, although it may send more."""
+        with contextlib.suppress(OSError):
+            self._caller._socket.shutdown(socket.SHUT_WR)
+            await wait_for(LINGER_SECONDS, self._discard_received)
 
     async def _discard_received(self) -> None:
         while await self._caller.recv(RECEIVE_BYTES):
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -11,6 +11,7 @@
 
 from sequoiamoor.daemon import handoffs as handoffs_module
 from sequoiamoor.daemon.handoffs import Handoffs
+from sequoiamoor.net.http import peek
 from sequoiamoor.net.tunnel import build_greeting
 from sequoiamoor.types import Address
 
@@ -338,3 +339,47 @@
 
     options = {"upstream_connections": 2, "connect_timeout": 0.05}
     run(session, options=options)
+
+
+def test_early_answer_reaches_a_caller_that_still_sends() -> None:
+    """Guards against a reset that discards the refusal of a long body."""
+
+    async def serve(sock: Any) -> None:
+        await sock.sendall(build_greeting(0))
+        await sock.recv(65_536)
+        await sock.sendall(answer(b"too long", status=413))
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await router.listen(serve)
+        caller = await router.connect()
+        await caller.send(route_request("/hold/1", body=b"x" * 100_000)[:1_000])
+        await harness.wait_for(lambda: peek(caller.sock._socket) is not None)
+        await curio.sleep(0.02)
+        for _ in range(3):
+            # Until it has read the answer, the caller goes on.
+            await caller.send(b"x" * 1_000)
+            await curio.sleep(0.01)
+        response = parse(await caller.receive_all())
+        assert (response.status, response.is_whole) == (413, True)
+        assert not caller.is_reset
+        await caller.close()
+        await harness.wait_for(lambda: len(router.handoffs) == 0)
+
+    run_busy(session)
+
+
+def test_caller_that_reads_its_answer_late_keeps_no_place() -> None:
+    """Guards against a drain that waits, and a full router, for answered callers."""
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await harness.add_replicas(1, [answer()])
+        await router.listen()
+        caller = await router.connect()
+        await caller.send(route_request("/hold/1"))
+        await caller.receive_until(b"done")
+        await harness.wait_for(lambda: len(router.handoffs) == 0)
+        assert router.handoffs.in_service == 0
+        assert not router.tasks[0].terminated
+        assert parse(await caller.receive_all()).is_whole
+
+    run_busy(session)
