Serve a connection itself when there is no socket to hand it off

What callers saw: a connection closed without an answer while the router had no descriptor left, though it could have served it.

Cause: the socket to the other router was created outside the block that turns errors into a refusal; so were its options. The error ended the caller's connection.

Evidence: three rows of the new test failed before: the request got no answer until the session timed out.

--- a/sequoiamoor/net/tunnel.py
+++ b/sequoiamoor/net/tunnel.py
@@ -62,6 +62,16 @@
     return _GREETING.pack(_TAKEN_OVER, version)
 
 
+def create_socket(address: Address) -> Any:
+    """Returns a curio socket that is not connected yet.
+
+    Raises:
+        OSError: If there are no descriptors left.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    return curio.socket.socket(family, socket.SOCK_STREAM)
+
+
 async def open_tunnel(address: Address, *, version: int, timeout: float) -> Any:
     """Connects to a router that takes a connection over.
 
@@ -74,11 +84,15 @@
     Returns:
         The curio socket, or None if the router refused, failed or was too slow.
     """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = curio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock = create_socket(address)
+    except OSError:
+        return None
     is_taken = False
     received = bytearray()
     try:
+        disable_send_delay(sock._socket)
+        limit_silence(sock._socket, UPSTREAM_SILENCE)
         await wait_for(timeout, _receive_greeting, sock, address, received)
         if len(received) < _GREETING.size:
             # A late event loop may notice the timer before the greeting.
@@ -89,11 +103,7 @@
     finally:
         if not is_taken:
             await sock.close()
-    if not is_taken:
-        return None
-    disable_send_delay(sock._socket)
-    limit_silence(sock._socket, UPSTREAM_SILENCE)
-    return sock
+    return sock if is_taken else None
 
 
 async def _receive_greeting(sock: Any, address: Address, received: bytearray) -> None:
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
@@ -11,6 +12,7 @@
 
 from sequoiamoor.daemon import handoffs as handoffs_module
 from sequoiamoor.daemon.handoffs import Handoffs
+from sequoiamoor.net import tunnel as tunnel_module
 from sequoiamoor.net.http import peek
 from sequoiamoor.net.tunnel import build_greeting
 from sequoiamoor.types import Address
@@ -383,3 +385,26 @@
         assert parse(await caller.receive_all()).is_whole
 
     run_busy(session)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS])
+def test_router_without_descriptors_serves_a_connection_itself(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a caller whose connection is closed without an answer."""
+
+    def fail(*arguments: Any) -> Any:
+        raise OSError(number, "no socket")
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        (own,) = await router.own.add_replicas(1, [answer()])
+        await router.listen()
+        caller = await router.connect()
+        with monkeypatch.context() as patch:
+            patch.setattr(tunnel_module, "create_socket", fail)
+            await harness.wait_for(lambda: router.count_ends("refused") == 1)
+        await caller.send(route_request("/hold/1"))
+        assert parse(await caller.receive_all()).status == 200
+        assert len(own.requests) == 1
+
+    run_busy(session)
