End handed-off connections to a router that answers nothing

What callers saw: no answer at all when the router that had taken their connection over was frozen, though the one that they had reached was well. Their connections stayed on, also after they had left, and took places of callers and of connections to replicas.

Cause: nothing bounded the wait for the other router. The kernel of a frozen process acknowledges data and probes.

An answer that has begun is left alone. A shorter timeout of the request's own route would need its path, which is not read.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import signal
 import time
 from collections.abc import Callable, Iterator
@@ -354,6 +355,7 @@
             is_changed = self._lag.note(lag, now)
             self.metrics.loop_lag.set(self._lag.seconds)
             self.metrics.loop_use.set(self._handoffs.use.fraction)
+            self._handoffs.end_overdue(now, self._find_longest_timeout())
             if is_changed and self._lag.is_overloaded:
                 lag_ms = round(self._lag.seconds * 1000)
                 _LOG.warning(
@@ -363,6 +365,13 @@
             elif is_changed:
                 _LOG.info("event loop recovered from overload")
 
+    def _find_longest_timeout(self) -> float:
+        """Returns the longest timeout of a route in seconds."""
+        declaration = self.board.configuration.declaration
+        routes = () if declaration is None else declaration.routes.values()
+        longest = max((route.timeout_ms for route in routes), default=math.inf)
+        return longest / 1000
+
     async def _probe_listener(self) -> None:
         await self._probe.run(self._acceptors[0])
 
--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -20,6 +20,10 @@
 long as it takes any over."""
 
 
+ANSWER_SLACK_SECONDS = 0.25
+"""Time after the longest timeout of a route in which a router still answers itself."""
+
+
 class Handoffs:
     """Hands new connections off while this router is short of processor time.
 
@@ -114,6 +118,19 @@
             self._metrics.handoffs.labels("refused").inc()
         return None
 
+    def end_overdue(self, now: float, longest_timeout: float) -> None:
+        """Ends connections to routers that neither answer nor end.
+
+        A frozen router acknowledges what it is sent, so that the kernel sees no fault.
+
+        Args:
+            now: Monotonic time in seconds.
+            longest_timeout: Longest timeout of a route in seconds.
+        """
+        for tunnel in self._tunnels:
+            if tunnel.is_overdue(now, longest_timeout + ANSWER_SLACK_SECONDS):
+                tunnel.end()
+
     def take_over(self, sock: Any) -> bool:
         """Returns whether this router serves the connection of another one's caller.
 
--- a/sequoiamoor/net/tunnel.py
+++ b/sequoiamoor/net/tunnel.py
@@ -11,6 +11,7 @@
 import enum
 import socket
 import struct
+import time
 from typing import Any
 
 import curio
@@ -41,6 +42,10 @@
 was closed with unread data or gets more, and a reset discards the answer."""
 
 
+LEFT_SECONDS = 2.0
+"""Time for the other router to end the request of a caller that has left."""
+
+
 class TunnelEnd(enum.StrEnum):
     """How a handed-off connection ended."""
 
@@ -152,6 +157,25 @@
         self._refusal = refusal
         self.has_request = self.has_answer = False
         self._has_caller_left = False
+        # Monotonic times in seconds of the first request's first byte and of the end of
+        # what the caller sends.
+        self._requested_at = self._left_at = float("inf")
+
+    def is_overdue(self, now: float, answer_timeout: float) -> bool:
+        """Returns whether the other router should have answered or ended by now.
+
+        Args:
+            now: Monotonic time in seconds.
+            answer_timeout: Seconds from the request to the first byte of its answer.
+        """
+        if now - self._left_at > LEFT_SECONDS:
+            return True
+        return not self.has_answer and now - self._requested_at > answer_timeout
+
+    def end(self) -> None:
+        """Ends the connection as if the other router had done so."""
+        with contextlib.suppress(OSError):
+            self._router._socket.shutdown(socket.SHUT_RDWR)
 
     async def run(self) -> TunnelEnd:
         """Passes bytes on until the router or the caller ends the connection.
@@ -193,7 +217,8 @@
         """Passes on what the caller sends, until it closes its side."""
         try:
             while data := await self._caller.recv(RECEIVE_BYTES):
-                self.has_request = True
+                if not self.has_request:
+                    self.has_request, self._requested_at = True, time.monotonic()
                 try:
                     await _send(self._router, data)
                 except OSError:
@@ -202,7 +227,7 @@
         except OSError:
             pass
         # A caller that closes only its sending side may still wait for its answer.
-        self._has_caller_left = True
+        self._has_caller_left, self._left_at = True, time.monotonic()
         with contextlib.suppress(OSError):
             self._router._socket.shutdown(socket.SHUT_WR)
 
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import time
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
@@ -408,3 +409,63 @@
         assert len(own.requests) == 1
 
     run_busy(session)
+
+
+async def freeze(sock: Any) -> None:
+    """Takes a connection over as a router that is frozen right after."""
+    await sock.sendall(build_greeting(0))
+    await curio.sleep(60.0)
+
+
+@pytest.mark.parametrize(
+    ("elapsed", "is_left", "end"),
+    [
+        (3.9, False, ""),
+        (4.3, False, "unanswered"),
+        (1.0, True, ""),
+        (2.1, True, "caller-left"),
+    ],
+)
+def test_router_that_is_frozen_holds_a_connection_for_a_while(
+    elapsed: float, is_left: bool, end: str
+) -> None:
+    """Guards against callers without an answer, and places that nobody uses."""
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await router.listen(freeze)
+        caller = await router.connect()
+        await caller.send(route_request("/hold/1"))
+        await harness.wait_for(lambda: router.handoffs.in_service == 1)
+        if is_left:
+            await caller.close()
+            await curio.sleep(0.02)
+        router.handoffs.end_overdue(time.monotonic() + elapsed, 4.0)
+        await curio.sleep(0.02)
+        assert len(router.handoffs) == int(not end)
+        assert not end or router.count_ends(end) == 1
+        if end == "unanswered":
+            response = parse(await caller.receive_all())
+            assert response.refusal["execution"] == "may have run"
+
+    run_busy(session)
+
+
+def test_answer_that_has_begun_is_not_overdue() -> None:
+    """Guards against streams that are cut because they last long."""
+
+    async def serve(sock: Any) -> None:
+        await sock.sendall(build_greeting(0))
+        await sock.recv(65_536)
+        await sock.sendall(STREAM_HEAD)
+        await curio.sleep(60.0)
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await router.listen(serve)
+        caller = await router.connect()
+        await caller.send(route_request("/chat/1"))
+        await caller.receive_until(b"\r\n\r\n")
+        router.handoffs.end_overdue(time.monotonic() + 60.0, 4.0)
+        await curio.sleep(0.02)
+        assert len(router.handoffs) == 1
+
+    run_busy(session)
