--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import signal
 import time
 from collections.abc import Callable, Iterator
@@ -76,6 +77,10 @@
 """Fraction of that time after which nothing is sent to replicas any more. A request
 that waits until then is refused as not run; sent later, it could be cut as it runs."""
 
+HANDOFF_PLACES_FRACTION = 0.75
+"""Largest part of the connections to replicas whose places handed-off connections may
+take. The rest is for the callers that are served here."""
+
 UNLIMITED_SLOT_CAP_FACTOR = 1_000.0
 """Disables the cap on slots. Shares on the platform are measured in tokens; a floor or
 a cap in slots would favour an organisation with many short requests over one with few
@@ -285,6 +290,7 @@
             and self._freshness.is_fresh()
         )
         self._listener.count_handed_off = handoffs.__len__
+        self._forwarder.count_handed_off = handoffs.__len__
         self._listener.ends_after_response = lambda: (
             self._gateway.handoff is not None and handoffs.is_due()
         )
@@ -310,8 +316,10 @@
         It takes that of a caller and that of a connection to a replica, as it would if
         it was served here.
         """
-        open_count = len(self._handoffs) + self._forwarder.upstream_connections
-        return open_count < self.budget.upstreams and not self._listener.is_full
+        handed_off, places = len(self._handoffs), self.budget.upstreams
+        if handed_off >= HANDOFF_PLACES_FRACTION * places or self._listener.is_full:
+            return False
+        return handed_off + self._forwarder.upstream_connections < places
 
     async def _accept_caller(self, sock: Any, peer: Any) -> None:
         if not await self._handoffs.hand_off(sock):
@@ -348,6 +356,7 @@
             self.metrics.loop_lag.set(self._lag.seconds)
             self.metrics.loop_use.set(self._handoffs.use.fraction)
             self._forwarder.log_asked_work(now, lag=lag)
+            self._handoffs.end_overdue(now, self._find_longest_timeout())
             if is_changed and self._lag.is_overloaded:
                 lag_ms = round(self._lag.seconds * 1000)
                 _LOG.warning(
@@ -357,6 +366,13 @@
             elif is_changed:
                 _LOG.info("event loop recovered from overload")
 
+    def _find_longest_timeout(self) -> float:
+        """Returns the longest timeout of a route in seconds."""
+        declaration = self.board.configuration.declaration
+        routes = () if declaration is None else declaration.routes.values()
+        longest = max((route.timeout_ms for route in routes), default=math.inf)
+        return longest / 1000
+
     async def _probe_listener(self) -> None:
         await self._probe.run(self._acceptors[0])
 
--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -12,7 +12,7 @@
 from ..errors import HandoffLostError
 from ..metrics import Metrics
 from ..net.refusal_lane import build_response
-from ..net.tunnel import Tunnel, greet, open_tunnel
+from ..net.tunnel import Tunnel, TunnelEnd, greet, open_tunnel
 from ..types import Address, RouterId
 
 OPEN_TIMEOUT_SECONDS = 0.15
@@ -20,6 +20,10 @@
 long as it takes any over."""
 
 
+ANSWER_SLACK_SECONDS = 0.25
+"""Time after the longest timeout of a route in which a router still answers itself."""
+
+
 class Handoffs:
     """Hands new connections off while this router is short of processor time.
 
@@ -79,24 +83,25 @@
             router = await self._open_tunnel()
             if router is None:
                 return False
-            refusal = build_response(
-                HandoffLostError(
-                    "the router that served this request ended its connection before "
-                    "it answered; if the request may be repeated, send it again"
-                )
-            )
-            await self._pass_on(Tunnel(sock, router, refusal))
-            return True
+            tunnel = Tunnel(sock, router, _build_lost_refusal())
+            end = await self._pass_on(tunnel)
         finally:
             self._open -= 1
+        # While its caller reads the rest, the connection takes no one's room.
+        if end is TunnelEnd.UNANSWERED or (
+            end is TunnelEnd.CLOSED and tunnel.has_answer
+        ):
+            await tunnel.let_read()
+        return True
 
-    async def _pass_on(self, tunnel: Tunnel) -> None:
+    async def _pass_on(self, tunnel: Tunnel) -> TunnelEnd:
         self._tunnels.add(tunnel)
         try:
             end = await tunnel.run()
         finally:
             self._tunnels.discard(tunnel)
         self._metrics.handoffs.labels(end).inc()
+        return end
 
     async def _open_tunnel(self) -> Any:
         """Returns a connection to a router that takes over; None if there is none."""
@@ -113,6 +118,19 @@
             self._metrics.handoffs.labels("refused").inc()
         return None
 
+    def end_overdue(self, now: float, longest_timeout: float) -> None:
+        """Ends connections to routers that neither answer nor end.
+
+        A frozen router acknowledges what it is sent, so that the kernel sees no fault.
+
+        Args:
+            now: Monotonic time in seconds.
+            longest_timeout: Longest timeout of a route in seconds.
+        """
+        for tunnel in self._tunnels:
+            if tunnel.is_overdue(now, longest_timeout + ANSWER_SLACK_SECONDS):
+                tunnel.end()
+
     def take_over(self, sock: Any) -> bool:
         """Returns whether this router serves the connection of another one's caller.
 
@@ -127,3 +145,12 @@
             return False
         self._metrics.handoffs_taken_over.inc()
         return True
+
+
+def _build_lost_refusal() -> bytes:
+    return build_response(
+        HandoffLostError(
+            "the router that served this request ended its connection before it "
+            "answered; if the request may be repeated, send it again"
+        )
+    )
--- a/sequoiamoor/net/tunnel.py
+++ b/sequoiamoor/net/tunnel.py
@@ -11,6 +11,7 @@
 import enum
 import socket
 import struct
+import time
 from typing import Any
 
 import curio
@@ -23,7 +24,6 @@
     UPSTREAM_SILENCE,
     disable_send_delay,
     limit_silence,
-    peek_unread,
     receive_arrived,
 )
 from .http_client import RESET_ON_CLOSE
@@ -38,8 +38,12 @@
 """Time without progress after which a send fails."""
 
 LINGER_SECONDS = 1.0
-"""Time for a caller whose bytes are unread to read its answer and close. The kernel
-resets a connection that is closed with unread data."""
+"""Time for a caller to read its answer and close. The kernel resets a connection that
+was closed with unread data or gets more, and a reset discards the answer."""
+
+
+LEFT_SECONDS = 2.0
+"""Time for the other router to end the request of a caller that has left."""
 
 
 class TunnelEnd(enum.StrEnum):
@@ -63,6 +67,16 @@
     return _GREETING.pack(_TAKEN_OVER, version)
 
 
+def create_socket(address: Address) -> Any:
+    """Returns a curio socket that is not connected yet.
+
+    Raises:
+        OSError: If there are no descriptors left.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    return curio.socket.socket(family, socket.SOCK_STREAM)
+
+
 async def open_tunnel(address: Address, *, version: int, timeout: float) -> Any:
     """Connects to a router that takes a connection over.
 
@@ -75,11 +89,15 @@
     Returns:
         The curio socket, or None if the router refused, failed or was too slow.
     """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = curio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock = create_socket(address)
+    except OSError:
+        return None
     is_taken = False
     received = bytearray()
     try:
+        disable_send_delay(sock._socket)
+        limit_silence(sock._socket, UPSTREAM_SILENCE)
         await wait_for(timeout, _receive_greeting, sock, address, received)
         if len(received) < _GREETING.size:
             # A late event loop may notice the timer before the greeting.
@@ -90,11 +108,7 @@
     finally:
         if not is_taken:
             await sock.close()
-    if not is_taken:
-        return None
-    disable_send_delay(sock._socket)
-    limit_silence(sock._socket, UPSTREAM_SILENCE)
-    return sock
+    return sock if is_taken else None
 
 
 async def _receive_greeting(sock: Any, address: Address, received: bytearray) -> None:
@@ -134,14 +148,34 @@
 
     Attributes:
         has_request: Whether bytes of the caller were passed on.
+        has_answer: Whether bytes of an answer were passed on.
     """
 
     def __init__(self, caller: Any, router: Any, refusal: bytes) -> None:
         self._caller = caller
         self._router = router
         self._refusal = refusal
-        self.has_request = self._has_answer = False
+        self.has_request = self.has_answer = False
         self._has_caller_left = False
+        # Monotonic times in seconds of the first request's first byte and of the end of
+        # what the caller sends.
+        self._requested_at = self._left_at = float("inf")
+
+    def is_overdue(self, now: float, answer_timeout: float) -> bool:
+        """Returns whether the other router should have answered or ended by now.
+
+        Args:
+            now: Monotonic time in seconds.
+            answer_timeout: Seconds from the request to the first byte of its answer.
+        """
+        if now - self._left_at > LEFT_SECONDS:
+            return True
+        return not self.has_answer and now - self._requested_at > answer_timeout
+
+    def end(self) -> None:
+        """Ends the connection as if the other router had done so."""
+        with contextlib.suppress(OSError):
+            self._router._socket.shutdown(socket.SHUT_RDWR)
 
     async def run(self) -> TunnelEnd:
         """Passes bytes on until the router or the caller ends the connection.
@@ -164,14 +198,12 @@
             elif end is TunnelEnd.BROKEN:
                 # An answer without a length must not end as a whole one.
                 self._reset_on_close()
-        if end is not TunnelEnd.BROKEN:
-            await self._let_read()
         return end
 
     def _find_end(self, is_broken: bool) -> TunnelEnd:
         if self._has_caller_left:
             return TunnelEnd.CALLER_LEFT
-        if self._has_answer:
+        if self.has_answer:
             return TunnelEnd.BROKEN if is_broken else TunnelEnd.CLOSED
         return TunnelEnd.UNANSWERED if self.has_request else TunnelEnd.CLOSED
 
@@ -185,7 +217,8 @@
         """Passes on what the caller sends, until it closes its side."""
         try:
             while data := await self._caller.recv(RECEIVE_BYTES):
-                self.has_request = True
+                if not self.has_request:
+                    self.has_request, self._requested_at = True, time.monotonic()
                 try:
                     await _send(self._router, data)
                 except OSError:
@@ -194,7 +227,7 @@
         except OSError:
             pass
         # A caller that closes only its sending side may still wait for its answer.
-        self._has_caller_left = True
+        self._has_caller_left, self._left_at = True, time.monotonic()
         with contextlib.suppress(OSError):
             self._router._socket.shutdown(socket.SHUT_WR)
 
@@ -207,19 +240,18 @@
                 return False
             if not data:
                 return True
-            self._has_answer = True
+            self.has_answer = True
             try:
                 await _send(self._caller, data)
             except OSError:
                 self._has_caller_left = True
                 return True
 
-    async def _let_read(self) -> None:
-        """Lets the caller read its answer although it has sent more."""
-        if peek_unread(self._caller._socket):
-            with contextlib.suppress(OSError):
-                self._caller._socket.shutdown(socket.SHUT_WR)
-                await wait_for(LINGER_SECONDS, self._discard_received)
+    async def let_read(self) -> None:
+        """Lets the caller read what was sent last, although it may send more."""
+        with contextlib.suppress(OSError):
+            self._caller._socket.shutdown(socket.SHUT_WR)
+            await wait_for(LINGER_SECONDS, self._discard_received)
 
     async def _discard_received(self) -> None:
         while await self._caller.recv(RECEIVE_BYTES):
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import time
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
@@ -11,6 +13,8 @@
 
 from sequoiamoor.daemon import handoffs as handoffs_module
 from sequoiamoor.daemon.handoffs import Handoffs
+from sequoiamoor.net import tunnel as tunnel_module
+from sequoiamoor.net.http import peek
 from sequoiamoor.net.tunnel import build_greeting
 from sequoiamoor.types import Address
 
@@ -19,6 +23,7 @@
     STREAM_HEAD,
     RouteListenerHarness,
     answer,
+    ask,
     event,
     route_request,
     run,
@@ -320,3 +325,147 @@
         await harness.wait_for(lambda: len(router.handoffs) == 0)
 
     run_busy(session)
+
+
+@pytest.mark.parametrize(("count", "is_served"), [(1, True), (2, False)])
+def test_handed_off_connections_take_places_of_those_to_replicas(
+    count: int, is_served: bool
+) -> None:
+    """Guards against more descriptors than there are, when both kinds grow."""
+
+    async def session(harness: RouteListenerHarness) -> None:
+        harness.forwarder.count_handed_off = lambda: count
+        (upstream,) = await harness.add_replicas(1, [answer()])
+        response = await ask(harness, route_request("/hold/1"))
+        assert (response.status == 200) == is_served
+        assert upstream.connections == int(is_served)
+
+    options = {"upstream_connections": 2, "connect_timeout": 0.05}
+    run(session, options=options)
+
+
+def test_early_answer_reaches_a_caller_that_still_sends() -> None:
+    """Guards against a reset that discards the refusal of a long body."""
+
+    async def serve(sock: Any) -> None:
+        await sock.sendall(build_greeting(0))
+        await sock.recv(65_536)
+        await sock.sendall(answer(b"too long", status=413))
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await router.listen(serve)
+        caller = await router.connect()
+        await caller.send(route_request("/hold/1", body=b"x" * 100_000)[:1_000])
+        await harness.wait_for(lambda: peek(caller.sock._socket) is not None)
+        await curio.sleep(0.02)
+        for _ in range(3):
+            # Until it has read the answer, the caller goes on.
+            await caller.send(b"x" * 1_000)
+            await curio.sleep(0.01)
+        response = parse(await caller.receive_all())
+        assert (response.status, response.is_whole) == (413, True)
+        assert not caller.is_reset
+        await caller.close()
+        await harness.wait_for(lambda: len(router.handoffs) == 0)
+
+    run_busy(session)
+
+
+def test_caller_that_reads_its_answer_late_keeps_no_place() -> None:
+    """Guards against a drain that waits, and a full router, for answered callers."""
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await harness.add_replicas(1, [answer()])
+        await router.listen()
+        caller = await router.connect()
+        await caller.send(route_request("/hold/1"))
+        await caller.receive_until(b"done")
+        await harness.wait_for(lambda: len(router.handoffs) == 0)
+        assert router.handoffs.in_service == 0
+        assert not router.tasks[0].terminated
+        assert parse(await caller.receive_all()).is_whole
+
+    run_busy(session)
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS])
+def test_router_without_descriptors_serves_a_connection_itself(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a caller whose connection is closed without an answer."""
+
+    def fail(*arguments: Any) -> Any:
+        raise OSError(number, "no socket")
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        (own,) = await router.own.add_replicas(1, [answer()])
+        await router.listen()
+        caller = await router.connect()
+        with monkeypatch.context() as patch:
+            patch.setattr(tunnel_module, "create_socket", fail)
+            await harness.wait_for(lambda: router.count_ends("refused") == 1)
+        await caller.send(route_request("/hold/1"))
+        assert parse(await caller.receive_all()).status == 200
+        assert len(own.requests) == 1
+
+    run_busy(session)
+
+
+async def freeze(sock: Any) -> None:
+    """Takes a connection over as a router that is frozen right after."""
+    await sock.sendall(build_greeting(0))
+    await curio.sleep(60.0)
+
+
+@pytest.mark.parametrize(
+    ("elapsed", "is_left", "end"),
+    [
+        (3.9, False, ""),
+        (4.3, False, "unanswered"),
+        (1.0, True, ""),
+        (2.1, True, "caller-left"),
+    ],
+)
+def test_router_that_is_frozen_holds_a_connection_for_a_while(
+    elapsed: float, is_left: bool, end: str
+) -> None:
+    """Guards against callers without an answer, and places that nobody uses."""
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await router.listen(freeze)
+        caller = await router.connect()
+        await caller.send(route_request("/hold/1"))
+        await harness.wait_for(lambda: router.handoffs.in_service == 1)
+        if is_left:
+            await caller.close()
+            await curio.sleep(0.02)
+        router.handoffs.end_overdue(time.monotonic() + elapsed, 4.0)
+        await curio.sleep(0.02)
+        assert len(router.handoffs) == int(not end)
+        assert not end or router.count_ends(end) == 1
+        if end == "unanswered":
+            response = parse(await caller.receive_all())
+            assert response.refusal["execution"] == "may have run"
+
+    run_busy(session)
+
+
+def test_answer_that_has_begun_is_not_overdue() -> None:
+    """Guards against streams that are cut because they last long."""
+
+    async def serve(sock: Any) -> None:
+        await sock.sendall(build_greeting(0))
+        await sock.recv(65_536)
+        await sock.sendall(STREAM_HEAD)
+        await curio.sleep(60.0)
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        await router.listen(serve)
+        caller = await router.connect()
+        await caller.send(route_request("/chat/1"))
+        await caller.receive_until(b"\r\n\r\n")
+        router.handoffs.end_overdue(time.monotonic() + 60.0, 4.0)
+        await curio.sleep(0.02)
+        assert len(router.handoffs) == 1
+
+    run_busy(session)
