Let a handed-off connection take two places of callers

Cause: a handed-off connection took the place of a connection to a replica, of which there are 800. Beyond them the busy router served callers itself, which it has no time for.

Change: it takes two places of callers, for both of its descriptors.

--- a/sequoiamoor/daemon/forwarder.py
+++ b/sequoiamoor/daemon/forwarder.py
@@ -106,8 +106,6 @@
 
     Attributes:
         drain: When a router that is shutting down stops to take and to send requests.
-        count_handed_off: Returns the number of connections that other routers serve for
-            this one. They take places of connections to replicas.
     """
 
     def __init__(
@@ -146,8 +144,6 @@
             held_bytes=board.held_bytes,
         )
         board.upstreams.find_open_since = self._pool.find_open_since
-        self.count_handed_off: Callable[[], int] = lambda: 0
-        self._pool.count_others = lambda: self.count_handed_off()
         self._statements = StatementReader(
             board,
             metrics,
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -77,9 +77,9 @@
 """Fraction of that time after which nothing is sent to replicas any more. A request
 that waits until then is refused as not run; sent later, it could be cut as it runs."""
 
-HANDOFF_PLACES_FRACTION = 0.75
-"""Largest part of the connections to replicas whose places handed-off connections may
-take. The rest is for the callers that are served here."""
+HANDOFF_DESCRIPTORS = 2
+"""Descriptors of a handed-off connection: that of the caller and that of the router. Both
+are of the part of callers, so that connections to replicas keep theirs."""
 
 UNLIMITED_SLOT_CAP_FACTOR = 1_000.0
 """Disables the cap on slots. Shares on the platform are measured in tokens; a floor or
@@ -278,7 +278,7 @@
         handoffs = Handoffs(self.metrics, rng=self._rng)
         handoffs.limit = HandoffLimit(self._gateway.busy_fraction)
         handoffs.list_targets = self._list_handoff_targets
-        handoffs.has_room = self._has_handoff_room
+        handoffs.has_room = lambda: not self._listener.is_full
         handoffs.find_version = lambda: self.board.configuration.version
         handoffs.is_serving = lambda: (
             not self.board.is_leaving
@@ -289,8 +289,7 @@
             and self._part_store.is_known
             and self._freshness.is_fresh()
         )
-        self._listener.count_handed_off = handoffs.__len__
-        self._forwarder.count_handed_off = handoffs.__len__
+        self._listener.count_handed_off = lambda: HANDOFF_DESCRIPTORS * len(handoffs)
         self._listener.ends_after_response = lambda: (
             self._gateway.handoff is not None and handoffs.is_due()
         )
@@ -310,17 +309,6 @@
             if control is not None:
                 yield router_id, Address(control.host, handoff.port)
 
-    def _has_handoff_room(self) -> bool:
-        """Returns whether descriptors are left for one more handed-off connection.
-
-        It takes that of a caller and that of a connection to a replica, as it would if
-        it was served here.
-        """
-        handed_off, places = len(self._handoffs), self.budget.upstreams
-        if handed_off >= HANDOFF_PLACES_FRACTION * places or self._listener.is_full:
-            return False
-        return handed_off + self._forwarder.upstream_connections < places
-
     async def _accept_caller(self, sock: Any, peer: Any) -> None:
         if not await self._handoffs.hand_off(sock):
             await self._listener.accept(sock, peer)
--- a/sequoiamoor/daemon/listener.py
+++ b/sequoiamoor/daemon/listener.py
@@ -96,8 +96,8 @@
             make room, at a time. When there are as many, no further one is accepted
             until one of them ends.
         turns: Bounds the requests that begin in one pass of the event loop.
-        count_handed_off: Returns the number of callers' connections that other routers
-            serve. They take places of this router, too.
+        count_handed_off: Returns the places that callers' connections take which other
+            routers serve.
         ends_after_response: Whether a connection ends with its next answer, so that
             another router can serve the caller's next request.
     """
--- a/sequoiamoor/net/exchange.py
+++ b/sequoiamoor/net/exchange.py
@@ -85,8 +85,6 @@
 
     Attributes:
         held_bytes: Account of the answers that are collected.
-        count_others: Returns the number of other connections that take places of those
-            to upstreams.
     """
 
     def __init__(
@@ -120,7 +118,6 @@
             Address, dict[ClientConnection, Callable[[Response], Awaitable[None]]]
         ] = {}
         self._idle_count = self._opening_count = 0
-        self.count_others: Callable[[], int] = lambda: 0
 
     def __len__(self) -> int:
         """Returns the number of idle connections."""
@@ -187,7 +184,7 @@
         """
         ends_at = time.monotonic() + self._options.connect_timeout
         limit = self._options.upstream_connections
-        while self.open_count + self.count_others() >= limit:
+        while self.open_count >= limit:
             if self._idle_count:
                 oldest = min(
                     filter(None, self._idle.values()), key=lambda idle: idle[0][0]
