--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -78,8 +78,8 @@
 that waits until then is refused as not run; sent later, it could be cut as it runs."""
 
 HANDOFF_DESCRIPTORS = 2
-"""Descriptors of a handed-off connection: that of the caller and that of the router. Both
-are of the part of callers, so that connections to replicas keep theirs."""
+"""Descriptors of a handed-off connection: that of the caller and that of the router.
+Both are of the part of callers, so that connections to replicas keep theirs."""
 
 UNLIMITED_SLOT_CAP_FACTOR = 1_000.0
 """Disables the cap on slots. Shares on the platform are measured in tokens; a floor or
