Begin no request at another router once a drain is over

What callers saw: 502, may have run, for a request that arrived on a handed-off connection as the router ended; it was passed on, began, and was cut off within a third of a second. A request that arrives then on a connection of the router's own is refused as not run.

Cause: refuse_new stopped only requests that the router reads itself. Even the end of the task passed on what came in the same pass of the event loop.

Change: connections that have no request yet refuse it from that time on with 503; those with a request in service go on.

Evidence: the test of a request that arrives with the end failed before with 502. The test of the drain's end covers what it cannot: refuse_new is new for handoffs.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -249,6 +249,7 @@
             if end is DrainEndReason.IDLE:
                 # A second signal may come before new requests are refused.
                 self._forwarder.refuse_new()
+                self._handoffs.refuse_new()
                 await self._listener.wait_until_read(READ_BEFORE_EXIT_SECONDS)
             await tasks.cancel_remaining()
         return end
@@ -444,6 +445,7 @@
         }
 
     async def _cut(self, reason: str) -> None:
+        self._handoffs.refuse_new()
         await self._forwarder.cut(reason)
 
     def _count_in_service(self) -> int:
--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import time
 from collections.abc import Callable, Iterable
 from random import Random
@@ -9,7 +10,7 @@
 
 from ..core.handoffs import HandoffLimit, HandoffTargets
 from ..core.loop_use import LoopUse
-from ..errors import HandoffLostError
+from ..errors import HandoffLostError, RouterShuttingDownError
 from ..metrics import Metrics
 from ..net.refusal_lane import build_response
 from ..net.tunnel import Tunnel, TunnelEnd, greet, open_tunnel
@@ -83,7 +84,12 @@
             router = await self._open_tunnel()
             if router is None:
                 return False
-            tunnel = Tunnel(sock, router, _build_lost_refusal())
+            tunnel = Tunnel(
+                sock,
+                router,
+                lost_refusal=_build_lost_refusal(),
+                unsent_refusal=_build_unsent_refusal(),
+            )
             end = await self._pass_on(tunnel)
         finally:
             self._open -= 1
@@ -118,6 +124,11 @@
             self._metrics.handoffs.labels("refused").inc()
         return None
 
+    def refuse_new(self) -> None:
+        """Refuses the requests that begin from now on; the others go on."""
+        for tunnel in self._tunnels:
+            tunnel.is_refusing = True
+
     def end_overdue(self, now: float, longest_timeout: float) -> None:
         """Ends connections to routers that neither answer nor end.
 
@@ -147,6 +158,7 @@
         return True
 
 
+@functools.cache
 def _build_lost_refusal() -> bytes:
     return build_response(
         HandoffLostError(
@@ -154,3 +166,14 @@
             "answered; if the request may be repeated, send it again"
         )
     )
+
+
+@functools.cache
+def _build_unsent_refusal() -> bytes:
+    return build_response(
+        RouterShuttingDownError(
+            "this router shut down before the request could start; send it to another "
+            "one",
+            retry_after=0.0,
+        )
+    )
--- a/sequoiamoor/net/tunnel.py
+++ b/sequoiamoor/net/tunnel.py
@@ -143,18 +143,24 @@
     Args:
         caller: Curio socket of the caller.
         router: Curio socket of the router that took the connection over.
-        refusal: Response to a request that the router left without any answer. It may
-            have run.
+        lost_refusal: Response to a request that the router left without any answer. It
+            may have run.
+        unsent_refusal: Response to a request of which nothing is passed on.
 
     Attributes:
         has_request: Whether bytes of the caller were passed on.
-        has_answer: Whether bytes of an answer were passed on.
+        has_answer: Whether bytes of an answer were passed on, or of a refusal.
+        is_refusing: Whether a request that begins now is refused.
     """
 
-    def __init__(self, caller: Any, router: Any, refusal: bytes) -> None:
+    def __init__(
+        self, caller: Any, router: Any, *, lost_refusal: bytes, unsent_refusal: bytes
+    ) -> None:
         self._caller = caller
         self._router = router
-        self._refusal = refusal
+        self._lost_refusal = lost_refusal
+        self._unsent_refusal = unsent_refusal
+        self.is_refusing = False
         self.has_request = self.has_answer = False
         self._has_caller_left = False
         # Monotonic times in seconds of the first request's first byte and of the end of
@@ -189,17 +195,22 @@
         try:
             is_broken = not await self._pass_answers()
         finally:
+            # What arrives before the other task ends must not begin elsewhere.
+            self.is_refusing = True
             await sending.cancel()
             await self._router.close()
             end = self._find_end(is_broken)
             if end is TunnelEnd.UNANSWERED:
-                with contextlib.suppress(OSError):
-                    self._caller._socket.send(self._refusal)
+                self._refuse(self._lost_refusal)
             elif end is TunnelEnd.BROKEN:
                 # An answer without a length must not end as a whole one.
                 self._reset_on_close()
         return end
 
+    def _refuse(self, response: bytes) -> None:
+        with contextlib.suppress(OSError):
+            self._caller._socket.send(response)
+
     def _find_end(self, is_broken: bool) -> TunnelEnd:
         if self._has_caller_left:
             return TunnelEnd.CALLER_LEFT
@@ -217,6 +228,11 @@
         """Passes on what the caller sends, until it closes its side."""
         try:
             while data := await self._caller.recv(RECEIVE_BYTES):
+                if self.is_refusing and not self.has_request:
+                    self.has_answer = True
+                    self._refuse(self._unsent_refusal)
+                    self.end()
+                    return
                 if not self.has_request:
                     self.has_request, self._requested_at = True, time.monotonic()
                 try:
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -469,3 +469,47 @@
         assert len(router.handoffs) == 1
 
     run_busy(session)
+
+
+def test_request_that_arrives_with_the_end_of_a_shutdown_is_refused() -> None:
+    """Guards against a reset that leaves open whether the request has run."""
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        (upstream,) = await harness.add_replicas(1, [answer()])
+        await router.listen()
+        caller = await router.connect()
+        await harness.wait_for(lambda: harness.counter("handoffs_taken_over") == 1)
+        await curio.sleep(0.02)
+        # No pass of the event loop is between the two.
+        caller.sock._socket.send(route_request("/hold/1"))
+        await router.tasks[0].cancel()
+        response = parse(await caller.receive_all())
+        assert (response.status, response.is_whole) == (503, True)
+        assert response.refusal["execution"] == "was not run"
+        await curio.sleep(0.02)
+        assert not upstream.requests
+
+    run_busy(session)
+
+
+def test_router_at_the_end_of_its_drain_hands_no_request_on() -> None:
+    """Guards against requests that begin elsewhere and are cut right after."""
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        (upstream,) = await harness.add_replicas(1, [answer()], [answer()])
+        await router.listen()
+        first, second = await router.connect(), await router.connect()
+        await harness.wait_for(lambda: harness.counter("handoffs_taken_over") == 2)
+        await first.send(route_request("/hold/1", body=b"x" * 100_000)[:1_000])
+        await harness.wait_for(lambda: router.handoffs.in_service == 1)
+        router.handoffs.refuse_new()
+        await second.send(route_request("/hold/1"))
+        response = parse(await second.receive_all())
+        assert (response.status, response.is_whole) == (503, True)
+        assert response.refusal["execution"] == "was not run"
+        # One that had begun before goes on.
+        await first.send(route_request("/hold/1", body=b"x" * 100_000)[1_000:])
+        assert parse(await first.receive_all()).status == 200
+        assert len(upstream.requests) == 1
+
+    run_busy(session)
