Keep connections of callers that cannot be handed off

What callers saw: at a busy router each answer ended its connection, also while all other routers of the zone had just refused, while there was none, or no place to hand off to, and while the router was leaving. They connected anew to the same router, which served them.

Cause: only the use of the loop was asked.

Change: the conditions of a handoff are asked before a kept connection ends. A connection that is kept is asked about again with its next request.

Evidence: four rows of the new table failed before.

--- a/sequoiamoor/core/handoffs.py
+++ b/sequoiamoor/core/handoffs.py
@@ -65,6 +65,16 @@
     def choose(self, candidates: Iterable[RouterId], now: float) -> list[RouterId]:
         """Returns the routers to ask, in order.
 
+        Args:
+            candidates: Other routers of the zone that are alive and do not leave.
+            now: Monotonic time in seconds.
+        """
+        names = self.list_open(candidates, now)
+        return self.rng.sample(names, min(len(names), MAX_TRIES))
+
+    def list_open(self, candidates: Iterable[RouterId], now: float) -> list[RouterId]:
+        """Returns the routers that have not refused a moment ago.
+
         Args:
             candidates: Other routers of the zone that are alive and do not leave.
             now: Monotonic time in seconds.
@@ -72,8 +82,7 @@
         for router_id, until in list(self._refused_until.items()):
             if until <= now:
                 del self._refused_until[router_id]
-        names = sorted(set(candidates) - self._refused_until.keys())
-        return self.rng.sample(names, min(len(names), MAX_TRIES))
+        return sorted(set(candidates) - self._refused_until.keys())
 
     def record_refused(self, router_id: RouterId, now: float) -> None:
         """Records that a router took a connection not over, or did not answer."""
--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -292,9 +292,7 @@
         )
         self._listener.count_handed_off = handoffs.__len__
         self._forwarder.count_handed_off = handoffs.__len__
-        self._listener.ends_after_response = lambda: (
-            self._gateway.handoff is not None and handoffs.is_due()
-        )
+        self._listener.ends_after_response = handoffs.ends_kept_connection
         return handoffs
 
     def measure_loop(self, selector: TimedSelector) -> None:
--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -68,6 +68,13 @@
         probability = self.limit.find_probability(self.use.fraction)
         return probability > 0 and self._rng.random() < probability
 
+    def ends_kept_connection(self) -> bool:
+        """Returns whether a caller should connect anew, to be handed off then."""
+        if not (self.is_due() and self.is_serving() and self.has_room()):
+            return False
+        names = [router_id for router_id, _ in self.list_targets()]
+        return bool(self._targets.list_open(names, time.monotonic()))
+
     async def hand_off(self, sock: Any) -> bool:
         """Lets another router serve a new connection, if this one is short of time.
 
--- a/tests/daemon/test_handoffs_of_gateways.py
+++ b/tests/daemon/test_handoffs_of_gateways.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.net.tunnel import build_greeting
 from sequoiamoor.settings import read_settings
+from sequoiamoor.types import Address
 
 from ..route_listener_harness import DECLARATION
 
@@ -122,3 +124,40 @@
     gateway._handoffs._open = handed_off
     gateway._forwarder._pool._idle_count = upstreams
     assert gateway._has_handoff_room() == has_room
+
+
+def refuse_all(gateway: Gateway) -> None:
+    for router_id in ("router-1", "router-2"):
+        gateway._handoffs._targets.record_refused(router_id, time.monotonic())
+
+
+def stay_alone(gateway: Gateway) -> None:
+    gateway._handoffs.list_targets = list
+
+
+def fill_places(gateway: Gateway) -> None:
+    gateway._handoffs._open = gateway.budget.upstreams
+
+
+@pytest.mark.parametrize(
+    ("change", "ends"),
+    [
+        (lambda gateway: None, True),
+        (refuse_all, False),
+        (stay_alone, False),
+        (fill_places, False),
+        (leave, False),
+    ],
+)
+def test_kept_connection_ends_only_if_the_next_one_can_be_handed_off(
+    gateway: Gateway, change: Callable[[Gateway], None], ends: bool
+) -> None:
+    """Guards against callers who connect anew for each request, to the same router."""
+    gateway._handoffs.use.fraction = 1.0
+    address = Address("127.0.0.1", 1)
+    gateway._handoffs.list_targets = lambda: [
+        ("router-1", address),
+        ("router-2", address),
+    ]
+    change(gateway)
+    assert gateway._listener.ends_after_response() == ends
