--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -249,6 +249,7 @@
             if end is DrainEndReason.IDLE:
                 # A second signal may come before new requests are refused.
                 self._forwarder.refuse_new()
+                self._handoffs.refuse_new()
                 await self._listener.wait_until_read(READ_BEFORE_EXIT_SECONDS)
             await tasks.cancel_remaining()
         return end
@@ -290,9 +291,7 @@
             and self._freshness.is_fresh()
         )
         self._listener.count_handed_off = lambda: HANDOFF_DESCRIPTORS * len(handoffs)
-        self._listener.ends_after_response = lambda: (
-            self._gateway.handoff is not None and handoffs.is_due()
-        )
+        self._listener.ends_after_response = handoffs.ends_kept_connection
         return handoffs
 
     def measure_loop(self, selector: TimedSelector) -> None:
@@ -433,6 +432,7 @@
         }
 
     async def _cut(self, reason: str) -> None:
+        self._handoffs.refuse_new()
         await self._forwarder.cut(reason)
 
     def _count_in_service(self) -> int:
--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import time
 from collections.abc import Callable, Iterable
 from random import Random
@@ -9,7 +10,7 @@
 
 from ..core.handoffs import HandoffLimit, HandoffTargets
 from ..core.loop_use import LoopUse
-from ..errors import HandoffLostError
+from ..errors import HandoffLostError, RouterShuttingDownError
 from ..metrics import Metrics
 from ..net.refusal_lane import build_response
 from ..net.tunnel import Tunnel, TunnelEnd, greet, open_tunnel
@@ -67,6 +68,13 @@
         probability = self.limit.find_probability(self.use.fraction)
         return probability > 0 and self._rng.random() < probability
 
+    def ends_kept_connection(self) -> bool:
+        """Returns whether a caller should connect anew, to be handed off then."""
+        if not (self.is_due() and self.is_serving() and self.has_room()):
+            return False
+        names = [router_id for router_id, _ in self.list_targets()]
+        return bool(self._targets.list_open(names, time.monotonic()))
+
     async def hand_off(self, sock: Any) -> bool:
         """Lets another router serve a new connection, if this one is short of time.
 
@@ -83,7 +91,12 @@
             router = await self._open_tunnel()
             if router is None:
                 return False
-            tunnel = Tunnel(sock, router, _build_lost_refusal())
+            tunnel = Tunnel(
+                sock,
+                router,
+                lost_refusal=_build_lost_refusal(),
+                unsent_refusal=_build_unsent_refusal(),
+            )
             end = await self._pass_on(tunnel)
         finally:
             self._open -= 1
@@ -118,6 +131,11 @@
             self._metrics.handoffs.labels("refused").inc()
         return None
 
+    def refuse_new(self) -> None:
+        """Refuses the requests that begin from now on; the others go on."""
+        for tunnel in self._tunnels:
+            tunnel.is_refusing = True
+
     def end_overdue(self, now: float, longest_timeout: float) -> None:
         """Ends connections to routers that neither answer nor end.
 
@@ -147,6 +165,7 @@
         return True
 
 
+@functools.cache
 def _build_lost_refusal() -> bytes:
     return build_response(
         HandoffLostError(
@@ -154,3 +173,14 @@
             "answered; if the request may be repeated, send it again"
         )
     )
+
+
+@functools.cache
+def _build_unsent_refusal() -> bytes:
+    return build_response(
+        RouterShuttingDownError(
+            "this router shut down before the request could start; send it to another "
+            "one",
+            retry_after=0.0,
+        )
+    )
