Let an organisation have its rate at a router that its callers have just come to

What callers saw: after a router says that it is not ready, or hands connections off, its callers come to others.

Cause: beyond its part of the free places a router starts work of an organisation at its share times the fraction of its demand that arrives here. The fraction followed what was begun here in the last two seconds, which is nothing after a move.

Change: the fraction is the larger one of that and of the part of the waiting requests that wait here. Both are the same where callers stay.

The tests of shares, of the cost of starts and of large fleets pass as before.

--- a/sequoiamoor/core/start_limits.py
+++ b/sequoiamoor/core/start_limits.py
@@ -68,7 +68,11 @@
         """Fraction of its demand that arrives at this router."""
         own = self.own_recent + self.own_waiting * self.cost / REPORTED_SECONDS
         total = self.recent + self.waiting * self.cost / REPORTED_SECONDS
-        return min(own / total, 1.0) if total else 1.0
+        if not total:
+            return 1.0
+        # Callers that have just come here from another router are seen waiting only.
+        waiting = self.own_waiting / self.waiting if self.waiting else 0.0
+        return min(max(own / total, waiting), 1.0)
 
 
 def find_level(demands: Iterable[float], capacity: float) -> float:
