Accept connections at a rate that long passes do not lower

What waits there for over half a second belongs to callers that leave, and handing off or refusing costs less than waiting for them.

Change: a turn accepts 1,000 connections for each second of the pass before, at least 32 as before, in at most a fifth of its time.

--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -22,13 +22,20 @@
 """Pause after any other error, so that one that returns does not occupy the loop."""
 
 MAX_ACCEPTS_PER_TURN = 32
-"""Connections that are accepted before the other tasks run again. Each of them brings a
-request to the next pass of the event loop."""
+"""Connections that are accepted, if passes are short, before the other tasks run again.
+Each of them brings a request to the next pass of the event loop."""
 
 MAX_TURN_SECONDS = 0.005
 """Time after which the other tasks run again, since a connection that is refused at
 once takes much longer than one that is only accepted."""
 
+ACCEPTS_PER_SECOND = 1_000.0
+"""Connections that are accepted in any case, however long the passes of the loop are.
+Others would wait in the kernel, unread, until their callers leave."""
+
+MAX_TURN_FRACTION = 0.2
+"""Part of the time of a pass that the next turn may take."""
+
 LOG_INTERVAL_SECONDS = 5.0
 """Shortest time between two lines about errors of one acceptor."""
 
@@ -200,18 +207,31 @@
             OSError: If the socket does not listen.
         """
         try:
+            pass_seconds = 0.0
             while True:
                 await self._wait_for_room()
-                turn_ends_at = self._read_time() + MAX_TURN_SECONDS
-                for _ in range(MAX_ACCEPTS_PER_TURN):
-                    await self._accept_next()
-                    if self.room.is_full or self._read_time() >= turn_ends_at:
-                        break
+                await self._take_turn(pass_seconds)
+                turn_ended_at = self._read_time()
                 await curio.sleep(0)
+                pass_seconds = self._read_time() - turn_ended_at
         except curio.CancelledError:
             await self._end_all()
             raise
 
+    async def _take_turn(self, pass_seconds: float) -> None:
+        """Accepts connections before the other tasks run again.
+
+        Args:
+            pass_seconds: Time that these took since the last turn.
+        """
+        most = max(MAX_ACCEPTS_PER_TURN, int(ACCEPTS_PER_SECOND * pass_seconds))
+        seconds = max(MAX_TURN_SECONDS, MAX_TURN_FRACTION * pass_seconds)
+        ends_at = self._read_time() + seconds
+        for _ in range(most):
+            await self._accept_next()
+            if self.room.is_full or self._read_time() >= ends_at:
+                break
+
     async def _wait_for_room(self) -> None:
         if self.room.is_full:
             self._observer.count_accept_pause(self.name)
--- a/tests/net/test_acceptor.py
+++ b/tests/net/test_acceptor.py
@@ -254,3 +254,34 @@
         read_time=lambda: sum(accepted_by_pass) * accept_seconds,
     )
     assert max(accepted_by_pass) == most
+
+
+@pytest.mark.parametrize(
+    ("pass_seconds", "accept_seconds", "most"),
+    [(0.0, 0.0, 32), (0.01, 0.0, 32), (0.1, 0.0, 100), (0.1, 0.0015, 14)],
+)
+def test_late_loop_accepts_as_many_connections_in_a_second(
+    pass_seconds: float, accept_seconds: float, most: int
+) -> None:
+    """Guards against callers who wait in the kernel, unread, until they leave."""
+    accepted_by_pass = [0]
+
+    def refuse(sock: Any) -> bool:
+        accepted_by_pass[-1] += 1
+        return True
+
+    async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
+        flood = 300
+        callers = [socket.create_connection(acceptor.address) for _ in range(flood)]
+        while sum(accepted_by_pass) < flood:
+            accepted_by_pass.append(0)
+            await curio.sleep(0)
+        for caller in callers:
+            caller.close()
+
+    def read_time() -> float:
+        passes = len(accepted_by_pass) - 1
+        return passes * pass_seconds + sum(accepted_by_pass) * accept_seconds
+
+    run(session, end_at_once=refuse, read_time=read_time)
+    assert max(accepted_by_pass) == most
