Pass on no request whose caller has left

Cause: callers wait in the kernel while a busy router is late. It read such a request, passed it on, and then saw the end of the connection; the other router, which is not late, had begun it within 3 ms.

Change: the end of the caller's side is looked for before anything of its request is passed on. A caller that closed only its sending side gets the refusal that it would get anywhere.

Evidence: both rows of test_request_of_a_caller_that_has_left_begins_nowhere fail without the look.

--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -15,12 +15,12 @@
 from ..net.refusal_lane import build_response
 from ..net.tunnel import Tunnel, TunnelEnd, greet, open_tunnel
 from ..types import Address, RouterId
+from .serving import build_closed_error
 
 OPEN_TIMEOUT_SECONDS = 0.15
 """Time within which a router must take a connection over. Its own loop is not late as
 long as it takes any over."""
 
-
 ANSWER_SLACK_SECONDS = 0.25
 """Time after the longest timeout of a route in which a router still answers itself."""
 
@@ -96,6 +96,7 @@
                 router,
                 lost_refusal=_build_lost_refusal(),
                 unsent_refusal=_build_unsent_refusal(),
+                closed_refusal=_build_closed_refusal(),
             )
             end = await self._pass_on(tunnel)
         finally:
@@ -175,6 +176,11 @@
     )
 
 
+@functools.cache
+def _build_closed_refusal() -> bytes:
+    return build_response(build_closed_error(may_have_run=False))
+
+
 @functools.cache
 def _build_unsent_refusal() -> bytes:
     return build_response(
--- a/sequoiamoor/net/tunnel.py
+++ b/sequoiamoor/net/tunnel.py
@@ -24,6 +24,7 @@
     UPSTREAM_SILENCE,
     disable_send_delay,
     limit_silence,
+    peek,
     receive_arrived,
 )
 from .http_client import RESET_ON_CLOSE
@@ -145,7 +146,9 @@
         router: Curio socket of the router that took the connection over.
         lost_refusal: Response to a request that the router left without any answer. It
             may have run.
-        unsent_refusal: Response to a request of which nothing is passed on.
+        unsent_refusal: Response to a request that begins as the router shuts down.
+        closed_refusal: Response to a request whose caller closed its side before
+            anything of it was passed on.
 
     Attributes:
         has_request: Whether bytes of the caller were passed on.
@@ -154,12 +157,19 @@
     """
 
     def __init__(
-        self, caller: Any, router: Any, *, lost_refusal: bytes, unsent_refusal: bytes
+        self,
+        caller: Any,
+        router: Any,
+        *,
+        lost_refusal: bytes,
+        unsent_refusal: bytes,
+        closed_refusal: bytes,
     ) -> None:
         self._caller = caller
         self._router = router
         self._lost_refusal = lost_refusal
         self._unsent_refusal = unsent_refusal
+        self._closed_refusal = closed_refusal
         self.is_refusing = False
         self.has_request = self.has_answer = False
         self._has_caller_left = False
@@ -228,12 +238,12 @@
         """Passes on what the caller sends, until it closes its side."""
         try:
             while data := await self._caller.recv(RECEIVE_BYTES):
-                if self.is_refusing and not self.has_request:
-                    self.has_answer = True
-                    self._refuse(self._unsent_refusal)
-                    self.end()
-                    return
                 if not self.has_request:
+                    if (refusal := self._find_refusal()) is not None:
+                        self.has_answer = True
+                        self._refuse(refusal)
+                        self.end()
+                        return
                     self.has_request, self._requested_at = True, time.monotonic()
                 try:
                     await _send(self._router, data)
@@ -247,6 +257,19 @@
         with contextlib.suppress(OSError):
             self._router._socket.shutdown(socket.SHUT_WR)
 
+    def _find_refusal(self) -> bytes | None:
+        """Returns the refusal of a request that is not to begin elsewhere, if any.
+
+        A caller that waited in the kernel while the loop was late may have left. Its
+        end has to be seen before its request is passed on: the other router would
+        begin it in the meantime.
+        """
+        if self.is_refusing:
+            return self._unsent_refusal
+        if peek(self._caller._socket) == b"":
+            return self._closed_refusal
+        return None
+
     async def _pass_answers(self) -> bool:
         """Passes on what the router sends; returns False if its connection failed."""
         while True:
--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -86,6 +86,10 @@
         self.tasks.append(await curio.spawn(self._serve, sock, self._accept_caller))
         return Caller(self._harness, caller_sock)
 
+    async def serve_caller(self, sock: Any) -> None:
+        """Serves a caller's connection until it ends."""
+        await self._serve(sock, self._accept_caller)
+
     async def _accept_caller(self, sock: Any) -> None:
         if not await self.handoffs.hand_off(sock):
             await self.own.listener.accept(sock, None)
@@ -280,6 +284,39 @@
     run_busy(session)
 
 
+@pytest.mark.parametrize("closes_all", [False, True])
+def test_request_of_a_caller_that_has_left_begins_nowhere(closes_all: bool) -> None:
+    """Guards against work for callers who left while they waited to be accepted."""
+    passed_on = bytearray()
+
+    async def serve(sock: Any) -> None:
+        await sock.sendall(build_greeting(0))
+        while data := await sock.recv(65_536):
+            passed_on.extend(data)
+
+    async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
+        (own,) = await router.own.add_replicas(1, [answer()])
+        await router.listen(serve)
+        listening = curio.network.tcp_server_socket("127.0.0.1", 0)
+        sock = await curio.open_connection(*listening.getsockname()[:2])
+        caller = Caller(harness, sock)
+        await caller.send(route_request("/hold/1"))
+        if closes_all:
+            await caller.close()
+        else:
+            await caller.sock.shutdown(1)
+        accepted, _ = await listening.accept()
+        await listening.close()
+        await router.serve_caller(accepted)
+        if not closes_all:
+            response = parse(await caller.receive_all())
+            assert response.refusal["code"] == "caller-closed"
+            assert response.refusal["execution"] == "was not run"
+        assert not passed_on and not own.requests
+
+    run_busy(session)
+
+
 def test_caller_that_closes_its_sending_side_is_told() -> None:
     """Guards against a whole request without an answer."""
 
