Let waiting requests tell the fraction only where most of them wait

Cause: with the larger one of both fractions at every router, the parts of an organisation at all routers add up to more than one, since the few requests that wait at each vary and are known a second late elsewhere.

Change: waiting requests tell the fraction only where at least half of the organisation's wait, and four. That is so at a router that its callers have just come to, and hardly anywhere for one that enters at all routers.

Evidence: one row of test_fraction_follows_callers_who_have_just_come fails with the larger one of both ("most wait elsewhere" and "too few to tell" are bounds); the test of the move and those of shares pass.

--- a/sequoiamoor/core/start_limits.py
+++ b/sequoiamoor/core/start_limits.py
@@ -40,6 +40,11 @@
 which what it began without being asked for a rate is forgotten."""
 
 
+MIN_MOVED_REQUESTS = 4
+"""Waiting requests from which an organisation most of whose requests wait at one router
+counts as one whose callers have just come there. With fewer it may be by chance."""
+
+
 @dataclass(frozen=True, slots=True)
 class OrganisationLoad:
     """What one organisation asks of a service.
@@ -70,9 +75,9 @@
         total = self.recent + self.waiting * self.cost / REPORTED_SECONDS
         if not total:
             return 1.0
-        # Callers that have just come here from another router are seen waiting only.
-        waiting = self.own_waiting / self.waiting if self.waiting else 0.0
-        return min(max(own / total, waiting), 1.0)
+        if self.own_waiting >= max(MIN_MOVED_REQUESTS, self.waiting / 2):
+            return max(min(own / total, 1.0), self.own_waiting / self.waiting)
+        return min(own / total, 1.0)
 
 
 def find_level(demands: Iterable[float], capacity: float) -> float:
--- a/tests/core/test_start_limits.py
+++ b/tests/core/test_start_limits.py
@@ -122,3 +122,23 @@
     assert started == expected
     later = {"places": places, "fraction": fraction, "report_interval": 0.5}
     assert limits.may_take_part("a", 5.0, **later) == (expected > 0)
+
+
+@pytest.mark.parametrize(
+    ("own_waiting", "waiting", "fraction"),
+    [
+        pytest.param(49, 57, 49 / 57, id="most wait here"),
+        pytest.param(20, 57, 20 * 300 / (9_000 + 57 * 300), id="most wait elsewhere"),
+        pytest.param(3, 3, 900 / 9_900, id="too few to tell"),
+    ],
+)
+def test_fraction_follows_callers_who_have_just_come(
+    own_waiting: int, waiting: int, fraction: float
+) -> None:
+    """Guards against refusals where callers go on to, and against parts over the whole.
+
+    Taken for all routers, parts of the waiting requests would let more start than is
+    due: few wait at each, and their numbers are a second old elsewhere.
+    """
+    load = OrganisationLoad(9_000.0, 0.0, waiting, own_waiting, cost=300.0)
+    assert load.own_fraction == pytest.approx(fraction)
