Free the task of a connection without a garbage collection

Each ended connection left a task that refers to itself, by the result of its last call (current_task), and eight objects for a collection. The task asks who it is first. The test failed before.

--- a/sequoiamoor/net/acceptor.py
+++ b/sequoiamoor/net/acceptor.py
@@ -275,6 +275,8 @@
             await curio.sleep(REPEATED_ERROR_PAUSE_SECONDS)
 
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
+        # Asked last, the task would refer to itself by the result.
+        task = await curio.current_task()
         try:
             try:
                 if self._probe is None or not await self._probe.matches(peer):
@@ -290,7 +292,8 @@
                 extra={"reason": self.name},
             )
         finally:
-            self._tasks.discard(await curio.current_task())
+            self._tasks.discard(task)
+            del task
             await self.room.give_back()
 
     async def _end_all(self) -> None:
--- a/tests/net/test_acceptor.py
+++ b/tests/net/test_acceptor.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import errno
+import gc
 import os
 import resource
 import socket
+import weakref
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -285,3 +287,28 @@
 
     run(session, end_at_once=refuse, read_time=read_time)
     assert max(accepted_by_pass) == most
+
+
+def test_ended_connection_is_freed_without_a_garbage_collection() -> None:
+    """Guards against collections that a router does for each connection that ended."""
+
+    async def session(acceptor: Acceptor, observer: Observer, sock: Any) -> None:
+        assert await ask(acceptor) == b"x"
+        while len(acceptor):
+            await curio.sleep(0)
+        gc.collect()
+        gc.disable()
+        try:
+            connection = await curio.open_connection(*acceptor.address)
+            async with connection:
+                while not len(acceptor):
+                    await curio.sleep(0)
+                (task,) = [weakref.ref(task) for task in acceptor._tasks]
+            while len(acceptor):
+                await curio.sleep(0)
+            await curio.sleep(0)
+            assert task() is None
+        finally:
+            gc.enable()
+
+    run(session)
