List the routers of the zone at most ten times a second

What callers saw: a busy router spent part of its time on listing routers for each new connection, and for each request on a kept one.

Change: the list is used for 0.1 s. A router that leaves meanwhile refuses by itself.

--- a/sequoiamoor/daemon/handoffs.py
+++ b/sequoiamoor/daemon/handoffs.py
@@ -21,6 +21,9 @@
 long as it takes any over."""
 
 
+LIST_SECONDS = 0.1
+"""Time for which the list of routers is used. One that leaves meanwhile refuses."""
+
 ANSWER_SLACK_SECONDS = 0.25
 """Time after the longest timeout of a route in which a router still answers itself."""
 
@@ -51,6 +54,8 @@
         self._metrics = metrics
         self._rng = rng
         self._targets = HandoffTargets(rng)
+        self._listed: dict[RouterId, Address] = {}
+        self._listed_at = float("-inf")
         self._open = 0
         self._tunnels: set[Tunnel] = set()
 
@@ -72,8 +77,18 @@
         """Returns whether a caller should connect anew, to be handed off then."""
         if not (self.is_due() and self.is_serving() and self.has_room()):
             return False
-        names = [router_id for router_id, _ in self.list_targets()]
-        return bool(self._targets.list_open(names, time.monotonic()))
+        now = time.monotonic()
+        return bool(self._targets.list_open(self.find_targets(now), now))
+
+    def find_targets(self, now: float) -> dict[RouterId, Address]:
+        """Returns the routers that may be asked, as they were a moment ago.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if now - self._listed_at >= LIST_SECONDS:
+            self._listed, self._listed_at = dict(self.list_targets()), now
+        return self._listed
 
     async def hand_off(self, sock: Any) -> bool:
         """Lets another router serve a new connection, if this one is short of time.
@@ -118,7 +133,7 @@
 
     async def _open_tunnel(self) -> Any:
         """Returns a connection to a router that takes over; None if there is none."""
-        addresses = dict(self.list_targets())
+        addresses = self.find_targets(time.monotonic())
         for router_id in self._targets.choose(addresses, time.monotonic()):
             router = await open_tunnel(
                 addresses[router_id],
--- a/tests/daemon/test_handoffs_of_gateways.py
+++ b/tests/daemon/test_handoffs_of_gateways.py
@@ -161,3 +161,20 @@
     ]
     change(gateway)
     assert gateway._listener.ends_after_response() == ends
+
+
+def test_routers_of_the_zone_are_not_listed_for_each_request(
+    gateway: Gateway,
+) -> None:
+    """Guards against a busy router that goes through its whole fleet each time."""
+    calls: list[None] = []
+
+    def list_targets() -> list[tuple[str, Address]]:
+        calls.append(None)
+        return [("router-1", Address("127.0.0.1", 1))]
+
+    gateway._handoffs.use.fraction = 1.0
+    gateway._handoffs.list_targets = list_targets
+    for now in (0.0, 0.05, 0.09, 0.11, 0.15):
+        assert gateway._handoffs.find_targets(now)
+    assert len(calls) == 2
