Let the test of a refused handoff not depend on the time between two callers

A router that refused is asked again after 0.5 s, which a slow run reaches between the two callers of the test, so that it counts two refusals. The time is longer in the test; it checks the same.

--- a/tests/daemon/test_handoffs.py
+++ b/tests/daemon/test_handoffs.py
@@ -11,6 +11,7 @@
 import curio
 import pytest
 
+from sequoiamoor.core import handoffs as core_handoffs
 from sequoiamoor.daemon import handoffs as handoffs_module
 from sequoiamoor.daemon.handoffs import Handoffs
 from sequoiamoor.net import tunnel as tunnel_module
@@ -169,6 +170,7 @@
 ) -> None:
     """Guards against a request that another router loses before it has begun."""
     monkeypatch.setattr(handoffs_module, "OPEN_TIMEOUT_SECONDS", 0.02)
+    monkeypatch.setattr(core_handoffs, "REFUSED_SECONDS", 60.0)
 
     async def session(harness: RouteListenerHarness, router: BusyRouter) -> None:
         (own,) = await router.own.add_replicas(1, [answer()], [answer()])
