Take no connection over right after a start

Change: a router takes no connection over in the first 4 s after its start.

Evidence: the new row of test_router_takes_over_only_what_it_can_serve fails without it.

--- a/sequoiamoor/daemon/gateway.py
+++ b/sequoiamoor/daemon/gateway.py
@@ -77,6 +77,10 @@
 """Fraction of that time after which nothing is sent to replicas any more. A request
 that waits until then is refused as not run; sent later, it could be cut as it runs."""
 
+SETTLE_SECONDS = 4.0
+"""Time after its start in which a router takes no connection over. It may not know yet
+what the other routers know, for example which upstreams are leaving."""
+
 HANDOFF_DESCRIPTORS = 2
 """Descriptors of a handed-off connection: that of the caller and that of the router.
 Both are of the part of callers, so that connections to replicas keep theirs."""
@@ -172,6 +176,7 @@
             limits=self._build_caller_limits(settings),
         )
         self._listener.refusal_connections = self.budget.refusals
+        self._settled_at = float("-inf")
         self._handoffs = self._build_handoffs()
         self._pages = Pages(
             self.board,
@@ -196,6 +201,7 @@
     async def serve(self) -> DrainEndReason:
         """Serves until a signal stops the router and its requests are drained."""
         signals = SignalWatch(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        self._settled_at = time.monotonic() + SETTLE_SECONDS
         # Callers of other routers take the places of callers.
         room = ConnectionRoom(self._listener.connection_limit)
         # Listening first lets callers queue in the kernel until the tasks run.
@@ -289,6 +295,7 @@
             self._directory.is_known
             and self._part_store.is_known
             and self._freshness.is_fresh()
+            and time.monotonic() >= self._settled_at
         )
         self._listener.count_handed_off = lambda: HANDOFF_DESCRIPTORS * len(handoffs)
         self._listener.ends_after_response = handoffs.ends_kept_connection
--- a/tests/daemon/test_handoffs_of_gateways.py
+++ b/tests/daemon/test_handoffs_of_gateways.py
@@ -13,7 +13,7 @@
 import curio.io
 import pytest
 
-from sequoiamoor.daemon.gateway import Gateway
+from sequoiamoor.daemon.gateway import SETTLE_SECONDS, Gateway
 from sequoiamoor.declaration import parse_declaration
 from sequoiamoor.net.tunnel import build_greeting
 from sequoiamoor.settings import read_settings
@@ -86,6 +86,10 @@
     gateway.board.is_leaving = True
 
 
+def start_just_now(gateway: Gateway) -> None:
+    gateway._settled_at = time.monotonic() + SETTLE_SECONDS
+
+
 @pytest.mark.parametrize(
     ("change", "takes_over"),
     [
@@ -94,6 +98,7 @@
         (forget_parts, False),
         (lose_store, False),
         (leave, False),
+        (start_just_now, False),
     ],
 )
 def test_router_takes_over_only_what_it_can_serve(
