--- a/tests/policies/busy_fleet.py
+++ b/tests/policies/busy_fleet.py
@@ -29,8 +29,8 @@
     """Routers that refuse requests in time, before replicas with a queue.
 
     Attributes:
-        late: Requests whose first event came after their target, by organisation and
-            second.
+        answered: Requests whose first event came, by organisation and second.
+        late: Those whose first event came after their target.
         refused: Requests that no router started, by organisation and second.
         shared_fraction: Fraction of the requests with a prompt part that others share.
     """
@@ -44,6 +44,7 @@
         shared_fraction: float = 0.3,
     ) -> None:
         super().__init__(loads, size)
+        self.answered: Counter[tuple[str, int]] = Counter()
         self.late: Counter[tuple[str, int]] = Counter()
         self.refused: Counter[tuple[str, int]] = Counter()
         self.shared_fraction = shared_fraction
@@ -129,6 +130,7 @@
         begin = self._build_first_event(router, call, str(index))
 
         def answer(at: float) -> None:
+            self.answered[call.organisation, int(at)] += 1
             if at - call.arrival > TARGET_SECONDS:
                 self.late[call.organisation, int(at)] += 1
             begin(at)
