Draw the replica of a stream among those that are equal

What callers saw: since connections are handed off, a flood is shared by all routers of a zone, and first events come after their target though replicas have room.

Cause: of the replicas with the fewest prompt tokens left to read, the one with the most free slots was taken, and of equal ones the first by identifier. Reports are up to a second old, so all routers saw the same one there and sent to it until the next report.

Change: among equal replicas each free slot is as likely to be chosen.

--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -567,8 +567,9 @@
         """Returns the best replica that meets the target, or None without one.
 
         Replicas at which the stream would end before its timeout come first, the others
-        by the interval between their events. Among equal ones the replica with the
-        fewest tokens left to read is chosen, then the one with the most free slots.
+        by the interval between their events, then those with the fewest tokens left to
+        read. Among equal ones each free slot is as likely to be chosen: the other
+        routers have the same reports and would all choose the same replica.
         """
         token_limit = self._find_token_limit(
             request, prompt.tokens, now, backlog_limit=prompt.backlog_limit
@@ -588,8 +589,13 @@
             interval = self._pace.find_event_interval(replica_id)
             is_in_time = now + expected_events * interval <= request.ends_at
             penalty = 0.0 if is_in_time else interval
-            found.append((penalty, tokens_ahead, -count, replica_id, replica))
-        return min(found)[-1] if found else None
+            found.append((penalty, tokens_ahead, count, replica))
+        if not found:
+            return None
+        least = min(entry[:2] for entry in found)
+        equal = [entry for entry in found if entry[:2] == least]
+        slots = [count for _, _, count, _ in equal]
+        return self._rng.choices(equal, slots)[0][-1]
 
     def _count_events(self, board: Blackboard, request: RoutedCall) -> int:
         """Returns how many events the stream of the request is expected to have."""
