Draw the replica of a plain request among those of the zone

The same cause as for streams, looked for elsewhere: a plain request went to the replica of the zone with the most free slots, the same one at all routers that have the same reports.

test_routers_with_the_same_reports_choose_different_replicas failed for plain requests (24 of 24 routers chose one replica, that with one free slot more) and passes. Streams are in the same table; they pass since. What it does for callers was not measured: on the sites each zone has one replica of the plain services.

--- a/sequoiamoor/policies/fair.py
+++ b/sequoiamoor/policies/fair.py
@@ -311,26 +311,32 @@
         request: CallRequest,
         free: list[tuple[Replica, int]],
     ) -> Replica:
-        """Returns the free replica that last ran the prefix, or the best other one.
+        """Returns the replica with most free slots of the preferred ones."""
+        best, _ = max(
+            self._list_preferred(board, request, free),
+            key=lambda candidate: (candidate[1], self._rng.random()),
+        )
+        return best
+
+    def _list_preferred(
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        free: list[tuple[Replica, int]],
+    ) -> list[tuple[Replica, int]]:
+        """Returns the free replica that last ran the prefix, or those to choose from.
 
-        Replicas in the router's own zone come next, then those with most free slots.
+        Without it, these are the replicas in the router's own zone, if any is free.
         """
-        last_replica_id = None
         if request.prefix_key is not None:
             last_replica_id = self._prefix_replicas.get(
                 (request.service, request.prefix_key)
             )
+            for candidate in free:
+                if candidate[0].replica_id == last_replica_id:
+                    return [candidate]
         zone = board.identity.zone
-        best, _ = max(
-            free,
-            key=lambda candidate: (
-                candidate[0].replica_id == last_replica_id,
-                candidate[0].zone == zone,
-                candidate[1],
-                self._rng.random(),
-            ),
-        )
-        return best
+        return [candidate for candidate in free if candidate[0].zone == zone] or free
 
     def finish(
         self, board: Blackboard, request: CallRequest, replica_id: ReplicaId, now: float
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -447,6 +447,22 @@
             self._set_rates(board, service, current, now)
         return limits.is_within_rate(name, now)
 
+    def _choose_replica(
+        self,
+        board: Blackboard,
+        request: CallRequest,
+        free: list[tuple[Replica, int]],
+    ) -> Replica:
+        return self._draw(self._list_preferred(board, request, free))
+
+    def _draw(self, free: list[tuple[Replica, int]]) -> Replica:
+        """Returns one of the replicas, drawn by its free slots.
+
+        The other routers have the same reports and would choose the same best one.
+        """
+        replicas = [replica for replica, _ in free]
+        return self._rng.choices(replicas, [count for _, count in free])[0]
+
     def _try_request(
         self, board: Blackboard, current: Round, request: CallRequest, now: float
     ) -> Replica | None:
@@ -568,8 +584,7 @@
 
         Replicas at which the stream would end before its timeout come first, the others
         by the interval between their events, then those with the fewest tokens left to
-        read. Among equal ones each free slot is as likely to be chosen: the other
-        routers have the same reports and would all choose the same replica.
+        read; one of those that are equal is drawn.
         """
         token_limit = self._find_token_limit(
             request, prompt.tokens, now, backlog_limit=prompt.backlog_limit
@@ -589,13 +604,13 @@
             interval = self._pace.find_event_interval(replica_id)
             is_in_time = now + expected_events * interval <= request.ends_at
             penalty = 0.0 if is_in_time else interval
-            found.append((penalty, tokens_ahead, count, replica))
+            found.append(((penalty, tokens_ahead), replica, count))
         if not found:
             return None
-        least = min(entry[:2] for entry in found)
-        equal = [entry for entry in found if entry[:2] == least]
-        slots = [count for _, _, count, _ in equal]
-        return self._rng.choices(equal, slots)[0][-1]
+        least = min(order for order, _, _ in found)
+        return self._draw(
+            [(replica, count) for order, replica, count in found if order == least]
+        )
 
     def _count_events(self, board: Blackboard, request: RoutedCall) -> int:
         """Returns how many events the stream of the request is expected to have."""
--- a/tests/policies/test_shared_load.py
+++ b/tests/policies/test_shared_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from random import Random
 from typing import Any
@@ -571,3 +572,23 @@
     while fleet.start(is_read=True) is not None:
         started += 1
     assert started == 6 * SLOTS - 3
+
+
+@pytest.mark.parametrize("has_prompt", [True, False], ids=["stream", "plain"])
+def test_routers_with_the_same_reports_choose_different_replicas(
+    has_prompt: bool,
+) -> None:
+    """Guards against a replica that all routers fill until the next report.
+
+    One with a single free slot more than the others is the best one for each of them.
+    """
+    chosen = Counter[str | None]()
+    for number in range(24):
+        fleet = Fleet()
+        fleet.policy = SharedLoadPolicy(rng=Random(number))
+        fleet.report(dict.fromkeys(REPLICAS[1:], 1))
+        call = fleet.add(shared=0)
+        if not has_prompt:
+            call.parts = ()
+        chosen[fleet.start()] += 1
+    assert max(chosen.values()) <= 12
