Read from logs what part of its due an organisation gets

A part of the best served organisation says little about FAIR, which takes half of what was asked for or of what the best served one got, whichever is less, second by second.

--- a/benchmarks/log_shares.py
+++ b/benchmarks/log_shares.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import json
+import math
 import sys
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 
@@ -25,12 +26,20 @@
 
     Attributes:
         by_second: Tokens by organisation and second in which the stream arrived.
+        unserved: Prompt tokens of the streams that were not begun, likewise. Requests
+            that were not read, as in an overloaded router, are not in the log.
     """
 
     by_second: Counter[tuple[str, int]] = field(default_factory=Counter)
-
-    def add(self, line: dict[str, object]) -> None:
-        """Adds a line ``served``; others are ignored."""
+    unserved: Counter[tuple[str, int]] = field(default_factory=Counter)
+
+    def add(self, line: dict[str, Any]) -> None:
+        """Adds a line on streams that were served, or not served; ignores others."""
+        if line.get("event") == "streams were not served":
+            middle = float(line["time"]) - float(line["elapsed_ms"]) / 2000
+            for organisation, counts in line["organisations"].items():
+                tokens = counts["asked_tokens"] - counts["begun_tokens"]
+                self.unserved[organisation, int(middle)] += max(tokens, 0)
         if line.get("event") != "served" or not line.get("prompt_tokens"):
             return
         seconds = float(str(line["time"])) - float(str(line["total_ms"])) / 1000
@@ -62,8 +71,32 @@
             worst = min(worst, (first, part), key=lambda entry: entry[1])
         return worst
 
+    def find_least_due(self, organisation: str) -> tuple[int, float]:
+        """Returns the window with the least part of what the organisation was due.
+
+        In each second it is due half of what it asked for, or half of what the best
+        served one got, whichever is less.
 
-def read_lines(lines: Iterable[str]) -> Iterator[dict[str, object]]:
+        Returns:
+            Its first second and the part; below 1.0 the organisation got too little.
+        """
+        seconds = sorted({second for _, second in self.by_second})
+        names = {name for name, _ in self.by_second}
+        most = {at: max(self.by_second[name, at] for name in names) for at in seconds}
+        least = (seconds[0], math.inf)
+        for first in seconds[: -WINDOW_SECONDS + 1]:
+            got, due = 0.0, 0.0
+            for at in range(first, first + WINDOW_SECONDS):
+                served = self.by_second[organisation, at]
+                asked = served + self.unserved[organisation, at]
+                got += served
+                due += min(asked, most.get(at, 0)) / 2
+            if due:
+                least = min(least, (first, got / due), key=lambda entry: entry[1])
+        return least
+
+
+def read_lines(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
     """Returns the JSON objects in log lines; other lines are left out."""
     for line in lines:
         start = line.find("{")
@@ -96,9 +129,11 @@
         )
     for name in names:
         first, part = work.find_worst_window(name)
+        due_first, due_part = work.find_least_due(name)
         print(
             f"{name}: least {part:.2f} of the best served one, in the "
-            f"{WINDOW_SECONDS} s from {first - seconds[0]}"
+            f"{WINDOW_SECONDS} s from {first - seconds[0]}; least {due_part:.2f} of "
+            f"what it is due, from {due_first - seconds[0]}"
         )
 
 
--- a/tests/benchmarks/test_log_shares.py
+++ b/tests/benchmarks/test_log_shares.py
@@ -4,6 +4,8 @@
 
 import json
 
+import pytest
+
 from benchmarks.log_shares import BegunWork, read_lines
 
 
@@ -27,3 +29,27 @@
     assert work.list_largest(1) == ["a"]
     assert work.find_worst_window("b") == (4, 0.2)
     assert work.by_second["a", 0] == 1_000
+
+
+def test_organisation_is_due_half_of_what_it_asked_or_the_best_served_one_got() -> None:
+    """Guards against a distance that takes little asked for as little served.
+
+    Organisation ``b`` asks for little, then for more than ``a`` gets and is refused.
+    """
+    work = BegunWork()
+    for second in range(10):
+        for name, tokens in (("a", 990), ("b", 190)):
+            for line in read_lines([write_line(name, second, tokens)]):
+                work.add(line)
+        if second >= 8:
+            counts = {"asked_tokens": 2_000, "begun_tokens": 200}
+            work.add(
+                {
+                    "time": second + 1.0, "event": "streams were not served",
+                    "elapsed_ms": 1_000, "organisations": {"b": counts},
+                }
+            )  # fmt: skip
+    assert work.find_least_due("a") == (0, 2.0)
+    first, part = work.find_least_due("b")
+    assert first == 4
+    assert part == pytest.approx(1_200 / (4 * 100 + 2 * 500))
