Log the load and the fraction of an organisation that gives way

Whether the fractions that the routers take of an organisation's work add up to one could not be told from the logs. The line `calls were left waiting` now has both, from which the sum over all routers follows.

--- a/sequoiamoor/core/choices.py
+++ b/sequoiamoor/core/choices.py
@@ -6,6 +6,7 @@
 
 from ..types import OrganisationName
 from .fairness import ServiceView
+from .start_limits import OrganisationLoad
 
 
 @dataclass(slots=True)
@@ -54,6 +55,8 @@
         lowest_waiting: Its waiting requests, as known to this router.
         waiting: Waiting requests of all organisations, as known to this router.
         placeable: Requests that the replicas can take.
+        load: What the organisation asks of the service.
+        own_fraction: Fraction of it that this router takes to be its own.
     """
 
     organisation: OrganisationName
@@ -62,6 +65,8 @@
     lowest_waiting: int
     waiting: int
     placeable: int
+    load: OrganisationLoad
+    own_fraction: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +76,7 @@
     organisation: OrganisationName
     view: ServiceView
     placeable: int
+    load: OrganisationLoad
 
 
 @dataclass(slots=True)
@@ -85,11 +91,15 @@
         return replace(self.counts)
 
     def record_held_back(
-        self, name: OrganisationName, view: ServiceView, placeable: int
+        self,
+        name: OrganisationName,
+        view: ServiceView,
+        placeable: int,
+        load: OrganisationLoad,
     ) -> None:
         """Counts an organisation that gives way, without describing it yet."""
         self.counts.held_back += 1
-        self._last_held_back = _HeldBackState(name, view, placeable)
+        self._last_held_back = _HeldBackState(name, view, placeable, load)
 
     def describe_held_back(self) -> HeldBack | None:
         """Returns the state in which an organisation last gave way; None if none did.
@@ -116,4 +126,6 @@
             lowest_waiting=max(waiting[lowest].waiting, 0),
             waiting=sum(max(load.waiting, 0) for load in waiting.values()),
             placeable=state.placeable,
+            load=state.load,
+            own_fraction=state.load.own_fraction,
         )
--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -335,8 +335,12 @@
                 key=lambda candidate: current.view.organisations[candidate].key,
             )
             names.remove(name)
-            if not self._may_take_place(board, service, name, current, now):
-                board.choices.record_held_back(name, current.view, current.placeable)
+            waiting = current.view.organisations[name].waiting
+            load = self._describe_load(board, service, name, waiting)
+            if not self._may_take_place(board, service, name, load, current, now):
+                board.choices.record_held_back(
+                    name, current.view, current.placeable, load
+                )
                 continue
             for request in board.queues.list_first(service, name, MAX_TRIED_REQUESTS):
                 if not current.may_try(request.call_id):
@@ -422,6 +426,7 @@
         board: Blackboard,
         service: ServiceName,
         name: OrganisationName,
+        load: OrganisationLoad,
         current: Round,
         now: float,
     ) -> bool:
@@ -433,7 +438,6 @@
             for other in organisations.values()
             if other.waiting > 0 and other.key < state.key
         )
-        load = self._describe_load(board, service, name, state.waiting)
         limits = self._limits.setdefault(service, StartLimits())
         if limits.may_take_part(
             name,
--- a/tests/core/test_choices.py
+++ b/tests/core/test_choices.py
@@ -6,6 +6,9 @@
 
 from sequoiamoor.core.choices import Choices
 from sequoiamoor.core.fairness import OrganisationView, ServiceView
+from sequoiamoor.core.start_limits import OrganisationLoad
+
+LOAD = OrganisationLoad(100.0, 25.0, 0, 0, 10.0)
 
 
 def build_view(**waiting: int) -> ServiceView:
@@ -31,15 +34,16 @@
 ) -> None:
     """Guards against an exception while a choice is described for the log."""
     choices = Choices()
-    choices.record_held_back("b", build_view(**waiting), 3)
+    choices.record_held_back("b", build_view(**waiting), 3, LOAD)
     state = choices.describe_held_back()
     assert state is not None
     assert (state.lowest, state.lead, state.waiting) == (lowest, lead, total)
+    assert state.own_fraction == 0.25
 
 
 def test_nothing_is_described_without_a_choice_against_an_organisation() -> None:
     """Guards against a line that needs what was not recorded."""
     choices = Choices()
     assert choices.describe_held_back() is None
-    choices.record_held_back("gone", build_view(a=1), 3)
+    choices.record_held_back("gone", build_view(a=1), 3, LOAD)
     assert choices.describe_held_back() is None
