--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -11,6 +11,7 @@
 from ..core.blackboard import Blackboard
 from ..core.charges import StartCharges, is_charged_at_start
 from ..core.fairness import (
+    OrganisationView,
     RecentWork,
     ServiceView,
     choose_organisation,
@@ -276,12 +277,22 @@
         )
         self._own_recent.update({key: ledger.served(*key) for key in keys}, now)
 
+    def describe_loads(
+        self, board: Blackboard, service: ServiceName, now: float
+    ) -> dict[OrganisationName, OrganisationLoad]:
+        """Returns what the organisations ask of a service, as this router knows it."""
+        view = self._build_view(board, service, now)
+        return {
+            name: self._describe_load(board, service, name, state)
+            for name, state in view.organisations.items()
+        }
+
     def _describe_load(
         self,
         board: Blackboard,
         service: ServiceName,
         name: OrganisationName,
-        waiting: int,
+        state: OrganisationView,
     ) -> OrganisationLoad:
         ledger = board.ledger
         own_served = ledger.served(service, name)
@@ -292,7 +303,7 @@
             recent=self._recent.units(service, name, served) / SHARE_DECAY_SECONDS,
             own_recent=own_recent / SHARE_DECAY_SECONDS,
             # The view does not have the requests that arrived in this round.
-            waiting=max(waiting, own_waiting),
+            waiting=max(state.waiting, own_waiting),
             own_waiting=own_waiting,
             cost=self._costs.expect(service, name),
         )
@@ -302,7 +313,7 @@
     ) -> None:
         """Sets the rates of organisations that ask for more than their share."""
         loads = {
-            name: self._describe_load(board, service, name, state.waiting)
+            name: self._describe_load(board, service, name, state)
             for name, state in current.view.organisations.items()
         }
         reserve = RESERVED_FRACTION * current.most
@@ -335,8 +346,8 @@
                 key=lambda candidate: current.view.organisations[candidate].key,
             )
             names.remove(name)
-            waiting = current.view.organisations[name].waiting
-            load = self._describe_load(board, service, name, waiting)
+            state = current.view.organisations[name]
+            load = self._describe_load(board, service, name, state)
             if not self._may_take_place(board, service, name, load, current, now):
                 board.choices.record_held_back(
                     name, current.view, current.placeable, load
--- a/tests/policies/flooded_fleet.py
+++ b/tests/policies/flooded_fleet.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from sequoiamoor.core.blackboard import create_blackboard
-from sequoiamoor.core.messages import Report
+from sequoiamoor.core.messages import CounterRow, Report
 from sequoiamoor.core.routed_call import PromptPart, RoutedCall
 from sequoiamoor.core.routes import Route
 from sequoiamoor.core.upstreams import LoadReport, Replica
@@ -206,13 +206,16 @@
         self._at(now + self.size.report_seconds, lambda at: self._step(router, at))
 
     def _report(self, router: Router, now: float) -> None:
-        counters = router.policy.build_counters(router.board, now)
+        counters = self._build_counters(router, now)
         slots = router.policy.build_slots(router.board, now)
         report = Report(next(self._numbers), 1, False, counters, slots)
         for peer in self.routers:
             if peer is not router:
                 peer.policy.apply_report(peer.board, router.identity, report, now)
 
+    def _build_counters(self, router: Router, now: float) -> tuple[CounterRow, ...]:
+        return router.policy.build_counters(router.board, now)
+
     def find_unfair_windows(self) -> list[str]:
         """Returns the windows in which an organisation got less than its half."""
         unfair = []
