Let messages along the report tree carry eight rows

What callers saw: an organisation that had much of the fleet gets less than half of its due for seconds after others have come.

Cause: the budget of bytes is spent on reports to all routers, so that messages along the report tree carry two rows, and each level holds back the work of all but two organisations. What arrives late counts as done when it arrives.

Change: eight rows at least. A router has few neighbours in the tree.

Evidence: test_work_passes_each_level_of_the_tree_in_one_interval failed with two rows for six and eight organisations, and passes.

--- a/sequoiamoor/core/reports.py
+++ b/sequoiamoor/core/reports.py
@@ -17,6 +17,9 @@
 COUNTER_ROW_BYTES = 12
 # Without any row, peers would consider the totals of this router to be final.
 MIN_ROWS = 2
+# Reports and sums along the tree go to few routers. Each level that leaves out the work
+# of an organisation delays it by an interval.
+MIN_TREE_ROWS = 8
 # Rate of received reports above which the report interval grows; a flat fleet of 16
 # routers reaches this rate.
 MAX_RECEIVED_REPORTS_PER_SECOND = 75.0
@@ -94,6 +97,10 @@
         allowed = min(self._bytes, share) / max(1, peers) - REPORT_BYTES
         return max(MIN_ROWS, int(allowed / COUNTER_ROW_BYTES))
 
+    def find_tree_row_limit(self, messages: int) -> int:
+        """Returns how many counters each of the messages along the tree may carry."""
+        return max(self.find_row_limit(messages), MIN_TREE_ROWS)
+
 
 @dataclass(slots=True)
 class ReportFilter:
--- a/sequoiamoor/daemon/control.py
+++ b/sequoiamoor/daemon/control.py
@@ -490,7 +490,7 @@
         limit = self._byte_budget.find_row_limit(len(self._board.members))
         counter_limit = limit
         if self._board.place is not None:
-            counter_limit = self._byte_budget.find_row_limit(
+            counter_limit = self._byte_budget.find_tree_row_limit(
                 self._counter_message_count
             )
         sent = self._peers.flush(now, row_limit=limit, counter_limit=counter_limit)
--- a/tests/core/test_reports.py
+++ b/tests/core/test_reports.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sequoiamoor.core.messages import CounterRow
+from sequoiamoor.core.messages import CounterRow, Sum, SumRow
 from sequoiamoor.core.reports import (
     COUNTER_ROW_BYTES,
     HELD_BACK_PRIORITY_SECONDS,
@@ -13,10 +13,12 @@
     ByteBudget,
     EarlyMessageBudget,
     ReportFilter,
+    SumFilter,
     find_report_interval,
     find_suspect_after,
 )
 from sequoiamoor.options import Options
+from sequoiamoor.types import RouterIdentity
 
 OPTIONS = Options.model_validate({})
 PEERS = ("router-1", "router-2", "router-3")
@@ -201,3 +203,31 @@
     report_interval = find_report_interval(options, peers)
     assert report_interval == pytest.approx(interval)
     assert 3 * report_interval <= find_suspect_after(options, peers)
+
+
+@pytest.mark.parametrize("organisations", [2, 6, 8])
+def test_work_passes_each_level_of_the_tree_in_one_interval(organisations: int) -> None:
+    """Guards against work of floods that routers learn of seconds late, and at once.
+
+    All bytes of the budget are spent on reports to all routers. If a sum then leaves
+    out an organisation, its work waits for another interval at each level.
+    """
+    levels, budget = 4, ByteBudget(OPTIONS)
+    budget.fill(0.0)
+    budget.spend(100_000)
+    limit = budget.find_tree_row_limit(7)
+    origin = frozenset({RouterIdentity("router-1", 1, "zone")})
+    names = [f"o{number}" for number in range(organisations)]
+    filters = [SumFilter() for _ in range(levels)]
+    known = [dict.fromkeys(names, 0) for _ in range(levels + 1)]
+    for tick in range(1, 41):
+        for level in reversed(range(levels)):
+            rows = tuple(SumRow("talk", *item) for item in known[level].items())
+            message = Sum("zone", 0, tick, True, origin, rows)
+            changed = filters[level].select(message, limit=limit)
+            if changed is not None:
+                for row in changed.rows:
+                    known[level + 1][row.organisation] = row.served
+        known[0] = {name: 100 * tick for name in names}
+        if tick > 2 * levels:
+            assert min(known[levels].values()) >= 100 * (tick - levels)
