--- a/sequoiamoor/policies/shared_load.py
+++ b/sequoiamoor/policies/shared_load.py
@@ -281,7 +281,13 @@
         self, board: Blackboard, service: ServiceName, now: float
     ) -> dict[OrganisationName, OrganisationLoad]:
         """Returns what the organisations ask of a service, as this router knows it."""
-        view = self._build_view(board, service, now)
+        return self._describe_loads(
+            board, service, self._build_view(board, service, now)
+        )
+
+    def _describe_loads(
+        self, board: Blackboard, service: ServiceName, view: ServiceView
+    ) -> dict[OrganisationName, OrganisationLoad]:
         return {
             name: self._describe_load(board, service, name, state)
             for name, state in view.organisations.items()
@@ -312,10 +318,7 @@
         self, board: Blackboard, service: ServiceName, current: Round, now: float
     ) -> None:
         """Sets the rates of organisations that ask for more than their share."""
-        loads = {
-            name: self._describe_load(board, service, name, state)
-            for name, state in current.view.organisations.items()
-        }
+        loads = self._describe_loads(board, service, current.view)
         reserve = RESERVED_FRACTION * current.most
         places = current.placeable - current.excess - reserve
         limits = self._limits[service]
