--- a/review/6/case.py
+++ b/review/6/case.py
@@ -41,6 +41,8 @@
 READ_ON_SECONDS = 0.2
 WORK_SECONDS = 0.0225
 ROUNDS = 60
+SHORT_REQUESTS = 15
+"""Further holds of a round, so that one request in twenty is long."""
 WINDOW_BYTES = 4_096
 """Receive buffer of the replicas; the links of the platform have small windows."""
 
@@ -231,6 +233,7 @@
             await ask(bytes(capacity - head_bytes))
             await asyncio.gather(*(ask(b"lane 4") for _ in range(4)))
             await asyncio.sleep(2 * READ_ON_SECONDS)
+            await asyncio.gather(*(ask(b"lane 4") for _ in range(SHORT_REQUESTS)))
             if any(count > 1 for count in runs.values()):
                 break
         twice = [attempt_id for attempt_id, count in runs.items() if count > 1]
