Drop two review cases that earlier ones show, and number the others

Endless answers are review/3, requests handed to a frozen router review/8. The crowd with small chunks is case 12 now, the key after a restore case 13; stand-ins that nothing uses are removed.

--- a/review/parts_three.py
+++ b/review/parts_three.py
@@ -1,4 +1,7 @@
-"""Replicas of a plain service and requesters, each in a process of its own."""
+"""Replicas of a plain service, in a process of their own, and a requester.
+
+``python3 parts_three.py WORK_SECONDS HOST...`` serves a replica at each address.
+"""
 
 from __future__ import annotations
 
@@ -102,40 +105,5 @@
     return entry
 
 
-async def run_load(host: str, port: int, count: int, limit: float, name: str) -> None:
-    """Sends requests, each on a new channel, until the process is ended.
-
-    Args:
-        host: Address of the router.
-        port: Its port.
-        count: Requesters; each has one request at a time.
-        limit: Seconds for which a requester waits.
-        name: First part of the identifiers of the attempts.
-    """
-
-    async def send_on(place: int) -> None:
-        number = 0
-        while True:
-            number += 1
-            attempt = f"{name}-{place}-{number}"
-            entry = await send_hold(host, port, attempt, limit, "key-1")
-            print(json.dumps(entry), flush=True)
-            await asyncio.sleep(random.uniform(0.0, 0.1))
-
-    await asyncio.gather(*(send_on(place) for place in range(count)))
-
-
 if __name__ == "__main__":
-    if sys.argv[1] == "replicas":
-        asyncio.run(run_replicas(sys.argv[3:], float(sys.argv[2])))
-    else:
-        arguments = sys.argv[2:]
-        asyncio.run(
-            run_load(
-                arguments[0],
-                int(arguments[1]),
-                int(arguments[2]),
-                float(arguments[3]),
-                arguments[4],
-            )
-        )
+    asyncio.run(run_replicas(sys.argv[2:], float(sys.argv[1])))
--- a/review/trouble_play.py
+++ b/review/trouble_play.py
@@ -1,4 +1,4 @@
-"""One router before three replicas of a plain service, some of them in trouble."""
+"""One router before three replicas of a plain service that reject requests."""
 
 from __future__ import annotations
 
@@ -70,12 +70,11 @@
 
     @contextlib.asynccontextmanager
     async def start(
-        self, trouble: str, shares: list[float], *, after: float, seconds: float
+        self, shares: list[float], *, after: float, seconds: float
     ) -> AsyncIterator[bool]:
         """Starts all, and yields whether the router is ready.
 
         Args:
-            trouble: Trouble of the replicas.
             shares: Share of the requests that meet it, for each replica.
             after: Seconds from the time at which the router is ready to the trouble.
             seconds: Length of the trouble.
@@ -90,9 +89,7 @@
             begins_at = time.monotonic() + 4.0 + after
             await asyncio.sleep(3.0)
             for number, share in enumerate(shares):
-                await self._start_replica(
-                    store, number, [trouble, str(share)], begins_at, seconds
-                )
+                await self._start_replica(store, number, share, begins_at, seconds)
             yield await self.router.wait_ready()
         finally:
             for process in self._replicas:
@@ -105,14 +102,14 @@
         self,
         store: Store,
         number: int,
-        trouble: list[str],
+        share: float,
         begins_at: float,
         seconds: float,
     ) -> None:
         program = str(Path(__file__).with_name("troubled_three.py"))
         path = self._folder / f"replica-{number}.txt"
         times = [str(begins_at), str(begins_at + seconds)]
-        arguments = [f"127.0.2.{number + 1}", f"i-desk-{number}", *trouble, *times]
+        arguments = [f"127.0.2.{number + 1}", f"i-desk-{number}", str(share), *times]
         command = [sys.executable, program, *arguments]
         self._replicas.append(subprocess.Popen(command, stdout=path.open("w")))
         while not path.read_text().endswith("\n"):
--- a/review/troubled_three.py
+++ b/review/troubled_three.py
@@ -1,9 +1,7 @@
-"""A replica of a plain service that is in trouble for a time.
+"""A replica of a plain service that rejects requests for a time, as a full one does.
 
-``python3 troubled_three.py HOST NAME TROUBLE SHARE FROM UNTIL``: TROUBLE is ``shed``,
-by which it rejects requests as a full replica does, or ``endless``, by which it sends
-bytes without end, until the channel is closed. SHARE is the share of the requests that
-meet it between the two monotonic times.
+``python3 troubled_three.py HOST NAME SHARE FROM UNTIL``: SHARE is the share of the
+requests that it rejects between the two monotonic times.
 """
 
 from __future__ import annotations
@@ -17,8 +15,8 @@
 from rig_three import read_body, read_head
 
 WORK_SECONDS = 0.0225
-HOST, NAME, TROUBLE = sys.argv[1:4]
-SHARE, BEGINS_AT, ENDS_AT = map(float, sys.argv[4:7])
+HOST, NAME = sys.argv[1:3]
+SHARE, BEGINS_AT, ENDS_AT = map(float, sys.argv[3:6])
 
 
 async def answer(writer: asyncio.StreamWriter, target: str, attempt: str) -> None:
@@ -27,21 +25,13 @@
     signature = b"X-Server-Signature: s.%b\r\n" % attempt.encode()
     is_troubled = BEGINS_AT <= time.monotonic() < ENDS_AT and random.random() < SHARE
     print(json.dumps({"run": attempt, "troubled": is_troubled}), flush=True)
-    if is_troubled and TROUBLE == "shed":
+    if is_troubled:
         writer.write(
             b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n%b"
             b"Content-Length: 0\r\n\r\n" % own
         )
         return
     await asyncio.sleep(WORK_SECONDS)
-    if is_troubled:
-        writer.write(
-            b"HTTP/1.1 200 OK\r\n%b%bTransfer-Encoding: chunked\r\n\r\n"
-            % (own, signature)
-        )
-        while True:
-            writer.write(b"10000\r\n%b\r\n" % (b"x" * 65_536))
-            await writer.drain()
     body = f"{target} {attempt}".encode()
     writer.write(
         b"HTTP/1.1 200 OK\r\n%b%bContent-Length: %d\r\n\r\n%b"
