--- a/review/rig_three.py
+++ b/review/rig_three.py
@@ -80,7 +80,7 @@
         self.changes: list[dict] = []
         self.version = 100
         self.oldest = 0
-        self.era = 0
+        self.era = 1
         self.started = time.monotonic()
         self.is_closed = False
         self._writers: set[asyncio.StreamWriter] = set()
@@ -149,7 +149,7 @@
                 if self.is_closed:
                     break
                 data = json.dumps(document).encode()
-                era = f"Store-Era: {self.era}\r\n" if self.era else ""
+                era = f"Store-Era: {self.era}\r\n"
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}"
                     f"Content-Length: {len(data)}\r\n\r\n".encode()
@@ -315,14 +315,20 @@
 
 
 class Record:
-    """Lines on what was sent, answered and run."""
+    """Lines on what was sent, answered and run.
+
+    Attributes:
+        lines: The lines without their times.
+    """
 
     def __init__(self, path: Path) -> None:
         self._file = path.open("w")
         self._started = time.monotonic()
+        self.lines: list[str] = []
 
     def add(self, text: str) -> None:
         """Adds a line with the time since the start."""
+        self.lines.append(text)
         self._file.write(f"{time.monotonic() - self._started:9.3f} {text}\n")
 
     def close(self) -> None:
